--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install format check test demo bench capacity clean
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $(STAMP)
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+check: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: check
+	$(BIN)/python -m pytest
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/gooseberrypost/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent daemon, the process beside one backend server."""
--- /dev/null
+++ b/src/gooseberrypost/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual-clock driver that measures the policy."""
--- /dev/null
+++ b/src/gooseberrypost/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claim owner service and its client."""
--- /dev/null
+++ b/src/gooseberrypost/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/gooseberrypost/configsync/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of the configuration to every process."""
--- /dev/null
+++ b/src/gooseberrypost/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon, the front that callers reach."""
--- /dev/null
+++ b/src/gooseberrypost/errors.py
@@ -0,0 +1,260 @@
+"""Typed failures with the code, HTTP status and outcome that a caller is told.
+
+Expected failures travel as values (``result.Err(NoCapacity(...))``); they
+derive from ``Exception`` so that users of the library may raise them as well.
+
+    >>> failure = NoCapacity("no decode slot", retry_after_ms=200)
+    >>> failure.code, failure.outcome
+    ('no_capacity', <Outcome.NOT_RUN: 'not-run'>)
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import ClassVar
+
+
+class Outcome(StrEnum):
+    """What a caller may conclude about the execution of its request."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    DUPLICATE = "duplicate"
+    FAILED = "failed"
+
+
+class Failure(Exception):
+    """Base of every typed failure."""
+
+    code: ClassVar[str] = "failure"
+    """Stable code, part of the public interface."""
+    http_status: ClassVar[int] = 500
+    outcome: ClassVar[Outcome] = Outcome.UNKNOWN
+
+    def __init__(
+        self, detail: str = "", *, retry_after_ms: int | None = None
+    ) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self.detail}" if self.detail else self.code
+
+
+class NotRun(Failure):
+    """The request was not run; a late arrival of the attempt is barred."""
+
+    code = "not_run"
+    http_status = 503
+    outcome = Outcome.NOT_RUN
+
+
+class MalformedRequest(NotRun):
+    """The request cannot be parsed or lacks a required field."""
+
+    code = "malformed_request"
+    http_status = 400
+
+
+class BodyTooLarge(NotRun):
+    """The request body exceeds the configured limit in bytes."""
+
+    code = "body_too_large"
+    http_status = 413
+
+
+class UnknownModel(NotRun):
+    """No service offers the requested model."""
+
+    code = "unknown_model"
+    http_status = 404
+
+
+class UnknownService(NotRun):
+    """No service has the requested name."""
+
+    code = "unknown_service"
+    http_status = 404
+
+
+class UnknownAccount(NotRun):
+    """The account is not configured and anonymous use is not allowed."""
+
+    code = "unknown_account"
+    http_status = 403
+
+
+class KeyReused(NotRun):
+    """The idempotency key was first used with another body."""
+
+    code = "key_reused"
+    http_status = 422
+
+
+class Quarantined(NotRun):
+    """Content that crashed two backend servers is refused everywhere."""
+
+    code = "quarantined"
+    http_status = 422
+
+
+class AccountLimited(NotRun):
+    """The account is over its limit."""
+
+    code = "account_limit"
+    http_status = 429
+
+
+class ServiceLimited(NotRun):
+    """The service is over its limit."""
+
+    code = "service_limit"
+    http_status = 429
+
+
+class TargetUnreachable(NotRun):
+    """Admission predicts that the latency targets cannot be met."""
+
+    code = "target_unreachable"
+
+
+class NoCapacity(NotRun):
+    """No backend server granted a reservation."""
+
+    code = "no_capacity"
+
+
+class Draining(NotRun):
+    """The process or backend server takes no new work."""
+
+    code = "draining"
+
+
+class StaleAttempt(NotRun):
+    """A higher attempt is known, or this attempt was revoked."""
+
+    code = "stale_attempt"
+
+
+class StaleOrder(NotRun):
+    """An order has an old fencing token, or its sender's lease lapsed."""
+
+    code = "stale_order"
+    http_status = 409
+
+
+class ClaimsUnavailable(NotRun):
+    """The claim could not be made durable, so the call was not started."""
+
+    code = "claims_unavailable"
+
+
+class DeadlinePassed(NotRun):
+    """The deadline passed before the request was sent to a backend server."""
+
+    code = "deadline_passed"
+    http_status = 504
+
+
+class PeerUnreachable(NotRun):
+    """No connection to the peer could be opened, so nothing was sent."""
+
+    code = "peer_unreachable"
+
+
+class UnknownOutcome(Failure):
+    """The request was sent and its fate cannot be known."""
+
+    code = "outcome_unknown"
+    http_status = 502
+    outcome = Outcome.UNKNOWN
+
+
+class ConnectionLost(UnknownOutcome):
+    """The connection broke after the message may have been delivered."""
+
+    code = "connection_lost"
+
+
+class TimedOut(UnknownOutcome):
+    """No reply arrived within the time allowed, in milliseconds."""
+
+    code = "timed_out"
+    http_status = 504
+
+
+class Duplicate(Failure):
+    """The request is running or was answered; no answer is available."""
+
+    code = "duplicate"
+    http_status = 409
+    outcome = Outcome.DUPLICATE
+
+
+class Superseded(Failure):
+    """A higher attempt owns the request; this attempt must not answer."""
+
+    code = "superseded"
+    http_status = 409
+    outcome = Outcome.DUPLICATE
+
+
+class ExecutionFailed(Failure):
+    """The request was run and did not produce a whole answer."""
+
+    code = "execution_failed"
+    http_status = 502
+    outcome = Outcome.FAILED
+
+
+class EngineCrashed(ExecutionFailed):
+    """The backend server crashed while it ran the request."""
+
+    code = "engine_crashed"
+
+
+class TransferStalled(ExecutionFailed):
+    """A KV cache transfer fell behind its booked rate and was abandoned."""
+
+    code = "transfer_stalled"
+
+
+class HandleExpired(ExecutionFailed):
+    """The prefill result was gone before a decode engine imported it."""
+
+    code = "handle_expired"
+
+
+class CallerGone(ExecutionFailed):
+    """The caller disconnected; its engine memory was released."""
+
+    code = "caller_gone"
+    http_status = 499
+
+
+class ProtocolFailure(Failure):
+    """A frame has a wrong version, type, size or body."""
+
+    code = "protocol_failure"
+    http_status = 400
+
+
+def _subclasses(base: type[Failure]) -> list[type[Failure]]:
+    found = [base]
+    for subclass in base.__subclasses__():
+        found.extend(_subclasses(subclass))
+    return found
+
+
+def failure_from_code(code: str, detail: str = "") -> Failure:
+    """Rebuild a failure received from a peer.
+
+    An unknown code, sent by a newer peer, becomes ``UnknownOutcome``, the only
+    reading that claims nothing.
+    """
+    for subclass in _subclasses(Failure):
+        if subclass.code == code:
+            return subclass(detail)
+    return UnknownOutcome(f"{code}: {detail}")
--- /dev/null
+++ b/src/gooseberrypost/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions; state, time and randomness are arguments."""
--- /dev/null
+++ b/src/gooseberrypost/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings of each process, read from JSON with comments."""
--- /dev/null
+++ b/src/gooseberrypost/sheet/__init__.py
@@ -0,0 +1,1 @@
+"""The planners' sheet: parsing, calendar, schedule and diff."""
--- /dev/null
+++ b/src/gooseberrypost/state/__init__.py
@@ -0,0 +1,1 @@
+"""Pure state machines; time and randomness are arguments."""
--- /dev/null
+++ b/src/gooseberrypost/state/records.py
@@ -0,0 +1,145 @@
+"""Records of the configuration document, one class for each key prefix.
+
+A record is stored as JSON under ``service/<name>``, ``engine/<name>``,
+``schedule/<id>`` or ``account/<name>``.
+
+    >>> record = AccountRecord("kiosk-7", requests_per_s=2.0)
+    >>> AccountRecord.from_json(record.to_json()).unwrap() == record
+    True
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any, Self
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure
+
+
+class InvalidRecord(Failure):
+    """A configuration record is malformed."""
+
+    code = "invalid_record"
+    http_status = 400
+
+
+class Kind(StrEnum):
+    """What the backend servers of a service are."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+class EngineRole(StrEnum):
+    """Pool that a backend server belongs to."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    PLAIN = "plain"
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """Base of the typed records."""
+
+    name: str
+
+    def to_json(self) -> str:
+        """Serialise with sorted keys: equal records give equal text."""
+        return json.dumps(dataclasses.asdict(self), sort_keys=True)
+
+    @classmethod
+    def from_json(cls, text: str) -> Result[Self, InvalidRecord]:
+        """Parse one record; unknown or missing fields are refused."""
+        try:
+            document: Any = json.loads(text)
+            return Ok(cls(**document))
+        except (TypeError, json.JSONDecodeError, InvalidRecord) as exc:
+            return Err(InvalidRecord(f"{cls.__name__}: {exc}"))
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceRecord(Record):
+    """A service, its latency targets and limits."""
+
+    kind: str = Kind.MODEL
+    models: list[str] = field(default_factory=list)
+    first_token_ms: int = 480
+    """Target for the first token, after arrival at the entry."""
+    token_gap_ms: int = 26
+    """Target for the time between two tokens."""
+    answer_ms: int = 30_000
+    """Target for the whole answer, and the default deadline."""
+    priority: int = 5
+    """0 is served first, 9 last."""
+    waste_weight: float = 0.5
+    """Weight of wasted prefill against goodput, 0 to 1."""
+    max_wait_ms: int = 0
+    """A waiting request reaches top priority after this; 0: never."""
+    max_output_tokens: int = 1_024
+    max_in_flight: int = 0
+    """Limit on concurrent requests at one entry; 0: none."""
+    requests_per_s: float = 0.0
+    """Limit on the rate at one entry; 0: none."""
+    retry_share: float = 0.1
+    """Retries allowed, as a share of recent requests."""
+    non_idempotent: list[str] = field(default_factory=list)
+    """Calls that may not be repeated, as ``METHOD /path-prefix``."""
+    claims_outage_policy: str = "memory"
+    """``memory`` or ``refuse``: caller-made keys of idempotent requests."""
+
+
+@dataclass(slots=True, frozen=True)
+class EngineRecord(Record):
+    """A backend server and the agent beside it."""
+
+    service: str
+    agent_address: str
+    """``host:port`` of the agent's internal listener."""
+    zone: str
+    role: str = EngineRole.DECODE
+    """Role where no schedule row says otherwise."""
+    model: str = ""
+    slots: int = 20
+    pieces: int = 200
+    prefill_tokens_per_s: float = 20_000.0
+    link: str = ""
+    """Name of the shared link that its KV cache transfers use."""
+    link_kb_per_s: int = 0
+    """Rate of that link; 0: not limited."""
+
+
+@dataclass(slots=True, frozen=True)
+class ScheduleRecord(Record):
+    """One row of the planners' sheet, in local hours of its time zone."""
+
+    day: str
+    """ISO date or English weekday."""
+    service: str
+    engine: str
+    role: str
+    model: str
+    starts: str
+    """Local time ``HH:MM``."""
+    ends: str
+    """Local time ``HH:MM``; ``24:00`` is the end of the day."""
+    time_zone: str
+    """IANA name."""
+
+
+@dataclass(slots=True, frozen=True)
+class AccountRecord(Record):
+    """A caller's account and its limits at one entry."""
+
+    requests_per_s: float = 0.0
+    """0: not limited."""
+    burst: int = 10
+    max_in_flight: int = 0
+    """0: not limited."""
+    share: float = 1.0
+    """Weight among accounts when a service is full."""
--- /dev/null
+++ b/src/gooseberrypost/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Internal protocol between processes: IDL, codec, channel and listener."""
--- /dev/null
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -0,0 +1,250 @@
+// Messages between gooseberrypost processes. Times are milliseconds. A field
+// is never renumbered; new fields are optional, so that mixed versions interoperate.
+
+enum Role { PREFILL = 1, DECODE = 2, PLAIN = 3 }
+
+// ---- session ----
+
+struct Hello {
+  1: string process_kind,      // "entry", "agent" or "operator"
+  2: string name,
+  3: i64 incarnation,
+  4: string zone,
+  5: string address,           // internal host:port of the sender, empty if none
+}
+
+struct Heartbeat { 1: i64 incarnation }
+
+struct Ok {}
+
+struct Refused {
+  1: string code,              // code of a Failure class
+  2: string detail,
+  3: i32 retry_after_ms,       // 0: no advice
+  4: optional Load load,
+}
+
+// ---- agent ----
+
+struct Load {
+  1: i32 slots,
+  2: i32 slots_used,           // held and reserved
+  3: i32 pieces,
+  4: i32 pieces_used,          // held and reserved
+  5: i32 queue_tokens,         // prefill tokens not yet computed
+  6: double prefill_tokens_per_s,
+  7: double token_gap_ms,
+  8: bool draining,
+  9: i64 configuration_version,
+  10: i32 suspects,            // running requests under suspicion of a crash
+  11: i32 link_booked_kb_per_s,
+}
+
+struct Probe { 1: string service_name, 2: list<i64> prefix_hashes }
+
+struct ProbeReply {
+  1: string server,
+  2: Role role,
+  3: string model,
+  4: Load load,
+  5: i32 cached_tokens,        // longest cached prefix of prefix_hashes, in tokens
+  6: string engine_address,    // host:port other engines import from
+}
+
+struct Reserve {
+  1: string key,
+  2: i32 attempt,
+  3: string service_name,
+  4: string model,
+  5: i32 pieces,
+  6: i32 ttl_ms,
+  7: i32 expected_start_ms,    // from now until the prefill result arrives
+  8: i32 priority,
+  9: bool suspect,
+  10: binary digest,
+  11: i32 transfer_kb,         // booked on the server's import link
+}
+
+struct Reserved { 1: i64 reservation, 2: Load load, 3: i32 link_start_ms, 4: i32 link_kb_per_s }
+
+struct ReleaseReservation { 1: i64 reservation, 2: string key, 3: i32 attempt }
+
+struct Prefill {
+  1: string key,
+  2: i32 attempt,
+  3: string service_name,
+  4: string model,
+  5: string prompt,
+  6: i32 priority,
+  7: i32 deadline_ms,          // from now
+  8: binary digest,
+  9: bool suspect,
+  10: optional string generated,  // tokens already sent to the caller, on a resume
+}
+
+struct Prefilled {
+  1: string handle,
+  2: i32 tokens,
+  3: i32 cached_tokens,
+  4: i32 lives_ms,
+  5: string engine_address,
+  6: Load load,
+}
+
+struct ReleasePrefill { 1: string key, 2: i32 attempt, 3: string handle }
+
+struct Decode {
+  1: string key,
+  2: i32 attempt,
+  3: i64 reservation,
+  4: string handle,
+  5: string engine_address,    // of the prefill engine
+  6: i32 max_tokens,
+  7: i32 first_sequence,
+  8: i32 priority,
+  9: i32 deadline_ms,
+  10: string model,
+  11: i32 transfer_timeout_ms,
+}
+
+struct Token {
+  1: string key,
+  2: i32 attempt,
+  3: i32 sequence,
+  4: string text,
+}
+
+struct End {
+  1: string key,
+  2: i32 attempt,
+  3: i32 tokens,               // total sequence numbers issued
+  4: string code,              // empty: whole; else code of a Failure class
+  5: string detail,
+  6: optional Load load,
+}
+
+struct Reattach { 1: string key, 2: i32 attempt, 3: i32 next_sequence }
+
+struct Header { 1: string name, 2: string value }
+
+struct Call {
+  1: string key,
+  2: i32 attempt,
+  3: string service_name,
+  4: string method,
+  5: string path,
+  6: list<Header> headers,
+  7: binary body,
+  8: bool idempotent,
+  9: i32 deadline_ms,
+  10: binary digest,
+  11: bool suspect,
+}
+
+struct CallReply {
+  1: i32 status,
+  2: list<Header> headers,
+  3: binary body,
+  4: optional Load load,
+}
+
+struct Cancel { 1: string key, 2: i32 attempt }
+
+struct Revoke { 1: string key, 2: i32 attempt }
+
+struct Revoked { 1: bool never_started }
+
+struct Order {
+  1: string kind,              // "load_model", "load_adapter", "set_version", "set_role"
+  2: string value,
+  3: i64 fencing,              // configuration version the order comes from
+}
+
+struct Drain { 1: bool draining }
+
+struct StatusRequest {}
+
+struct Status {
+  1: string process_kind,
+  2: string name,
+  3: i64 incarnation,
+  4: string zone,
+  5: string state,             // starting, serving, draining, stopped
+  6: i64 configuration_version,
+  7: i32 in_flight,
+  8: optional Load load,
+  9: string service_name,
+  10: list<i32> shards,        // claim shards held
+}
+
+struct Explain { 1: string key }
+
+struct Explanation { 1: list<string> lines }
+
+// ---- claims ----
+
+struct Mint { 1: string service_name }
+
+struct Minted { 1: string key }
+
+enum Verdict {
+  GRANTED = 1,
+  RUNNING = 2,
+  COMPLETED = 3,
+  KEY_REUSED = 4,
+  UNKNOWN = 5,
+  QUARANTINED = 6,
+  UNAVAILABLE = 7,
+  NOT_OWNER = 8,
+}
+
+struct Claim {
+  1: string key,
+  2: binary digest,
+  3: string service_name,
+  4: bool idempotent,
+  5: i32 deadline_ms,          // from now; a running claim is orphaned after it
+  6: i32 wait_ms,              // attach to a running claim for at most this long
+  7: bool fresh,               // the entry minted the key for this very call
+}
+
+struct ClaimReply {
+  1: Verdict verdict,
+  2: i32 attempt,
+  3: bool suspect,
+  4: i32 status,
+  5: optional binary answer,   // stored answer of a completed claim
+  6: string content_type,
+  7: string owner_address,     // with NOT_OWNER, where known
+  8: i32 retry_after_ms,
+}
+
+struct Renew { 1: string key, 2: i32 attempt }   // next attempt within the same claim
+
+struct Complete {
+  1: string key,
+  2: i32 attempt,
+  3: i32 status,
+  4: binary answer,
+  5: string content_type,
+}
+
+struct Abandon {
+  1: string key,
+  2: i32 attempt,
+  3: bool not_run,             // proof that the request was not run
+}
+
+struct CrashReport {
+  1: string crash_id,
+  2: string server,
+  3: list<binary> digests,
+}
+
+// ---- configuration ----
+
+struct Record { 1: string key, 2: string value, 3: i64 version }
+
+struct ConfigPull { 1: i64 since_version }
+
+struct ConfigDelta { 1: i64 version, 2: list<Record> records, 3: list<string> removed }
--- /dev/null
+++ b/src/gooseberrypost/wire/listener.py
@@ -0,0 +1,214 @@
+"""Server side of internal connections."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from contextlib import asynccontextmanager, suppress
+from typing import TYPE_CHECKING, Any, Final
+
+from absl import logging
+from result import Err, Ok
+
+from gooseberrypost.errors import Failure, ProtocolFailure, UnknownOutcome
+from gooseberrypost.wire.codec import Frame, encode, read_frame
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HELLO_TIMEOUT_MS: Final = 2_000
+WRITE_BUFFER_BYTES: Final = 256 * 1024
+
+
+def refused(failure: Failure, load: Any = None) -> Any:
+    """``Refused`` message that carries a failure to the peer."""
+    return idl.Refused(
+        code=failure.code,
+        detail=failure.detail,
+        retry_after_ms=failure.retry_after_ms or 0,
+        load=load,
+    )
+
+
+class Session:
+    """One accepted connection and the peer that introduced itself on it."""
+
+    __slots__ = ("_writer", "closed", "last_heard_s", "peer", "tasks")
+
+    def __init__(self, peer: Any, writer: asyncio.StreamWriter) -> None:
+        self.peer = peer
+        self.last_heard_s = asyncio.get_running_loop().time()
+        """Event-loop time of the last frame received, in seconds."""
+        self.closed = asyncio.Event()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self._writer = writer
+
+    async def send(self, correlation: int, message: Any) -> bool:
+        """Send a reply; returns whether the connection took it.
+
+        Waits while the peer reads more slowly than this process writes.
+        """
+        if self.closed.is_set():
+            return False
+        try:
+            self._writer.write(encode(Frame(correlation, message)))
+            await self._writer.drain()
+        except OSError:
+            return False
+        return True
+
+    def abort(self) -> None:
+        """Drop the connection without flushing what is buffered."""
+        self._writer.transport.abort()
+
+
+class Handler(ABC):
+    """Receives the messages of every session of a listener."""
+
+    @abstractmethod
+    async def handle(
+        self, session: Session, correlation: int, message: Any
+    ) -> None:
+        """Process one message; replies go through ``session.send``."""
+
+    @abstractmethod
+    def connected(self, session: Session) -> None:
+        """Note a new session."""
+
+    @abstractmethod
+    def disconnected(self, session: Session) -> None:
+        """Note that a session ended; its peer may be dead or cut off."""
+
+    @abstractmethod
+    def rejected(self, failure: ProtocolFailure) -> None:
+        """Count a frame that was not accepted."""
+
+
+class Listener:
+    """Accepts connections and dispatches their messages to a handler."""
+
+    __slots__ = ("_handler", "_server", "_sessions")
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._sessions: set[Session] = set()
+
+    @classmethod
+    @asynccontextmanager
+    async def serving(
+        cls, address: str, handler: Handler
+    ) -> AsyncIterator[Listener]:
+        """Listen on ``host:port`` for the duration of the context."""
+        listener = cls(handler)
+        await listener.start(address)
+        try:
+            yield listener
+        finally:
+            await listener.stop()
+
+    @property
+    def address(self) -> str:
+        """Bound ``host:port``; useful when the configured port is 0."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def sessions(self) -> frozenset[Session]:
+        """Sessions that are open now."""
+        return frozenset(self._sessions)
+
+    async def start(self, address: str) -> None:
+        """Bind and accept; raises ``OSError`` when the port is taken."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    async def stop(self) -> None:
+        """Stop accepting and drop every session."""
+        if self._server is None:
+            return
+        self._server.close()
+        for session in self.sessions:
+            session.abort()
+        await self._server.wait_closed()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        try:
+            session = await self._greet(reader, writer)
+            if session is not None:
+                await self._run_session(session, reader)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+            with suppress(OSError):
+                await writer.wait_closed()
+
+    async def _greet(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> Session | None:
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_MS / 1_000):
+                first = await read_frame(reader)
+        except TimeoutError:
+            self._handler.rejected(ProtocolFailure("no Hello in time"))
+            return None
+        match first:
+            case Ok(frame) if isinstance(frame.message, idl.Hello):
+                return Session(frame.message, writer)
+            case Ok(frame):
+                name = type(frame.message).__name__
+                self._handler.rejected(ProtocolFailure(f"{name} before Hello"))
+            case Err(failure):
+                self._handler.rejected(failure)
+        return None
+
+    async def _run_session(
+        self, session: Session, reader: asyncio.StreamReader
+    ) -> None:
+        self._sessions.add(session)
+        self._handler.connected(session)
+        try:
+            await self._receive(session, reader)
+        finally:
+            session.closed.set()
+            self._sessions.discard(session)
+            self._handler.disconnected(session)
+
+    async def _receive(
+        self, session: Session, reader: asyncio.StreamReader
+    ) -> None:
+        clock = asyncio.get_running_loop().time
+        while True:
+            match await read_frame(reader):
+                case Ok(frame):
+                    session.last_heard_s = clock()
+                    if not isinstance(frame.message, idl.Heartbeat):
+                        self._dispatch(session, frame)
+                case Err(failure):
+                    self._handler.rejected(failure)
+                    return
+
+    def _dispatch(self, session: Session, frame: Frame) -> None:
+        task = asyncio.create_task(self._handle(session, frame))
+        session.tasks.add(task)
+        task.add_done_callback(session.tasks.discard)
+
+    async def _handle(self, session: Session, frame: Frame) -> None:
+        try:
+            await self._handler.handle(
+                session, frame.correlation, frame.message
+            )
+        except Failure as failure:
+            await session.send(frame.correlation, refused(failure))
+        except Exception:
+            name = type(frame.message).__name__
+            logging.exception("event=handler_failed message=%s", name)
+            await session.send(
+                frame.correlation, refused(UnknownOutcome(name))
+            )
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,135 @@
+"""Internal protocol: codec, channel and listener."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from gooseberrypost.errors import (
+    ConnectionLost,
+    PeerUnreachable,
+    ProtocolFailure,
+)
+from gooseberrypost.wire import codec
+from gooseberrypost.wire.channel import Channel
+from gooseberrypost.wire.listener import Handler, Listener
+from gooseberrypost.wire.messages import TYPE_NUMBERS, idl
+
+HELLO = idl.Hello(
+    process_kind="entry", name="e1", incarnation=1, zone="z1", address=""
+)
+
+
+class EchoHandler(Handler):
+    """Replies to ``Explain``, drops the connection on ``Cancel``."""
+
+    def __init__(self):
+        self.rejections: list[ProtocolFailure] = []
+        self.peers: list[str] = []
+        self.gone = asyncio.Event()
+
+    async def handle(self, session, correlation, message):
+        if isinstance(message, idl.Cancel):
+            session.abort()
+            return
+        await session.send(correlation, idl.Explanation(lines=[message.key]))
+
+    def connected(self, session):
+        self.peers.append(session.peer.name)
+
+    def disconnected(self, session):
+        self.gone.set()
+
+    def rejected(self, failure):
+        self.rejections.append(failure)
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_give_a_typed_failure_or_a_frame(data):
+    """Guards against a crash of the receiver on hostile bytes."""
+    assert isinstance(codec.decode(data), Ok | Err)
+
+
+@given(
+    st.sampled_from(sorted(TYPE_NUMBERS.values())),
+    st.binary(max_size=200),
+)
+def test_random_bodies_of_known_types_never_raise(number, body):
+    """Guards against a struct reader exception escaping the codec."""
+    data = bytes([codec.VERSION, number]) + b"\0\0\0\1" + body
+    assert isinstance(codec.decode(data), Ok | Err)
+
+
+@given(
+    st.text(max_size=50), st.integers(0, 2**31 - 1), st.integers(0, 2**32 - 1)
+)
+def test_frames_survive_a_round_trip(text, number, correlation):
+    """Guards against lost or reordered fields."""
+    message = idl.Token(key=text, attempt=number, sequence=number, text=text)
+    data = codec.encode(codec.Frame(correlation, message))
+    frame = codec.decode(data[codec.LENGTH_BYTES :]).unwrap()
+    assert frame == codec.Frame(correlation, message)
+
+
+def test_another_version_is_refused():
+    """Guards against reading a frame of an incompatible release."""
+    data = bytes([codec.VERSION + 1, 2]) + b"\0\0\0\1"
+    assert isinstance(codec.decode(data).unwrap_err(), ProtocolFailure)
+
+
+def test_requests_share_a_connection():
+    """Guards against replies crossing between concurrent requests."""
+
+    async def run():
+        handler = EchoHandler()
+        async with Listener.serving("127.0.0.1:0", handler) as listener:
+            channel = (await Channel.connect(listener.address, HELLO)).unwrap()
+            replies = await asyncio.gather(
+                *(
+                    channel.request(idl.Explain(key=f"k{n}"), 2_000)
+                    for n in range(50)
+                )
+            )
+            assert [r.unwrap().lines for r in replies] == [
+                [f"k{n}"] for n in range(50)
+            ]
+            await channel.close()
+            assert handler.peers == ["e1"]
+
+    asyncio.run(run())
+
+
+def test_lost_connection_is_an_unknown_outcome():
+    """Guards against reporting a message that may have arrived as not run."""
+
+    async def run():
+        handler = EchoHandler()
+        async with Listener.serving("127.0.0.1:0", handler) as listener:
+            channel = (await Channel.connect(listener.address, HELLO)).unwrap()
+            lost = await channel.request(idl.Cancel(key="k", attempt=1), 2_000)
+            assert isinstance(lost.unwrap_err(), ConnectionLost)
+            later = await channel.request(idl.Explain(key="k"), 2_000)
+            assert isinstance(later.unwrap_err(), PeerUnreachable)
+            await channel.close()
+
+    asyncio.run(run())
+
+
+def test_bytes_that_are_no_frames_close_the_connection():
+    """Guards against a listener that hangs on or crashes from random bytes."""
+
+    async def run():
+        handler = EchoHandler()
+        async with Listener.serving("127.0.0.1:0", handler) as listener:
+            host, port = listener.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            async with asyncio.timeout(5):
+                assert await reader.read() == b""
+            writer.close()
+            assert len(handler.rejections) == 1
+
+    asyncio.run(run())
