--- /dev/null
+++ b/src/gooseberrypost/wire/dispatch.py
@@ -0,0 +1,60 @@
+"""Dispatches the messages of a listener to the controllers that own them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from gooseberrypost.errors import ProtocolFailure
+from gooseberrypost.wire.listener import Handler, Session, refused
+
+MessageHandler = Callable[[Session, int, Any], Awaitable[None]]
+SessionObserver = Callable[[Session], None]
+
+
+class Dispatcher(Handler):
+    """Routes each message type to one registered coroutine."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[type, MessageHandler] = {}
+        self._on_connect: list[SessionObserver] = []
+        self._on_disconnect: list[SessionObserver] = []
+        self.rejected_frames = 0
+
+    def register(self, message_type: type, handler: MessageHandler) -> None:
+        """Send messages of a type to ``handler``."""
+        self._handlers[message_type] = handler
+
+    def on_connect(self, observer: SessionObserver) -> None:
+        """Call ``observer`` for each new session."""
+        self._on_connect.append(observer)
+
+    def on_disconnect(self, observer: SessionObserver) -> None:
+        """Call ``observer`` for each session that ended."""
+        self._on_disconnect.append(observer)
+
+    async def handle(
+        self, session: Session, correlation: int, message: Any
+    ) -> None:
+        """Dispatch one message; an unregistered type is refused."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            name = type(message).__name__
+            failure = ProtocolFailure(f"{name} is not accepted here")
+            await session.send(correlation, refused(failure))
+            return
+        await handler(session, correlation, message)
+
+    def connected(self, session: Session) -> None:
+        """Tell the observers of a new session."""
+        for observer in self._on_connect:
+            observer(session)
+
+    def disconnected(self, session: Session) -> None:
+        """Tell the observers of an ended session."""
+        for observer in self._on_disconnect:
+            observer(session)
+
+    def rejected(self, failure: ProtocolFailure) -> None:
+        """Count a frame that was not accepted."""
+        self.rejected_frames += 1
