--- a/src/gooseberrypost/settings/agent.py
+++ b/src/gooseberrypost/settings/agent.py
@@ -34,7 +34,7 @@
     internal_address: str
     backend: BackendSettings
     peers: list[str] = field(default_factory=list)
-    """Internal ``host:port`` of entries and agents to pull configuration from."""
+    """Internal ``host:port`` of the processes to pull configuration from."""
     key_value_addresses: list[str] = field(default_factory=list)
     vm_list_address: str = ""
     lease_ms: int = 60_000
