--- /dev/null
+++ b/src/gooseberrypost/address.py
@@ -0,0 +1,67 @@
+"""Addresses as IP number and port: ``127.0.0.1:80`` or ``[::1]:80``.
+
+>>> parse_address("[::1]:80").unwrap()
+Address(host='::1', port=80)
+>>> str(Address("::1", 80))
+'[::1]:80'
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from typing import Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure
+
+MAX_PORT: Final = 65_535
+
+_PATTERN: Final = re.compile(
+    r"(?:\[([0-9a-fA-F:.]+)\]|([0-9.]+)):([0-9]{1,5})"
+)
+
+
+class InvalidAddress(Failure):
+    """The text is not an IP number with a port."""
+
+    code = "invalid_address"
+    http_status = 400
+
+
+class Address(NamedTuple):
+    """An IP number, without brackets, and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+def parse_address(text: str) -> Result[Address, InvalidAddress]:
+    """Parse an IPv4 or bracketed IPv6 number with a port."""
+    match = _PATTERN.fullmatch(text)
+    if match is None:
+        return Err(InvalidAddress(f"{text!r} is not an IP number with port"))
+    host = match[1] or match[2]
+    try:
+        number = ipaddress.ip_address(host)
+    except ValueError as exc:
+        return Err(InvalidAddress(str(exc)))
+    if (number.version == 6) != (match[1] is not None):
+        return Err(InvalidAddress(f"{text!r} has brackets around IPv4"))
+    if int(match[3]) > MAX_PORT:
+        return Err(InvalidAddress(f"port {match[3]} exceeds {MAX_PORT}"))
+    return Ok(Address(host, int(match[3])))
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Host and port of an address for a socket call.
+
+    Raises ``ValueError`` where the port is no number, as ``int`` does.
+    """
+    host, _, port = text.rpartition(":")
+    return host.removeprefix("[").removesuffix("]"), int(port)
--- a/src/gooseberrypost/platform/keyvalue.py
+++ b/src/gooseberrypost/platform/keyvalue.py
@@ -29,6 +29,13 @@
     code = "key_value_unknown"
 
 
+class ValueTooLarge(NotRun):
+    """The value exceeds what the service keeps under one key, in bytes."""
+
+    code = "value_too_large"
+    http_status = 413
+
+
 class LeaseLost(Failure):
     """The lease has lapsed or was revoked."""
 
--- a/src/gooseberrypost/wire/channel.py
+++ b/src/gooseberrypost/wire/channel.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from gooseberrypost.address import split_address
 from gooseberrypost.errors import (
     ConnectionLost,
     Failure,
@@ -93,10 +94,10 @@
         cls, address: str, hello: Any, timeout_ms: float = CONNECT_TIMEOUT_MS
     ) -> Result[Channel, PeerUnreachable]:
         """Connect to ``host:port`` and send ``hello``."""
-        host, _, port = address.rpartition(":")
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_ms / 1_000):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError, ValueError) as exc:
             return Err(PeerUnreachable(f"{address}: {exc!r}"))
         channel = cls(address, hello, reader, writer)
--- a/src/gooseberrypost/wire/listener.py
+++ b/src/gooseberrypost/wire/listener.py
@@ -10,6 +10,7 @@
 from absl import logging
 from result import Err, Ok
 
+from gooseberrypost.address import Address, split_address
 from gooseberrypost.errors import Failure, ProtocolFailure, UnknownOutcome
 from gooseberrypost.wire.codec import Frame, encode, read_frame
 from gooseberrypost.wire.messages import idl
@@ -113,7 +114,7 @@
         """Bound ``host:port``; useful when the configured port is 0."""
         assert self._server is not None
         host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        return str(Address(host, port))
 
     @property
     def sessions(self) -> frozenset[Session]:
@@ -122,8 +123,8 @@
 
     async def start(self, address: str) -> None:
         """Bind and accept; raises ``OSError`` when the port is taken."""
-        host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
+        host, port = split_address(address)
+        self._server = await asyncio.start_server(self._serve, host, port)
 
     async def stop(self) -> None:
         """Stop accepting and drop every session."""
