--- /dev/null
+++ b/src/gooseberrypost/state/prefix.py
@@ -0,0 +1,28 @@
+"""Hashes of prompt prefixes, by which cached prefixes are recognised.
+
+>>> one = prefix_hashes("a b c d", block_tokens=2)
+>>> two = prefix_hashes("a b x y", block_tokens=2)
+>>> one[0] == two[0], one[1] == two[1]
+(True, False)
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+BLOCK_TOKENS: Final = 64
+"""Tokens in one block of a prefix cache."""
+
+
+def prefix_hashes(prompt: str, block_tokens: int = BLOCK_TOKENS) -> list[int]:
+    """Signed 64-bit hash of each prefix that is a whole number of blocks."""
+    words = prompt.split()
+    hasher = hashlib.blake2b(digest_size=8)
+    hashes = []
+    for end in range(block_tokens, len(words) + 1, block_tokens):
+        block = " ".join(words[end - block_tokens : end])
+        hasher.update(block.encode() + b"\0")
+        digest = hasher.digest()
+        hashes.append(int.from_bytes(digest, "big", signed=True))
+    return hashes
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -38,6 +38,7 @@
   9: i64 configuration_version,
   10: i32 suspects,            // running requests under suspicion of a crash
   11: i32 link_booked_kb_per_s,
+  12: optional i64 incarnation, // of the agent
 }
 
 struct Probe { 1: string service_name, 2: list<i64> prefix_hashes }
@@ -150,7 +151,11 @@
 
 struct Cancel { 1: string key, 2: i32 attempt }
 
-struct Revoke { 1: string key, 2: i32 attempt }
+struct Revoke {
+  1: string key,
+  2: i32 attempt,
+  3: optional i64 incarnation, // of the agent, as last seen before the attempt was sent
+}
 
 struct Revoked { 1: bool never_started }
 
