--- /dev/null
+++ b/tests/standins/plain.py
@@ -0,0 +1,81 @@
+"""Stand-in for a plain service; counts executions by idempotency key."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+
+import click
+from aiohttp import web
+
+from tests.standins.server import StandIn
+
+
+class PlainService(StandIn):
+    def __init__(self, restart_ms: int = 300):
+        super().__init__()
+        self.restart_ms = restart_ms
+        self.executions: Counter[str] = Counter()
+        self.slow_ms, self.fail, self.drop = 0, False, False
+        self.leaving = False
+        self.running = 0
+        self.app.router.add_get("/load", self.load)
+        self.app.router.add_get("/_test/executions", self.report)
+        self.app.router.add_route("*", "/{path:.*}", self.execute)
+
+    async def execute(self, request):
+        body = await request.read()
+        key = request.headers.get("Idempotency-Key", "")
+        self.executions[key] += 1
+        count = self.executions[key]
+        self.running += 1
+        try:
+            await asyncio.sleep(self.slow_ms / 1_000)
+        finally:
+            self.running -= 1
+        if self.drop:
+            request.transport.abort()
+        return web.json_response(
+            {
+                "path": request.path_qs,
+                "body": body.decode(),
+                "execution": count,
+            },
+            status=500 if self.fail else 200,
+        )
+
+    async def load(self, request):
+        return web.json_response(
+            {"slots_used": self.running, "leaving": self.leaving}
+        )
+
+    async def report(self, request):
+        return web.json_response(self.executions)
+
+    def switch(self, name: str, value):
+        match name:
+            case "crash":
+                self.spawn(self.restart(self.restart_ms))
+            case "slow_ms" | "fail" | "drop" | "leaving":
+                setattr(self, name, value)
+            case _:
+                raise web.HTTPNotFound
+
+
+@click.command()
+@click.option("--address", required=True)
+@click.option("--options", default="{}")
+def main(address: str, options: str):
+    async def serve():
+        async with PlainService.serving(
+            address=address, **json.loads(options)
+        ) as service:
+            click.echo(service.address)
+            await asyncio.Event().wait()
+
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/server.py
@@ -0,0 +1,86 @@
+"""HTTP server of a stand-in, which can drop connections and restart."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+
+class StandIn:
+    """Base of the back-end stand-ins; routes are added by subclasses."""
+
+    def __init__(self):
+        self.app = web.Application(client_max_size=64 * 1024 * 1024)
+        self.app.router.add_post("/_test/{switch}", self._switch)
+        self.host, self.port = "127.0.0.1", 0
+        self.tasks: set[asyncio.Task] = set()
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    @asynccontextmanager
+    async def serving(cls, *args, address="127.0.0.1:0", **options):
+        standin = cls(*args, **options)
+        await standin.start(address)
+        try:
+            yield standin
+        finally:
+            await standin.stop()
+
+    async def start(self, address: str = "127.0.0.1:0"):
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.runner = web.AppRunner(
+            self.app, access_log=None, shutdown_timeout=0.1
+        )
+        await self.runner.setup()
+        await self.listen()
+
+    async def listen(self):
+        self.site = web.TCPSite(
+            self.runner, self.host, self.port, reuse_address=True
+        )
+        await self.site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self):
+        for task in list(self.tasks):
+            task.cancel()
+        self.cut()
+        await self.runner.cleanup()
+
+    def cut(self):
+        """Drop every connection; the state stays."""
+        for connection in list(self.runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    def spawn(self, work) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def restart(self, after_ms: int):
+        """Refuse connections for a time."""
+        await self.site.stop()
+        self.cut()
+        await asyncio.sleep(after_ms / 1_000)
+        await self.listen()
+
+    async def _switch(self, request):
+        body = await request.json()
+        self.switch(request.match_info["switch"], body["value"])
+        return web.json_response({})
+
+    def switch(self, name: str, value):
+        """Set a switch; ``crash`` and the like act at once."""
+        raise NotImplementedError
+
+
+def refuse(status: int, code: str) -> web.Response:
+    return web.json_response({"error": code}, status=status)
