Add the agent daemon

It serves reservations, prefill, decode, calls, cancellation, revocation, reattachment, drain and orders beside one backend server.

--- /dev/null
+++ b/src/gooseberrypost/agent/daemon.py
@@ -0,0 +1,202 @@
+"""Agent process: one beside each backend server, and the only way to it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from typing import TYPE_CHECKING, Any, Final, Self
+
+from mode import Service
+
+from gooseberrypost.agent.capacity import CapacityController
+from gooseberrypost.agent.context import Context
+from gooseberrypost.agent.crash import CrashReporter
+from gooseberrypost.agent.engine import EngineClient
+from gooseberrypost.agent.execution import ExecutionController
+from gooseberrypost.agent.jobs import Attempts
+from gooseberrypost.agent.lease import AgentLease, boot_time_ms
+from gooseberrypost.agent.lifecycle import DrainReason, LifecycleController
+from gooseberrypost.agent.log import decision
+from gooseberrypost.agent.orders import OrderController
+from gooseberrypost.agent.plain import PlainClient
+from gooseberrypost.agent.reports import Reports
+from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.identity import ProcessId, new_incarnation
+from gooseberrypost.state.records import Kind
+from gooseberrypost.wire.channel import ChannelPool
+from gooseberrypost.wire.dispatch import Dispatcher
+from gooseberrypost.wire.listener import Listener
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from gooseberrypost.agent.backend import Backend
+    from gooseberrypost.platform.keyvalue import KeyValueStore
+    from gooseberrypost.settings.agent import AgentSettings
+
+SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+
+
+class Agent(Service):
+    """Service tree of an agent."""
+
+    def __init__(
+        self,
+        cfg: AgentSettings,
+        store: KeyValueStore | None,
+        vm_list: Any,
+        rng: random.Random,
+        lease_clock_ms: Callable[[], int],
+    ) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.me = ProcessId(cfg.name, new_incarnation(rng))
+        self.board = Blackboard()
+        self.dispatcher = Dispatcher()
+        self.listener = Listener(self.dispatcher)
+        self.backend = make_backend(cfg)
+        self.pool = ChannelPool(self._hello())
+        self.capacity = CapacityController.from_config(cfg.backend, self.board)
+        self.lifecycle = LifecycleController(
+            cfg, self.board, self.backend, vm_list
+        )
+        self.context = self._make_context()
+        self.execution = ExecutionController(self.board, self.context)
+        self.lease = AgentLease(cfg, self.me, store, rng, lease_clock_ms)
+        self.orders = OrderController(self.context, self.lease)
+        self._register()
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: AgentSettings,
+        store: KeyValueStore | None = None,
+        vm_list: Any = None,
+        lease_clock_ms: Callable[[], int] = boot_time_ms,
+    ) -> Self:
+        """Build an agent; without a store it refuses every order."""
+        rng = random.Random(cfg.seed)
+        return cls(cfg, store, vm_list, rng, lease_clock_ms)
+
+    @property
+    def address(self) -> str:
+        """Bound internal ``host:port``."""
+        return self.listener.address
+
+    def on_init_dependencies(self) -> Iterable[Any]:
+        """Return the controllers, in the order in which they start."""
+        # The controller that distributes the configuration is added here.
+        return [
+            self.capacity,
+            self.lifecycle,
+            self.execution,
+            self.lease,
+            self.orders,
+        ]
+
+    async def on_started(self) -> None:
+        """Accept connections once every controller runs."""
+        await self.listener.start(self.cfg.internal_address)
+        decision("listening", server=self.cfg.name, address=self.address)
+
+    async def on_stop(self) -> None:
+        """Drop the connections before the controllers stop."""
+        self.lifecycle.note_stopped()
+        await self.listener.stop()
+
+    async def on_shutdown(self) -> None:
+        """Close the connections to other processes."""
+        await self.pool.close()
+        await self.backend.close()
+
+    async def drain(self) -> None:
+        """Refuse new work and wait until nothing runs or time is over."""
+        self.lifecycle.drain(DrainReason.SHUTDOWN, True)
+        capacity = self.capacity.capacity
+        try:
+            async with asyncio.timeout(self.cfg.drain_timeout_ms / 1_000):
+                while capacity.ledger.slots_used:
+                    await capacity.changed()
+        except TimeoutError:
+            decision("drain_timeout", running=capacity.ledger.slots_used)
+
+    def _hello(self) -> Any:
+        return idl.Hello(
+            process_kind="agent",
+            name=self.me.name,
+            incarnation=self.me.incarnation,
+            zone=self.cfg.zone,
+            address=self.cfg.internal_address,
+        )
+
+    def _make_context(self) -> Context:
+        attempts = Attempts()
+        crashes = CrashReporter(
+            self.me,
+            self.backend,
+            attempts,
+            self.lifecycle,
+            self.pool,
+            self.cfg.peers,
+        )
+        return Context(
+            cfg=self.cfg,
+            me=self.me,
+            backend=self.backend,
+            capacity_controller=self.capacity,
+            lifecycle_controller=self.lifecycle,
+            attempts=attempts,
+            crashes=crashes,
+            now_ms=monotonic_ms,
+        )
+
+    def _register(self) -> None:
+        self.execution.register(self.dispatcher)
+        self.orders.register(self.dispatcher)
+        Reports(self.context).register(self.dispatcher)
+
+
+def monotonic_ms() -> int:
+    """Time of the event loop in whole milliseconds."""
+    return int(asyncio.get_running_loop().time() * 1_000)
+
+
+def make_backend(cfg: AgentSettings) -> Backend:
+    """Client for the configured kind of backend server."""
+    kind = EngineClient if cfg.backend.kind == Kind.MODEL else PlainClient
+    return kind.from_config(cfg.backend)
+
+
+async def run(cfg: AgentSettings) -> None:
+    """Run an agent until SIGTERM or SIGINT, then drain and stop."""
+    agent = Agent.from_config(cfg, make_store(cfg), make_vm_list(cfg))
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in SIGNALS:
+        loop.add_signal_handler(number, stopping.set)
+    await agent.start()
+    try:
+        await stopping.wait()
+        await agent.drain()
+    finally:
+        await agent.stop()
+
+
+def make_store(cfg: AgentSettings) -> KeyValueStore | None:
+    """Client of the key-value service, if one is configured."""
+    if not cfg.key_value_addresses:
+        return None
+    from gooseberrypost.platform.http import HttpKeyValueStore
+
+    return HttpKeyValueStore.from_addresses(cfg.key_value_addresses)
+
+
+def make_vm_list(cfg: AgentSettings) -> Any:
+    """Client of the platform's VM list, if one is configured."""
+    if not cfg.vm_list_address:
+        return None
+    from gooseberrypost.platform.vms import HttpVmList
+
+    return HttpVmList.from_address(cfg.vm_list_address)
--- /dev/null
+++ b/src/gooseberrypost/agent/execution.py
@@ -0,0 +1,262 @@
+"""Execution of requests: messages of the entries that concern attempts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
+
+from mode import Service
+from result import Err
+
+from gooseberrypost.agent.calls import Calls
+from gooseberrypost.agent.context import Context, error
+from gooseberrypost.agent.decoding import Decoding
+from gooseberrypost.agent.freeing import Freeing
+from gooseberrypost.agent.jobs import DecodeJob
+from gooseberrypost.agent.log import decision
+from gooseberrypost.agent.ownership import Ownership
+from gooseberrypost.agent.prefilling import Prefilling
+from gooseberrypost.agent.reconcile import Reconciler
+from gooseberrypost.agent.retention import (
+    MAX_RESERVATION_MS,
+    RECORD_RETENTION_MS,
+    UNCERTAIN_AFTER_START_MS,
+)
+from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.errors import Failure, StaleAttempt
+from gooseberrypost.identity import Attempt
+from gooseberrypost.state.attempts import AttemptState, Phase
+from gooseberrypost.state.ledger import Ask, Holding
+from gooseberrypost.state.records import EngineRole
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.wire.dispatch import Dispatcher
+    from gooseberrypost.wire.listener import Session
+
+OWNER: Final = "ExecutionController"
+UPKEEP_INTERVAL_MS: Final = 100
+
+
+class ExecutionController(Service):
+    """Writer of the attempts section."""
+
+    def __init__(self, board: Blackboard, context: Context) -> None:
+        super().__init__()
+        board.add(context.attempts, OWNER)
+        self._context = context
+        self._freeing = Freeing(context)
+        self._decoding = Decoding(context, self._freeing)
+        self._calls = Calls(context)
+        self._prefilling = Prefilling(context, self._freeing)
+        self._ownership = Ownership(context, self._freeing)
+        self.reconciler = Reconciler(context, self._freeing)
+        self._started_ms = context.now_ms()
+
+    def register(self, dispatcher: Dispatcher) -> None:
+        """Receive the messages that concern attempts."""
+        dispatcher.register(idl.Reserve, self._reserve)
+        dispatcher.register(idl.ReleaseReservation, self._release)
+        dispatcher.register(idl.Prefill, self._prefilling.prefill)
+        dispatcher.register(idl.ReleasePrefill, self._prefilling.release)
+        dispatcher.register(idl.Decode, self._decode)
+        dispatcher.register(idl.Reattach, self._reattach)
+        dispatcher.register(idl.Call, self._calls.call)
+        dispatcher.register(idl.Cancel, self._cancel)
+        dispatcher.register(idl.Revoke, self._revoke)
+        dispatcher.on_connect(self._ownership.connected)
+        dispatcher.on_disconnect(self._ownership.disconnected)
+
+    async def on_stop(self) -> None:
+        """Stop the jobs; what they run stays for the next agent to find."""
+        await self._freeing.close()
+        for job in self._context.attempts.running:
+            if job.task is not None and job.phase is not Phase.CALL:
+                job.task.cancel()
+
+    async def _reserve(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        attempt = Attempt(req.key, req.attempt)
+        granted = self._grant(session, attempt, req)
+        if isinstance(granted, Failure):
+            await self._context.refuse(session, correlation, attempt, granted)
+            return
+        self._replace_lower(attempt)
+        decision("admit", key=req.key, attempt=req.attempt, phase="reserve")
+        now_ms = self._context.now_ms()
+        booking = granted.booking
+        reply = idl.Reserved(
+            reservation=granted.number,
+            load=self._context.load(),
+            link_start_ms=max(0, booking.start_ms - now_ms) if booking else 0,
+            link_kb_per_s=booking.kb_per_s if booking else 0,
+        )
+        await session.send(correlation, reply)
+
+    def _grant(
+        self, session: Session, attempt: Attempt, req: Any
+    ) -> Holding | Failure:
+        context = self._context
+        lifecycle = context.lifecycle_controller.lifecycle
+        table = context.attempts.table
+        refusal = lifecycle.refusal(EngineRole.DECODE) or error(
+            table.check(attempt, Phase.DECODE)
+        )
+        if refusal is not None:
+            return refusal
+        now_ms = context.now_ms()
+        ttl_ms = min(req.ttl_ms, MAX_RESERVATION_MS)
+        ask = Ask(
+            holder=attempt,
+            owner=session.peer.incarnation,
+            pieces=req.pieces,
+            ttl_ms=ttl_ms,
+            suspect=bool(req.suspect),
+            digest=req.digest or b"",
+            transfer_kb=req.transfer_kb or 0,
+            expected_start_ms=req.expected_start_ms or 0,
+        )
+        reserved = context.capacity_controller.reserve(ask, now_ms)
+        if isinstance(reserved, Err):
+            return reserved.err_value
+        table.reserve(attempt, now_ms + ttl_ms + RECORD_RETENTION_MS)
+        return reserved.ok_value
+
+    def _replace_lower(self, attempt: Attempt) -> None:
+        for job in self._context.attempts.running:
+            lower = job.attempt.number < attempt.number
+            if job.attempt.key == attempt.key and lower:
+                self._freeing.cancel_soon(job.attempt, "superseded")
+
+    async def _release(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        attempt = Attempt(req.key, req.attempt)
+        holding = self._context.capacity.ledger.find(attempt)
+        if (
+            holding is not None
+            and holding.number == req.reservation
+            and not holding.in_server
+        ):
+            self._context.capacity_controller.release(attempt)
+            self._context.attempts.table.unreserve(attempt)
+        await session.send(correlation, idl.Ok())
+
+    async def _decode(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        context = self._context
+        attempt = Attempt(req.key, req.attempt)
+        holding = self._start(attempt, req)
+        if isinstance(holding, Failure):
+            await context.refuse(session, correlation, attempt, holding)
+            return
+        decision("admit", key=req.key, attempt=req.attempt, phase=Phase.DECODE)
+        job = DecodeJob(
+            attempt, session, holding.digest, req.first_sequence or 0
+        )
+        context.attempts.jobs[attempt] = job
+        work = self._decoding.run(job, req, holding.booking)
+        job.task = asyncio.create_task(work)
+        await job.pump(session, correlation, job.first)
+
+    def _start(self, attempt: Attempt, req: Any) -> Holding | Failure:
+        context = self._context
+        table = context.attempts.table
+        now_ms = context.now_ms()
+        stale = error(table.check(attempt, Phase.DECODE))
+        if stale is not None:
+            return stale
+        started = context.capacity_controller.hold(
+            req.reservation, attempt, now_ms
+        )
+        if isinstance(started, Err):
+            return started.err_value
+        expires_ms = now_ms + req.deadline_ms + RECORD_RETENTION_MS
+        table.begin(attempt, Phase.DECODE, expires_ms)
+        return started.ok_value
+
+    async def _reattach(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        context = self._context
+        attempt = Attempt(req.key, req.attempt)
+        job = context.attempts.jobs.get(attempt)
+        if job is None and self.reconciler.claim(attempt):
+            job = DecodeJob(attempt, session, b"", req.next_sequence)
+            context.attempts.jobs[attempt] = job
+            work = self._decoding.run_adopted(job, self.reconciler.deadline_ms)
+            job.task = asyncio.create_task(work)
+        if not isinstance(job, DecodeJob) or (
+            context.attempts.table.state(attempt, Phase.DECODE)
+            in (None, AttemptState.REVOKED)
+        ):
+            stale = StaleAttempt("no such token stream")
+            await context.refuse(session, correlation, attempt, stale)
+            return
+        if not job.first <= req.next_sequence <= job.next_sequence:
+            stale = StaleAttempt(f"token {req.next_sequence} is not kept")
+            await context.refuse(session, correlation, attempt, stale)
+            return
+        decision("reattach", key=req.key, attempt=req.attempt)
+        await job.pump(session, correlation, req.next_sequence)
+
+    async def _cancel(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        attempt = Attempt(req.key, req.attempt)
+        self._bar(attempt)
+        await self._freeing.cancel(attempt, "cancel")
+        await session.send(correlation, idl.Ok())
+
+    async def _revoke(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        attempt = Attempt(req.key, req.attempt)
+        certain = self._saw_all_since(req.incarnation)
+        never_started = self._bar(attempt) and certain
+        decision(
+            "revoke",
+            key=req.key,
+            attempt=req.attempt,
+            never_started=never_started,
+        )
+        self._freeing.cancel_soon(attempt, "revoked")
+        await session.send(
+            correlation, idl.Revoked(never_started=never_started)
+        )
+
+    def _bar(self, attempt: Attempt) -> bool:
+        context = self._context
+        expires_ms = context.now_ms() + RECORD_RETENTION_MS
+        return context.attempts.table.revoke(attempt, expires_ms)
+
+    def _saw_all_since(self, incarnation: int | None) -> bool:
+        """Whether this process received all that was sent to the agent.
+
+        ``incarnation`` is that of the agent the attempt was sent to.
+        """
+        if incarnation:
+            return incarnation == self._context.me.incarnation
+        elapsed_ms = self._context.now_ms() - self._started_ms
+        return elapsed_ms >= UNCERTAIN_AFTER_START_MS
+
+    @Service.task
+    async def _keep_up(self) -> None:
+        while not self.should_stop:
+            self.upkeep()
+            await asyncio.sleep(UPKEEP_INTERVAL_MS / 1_000)
+
+    def upkeep(self) -> None:
+        """Free what lapsed or lost its entry."""
+        context = self._context
+        now_ms = context.now_ms()
+        for attempt in context.capacity_controller.expire(now_ms):
+            context.attempts.table.unreserve(attempt)
+        self._ownership.enforce(now_ms)
+        context.attempts.table.expire(now_ms)
+
+    @Service.task
+    async def _reconcile(self) -> None:
+        await self.reconciler.run(lambda: self.should_stop)
--- /dev/null
+++ b/src/gooseberrypost/agent/orders.py
@@ -0,0 +1,134 @@
+"""Orders to the backend server: load models, versions, change of role."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
+
+from mode import Service
+from result import Err, Ok, Result
+
+from gooseberrypost.agent.engine import EngineClient
+from gooseberrypost.agent.lifecycle import DrainReason
+from gooseberrypost.agent.log import decision, refusal
+from gooseberrypost.errors import (
+    Draining,
+    Failure,
+    MalformedRequest,
+    StaleOrder,
+)
+from gooseberrypost.state.fencing import Fence, Token
+from gooseberrypost.wire.listener import refused
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.agent.capacity import Capacity
+    from gooseberrypost.agent.context import Context
+    from gooseberrypost.agent.lease import AgentLease
+    from gooseberrypost.wire.dispatch import Dispatcher
+    from gooseberrypost.wire.listener import Session
+
+ORDER_TIMEOUT_MS: Final = 10_000
+KINDS: Final = ("load_model", "load_adapter", "set_version", "set_role")
+
+
+class OrderController(Service):
+    """Forwards orders one at a time, while the lease is held."""
+
+    def __init__(self, context: Context, lease: AgentLease) -> None:
+        super().__init__()
+        self._context = context
+        self._lease = lease
+        self._fence = Fence()
+        self._lock = asyncio.Lock()
+
+    def register(self, dispatcher: Dispatcher) -> None:
+        """Receive ``Order`` messages."""
+        dispatcher.register(idl.Order, self._order)
+
+    async def execute(self, req: Any) -> Result[None, Failure]:
+        """Carry out an ``Order``; refused: ``StaleOrder``."""
+        if req.kind not in KINDS:
+            return Err(MalformedRequest(f"order {req.kind!r} is unknown"))
+        async with self._lock:
+            outcome = await self._execute(req)
+        fields = {"kind": req.kind, "value": req.value, "fencing": req.fencing}
+        if isinstance(outcome, Err):
+            refusal("order", outcome.err_value, **fields)
+        else:
+            decision("order", **fields, epoch=self._lease.epoch, reason="sent")
+        return outcome
+
+    async def _order(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        match await self.execute(req):
+            case Ok(_):
+                await session.send(correlation, idl.Ok())
+            case Err(failure):
+                reply = refused(failure, self._context.load())
+                await session.send(correlation, reply)
+
+    async def _execute(self, req: Any) -> Result[None, Failure]:
+        permitted = self._permit(req)
+        if isinstance(permitted, Err):
+            return permitted
+        self._fence.passed(self._token(req))
+        if req.kind != "set_role":
+            return await self._send(req)
+        lifecycle = self._context.lifecycle_controller
+        lifecycle.drain(DrainReason.ROLE_CHANGE, True)
+        try:
+            idle = await self._wait_idle()
+            return await self._send(req) if isinstance(idle, Ok) else idle
+        finally:
+            lifecycle.drain(DrainReason.ROLE_CHANGE, False)
+
+    def _token(self, req: Any) -> Token:
+        return Token(self._lease.epoch, req.fencing)
+
+    def _permit(self, req: Any) -> Result[None, Failure]:
+        # Checked here on behalf of servers that ignore fencing tokens.
+        if not self._lease.remaining_ms():
+            return Err(StaleOrder("the lease of this agent is not valid"))
+        return self._fence.check(self._token(req))
+
+    async def _wait_idle(self) -> Result[None, Failure]:
+        capacity: Capacity = self._context.capacity
+        timeout_ms = self._context.cfg.drain_timeout_ms
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                while capacity.ledger.slots_used:
+                    await capacity.changed()
+        except TimeoutError:
+            return Err(Draining(f"requests still run after {timeout_ms} ms"))
+        return Ok(None)
+
+    async def _send(self, req: Any) -> Result[None, Failure]:
+        """Send to the server; the lease may have lapsed during a wait."""
+        permitted = self._permit(req)
+        if isinstance(permitted, Err):
+            return permitted
+        backend = self._context.backend
+        if isinstance(backend, EngineClient):
+            timeout_ms = min(ORDER_TIMEOUT_MS, self._lease.remaining_ms())
+            sent = await backend.order(self._body(req), timeout_ms)
+            if isinstance(sent, Err):
+                return sent
+        lifecycle = self._context.lifecycle_controller
+        lifecycle.configured(req.fencing)
+        if req.kind == "set_role":
+            lifecycle.assigned(req.value, "")
+        elif req.kind == "load_model":
+            lifecycle.assigned("", req.value)
+        return Ok(None)
+
+    def _body(self, req: Any) -> dict[str, Any]:
+        role = req.value if req.kind == "set_role" else ""
+        return {
+            "kind": req.kind,
+            "model": "" if role else req.value,
+            "role": role,
+            "fencing": req.fencing,
+            "epoch": self._lease.epoch,
+        }
--- /dev/null
+++ b/src/gooseberrypost/agent/prefilling.py
@@ -0,0 +1,156 @@
+"""Runs prefills on the engine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
+
+from result import Err, Result
+
+from gooseberrypost.agent.context import Context, error
+from gooseberrypost.agent.engine import PrefillResult
+from gooseberrypost.agent.jobs import Job
+from gooseberrypost.agent.log import decision
+from gooseberrypost.agent.retention import RECORD_RETENTION_MS
+from gooseberrypost.errors import (
+    CallerGone,
+    EngineCrashed,
+    Failure,
+    NoCapacity,
+)
+from gooseberrypost.identity import Attempt
+from gooseberrypost.state.attempts import AttemptState, Phase
+from gooseberrypost.state.ledger import Ask
+from gooseberrypost.state.records import EngineRole
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.agent.freeing import Freeing
+    from gooseberrypost.wire.listener import Session
+
+MAX_RESULT_LIFE_MS: Final = 1_000
+
+
+class Prefilling:
+    """Admits and runs ``Prefill`` messages."""
+
+    __slots__ = ("_context", "_freeing")
+
+    def __init__(self, context: Context, freeing: Freeing) -> None:
+        self._context = context
+        self._freeing = freeing
+
+    async def prefill(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        """Compute a prompt's KV cache, or refuse."""
+        context = self._context
+        attempt = Attempt(req.key, req.attempt)
+        prompt = req.prompt + (req.generated or "")
+        tokens = len(prompt.split())
+        refusal = self._admit(session, attempt, req, tokens)
+        if refusal is not None:
+            await context.refuse(session, correlation, attempt, refusal)
+            return
+        decision(
+            "admit",
+            key=req.key,
+            attempt=req.attempt,
+            phase=Phase.PREFILL,
+            tokens=tokens,
+        )
+        job = Job(attempt, Phase.PREFILL, session, req.digest or b"")
+        job.task = asyncio.create_task(self._run(attempt, req, prompt))
+        context.attempts.jobs[attempt] = job
+        context.capacity_controller.enqueue(tokens)
+        try:
+            outcome = await asyncio.shield(job.task)
+        except asyncio.CancelledError:
+            outcome = Err(CallerGone("prefill was cancelled"))
+        finally:
+            context.capacity_controller.enqueue(-tokens)
+            context.finished(job)
+        if isinstance(outcome, Err):
+            await context.refuse(
+                session, correlation, attempt, outcome.err_value
+            )
+            return
+        await session.send(correlation, self._reply(outcome.ok_value))
+
+    async def release(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        """Drop a prefill result that no engine will import."""
+        attempt = Attempt(req.key, req.attempt)
+        holding = self._context.capacity.ledger.find(attempt)
+        if holding is not None and not holding.running:
+            await self._context.engine.release(req.handle)
+            self._context.capacity_controller.release(attempt)
+        await session.send(correlation, idl.Ok())
+
+    def _admit(
+        self, session: Session, attempt: Attempt, req: Any, tokens: int
+    ) -> Failure | None:
+        context = self._context
+        table = context.attempts.table
+        lifecycle = context.lifecycle_controller.lifecycle
+        refusal = lifecycle.refusal(EngineRole.PREFILL) or error(
+            table.check(attempt, Phase.PREFILL)
+        )
+        if refusal is not None:
+            return refusal
+        if context.capacity.ledger.find(attempt) is not None:
+            return NoCapacity("the attempt already holds a slot here")
+        now_ms = context.now_ms()
+        ask = Ask(
+            holder=attempt,
+            owner=session.peer.incarnation,
+            pieces=-(-tokens // context.cfg.backend.piece_tokens),
+            ttl_ms=req.deadline_ms,
+            suspect=bool(req.suspect),
+            digest=req.digest or b"",
+        )
+        reserved = context.capacity_controller.reserve(ask, now_ms)
+        if isinstance(reserved, Err):
+            return reserved.err_value
+        number = reserved.ok_value.number
+        stale = error(
+            context.capacity_controller.hold(number, attempt, now_ms)
+        )
+        expires_ms = now_ms + req.deadline_ms + RECORD_RETENTION_MS
+        return stale or error(table.begin(attempt, Phase.PREFILL, expires_ms))
+
+    async def _run(
+        self, attempt: Attempt, req: Any, prompt: str
+    ) -> Result[PrefillResult, Failure]:
+        context = self._context
+        clock = asyncio.get_running_loop().time
+        started_s = clock()
+        outcome = await context.engine.prefill(
+            attempt, req.model, prompt, req.priority, req.deadline_ms
+        )
+        context.attempts.table.advance(
+            attempt, Phase.PREFILL, AttemptState.DONE
+        )
+        if isinstance(outcome, Err):
+            failure = await context.judged(attempt, outcome.err_value)
+            if not isinstance(failure, EngineCrashed):
+                await self._freeing.free(attempt)
+            return Err(failure)
+        found = outcome.ok_value
+        context.capacity_controller.measure_prefill(
+            found.tokens - found.cached_tokens, (clock() - started_s) * 1_000
+        )
+        life_ms = min(found.lives_ms, MAX_RESULT_LIFE_MS)
+        context.capacity_controller.limit(attempt, context.now_ms() + life_ms)
+        return outcome
+
+    def _reply(self, found: PrefillResult) -> Any:
+        return idl.Prefilled(
+            handle=found.handle,
+            tokens=found.tokens,
+            cached_tokens=found.cached_tokens,
+            lives_ms=found.lives_ms,
+            engine_address=self._context.cfg.backend.address,
+            load=self._context.load(),
+        )
--- /dev/null
+++ b/src/gooseberrypost/agent/reports.py
@@ -0,0 +1,86 @@
+"""Answers to probes, status requests and drain commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+from gooseberrypost.agent.lifecycle import DrainReason, Lifecycle
+from gooseberrypost.state.records import EngineRole, Kind
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.agent.context import Context
+    from gooseberrypost.wire.dispatch import Dispatcher
+    from gooseberrypost.wire.listener import Session
+
+ROLE_NUMBERS: Final = {
+    EngineRole.PREFILL: idl.Role.PREFILL,
+    EngineRole.DECODE: idl.Role.DECODE,
+    EngineRole.PLAIN: idl.Role.PLAIN,
+}
+
+
+class Reports:
+    """Tells other processes and operators about this agent."""
+
+    __slots__ = ("_context",)
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    def register(self, dispatcher: Dispatcher) -> None:
+        """Receive the messages that ask for reports."""
+        dispatcher.register(idl.Probe, self._probe)
+        dispatcher.register(idl.StatusRequest, self._status)
+        dispatcher.register(idl.Drain, self._drain)
+
+    @property
+    def _lifecycle(self) -> Lifecycle:
+        return self._context.lifecycle_controller.lifecycle
+
+    async def _probe(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        context = self._context
+        reply = idl.ProbeReply(
+            server=context.cfg.name,
+            role=ROLE_NUMBERS[self._role()],
+            model=self._lifecycle.model,
+            load=context.load(),
+            cached_tokens=0,
+            engine_address=context.cfg.backend.address,
+        )
+        await session.send(correlation, reply)
+
+    async def _status(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        context = self._context
+        reply = idl.Status(
+            process_kind="agent",
+            name=context.me.name,
+            incarnation=context.me.incarnation,
+            zone=context.cfg.zone,
+            state=self._lifecycle.stage,
+            configuration_version=self._lifecycle.configuration_version,
+            in_flight=len(context.attempts.running),
+            load=context.load(),
+            service_name=context.cfg.service,
+            shards=[],
+        )
+        await session.send(correlation, reply)
+
+    async def _drain(
+        self, session: Session, correlation: int, req: Any
+    ) -> None:
+        controller = self._context.lifecycle_controller
+        controller.drain(DrainReason.OPERATOR, bool(req.draining))
+        await session.send(correlation, idl.Ok())
+
+    def _role(self) -> EngineRole:
+        role = self._lifecycle.role
+        if role is not None:
+            return role
+        if self._context.cfg.backend.kind == Kind.PLAIN:
+            return EngineRole.PLAIN
+        return EngineRole.DECODE
