--- a/src/gooseberrypost/policy/admission.py
+++ b/src/gooseberrypost/policy/admission.py
@@ -3,16 +3,29 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import NoCapacity, NotRun, TargetUnreachable
+from gooseberrypost.policy.forecast import (
+    Forecast,
+    can_ever_hold,
+    forecast,
+    has_room,
+    prefill_ms,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from result import Result
-
-    from gooseberrypost.errors import NotRun
     from gooseberrypost.policy.views import AgentView, RequestView
 
+MIN_RETRY_MS: Final = 20
+MAX_RETRY_MS: Final = 5_000
+BEST_PREFILL: Final = 3
+"""Prefill engines compared with every decode engine that has room."""
+
 
 class Prediction(NamedTuple):
     """Predicted times of a request, in milliseconds of the clock."""
@@ -37,3 +50,107 @@
         A refusal is a ``TargetUnreachable`` or ``NoCapacity`` with advice on
         when to retry.
         """
+
+
+class DeadlineAdmission(AdmissionPolicy):
+    """Admits what the best pair is predicted to finish within its targets.
+
+    ``NoCapacity`` means that no decode engine has room now; the entry may
+    hold the request and ask again after ``retry_after_ms``.
+    ``TargetUnreachable`` means that waiting here does not help.
+    """
+
+    def decide(
+        self,
+        req: RequestView,
+        prefill: Sequence[AgentView],
+        decode: Sequence[AgentView],
+        now_ms: int,
+    ) -> Result[Prediction, NotRun]:
+        """Predict the request on its best pair, or refuse it."""
+        sources = usable(req, prefill)
+        targets = [a for a in usable(req, decode) if can_ever_hold(req, a)]
+        if not sources or not targets:
+            return Err(
+                NoCapacity(
+                    f"service {req.service!r} has no live pair for model"
+                    f" {req.model!r}",
+                    retry_after_ms=MAX_RETRY_MS,
+                )
+            )
+        open_targets = [a for a in targets if has_room(req, a)]
+        if not open_targets:
+            return Err(
+                NoCapacity(
+                    f"{len(targets)} decode engines are full",
+                    retry_after_ms=next_slot_ms(req, targets),
+                )
+            )
+        return self._check(req, sources, open_targets, now_ms)
+
+    def _check(
+        self,
+        req: RequestView,
+        sources: Sequence[AgentView],
+        targets: Sequence[AgentView],
+        now_ms: int,
+    ) -> Result[Prediction, NotRun]:
+        best = best_forecast(req, sources, targets, now_ms)
+        late = best.first_token_ms - first_token_due_ms(req)
+        overdue = best.complete_ms - req.answer_deadline_ms
+        excess = max(late, overdue)
+        if excess > 0:
+            return Err(
+                TargetUnreachable(
+                    f"predicted {excess} ms past its target",
+                    retry_after_ms=_bounded(excess),
+                )
+            )
+        return Ok(Prediction(best.first_token_ms, best.complete_ms))
+
+
+def usable(req: RequestView, agents: Sequence[AgentView]) -> list[AgentView]:
+    """Agents that may take the request: live, right model, no two suspects."""
+    return [
+        agent
+        for agent in agents
+        if not agent.draining
+        and agent.model == req.model
+        and not (req.suspect and agent.suspects)
+    ]
+
+
+def first_token_due_ms(req: RequestView) -> int:
+    """Clock time by which the first token is due, waiting included."""
+    return req.arrived_ms + max(req.first_token_ms, req.max_wait_ms)
+
+
+def best_forecast(
+    req: RequestView,
+    sources: Sequence[AgentView],
+    targets: Sequence[AgentView],
+    now_ms: int,
+) -> Forecast:
+    """Earliest first token over the pairs of the fastest sources."""
+    fastest = sorted(sources, key=lambda a: prefill_ms(req, a))[:BEST_PREFILL]
+    return min(
+        (forecast(req, p, d, now_ms) for p in fastest for d in targets),
+        key=lambda f: f.first_token_ms,
+    )
+
+
+def next_slot_ms(req: RequestView, targets: Sequence[AgentView]) -> int:
+    """Estimate the wait until one of the full engines ends a request.
+
+    Requests in progress are assumed to be as long as this one and evenly
+    spread over their lives.
+    """
+    ends_per_ms = sum(
+        agent.slots_used / max(1.0, agent.token_gap_ms * req.max_output_tokens)
+        for agent in targets
+    )
+    return _bounded(int(1 / ends_per_ms) if ends_per_ms else MAX_RETRY_MS)
+
+
+def _bounded(wait_ms: int) -> int:
+    return min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
--- a/src/gooseberrypost/policy/placement.py
+++ b/src/gooseberrypost/policy/placement.py
@@ -3,14 +3,29 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Final, NamedTuple
 
+from gooseberrypost.policy.admission import usable
+from gooseberrypost.policy.forecast import (
+    forecast,
+    has_room,
+    prefill_ms,
+)
 from gooseberrypost.policy.views import AgentView, RequestView
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
+MAX_PAIRS: Final = 4
+BEST_PREFILL: Final = 4
+MAX_STALE_MS: Final = 2_000
+"""Age of a load report beyond which it spreads choices no further."""
+SPREAD_PER_STALE_MS: Final = 0.1
+"""Random spread of the predicted times for each ms of a report's age."""
+OCCUPANCY_COST_MS: Final = 60
+"""Cost of a full decode engine against an empty one."""
+
 
 class Pair(NamedTuple):
     """A candidate pair with what is predicted for it."""
@@ -38,3 +53,75 @@
         rng: random.Random,
     ) -> list[Pair]:
         """Return pairs, best first; empty when no candidate can serve."""
+
+
+class ReservingPlacement(PlacementPolicy):
+    """Ranks by predicted first token and decode occupancy.
+
+    Each predicted time gets a random addition that grows with the age of the
+    report behind it, so that entries with the same stale view do not all
+    choose the same engine.
+    """
+
+    def rank(
+        self,
+        req: RequestView,
+        prefill: Sequence[AgentView],
+        decode: Sequence[AgentView],
+        now_ms: int,
+        rng: random.Random,
+    ) -> list[Pair]:
+        """Return at most ``MAX_PAIRS`` pairs with distinct decode engines."""
+        targets = [a for a in usable(req, decode) if has_room(req, a)]
+        sources = [
+            (prefill_ms(req, a) + _spread_ms(a, now_ms, rng), a)
+            for a in usable(req, prefill)
+        ]
+        sources.sort(key=lambda item: item[0])
+        ranked = sorted(
+            (
+                self._best_source(req, sources[:BEST_PREFILL], d, now_ms, rng)
+                for d in targets
+                if sources
+            ),
+            key=lambda item: item[0],
+        )
+        return [pair for _, pair in ranked[:MAX_PAIRS]]
+
+    def _best_source(
+        self,
+        req: RequestView,
+        sources: Sequence[tuple[float, AgentView]],
+        target: AgentView,
+        now_ms: int,
+        rng: random.Random,
+    ) -> tuple[float, Pair]:
+        own = _spread_ms(target, now_ms, rng)
+        own += OCCUPANCY_COST_MS * target.slots_used / max(1, target.slots)
+        costs = []
+        for spread_prefill_ms, source in sources:
+            pair = _pair(req, source, target, now_ms)
+            spread = spread_prefill_ms - prefill_ms(req, source)
+            costs.append((pair.first_token_at_ms + spread + own, pair))
+        return min(costs, key=lambda item: item[0])
+
+
+def _pair(
+    req: RequestView, source: AgentView, target: AgentView, now_ms: int
+) -> Pair:
+    predicted = forecast(req, source, target, now_ms)
+    where = "same_zone" if source.zone == target.zone else "cross_zone"
+    cached = "cached" if source.cached_tokens else "uncached"
+    return Pair(
+        source,
+        target,
+        predicted.first_token_ms,
+        predicted.complete_ms,
+        predicted.transfer_start_ms,
+        f"{where},{cached}",
+    )
+
+
+def _spread_ms(agent: AgentView, now_ms: int, rng: random.Random) -> float:
+    age = min(MAX_STALE_MS, max(0, now_ms - agent.observed_ms))
+    return rng.random() * age * SPREAD_PER_STALE_MS
--- /dev/null
+++ b/src/gooseberrypost/policy/retry.py
@@ -0,0 +1,94 @@
+"""Retry budget: bounds the load that retries add to a failing service."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure
+
+if TYPE_CHECKING:
+    import random
+
+    from gooseberrypost.state.records import ServiceRecord
+
+WINDOW_MS: Final = 10_000
+BASE_BACKOFF_MS: Final = 20
+MAX_BACKOFF_MS: Final = 1_000
+MIN_RETRIES: Final = 2
+"""Retries allowed in a window of few requests."""
+
+
+class RetryRefused(Failure):
+    """No retry is allowed; the caller is told the failure before it."""
+
+    code = "retry_refused"
+
+
+class RetryBudget:
+    """Allows retries up to a share of the requests of the last 10 s.
+
+    >>> import random
+    >>> budget = RetryBudget(share=0.1)
+    >>> delay = budget.retry(1, 0, deadline_ms=500, rng=random.Random(1))
+    >>> delay.is_ok()
+    True
+    """
+
+    __slots__ = ("_requests", "_retries", "_share")
+
+    def __init__(self, share: float = 0.1) -> None:
+        self._share = share
+        self._requests: deque[int] = deque()
+        self._retries: deque[int] = deque()
+
+    @classmethod
+    def from_config(cls, service: ServiceRecord) -> RetryBudget:
+        """Build the budget of a service."""
+        return cls(service.retry_share)
+
+    def note_request(self, now_ms: int) -> None:
+        """Count a first attempt."""
+        self._requests.append(now_ms)
+        self._expire(now_ms)
+
+    def retry(
+        self,
+        attempt: int,
+        now_ms: int,
+        deadline_ms: int,
+        rng: random.Random,
+    ) -> Result[int, RetryRefused]:
+        """Return the delay in ms before the next attempt, or refuse it.
+
+        ``attempt`` is the number of the attempt that failed, from 1. The
+        delay is drawn from zero to the exponential bound (full jitter). The
+        retry is counted when it is allowed.
+        """
+        self._expire(now_ms)
+        allowed = max(MIN_RETRIES, int(self._share * len(self._requests)))
+        if len(self._retries) >= allowed:
+            return Err(RetryRefused(f"{allowed} retries in 10 s are spent"))
+        bound = backoff_bound_ms(attempt)
+        delay = rng.randint(0, bound)
+        if now_ms + delay >= deadline_ms:
+            return Err(RetryRefused("the retry would start past its deadline"))
+        self._retries.append(now_ms)
+        return Ok(delay)
+
+    def _expire(self, now_ms: int) -> None:
+        for times in (self._requests, self._retries):
+            while times and times[0] <= now_ms - WINDOW_MS:
+                times.popleft()
+
+
+def backoff_bound_ms(attempt: int) -> int:
+    """Longest delay after a failed attempt, in ms.
+
+    >>> [backoff_bound_ms(n) for n in (1, 2, 10)]
+    [20, 40, 1000]
+    """
+    exponent = min(max(attempt, 1) - 1, 16)
+    return min(MAX_BACKOFF_MS, BASE_BACKOFF_MS << exponent)
