--- a/src/gooseberrypost/policy/admission.py
+++ b/src/gooseberrypost/policy/admission.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import NoCapacity, NotRun, TargetUnreachable
+from gooseberrypost.policy.aging import headroom_slots
 from gooseberrypost.policy.forecast import (
     Forecast,
     can_ever_hold,
@@ -78,15 +79,19 @@
                     retry_after_ms=MAX_RETRY_MS,
                 )
             )
-        open_targets = [a for a in targets if has_room(req, a)]
-        if not open_targets:
-            return Err(
-                NoCapacity(
-                    f"{len(targets)} decode engines are full",
-                    retry_after_ms=next_slot_ms(req, targets),
-                )
+        room = [a for a in targets if has_room(req, a)]
+        if room and _leaves_headroom(req, targets, now_ms):
+            return self._check(req, sources, room, now_ms)
+        wait_ms = next_slot_ms(req, targets)
+        checked = self._check(req, sources, targets, now_ms + wait_ms)
+        if isinstance(checked, Err):
+            return checked
+        return Err(
+            NoCapacity(
+                f"{len(targets)} decode engines are full",
+                retry_after_ms=wait_ms,
             )
-        return self._check(req, sources, open_targets, now_ms)
+        )
 
     def _check(
         self,
@@ -109,6 +114,14 @@
         return Ok(Prediction(best.first_token_ms, best.complete_ms))
 
 
+def _leaves_headroom(
+    req: RequestView, targets: Sequence[AgentView], now_ms: int
+) -> bool:
+    total = sum(agent.slots for agent in targets)
+    free = sum(max(0, a.slots - a.slots_used) for a in targets)
+    return free > headroom_slots(req, total, now_ms)
+
+
 def usable(req: RequestView, agents: Sequence[AgentView]) -> list[AgentView]:
     """Agents that may take the request: live, right model, no two suspects."""
     return [
--- /dev/null
+++ b/src/gooseberrypost/policy/transfer.py
@@ -0,0 +1,192 @@
+"""Transfers of KV caches: booked links, stalls and fallbacks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from gooseberrypost.policy.forecast import (
+    HOP_MS,
+    has_room,
+    transfer_ms,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from gooseberrypost.policy.views import AgentView, RequestView
+
+STALL_FACTOR: Final = 1.5
+"""A transfer is late when it takes this multiple of its booked time."""
+STALL_GRACE_MS: Final = 30
+"""Allowance for messages and timers on top of the booked time."""
+RATE_WEIGHT: Final = 0.3
+"""Weight of the newest transfer in the measured rate of a link."""
+RECOVERY_HALF_LIFE_MS: Final = 10_000
+"""Half of a measured shortfall is forgotten after this, to try again."""
+
+
+class Booking(NamedTuple):
+    """A share of a link, booked from ``start_ms`` to ``end_ms``."""
+
+    number: int
+    start_ms: int
+    end_ms: int
+    kb_per_s: int
+
+
+class LinkBook:
+    """Bookings of one link; their rates never add up to more than its own.
+
+    >>> book = LinkBook(kb_per_s=1_000)
+    >>> book.book(kb=500, earliest_ms=0)
+    Booking(number=1, start_ms=0, end_ms=500, kb_per_s=1000)
+    >>> book.book(kb=500, earliest_ms=100).start_ms
+    500
+    """
+
+    __slots__ = ("_bookings", "_kb_per_s", "_last", "_share_kb_per_s")
+
+    def __init__(self, kb_per_s: int, share: float = 1.0) -> None:
+        self._kb_per_s = max(1, kb_per_s)
+        self._share_kb_per_s = max(1, int(kb_per_s * min(1.0, share)))
+        self._bookings: dict[int, Booking] = {}
+        self._last = 0
+
+    def book(self, kb: int, earliest_ms: int) -> Booking:
+        """Book the earliest time at which the share is free throughout."""
+        duration = max(1, -(-kb * 1_000 // self._share_kb_per_s))
+        start = self._earliest(earliest_ms, duration)
+        self._last += 1
+        booking = Booking(
+            self._last, start, start + duration, self._share_kb_per_s
+        )
+        self._bookings[booking.number] = booking
+        return booking
+
+    def cancel(self, number: int) -> None:
+        """Give a booking back; an unknown number is ignored."""
+        self._bookings.pop(number, None)
+
+    def expire(self, now_ms: int) -> None:
+        """Forget the bookings that have ended."""
+        ended = [
+            b.number for b in self._bookings.values() if b.end_ms <= now_ms
+        ]
+        for number in ended:
+            del self._bookings[number]
+
+    def booked_kb_per_s(self, at_ms: int) -> int:
+        """Sum of the rates booked at a time."""
+        return sum(
+            b.kb_per_s
+            for b in self._bookings.values()
+            if b.start_ms <= at_ms < b.end_ms
+        )
+
+    def free_ms(self, now_ms: int) -> int:
+        """Time from which another share is free for good."""
+        ends = [b.end_ms for b in self._bookings.values()]
+        # The rate in use only falls after the last start.
+        for time_ms in sorted({now_ms, *(e for e in ends if e > now_ms)}):
+            if self._fits_from(time_ms):
+                return time_ms
+        return now_ms
+
+    def _fits_from(self, time_ms: int) -> bool:
+        return self._fits(time_ms, 1 << 62)
+
+    def _earliest(self, earliest_ms: int, duration: int) -> int:
+        ends = sorted(
+            b.end_ms for b in self._bookings.values() if b.end_ms > earliest_ms
+        )
+        for start in [earliest_ms, *ends]:
+            if self._fits(start, duration):
+                return start
+        return max([earliest_ms, *ends])
+
+    def _fits(self, start_ms: int, duration: int) -> bool:
+        end_ms = start_ms + duration
+        changes = [
+            b.start_ms
+            for b in self._bookings.values()
+            if start_ms < b.start_ms < end_ms
+        ]
+        limit = self._kb_per_s - self._share_kb_per_s
+        return all(
+            self.booked_kb_per_s(t) <= limit for t in [start_ms, *changes]
+        )
+
+
+class MeasuredRate:
+    """Rate of a link or engine as a share of nominal, from what it did.
+
+    A shortfall is forgotten with time, so that a link which recovered while
+    it was avoided is tried again.
+    """
+
+    __slots__ = ("_shortfall", "_updated_ms")
+
+    def __init__(self) -> None:
+        self._shortfall = 0.0
+        self._updated_ms = 0
+
+    def note(self, expected_ms: float, took_ms: float, now_ms: int) -> None:
+        """Count one piece of work that took ``took_ms``."""
+        share = min(1.0, max(expected_ms, 1.0) / max(took_ms, 1.0))
+        before = self._remaining(now_ms)
+        self._shortfall = before + RATE_WEIGHT * ((1 - share) - before)
+        self._updated_ms = now_ms
+
+    def note_stall(self, now_ms: int) -> None:
+        """Count a transfer that was abandoned."""
+        self._shortfall = max(self._remaining(now_ms), 0.9)
+        self._updated_ms = now_ms
+
+    def share(self, now_ms: int) -> float:
+        """Share of the nominal rate, above 0 and at most 1."""
+        return 1 - self._remaining(now_ms)
+
+    def _remaining(self, now_ms: int) -> float:
+        elapsed = max(0, now_ms - self._updated_ms)
+        return self._shortfall * 0.5 ** (elapsed / RECOVERY_HALF_LIFE_MS)
+
+
+def stall_timeout_ms(booked_ms: int) -> int:
+    """Time after which a transfer booked for ``booked_ms`` is abandoned."""
+    return int(booked_ms * STALL_FACTOR) + STALL_GRACE_MS
+
+
+def choose_fallback(
+    req: RequestView,
+    source_zone: str,
+    decode: Sequence[AgentView],
+    tried: Sequence[str],
+    now_ms: int,
+    expires_ms: int,
+) -> AgentView | None:
+    """Decode engine that can import the result soonest while it lives.
+
+    ``None`` when no engine with room finishes before ``expires_ms``.
+    """
+    ends = [
+        (_import_end_ms(req, source_zone, agent, now_ms), agent)
+        for agent in decode
+        if agent.name not in tried
+        and not agent.draining
+        and agent.model == req.model
+        and not (req.suspect and agent.suspects)
+        and has_room(req, agent)
+    ]
+    in_time = [item for item in ends if item[0] <= expires_ms]
+    return (
+        min(in_time, key=lambda i: (i[0], i[1].name))[1] if in_time else None
+    )
+
+
+def _import_end_ms(
+    req: RequestView, source_zone: str, agent: AgentView, now_ms: int
+) -> int:
+    start = max(now_ms + HOP_MS, agent.link_free_ms)
+    return start + transfer_ms(
+        req.prompt_tokens, agent.link_kb_per_s, agent.zone == source_zone
+    )
