--- /dev/null
+++ b/src/gooseberrypost/state/segments.py
@@ -0,0 +1,104 @@
+"""Segments of a shard's log: a header line and one line for each batch.
+
+>>> segment = Segment(epoch=3).with_batch("3.1", [LogRecord("claim", "k", 1)])
+>>> Segment.parse(segment.text()).unwrap() == segment
+True
+>>> segment.has_batch("3.1"), segment.sealed(4).sealed_by
+(True, 4)
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+CLAIM: Final = "claim"
+RENEW: Final = "renew"
+COMPLETE: Final = "complete"
+ABANDON: Final = "abandon"
+
+
+class InvalidSegment(Failure):
+    """A segment or head value in the key-value service is malformed."""
+
+    code = "invalid_segment"
+
+
+class LogRecord(NamedTuple):
+    """One change of a claim that a successor must know."""
+
+    kind: str
+    key: str
+    attempt: int
+    digest: str = ""
+    """Content digest in hexadecimal digits; ``claim`` only."""
+    holder: str = ""
+    """Entry that runs the attempt; ``claim`` only."""
+    idempotent: bool = False
+    remaining_ms: int = 0
+    """Time until the deadline when the record was made."""
+    not_run: bool = False
+    """The attempt is proven not to have run; ``abandon`` only."""
+
+
+@dataclass(slots=True, frozen=True)
+class Segment:
+    """One value of the log; immutable, so that a write can be repeated."""
+
+    epoch: int
+    """Epoch of the owner that created the segment."""
+    sealed_by: int = 0
+    """Epoch of the owner that sealed it; 0: open."""
+    lines: tuple[str, ...] = ()
+
+    @classmethod
+    def parse(cls, text: str) -> Result[Segment, InvalidSegment]:
+        """Parse a stored value."""
+        header, *lines = text.splitlines() or [""]
+        try:
+            epoch, sealed_by = json.loads(header)
+            for line in lines:
+                _, records = json.loads(line)
+                for record in records:
+                    LogRecord(*record)
+        except (ValueError, TypeError) as exc:
+            return Err(InvalidSegment(f"segment: {exc!r}"))
+        return Ok(cls(int(epoch), int(sealed_by), tuple(lines)))
+
+    def text(self) -> str:
+        """Value to store."""
+        header = json.dumps([self.epoch, self.sealed_by])
+        return "\n".join((header, *self.lines))
+
+    def size_bytes(self) -> int:
+        """Size of the stored value in bytes (the text is ASCII)."""
+        return 24 + sum(len(line) + 1 for line in self.lines)
+
+    def with_batch(self, batch: str, records: Sequence[LogRecord]) -> Segment:
+        """Append a batch under an id that no other batch of the shard has."""
+        line = json.dumps([batch, records], separators=(",", ":"))
+        return replace(self, lines=(*self.lines, line))
+
+    def has_batch(self, batch: str) -> bool:
+        """Whether a batch is part of this segment."""
+        start = f"[{json.dumps(batch)},"
+        return any(line.startswith(start) for line in self.lines)
+
+    def sealed(self, epoch: int) -> Segment:
+        """Close for appends, on behalf of the owner of ``epoch``."""
+        return replace(self, sealed_by=epoch)
+
+    def records(self) -> Iterator[LogRecord]:
+        """Every record, in the order in which it was appended."""
+        for line in self.lines:
+            fields: Any
+            for fields in json.loads(line)[1]:
+                yield LogRecord(*fields)
