--- /dev/null
+++ b/src/gooseberrypost/claims/_store.py
@@ -0,0 +1,64 @@
+"""Runs the steps of the shard protocol against a key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+from result import Err, Result
+
+from gooseberrypost.errors import Failure
+from gooseberrypost.platform.keyvalue import Conflict, KeyValueStore
+from gooseberrypost.state.shard_log import Delete, Get, Put, StoreCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gooseberrypost.state.shard_log import Steps
+
+RETRY_MIN_MS: Final = 50
+RETRY_MAX_MS: Final = 1_000
+
+T = TypeVar("T")
+
+
+async def perform(
+    store: KeyValueStore, call: StoreCall
+) -> Result[Any, Failure]:
+    """Send one call."""
+    match call:
+        case Get(key):
+            return await store.get(key)
+        case Put(key, value, version):
+            return await store.put(key, value, version)
+        case Delete(key, version):
+            return await store.delete(key, version)
+
+
+async def run_steps(
+    steps: Steps[T],
+    store: KeyValueStore,
+    observe: Callable[[bool], None] = lambda reachable: None,
+) -> T:
+    """Run a protocol to its end, with a pause after each failed call.
+
+    ``observe`` hears after each call whether the service answered.
+    """
+    pause_ms = RETRY_MIN_MS
+    try:
+        call = next(steps)
+        while True:
+            reply = await perform(store, call)
+            failed = isinstance(reply, Err) and not isinstance(
+                reply.err_value, Conflict
+            )
+            observe(not failed)
+            if failed:
+                await asyncio.sleep(pause_ms / 1_000)
+                pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+            else:
+                pause_ms = RETRY_MIN_MS
+            call = steps.send(reply)
+    except StopIteration as stop:
+        result: T = stop.value
+        return result
--- /dev/null
+++ b/src/gooseberrypost/claims/evidence.py
@@ -0,0 +1,85 @@
+"""Crash evidence shared by the claim owners through ``claims/evidence``."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from absl import logging
+from result import Err, Ok, Result
+
+from gooseberrypost.platform.keyvalue import Conflict, KeyValueUnknown
+from gooseberrypost.policy.quarantine import Evidence, Suspicion
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from gooseberrypost.errors import Failure
+    from gooseberrypost.platform.keyvalue import KeyValueStore
+
+EVIDENCE_KEY: Final = "claims/evidence"
+
+
+class EvidenceKeeper:
+    """Evidence in memory, merged with the stored one by compare-and-swap."""
+
+    def __init__(
+        self, store: KeyValueStore, wall_ms: Callable[[], int]
+    ) -> None:
+        self.evidence = Evidence()
+        self._store = store
+        self._wall_ms = wall_ms
+        self._lock = asyncio.Lock()
+
+    def verdict(self, digest: bytes) -> Suspicion:
+        """Judge a content digest by what this process knows."""
+        return self.evidence.verdict(digest.hex())
+
+    def report(
+        self, crash: str, server: str, digests: Iterable[bytes]
+    ) -> None:
+        """Add a crash to the evidence in memory."""
+        running = [digest.hex() for digest in digests]
+        convicted = set(self.evidence.convicted)
+        if not self.evidence.report(crash, running, self._wall_ms()):
+            return
+        logging.info(
+            "event=crash_reported crash=%s server=%s running=%d convicted=%s",
+            crash,
+            server,
+            len(running),
+            ",".join(self.evidence.convicted.keys() - convicted),
+        )
+
+    async def sync(self) -> Result[None, Failure]:
+        """Merge with the stored evidence and store what it lacks."""
+        async with self._lock:
+            while True:
+                synced = await self._sync_once()
+                if isinstance(synced, Ok):
+                    return synced
+                retry = (Conflict, KeyValueUnknown)
+                if not isinstance(synced.err_value, retry):
+                    return synced
+                if isinstance(synced.err_value, KeyValueUnknown):
+                    # The next read shows whether the write took effect.
+                    await asyncio.sleep(0.05)
+
+    async def _sync_once(self) -> Result[None, Failure]:
+        read = await self._store.get(EVIDENCE_KEY)
+        if isinstance(read, Err):
+            return read
+        found = read.ok_value
+        parsed = Evidence.parse(found.value)
+        if isinstance(parsed, Err):
+            return parsed
+        stored = parsed.ok_value
+        now_ms = self._wall_ms()
+        self.evidence.merge(stored, now_ms)
+        self.evidence.expire(now_ms)
+        if stored.covers(self.evidence):
+            return Ok(None)
+        written = await self._store.put(
+            EVIDENCE_KEY, self.evidence.text(), found.version
+        )
+        return written.map(lambda version: None)
--- /dev/null
+++ b/src/gooseberrypost/claims/owner.py
@@ -0,0 +1,353 @@
+"""Claim owner: takes shards, serves their claims, and gives them up."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from absl import logging
+from mode import Service
+from result import Err, Ok, Result
+
+from gooseberrypost.blackboard import Blackboard, Section
+from gooseberrypost.claims._lease import OwnerLease
+from gooseberrypost.claims._messages import MessageHandlers
+from gooseberrypost.claims._store import run_steps
+from gooseberrypost.claims.evidence import EvidenceKeeper
+from gooseberrypost.claims.shard import HeldShard, Judgement, NotOwner
+from gooseberrypost.errors import Failure
+from gooseberrypost.identity import new_incarnation, shard_of
+from gooseberrypost.platform.keyvalue import Conflict
+from gooseberrypost.policy.shards import check_interval_ms, take_delay_ms
+from gooseberrypost.state.claim import ClaimAsk, Verdict
+from gooseberrypost.state.heads import Head, head_key, lease_key
+from gooseberrypost.state.shard_log import ShardLog
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from gooseberrypost.claims.client import StoredAnswer
+    from gooseberrypost.platform.keyvalue import KeyValueStore
+    from gooseberrypost.settings.entry import EntrySettings
+    from gooseberrypost.wire.dispatch import Dispatcher
+
+SCAN_INTERVAL_MS: Final = 100
+TICK_INTERVAL_MS: Final = 100
+EVIDENCE_INTERVAL_MS: Final = 5_000
+TRIM_INTERVAL_MS: Final = 60_000
+LEASE_RETRY_MS: Final = 500
+FLUSH_TIMEOUT_MS: Final = 2_000
+OWNER: Final = "ClaimOwnerController"
+
+
+def monotonic_ms() -> int:
+    """Monotonic clock in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+def wall_ms() -> int:
+    """Wall clock in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class ClaimsSection(Section):
+    """Shards held by this entry, and what it knows of all others."""
+
+    __slots__ = ("evidence", "heads", "shards")
+
+    def __init__(self, keeper: EvidenceKeeper) -> None:
+        super().__init__()
+        self.shards: dict[int, HeldShard] = {}
+        self.heads: dict[int, Head] = {}
+        """Head of each shard as last read."""
+        self.evidence = keeper
+
+
+class ClaimOwnerController(Service):
+    """Owns claim shards and answers the messages about their keys."""
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        board: Blackboard,
+        store: KeyValueStore,
+        dispatcher: Dispatcher,
+        rng: random.Random,
+        clock_ms: Callable[[], int] = monotonic_ms,
+        *,
+        address: str | None = None,
+        incarnation: int | None = None,
+        outage_policy: Callable[[str], str] = lambda service: "memory",
+        wall_clock_ms: Callable[[], int] = wall_ms,
+    ) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.rng = rng
+        self.address = address or cfg.internal_address
+        """Bound ``host:port``, where the configured port is 0."""
+        self.incarnation = incarnation or new_incarnation(rng)
+        self.outage_policy = outage_policy
+        """``memory`` or ``refuse`` for a service name."""
+        self.keeper = EvidenceKeeper(store, wall_clock_ms)
+        board.add(ClaimsSection(self.keeper), OWNER)
+        self.section = board.write(ClaimsSection, OWNER)
+        self.lease = OwnerLease(
+            cfg.name, self.incarnation, cfg.claims.lease_ms, store, clock_ms
+        )
+        self._store = store
+        self._clock_ms = clock_ms
+        self._free_since_ms: dict[int, int] = {}
+        self._check_at_ms: dict[int, int] = {}
+        self._trim_at: list[tuple[int, int, int, int]] = []
+        self._heads_lock = asyncio.Lock()
+        MessageHandlers(self).register(dispatcher)
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: EntrySettings,
+        board: Blackboard,
+        store: KeyValueStore,
+        dispatcher: Dispatcher,
+        rng: random.Random,
+        **overrides: Any,
+    ) -> ClaimOwnerController:
+        """Build with the process's clocks."""
+        return cls(cfg, board, store, dispatcher, rng, **overrides)
+
+    @property
+    def holder(self) -> str:
+        """This process as the holder of claims."""
+        return f"{self.cfg.name}/{self.incarnation}"
+
+    def shard_for(self, key: str) -> HeldShard | None:
+        """Shard that judges a key, if this entry holds it."""
+        return self.section.shards.get(shard_of(key, self.cfg.claims.shards))
+
+    def owner_address(self, key: str) -> str:
+        """Last known owner of a key's shard; empty if unknown."""
+        head = self.section.heads.get(shard_of(key, self.cfg.claims.shards))
+        return head.address if head is not None else ""
+
+    def mint(self) -> str | None:
+        """Make a key of a shard held here."""
+        shards = list(self.section.shards.values())
+        if not shards:
+            return None
+        return self.rng.choice(shards).claims.mint(self.rng)
+
+    async def claim(
+        self, ask: ClaimAsk, service: str, holder: str, wait_ms: int
+    ) -> Judgement:
+        """Judge a claim, here or ``NOT_OWNER``."""
+        shard = self.shard_for(ask.key)
+        if shard is None:
+            return Judgement(Verdict.NOT_OWNER)
+        memory = self.outage_policy(service) == "memory"
+        return await shard.claim(ask, holder, wait_ms, memory)
+
+    def renew(self, key: str, attempt: int) -> Judgement:
+        """Replace an attempt by the next one."""
+        shard = self.shard_for(key)
+        if shard is None:
+            return Judgement(Verdict.NOT_OWNER)
+        return shard.renew(key, attempt)
+
+    async def complete(
+        self, key: str, attempt: int, answer: StoredAnswer
+    ) -> Result[None, Failure]:
+        """Record an answer; ``NotOwner`` where another entry judges it."""
+        shard = self.shard_for(key)
+        if shard is None:
+            return Err(NotOwner(key))
+        return await shard.complete(key, attempt, answer)
+
+    async def on_stop(self) -> None:
+        """Flush and release every shard, then end the lease."""
+        shards = list(self.section.shards.values())
+        await asyncio.gather(
+            *(shard.flushed(FLUSH_TIMEOUT_MS) for shard in shards)
+        )
+        for shard in shards:
+            self._drop(shard)
+        await self._bounded(self._release(shards))
+        await self._bounded(self.lease.revoke())
+
+    async def _release(self, shards: list[HeldShard]) -> None:
+        async with self._heads_lock:
+            await asyncio.gather(
+                *(run_steps(s.log.release(), self._store) for s in shards)
+            )
+
+    @Service.task
+    async def _renew(self) -> None:
+        if not self.cfg.claims.own:
+            return
+        while not self.should_stop:
+            renewed = await self.lease.renew(self._reaffirm)
+            third_s = self.cfg.claims.lease_ms / 3_000
+            retry_s = min(LEASE_RETRY_MS / 1_000, third_s)
+            await self.sleep(third_s if renewed.is_ok() else retry_s)
+
+    @Service.task
+    async def _scan(self) -> None:
+        while self.cfg.claims.own and not self.should_stop:
+            await self._scan_once()
+            await self.sleep(SCAN_INTERVAL_MS / 1_000)
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            for shard in list(self.section.shards.values()):
+                shard.tick()
+                if shard.is_lost:
+                    self._drop(shard)
+            await self.sleep(TICK_INTERVAL_MS / 1_000)
+
+    @Service.task
+    async def _sync_evidence(self) -> None:
+        while not self.should_stop:
+            if self.section.shards:
+                await self.keeper.sync()
+            await self.sleep(EVIDENCE_INTERVAL_MS / 1_000)
+
+    @Service.task
+    async def _trim(self) -> None:
+        """Drop segments whose claims are all older than the retention."""
+        while not self.should_stop:
+            await self.sleep(TRIM_INTERVAL_MS / 1_000)
+            await self.trim_once()
+
+    async def trim_once(self) -> None:
+        """Note the current segments, and drop what was noted long ago.
+
+        A segment left behind a retention time ago holds only claims that
+        have ended by then: deadlines are far shorter than the retention.
+        """
+        now_ms = self._clock_ms()
+        for number, shard in self.section.shards.items():
+            noted = (now_ms, number, shard.log.epoch, shard.log.number)
+            self._trim_at.append(noted)
+        old_ms = now_ms - 2 * self.cfg.claims.retention_ms
+        while self._trim_at and self._trim_at[0][0] <= old_ms:
+            _, number, epoch, segment = self._trim_at.pop(0)
+            shard = self.section.shards.get(number)
+            if shard is None or shard.log.epoch != epoch:
+                continue
+            if segment > shard.log.head.segment:
+                async with self._heads_lock:
+                    steps = shard.log.trim(segment)
+                    await self._bounded(run_steps(steps, self._store))
+
+    async def _scan_once(self) -> None:
+        for number in range(self.cfg.claims.shards):
+            now_ms = self._clock_ms()
+            if number in self.section.shards:
+                continue
+            if now_ms < self._check_at_ms.get(number, 0):
+                continue
+            if not await self._is_free(number):
+                self._free_since_ms.pop(number, None)
+                self._check_at_ms[number] = now_ms + self._interval_ms(number)
+                continue
+            since_ms = self._free_since_ms.setdefault(number, now_ms)
+            delay_ms = take_delay_ms(
+                len(self.section.shards),
+                self.cfg.claims.shards,
+                1 + len(self._others()),
+            )
+            if now_ms - since_ms >= delay_ms:
+                await self._take(number)
+
+    def _others(self) -> list[str]:
+        return [peer for peer in self.cfg.peers if peer != self.address]
+
+    def _interval_ms(self, number: int) -> int:
+        interval_ms = check_interval_ms(number, self.address, self._others())
+        return int(interval_ms * self.rng.uniform(0.75, 1.25))
+
+    async def _is_free(self, number: int) -> bool:
+        """Whether a shard has no owner with a live lease; no on failure."""
+        read = await self._store.get(head_key(number))
+        if isinstance(read, Err):
+            return False
+        parsed = Head.parse(read.ok_value.value)
+        if isinstance(parsed, Err):
+            logging.error("event=head_invalid shard=%d", number)
+            return False
+        head = parsed.ok_value
+        self.section.heads[number] = head
+        if not head.name or head.incarnation == self.incarnation:
+            return True
+        key = lease_key(head.name, head.incarnation)
+        lease = await self._store.get(key)
+        return isinstance(lease, Ok) and lease.ok_value.version == 0
+
+    async def _take(self, number: int) -> None:
+        """Take a shard; on failure it is looked at again."""
+        if not self.lease.held.is_held(self._clock_ms()):
+            return
+        log = ShardLog(
+            number,
+            self.cfg.name,
+            self.address,
+            self.incarnation,
+            self.cfg.claims.segment_bytes,
+        )
+        async with self._heads_lock:
+            if self.should_stop:
+                return
+            taken = await run_steps(log.take(), self._store)
+            if isinstance(taken, Err):
+                if isinstance(taken.err_value, Conflict):
+                    self._free_since_ms.pop(number, None)
+                return
+            self._hold(log)
+
+    def _hold(self, log: ShardLog) -> None:
+        shard = HeldShard(
+            self.cfg.claims,
+            log,
+            self._store,
+            self.lease.held,
+            self.keeper,
+            self._clock_ms,
+        )
+        self._free_since_ms.pop(log.shard, None)
+        self.section.shards[log.shard] = shard
+        self.section.heads[log.shard] = log.head
+        self.add_future(shard.write())
+        logging.info(
+            "event=shard_taken shard=%d epoch=%d claims=%d",
+            log.shard,
+            log.epoch,
+            len(shard.claims.claims),
+        )
+        self.section.notify()
+
+    def _drop(self, shard: HeldShard) -> None:
+        shard.lose()
+        if self.section.shards.get(shard.log.shard) is shard:
+            del self.section.shards[shard.log.shard]
+            self.section.notify()
+
+    async def _reaffirm(self) -> Result[None, Failure]:
+        """Write every held head again; a shard taken over is dropped."""
+        async with self._heads_lock:
+            for shard in list(self.section.shards.values()):
+                written = await run_steps(shard.log.reaffirm(), self._store)
+                if isinstance(written, Ok):
+                    continue
+                if not isinstance(written.err_value, Conflict):
+                    return written
+                self._drop(shard)
+        return Ok(None)
+
+    async def _bounded(self, work: Any) -> None:
+        try:
+            async with asyncio.timeout(FLUSH_TIMEOUT_MS / 1_000):
+                await work
+        except TimeoutError:
+            logging.warning("event=shard_release_timeout")
--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -30,8 +30,8 @@
 
 MAX_DIGESTS: Final = 64
 """Digests kept of one crash; an engine runs about twenty requests."""
-MAX_CRASHES: Final = 1_000
-"""Crashes kept; 1,000 of 20 digests are 760 KB of a value of up to 1 MB."""
+MAX_CRASHES: Final = 400
+"""Crashes kept; 400 of 64 digests are 920 KB of a value of up to 1 MB."""
 SUSPECT_MS: Final = 600_000
 CONVICTED_MS: Final = 86_400_000
 
@@ -161,7 +161,7 @@
         two digests of a crash have run in other crashes, neither is named;
         isolation separates them before the next one.
         """
-        for digests in list(self._crashes.values()):
+        for _, digests in sorted(self._crashes.items()):
             repeated = [d for d in digests if self._counts[d] > 1]
             explained = any(d in self.convicted for d in digests)
             if len(repeated) == 1 and not explained:
--- a/src/gooseberrypost/state/_claim_memory.py
+++ b/src/gooseberrypost/state/_claim_memory.py
@@ -4,11 +4,13 @@
 
 import heapq
 from collections import OrderedDict, deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
+from gooseberrypost.identity import MintedKey
 from gooseberrypost.state.claim import (
     ATTEMPTS_PER_EPOCH,
     Claim,
+    ClaimAsk,
     ClaimState,
     Decision,
 )
@@ -18,6 +20,10 @@
     from gooseberrypost.claims.client import StoredAnswer
 
 
+MAX_BATCH_RECORDS: Final = 500
+"""Records of one write; 500 of 400 bytes are a fifth of the largest value."""
+
+
 class ClaimMemory:
     """Claims by key, with what is kept for how long."""
 
@@ -43,11 +49,23 @@
         self._answered: OrderedDict[str, int] = OrderedDict()
         self._held: dict[str, set[str]] = {}
 
-    def take_outbox(self) -> list[LogRecord]:
+    def take_outbox(self, limit: int = MAX_BATCH_RECORDS) -> list[LogRecord]:
         """Remove and return the records of the next batch."""
-        batch, self.outbox = self.outbox, []
+        batch, self.outbox = self.outbox[:limit], self.outbox[limit:]
         return batch
 
+    @property
+    def unconfirmed(self) -> int:
+        """Records that are not known to be in the log."""
+        return self._sequence - self.confirmed
+
+    def needs_log(self, ask: ClaimAsk) -> bool:
+        """Whether granting this call would need a write first."""
+        claim = self.claims.get(ask.key)
+        if claim is None:
+            return MintedKey.parse(ask.key).is_err()
+        return claim.state is ClaimState.ABANDONED and not claim.ran
+
     def confirm(self, records: int) -> None:
         """Note that the next ``records`` records are in the log."""
         self.confirmed += records
--- a/src/gooseberrypost/state/heads.py
+++ b/src/gooseberrypost/state/heads.py
@@ -51,6 +51,10 @@
     return f"claims/{shard}/log/{number}"
 
 
-def lease_key(name: str) -> str:
-    """Key, bound to its lease, that shows an owning entry to be alive."""
-    return f"claims/owners/{name}"
+def lease_key(name: str, incarnation: int) -> str:
+    """Key, bound to its lease, that shows an owning entry to be alive.
+
+    The incarnation is part of the key, so that a successor of the same name
+    does not hide that the lease of a paused process still runs.
+    """
+    return f"claims/owners/{name}/{incarnation}"
--- a/src/gooseberrypost/state/shard_log.py
+++ b/src/gooseberrypost/state/shard_log.py
@@ -169,10 +169,10 @@
     def _check_free(self, former: Head) -> Steps[Result[None, Failure]]:
         if not former.name or former.incarnation == self._me.incarnation:
             return Ok(None)
-        reply = yield Get(lease_key(former.name))
+        reply = yield Get(lease_key(former.name, former.incarnation))
         if isinstance(reply, Err):
             return reply
-        if reply.ok_value.value == str(former.incarnation):
+        if reply.ok_value.version:
             return Err(StillHeld(f"shard {self.shard}: {former.name}"))
         return Ok(None)
 
