--- /dev/null
+++ b/src/gooseberrypost/entry/daemon.py
@@ -0,0 +1,189 @@
+"""Entry daemon: the tree of its services and its shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from typing import TYPE_CHECKING, Final
+
+from absl import logging
+from mode import Service
+
+from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.entry.agents import AgentClient, Background
+from gooseberrypost.entry.collaborators import Catalog, Collaborators
+from gooseberrypost.entry.context import EntryContext
+from gooseberrypost.entry.fleet import FleetController
+from gooseberrypost.entry.http import HttpController
+from gooseberrypost.entry.lifecycle import LifecycleController
+from gooseberrypost.entry.operators import OperatorMessages
+from gooseberrypost.entry.requests import RequestController
+from gooseberrypost.identity import new_incarnation
+from gooseberrypost.logs import DecisionLog
+from gooseberrypost.metrics import Metrics
+from gooseberrypost.wire.channel import ChannelPool
+from gooseberrypost.wire.dispatch import Dispatcher
+from gooseberrypost.wire.listener import Listener
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gooseberrypost.settings.entry import EntrySettings
+
+SETTLE_S: Final = 2.0
+"""Time for cancellations on their way when the entry stops."""
+
+
+class WireController(Service):
+    """Internal listener and the channels to agents and entries."""
+
+    def __init__(
+        self, listener: Listener, dispatcher: Dispatcher, pool: ChannelPool
+    ) -> None:
+        super().__init__()
+        self._listener = listener
+        self.dispatcher = dispatcher
+        self.pool = pool
+
+    async def on_stop(self) -> None:
+        """Close the connections."""
+        await self.pool.close()
+        await self._listener.stop()
+
+
+class EntryDaemon(Service):
+    """One entry; start and stop it as a service."""
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        parts: Collaborators,
+        board: Blackboard,
+        wire: WireController,
+        incarnation: int,
+        services: list[Service],
+        shards: Callable[[], list[int]],
+    ) -> None:
+        super().__init__()
+        self.settings = cfg
+        self._background = Background()
+        self.lifecycle = LifecycleController(board)
+        self.fleet = FleetController(
+            cfg.name, cfg.zone, parts, board, wire.pool
+        )
+        self.context = EntryContext(
+            settings=cfg,
+            parts=parts,
+            catalog=Catalog(parts.configuration),
+            fleet=self.fleet,
+            agents=AgentClient(wire.pool, self.fleet, self._background),
+            background=self._background,
+            decisions=DecisionLog(cfg.explanations),
+            metrics=Metrics(),
+        )
+        self.requests = RequestController(self.context, board, self.lifecycle)
+        self.http = HttpController(self.context, self.requests, self.lifecycle)
+        OperatorMessages(
+            self.context, self.requests, self.lifecycle, incarnation, shards
+        ).register(wire.dispatcher)
+        # Stopped in reverse order: callers first, connections last.
+        for service in (
+            wire,
+            *services,
+            self.lifecycle,
+            self.fleet,
+            self.requests,
+            self.http,
+        ):
+            self.add_dependency(service)
+
+    @classmethod
+    async def from_config(
+        cls,
+        cfg: EntrySettings,
+        parts: Collaborators,
+        *,
+        board: Blackboard | None = None,
+        wire: WireController | None = None,
+        incarnation: int | None = None,
+        services: list[Service] | None = None,
+        shards: Callable[[], list[int]] = list,
+    ) -> EntryDaemon:
+        """Build an entry; ``services`` start before its own controllers."""
+        if incarnation is None:
+            incarnation = new_incarnation(parts.rng)
+        if wire is None:
+            wire = await open_wire(cfg, incarnation)
+        return cls(
+            cfg,
+            parts,
+            board or Blackboard(),
+            wire,
+            incarnation,
+            services or [],
+            shards,
+        )
+
+    async def on_started(self) -> None:
+        """Take requests once every service runs."""
+        self.lifecycle.serve()
+        logging.info(
+            "event=serving entry=%s http=%s",
+            self.settings.name,
+            self.http.address,
+        )
+
+    async def drain(self) -> None:
+        """Refuse new requests and wait for those in flight."""
+        self.lifecycle.drain()
+        logging.info("event=draining in_flight=%d", self.requests.in_flight)
+        try:
+            async with asyncio.timeout(self.settings.drain_timeout_ms / 1_000):
+                await self.requests.idle()
+        except TimeoutError:
+            logging.warning(
+                "event=drain_timed_out in_flight=%d", self.requests.in_flight
+            )
+        await self._background.settle(SETTLE_S)
+
+    async def on_stop(self) -> None:
+        """Stop callers first, then wait for their cancellations."""
+        await self.http.stop()
+        await self._background.settle(SETTLE_S)
+
+
+async def open_wire(cfg: EntrySettings, incarnation: int) -> WireController:
+    """Bind the internal listener; its address goes into every ``Hello``."""
+    dispatcher = Dispatcher()
+    listener = Listener(dispatcher)
+    await listener.start(cfg.internal_address)
+    hello = idl.Hello(
+        process_kind="entry",
+        name=cfg.name,
+        incarnation=incarnation,
+        zone=cfg.zone,
+        address=listener.address,
+    )
+    return WireController(listener, dispatcher, ChannelPool(hello))
+
+
+async def run(cfg: EntrySettings) -> None:
+    """Run an entry until SIGTERM or SIGINT, then drain it."""
+    from gooseberrypost.entry.wiring import build
+
+    daemon = await build(cfg, random.Random(cfg.seed))
+    await serve_until_signal(daemon)
+
+
+async def serve_until_signal(daemon: EntryDaemon) -> None:
+    """Start, wait for a signal, drain and stop."""
+    asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked.set)
+    await daemon.start()
+    await asked.wait()
+    await daemon.drain()
+    await daemon.stop()
--- /dev/null
+++ b/src/gooseberrypost/entry/http.py
@@ -0,0 +1,345 @@
+"""HTTP interface to callers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from absl import logging
+from aiohttp import web
+from mode import Service
+from result import Err, Ok, Result
+
+from gooseberrypost.entry.answer import (
+    CallerConnection,
+    EventStreamAnswer,
+    WholeAnswer,
+    headers_of,
+    send_failure,
+)
+from gooseberrypost.entry.connection import CallerServer
+from gooseberrypost.entry.formats import (
+    JSON_TYPE,
+    CompletionFormat,
+    encode_json,
+)
+from gooseberrypost.entry.model_request import ModelRequest
+from gooseberrypost.entry.parse import (
+    Completion,
+    parse_chat,
+    parse_completion,
+    parse_headers,
+)
+from gooseberrypost.entry.plain_request import (
+    REVOKE_TIMEOUT_MS,
+    PlainCall,
+    PlainRequest,
+    forwarded,
+    is_idempotent,
+)
+from gooseberrypost.entry.sections import LiveRequest
+from gooseberrypost.errors import (
+    BodyTooLarge,
+    CallerGone,
+    Failure,
+    HeadersTooLarge,
+    MalformedRequest,
+    NotRun,
+    Outcome,
+    RequestIncomplete,
+    UnknownModel,
+    UnknownOutcome,
+    UnknownService,
+)
+from gooseberrypost.identity import content_digest
+from gooseberrypost.state.records import Kind
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from gooseberrypost.entry.collaborators import Guards
+    from gooseberrypost.entry.context import EntryContext
+    from gooseberrypost.entry.lifecycle import LifecycleController
+    from gooseberrypost.entry.requests import RequestController
+    from gooseberrypost.state.records import ServiceRecord
+
+SERVICES_PREFIX: Final = "/services/"
+HEADER_OVERHEAD_BYTES: Final = 4
+"""Colon, space and line end of a header."""
+LINGER_S: Final = 1.0
+"""Time to discard the rest of a refused body before closing."""
+METRICS_TYPE: Final = "text/plain; version=0.0.4"
+TEXT_TYPE: Final = "text/plain"
+MINT_SERVICE: Final = ""
+
+
+class UnknownPath(MalformedRequest):
+    """No resource has this method and path."""
+
+    code = "unknown_path"
+    http_status = 404
+
+
+class HttpController(Service):
+    """Accepts callers' requests and hands them to the request controller."""
+
+    def __init__(
+        self,
+        ctx: EntryContext,
+        requests: RequestController,
+        lifecycle: LifecycleController,
+    ) -> None:
+        super().__init__()
+        self._ctx = ctx
+        self._requests = requests
+        self._lifecycle = lifecycle
+        self._runner: web.ServerRunner | None = None
+        self.address = ""
+        """Bound ``host:port``."""
+        self._routes: dict[
+            tuple[str, str], Callable[[CallerConnection, Any], Awaitable[None]]
+        ] = {
+            ("POST", "/v1/completions"): self._complete,
+            ("POST", "/v1/chat/completions"): self._chat,
+            ("POST", "/v1/idempotency-keys"): self._mint,
+            ("GET", "/healthz"): self._health,
+            ("GET", "/readyz"): self._ready,
+            ("GET", "/metrics"): self._metrics,
+        }
+
+    async def on_start(self) -> None:
+        """Bind; raises ``OSError`` when the port is taken."""
+        cfg = self._ctx.settings
+        server = CallerServer(
+            self._handle,
+            self._ctx.metrics,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=cfg.read_timeout_ms / 1_000,
+            lingering_time=LINGER_S,
+            max_field_size=cfg.max_header_bytes,
+            max_line_size=cfg.max_header_bytes,
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=1)
+        await self._runner.setup()
+        host, _, port = cfg.http_address.rpartition(":")
+        site = web.TCPSite(self._runner, host, int(port))
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def on_stop(self) -> None:
+        """Stop accepting and close the connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        caller = CallerConnection(request, self._ctx.settings.write_timeout_ms)
+        try:
+            await self._dispatch(caller, request)
+        except CallerGone as gone:
+            logging.info("event=caller_gone detail=%r", gone.detail)
+        except Failure as failure:
+            await self._refuse(caller, failure)
+        except Exception:
+            logging.exception("event=request_crashed path=%r", request.path)
+            await self._refuse(caller, UnknownOutcome("internal error"))
+        return caller.response or web.Response(status=CallerGone.http_status)
+
+    async def _dispatch(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        self._check_header_size(request)
+        route = self._routes.get((request.method, request.path))
+        if route is not None:
+            await route(caller, request)
+        elif request.path.startswith(SERVICES_PREFIX):
+            await self._call_service(caller, request)
+        else:
+            raise UnknownPath(f"no {request.method} {request.path}")
+
+    async def _refuse(
+        self, caller: CallerConnection, failure: Failure
+    ) -> None:
+        """Answer a request that was not understood."""
+        self._ctx.metrics.count(
+            "failures_total", code=failure.code, service=""
+        )
+        live = LiveRequest(arrived_ms=self._ctx.now_ms())
+        try:
+            await send_failure(caller, live, failure, failure.outcome)
+        except CallerGone:
+            return
+
+    def _check_header_size(self, request: web.BaseRequest) -> None:
+        limit = self._ctx.settings.max_header_bytes
+        size = sum(
+            len(name) + len(value) + HEADER_OVERHEAD_BYTES
+            for name, value in request.raw_headers
+        )
+        if size > limit:
+            raise HeadersTooLarge(f"{size} bytes of headers exceed {limit}")
+
+    async def _read_body(
+        self, request: web.BaseRequest
+    ) -> Result[bytes, NotRun]:
+        limit = self._ctx.settings.max_body_bytes
+        too_large = BodyTooLarge(f"the body exceeds {limit} bytes")
+        if (request.content_length or 0) > limit:
+            return Err(too_large)
+        body = bytearray()
+        try:
+            async with asyncio.timeout(
+                self._ctx.settings.read_timeout_ms / 1_000
+            ):
+                while data := await request.content.readany():
+                    body += data
+                    if len(body) > limit:
+                        return Err(too_large)
+        except TimeoutError:
+            return Err(RequestIncomplete("the body was not sent in time"))
+        except web.RequestPayloadError as exc:
+            return Err(MalformedRequest(f"invalid body: {exc}"))
+        return Ok(bytes(body))
+
+    async def _complete(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        await self._model(caller, request, parse_completion)
+
+    async def _chat(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        await self._model(caller, request, parse_chat)
+
+    async def _model(
+        self,
+        caller: CallerConnection,
+        request: web.BaseRequest,
+        parse: Callable[[bytes], Result[Completion, NotRun]],
+    ) -> None:
+        headers = _value(parse_headers(request.headers))
+        body = _value(await self._read_body(request))
+        completion = _value(parse(body))
+        service = self._ctx.catalog.service_of_model(completion.model)
+        if service is None:
+            raise UnknownModel(f"no service offers {completion.model!r}")
+        digest = content_digest(service.name, body)
+
+        async def work(
+            live: LiveRequest, guards: Guards
+        ) -> Result[None, Failure]:
+            return await self._model_request(
+                caller, live, service, completion, digest, guards
+            ).run()
+
+        await self._requests.serve(caller, headers, service, 0, work)
+
+    def _model_request(
+        self,
+        caller: CallerConnection,
+        live: LiveRequest,
+        service: ServiceRecord,
+        completion: Completion,
+        digest: bytes,
+        guards: Guards,
+    ) -> ModelRequest:
+        kind = EventStreamAnswer if completion.stream else WholeAnswer
+        form = CompletionFormat(
+            live, completion.model, completion.chat, int(time.time())
+        )
+        answer = kind(caller, live, form, completion.prompt_tokens)
+        return ModelRequest(
+            self._ctx,
+            live,
+            service,
+            completion,
+            digest,
+            answer,
+            guards.retries,
+        )
+
+    async def _call_service(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        headers = _value(parse_headers(request.headers))
+        name, _, rest = request.path[len(SERVICES_PREFIX) :].partition("/")
+        service = self._ctx.catalog.service(name)
+        if service is None or service.kind != Kind.PLAIN:
+            raise UnknownService(f"no plain service {name!r}")
+        body = _value(await self._read_body(request))
+        call = _plain_call(request, service, rest, body)
+
+        async def work(
+            live: LiveRequest, guards: Guards
+        ) -> Result[None, Failure]:
+            return await PlainRequest(
+                self._ctx, live, service, call, caller, guards.retries
+            ).run()
+
+        await self._requests.serve(
+            caller, headers, service, REVOKE_TIMEOUT_MS, work
+        )
+
+    async def _mint(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        key = _value(await self._ctx.parts.claims.mint(MINT_SERVICE))
+        body = encode_json({"key": key})
+        headers = headers_of(
+            LiveRequest(arrived_ms=0, key=key), Outcome.COMPLETED
+        )
+        await caller.send(201, JSON_TYPE, headers, body)
+
+    async def _health(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        await caller.send(200, TEXT_TYPE, {}, b"ok\n")
+
+    async def _ready(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        state = self._lifecycle.state
+        ready = state == "serving" and bool(self._ctx.catalog.records)
+        status = 200 if ready else 503
+        await caller.send(status, TEXT_TYPE, {}, f"{state}\n".encode())
+
+    async def _metrics(
+        self, caller: CallerConnection, request: web.BaseRequest
+    ) -> None:
+        metrics = self._ctx.metrics
+        metrics.gauge("requests_in_flight", self._requests.in_flight)
+        metrics.gauge(
+            "configuration_version", self._ctx.parts.configuration.version
+        )
+        await caller.send(200, METRICS_TYPE, {}, metrics.render().encode())
+
+
+def _value(result: Result[Any, Failure]) -> Any:
+    """Return the value; a failure ends the request as an exception."""
+    if isinstance(result, Err):
+        raise result.err_value
+    return result.ok_value
+
+
+def _plain_call(
+    request: web.BaseRequest, service: ServiceRecord, rest: str, body: bytes
+) -> PlainCall:
+    path = f"/{rest}"
+    idempotent = is_idempotent(service, request.method, path)
+    if request.query_string:
+        path = f"{path}?{request.query_string}"
+    headers = forwarded(list(request.headers.items()))
+    content_type = request.headers.get("Content-Type")
+    if content_type is not None:
+        headers.append(("Content-Type", content_type))
+    named = f"{service.name} {request.method} {path}"
+    return PlainCall(
+        method=request.method,
+        path=path,
+        headers=headers,
+        body=body,
+        digest=content_digest(named, body),
+        idempotent=idempotent,
+    )
--- /dev/null
+++ b/src/gooseberrypost/entry/plain_request.py
@@ -0,0 +1,302 @@
+"""Steps of a call to a plain service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from gooseberrypost.claims.client import StoredAnswer
+from gooseberrypost.entry.answer import headers_of
+from gooseberrypost.entry.context import ClaimHold, next_attempt
+from gooseberrypost.entry.parse import (
+    ACCOUNT_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+)
+from gooseberrypost.entry.sections import Stage
+from gooseberrypost.errors import (
+    DeadlinePassed,
+    Failure,
+    NoCapacity,
+    NotRun,
+    Outcome,
+    PeerUnreachable,
+    UnknownOutcome,
+)
+from gooseberrypost.logs import RoutingDecision
+from gooseberrypost.state.records import EngineRole
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.claims.client import Grant
+    from gooseberrypost.entry.answer import CallerConnection
+    from gooseberrypost.entry.collaborators import RetryBudget
+    from gooseberrypost.entry.context import EntryContext
+    from gooseberrypost.entry.sections import LiveRequest
+    from gooseberrypost.policy.views import AgentView
+    from gooseberrypost.state.records import ServiceRecord
+
+MAX_SERVERS: Final = 4
+"""Backend servers tried while they refuse definitely."""
+REVOKE_TIMEOUT_MS: Final = 1_000
+NO_CAPACITY_RETRY_MS: Final = 500
+DEFAULT_CONTENT_TYPE: Final = "application/octet-stream"
+
+HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "content-type",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        ACCOUNT_HEADER.lower(),
+        DEADLINE_HEADER.lower(),
+        KEY_HEADER.lower(),
+        OUTCOME_HEADER.lower(),
+    }
+)
+"""Headers that describe one connection, or that this system sets."""
+
+
+@dataclass(slots=True, frozen=True)
+class PlainCall:
+    """A call as the caller sent it."""
+
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    digest: bytes
+    idempotent: bool
+
+
+def is_idempotent(service: ServiceRecord, method: str, path: str) -> bool:
+    """Whether the configuration allows a call to be repeated.
+
+    >>> from gooseberrypost.state.records import ServiceRecord
+    >>> booking = ServiceRecord("booking", non_idempotent=["POST /reserve"])
+    >>> is_idempotent(booking, "POST", "/reserve/7")
+    False
+    """
+    for pattern in service.non_idempotent:
+        wanted, _, prefix = pattern.partition(" ")
+        if wanted in ("*", method) and path.startswith(prefix):
+            return False
+    return True
+
+
+def forwarded(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Headers that are passed on, without those of the connection.
+
+    A value with a control character would end its header line early.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_HEADERS and value.isprintable()
+    ]
+
+
+class PlainRequest:
+    """One plain call of one caller."""
+
+    def __init__(
+        self,
+        ctx: EntryContext,
+        live: LiveRequest,
+        service: ServiceRecord,
+        call: PlainCall,
+        caller: CallerConnection,
+        retries: RetryBudget,
+    ) -> None:
+        self._ctx = ctx
+        self._live = live
+        self._service = service
+        self._call = call
+        self._caller = caller
+        self._retries = retries
+        self._hold = ClaimHold(ctx, live)
+        self._refused: set[str] = set()
+        self._sent_to: AgentView | None = None
+        """Agent that may be running the call now."""
+
+    async def run(self) -> Result[None, Failure]:
+        """Answer the caller, or return the failure it is to be told."""
+        try:
+            granted = await self._hold.acquire(
+                self._call.digest, self._call.idempotent
+            )
+            if isinstance(granted, Err):
+                return granted
+            replied = await self._run_attempts(granted.ok_value)
+            if isinstance(replied, Err):
+                return replied
+            return await self._finish(replied.ok_value)
+        finally:
+            self._live.stage = Stage.RELEASE
+            self._cancel()
+            self._hold.release()
+
+    async def _run_attempts(self, grant: Grant) -> Result[Any, Failure]:
+        while True:
+            replied = await self._attempt(grant)
+            if isinstance(replied, Ok) or isinstance(
+                replied.err_value, NoCapacity | DeadlinePassed
+            ):
+                return replied
+            failure = replied.err_value
+            if not self._call.idempotent and self._live.sent:
+                return Err(UnknownOutcome(str(failure)))
+            renewed = await next_attempt(
+                self._ctx, self._live, self._hold, self._retries, failure
+            )
+            if isinstance(renewed, Err):
+                return renewed
+            grant = renewed.ok_value
+
+    async def _attempt(self, grant: Grant) -> Result[Any, Failure]:
+        """Try servers until one does not refuse definitely."""
+        last: Failure = NoCapacity(
+            "no backend server", retry_after_ms=NO_CAPACITY_RETRY_MS
+        )
+        for _ in range(MAX_SERVERS):
+            if self._ctx.now_ms() >= self._live.deadline_ms:
+                return Err(DeadlinePassed(str(last)))
+            agent = await self._choose(grant)
+            if agent is None:
+                return Err(last)
+            replied = await self._call_at(agent, grant)
+            if isinstance(replied, Ok):
+                return replied
+            failure = replied.err_value
+            self._refused.add(agent.name)
+            if not isinstance(failure, NotRun):
+                return replied
+            last = NoCapacity(
+                f"{agent.name}: {failure}",
+                retry_after_ms=failure.retry_after_ms or NO_CAPACITY_RETRY_MS,
+            )
+            self._ctx.log_retry(self._live, failure, "next_server")
+        return Err(last)
+
+    async def _choose(self, grant: Grant) -> AgentView | None:
+        """Pick the less occupied of two random servers."""
+        fleet, name = self._ctx.fleet, self._service.name
+        await fleet.probe(name, self._candidates(grant))
+        views = self._candidates(grant)
+        if not views:
+            return None
+        rng = self._ctx.parts.rng
+        pair = rng.sample(views, min(2, len(views)))
+        chosen = min(pair, key=lambda v: v.slots_used / max(1, v.slots))
+        self._ctx.decisions.record(
+            RoutingDecision(
+                request=self._live.key,
+                service=name,
+                attempt=grant.attempt,
+                candidates=[v.name for v in views],
+                prefill="",
+                decode=chosen.name,
+                first_token_ms=0,
+                completion_ms=0,
+                reason="less_occupied_of_two",
+            )
+        )
+        return chosen
+
+    def _candidates(self, grant: Grant) -> list[AgentView]:
+        views = self._ctx.fleet.candidates(
+            self._service.name, EngineRole.PLAIN
+        )
+        return [
+            v
+            for v in views
+            if v.name not in self._refused
+            and not v.draining
+            and not (grant.suspect and v.suspects)
+        ]
+
+    async def _call_at(
+        self, agent: AgentView, grant: Grant
+    ) -> Result[Any, Failure]:
+        live, call = self._live, self._call
+        live.stage = Stage.CALL
+        remaining_ms = max(1, live.deadline_ms - self._ctx.now_ms())
+        message = idl.Call(
+            key=live.key,
+            attempt=grant.attempt,
+            service_name=self._service.name,
+            method=call.method,
+            path=call.path,
+            headers=[idl.Header(name=n, value=v) for n, v in call.headers],
+            body=call.body,
+            idempotent=call.idempotent,
+            deadline_ms=remaining_ms,
+            digest=call.digest,
+            suspect=grant.suspect,
+        )
+        sent_before, live.sent = live.sent, True
+        self._sent_to = agent
+        replied = await self._ctx.agents.request(agent, message, remaining_ms)
+        if isinstance(replied, Ok):
+            self._sent_to = None
+            return replied
+        failure = replied.err_value
+        if await self._was_never_started(agent, grant, failure):
+            failure = PeerUnreachable(f"revoked before its start: {failure}")
+        if isinstance(failure, NotRun):
+            live.sent = sent_before
+            self._sent_to = None
+        return Err(failure)
+
+    async def _was_never_started(
+        self, agent: AgentView, grant: Grant, failure: Failure
+    ) -> bool:
+        """Ask for proof that a call without a reply was not run.
+
+        The agent bars a late arrival of the attempt when it gives the proof.
+        """
+        if not isinstance(failure, UnknownOutcome):
+            return False
+        message = idl.Revoke(key=self._live.key, attempt=grant.attempt)
+        replied = await self._ctx.agents.request(
+            agent, message, REVOKE_TIMEOUT_MS
+        )
+        return isinstance(replied, Ok) and bool(
+            getattr(replied.ok_value, "never_started", False)
+        )
+
+    async def _finish(self, reply: Any) -> Result[None, Failure]:
+        headers = [(h.name, h.value) for h in reply.headers]
+        content_type = next(
+            (v for n, v in headers if n.lower() == "content-type"),
+            DEFAULT_CONTENT_TYPE,
+        )
+        body = reply.body or b""
+        if isinstance(body, str):
+            body = body.encode()
+        completed = await self._hold.complete(
+            StoredAnswer(reply.status, body, content_type)
+        )
+        if isinstance(completed, Err):
+            return completed
+        passed = CIMultiDict(forwarded(headers))
+        passed.extend(headers_of(self._live, Outcome.COMPLETED))
+        await self._caller.send(reply.status, content_type, passed, body)
+        return Ok(None)
+
+    def _cancel(self) -> None:
+        agent, self._sent_to = self._sent_to, None
+        if agent is not None:
+            self._ctx.agents.cancel(agent, self._live.key, self._live.attempt)
--- a/src/gooseberrypost/errors.py
+++ b/src/gooseberrypost/errors.py
@@ -65,6 +65,20 @@
     http_status = 413
 
 
+class HeadersTooLarge(NotRun):
+    """The request headers exceed the configured limit in bytes."""
+
+    code = "headers_too_large"
+    http_status = 431
+
+
+class RequestIncomplete(NotRun):
+    """The caller did not send its whole request in time."""
+
+    code = "request_incomplete"
+    http_status = 408
+
+
 class UnknownModel(NotRun):
     """No service offers the requested model."""
 
--- /dev/null
+++ b/src/gooseberrypost/logs.py
@@ -0,0 +1,157 @@
+"""Decision log lines: ``key=value`` pairs through absl.logging.
+
+>>> decision = RefusalDecision("k 1", "booking", "draining", "leaving")
+>>> print(decision.line())
+event=refused request="k 1" service=booking code=draining detail=leaving
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_LINES_PER_REQUEST: Final = 32
+
+_BARE: Final = re.compile(r"[A-Za-z0-9_.:/,+@\[\]>-]+")
+
+Field = tuple[str, object]
+
+
+def quote(value: object) -> str:
+    r"""Format a value; quoted as JSON unless it is a plain word.
+
+    >>> quote("a=b\n")
+    '"a=b\\n"'
+    """
+    text = str(value)
+    return text if _BARE.fullmatch(text) else json.dumps(text)
+
+
+def format_fields(fields: Iterable[Field]) -> str:
+    """Join fields as ``key=value`` pairs on a single line."""
+    return " ".join(f"{name}={quote(value)}" for name, value in fields)
+
+
+class Decision(ABC):
+    """A decision on one request, logged in a single line."""
+
+    __slots__ = ()
+
+    request: str
+
+    @abstractmethod
+    def fields(self) -> list[Field]:
+        """Return the names and values of the line, in order."""
+
+    def line(self) -> str:
+        """Format the decision."""
+        return format_fields(self.fields())
+
+
+@dataclass(slots=True, frozen=True)
+class RoutingDecision(Decision):
+    """Engines chosen for an attempt; times in ms after arrival."""
+
+    request: str
+    service: str
+    attempt: int
+    candidates: list[str]
+    prefill: str
+    """Empty for a plain call."""
+    decode: str
+    first_token_ms: int
+    completion_ms: int
+    reason: str
+
+    def fields(self) -> list[Field]:
+        """Return the fields of a routing line."""
+        return [
+            ("event", "routed"),
+            ("request", self.request),
+            ("service", self.service),
+            ("attempt", self.attempt),
+            ("candidates", ",".join(self.candidates)),
+            ("prefill", self.prefill),
+            ("decode", self.decode),
+            ("first_token_ms", self.first_token_ms),
+            ("completion_ms", self.completion_ms),
+            ("reason", self.reason),
+        ]
+
+
+@dataclass(slots=True, frozen=True)
+class RefusalDecision(Decision):
+    """Refusal of a request, or of an attempt, with its typed reason."""
+
+    request: str
+    service: str
+    code: str
+    detail: str
+
+    def fields(self) -> list[Field]:
+        """Return the fields of a refusal line."""
+        return [
+            ("event", "refused"),
+            ("request", self.request),
+            ("service", self.service),
+            ("code", self.code),
+            ("detail", self.detail),
+        ]
+
+
+@dataclass(slots=True, frozen=True)
+class RetryDecision(Decision):
+    """What follows a failed step of an attempt."""
+
+    request: str
+    service: str
+    attempt: int
+    step: str
+    code: str
+    action: str
+
+    def fields(self) -> list[Field]:
+        """Return the fields of a retry line."""
+        return [
+            ("event", "retry"),
+            ("request", self.request),
+            ("service", self.service),
+            ("attempt", self.attempt),
+            ("step", self.step),
+            ("code", self.code),
+            ("action", self.action),
+        ]
+
+
+class DecisionLog:
+    """Logs decisions and keeps the lines of the most recent requests."""
+
+    __slots__ = ("_capacity", "_lines")
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._lines: OrderedDict[str, list[str]] = OrderedDict()
+
+    def record(self, decision: Decision) -> None:
+        """Log a decision and remember its line."""
+        line = decision.line()
+        logging.info("%s", line)
+        lines = self._lines.setdefault(decision.request, [])
+        if len(lines) < MAX_LINES_PER_REQUEST:
+            lines.append(line)
+        self._lines.move_to_end(decision.request)
+        while len(self._lines) > self._capacity:
+            self._lines.popitem(last=False)
+
+    def explain(self, request: str) -> list[str]:
+        """Return the lines of a request; empty when not remembered."""
+        return list(self._lines.get(request, ()))
