--- a/src/gooseberrypost/state/attempts.py
+++ b/src/gooseberrypost/state/attempts.py
@@ -85,6 +85,10 @@
             return None
         return record.states.get(phase)
 
+    def knows(self, key: str) -> bool:
+        """Whether a record of the key is kept."""
+        return key in self._records
+
     def has_started(self, key: str) -> bool:
         """Whether any attempt was passed to the backend server."""
         record = self._records.get(key)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,131 @@
+"""Ledger of slots, memory pieces and the import link."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+)
+from result import Ok
+
+from gooseberrypost.identity import Attempt
+from gooseberrypost.state.ledger import Ask, Ledger
+
+SLOTS, PIECES, RATE = 3, 10, 1_000
+OWNERS = st.integers(1, 3)
+HOLDERS = st.builds(Attempt, st.sampled_from("abcde"), st.integers(1, 2))
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Compares the ledger with what each holder was granted."""
+
+    grants = Bundle("grants")
+
+    def __init__(self):
+        super().__init__()
+        self.ledger = Ledger(SLOTS, PIECES, RATE)
+        self.now_ms = 0
+        self.held = {}
+
+    @rule(
+        target=grants,
+        holder=HOLDERS,
+        owner=OWNERS,
+        pieces=st.integers(-1, 11),
+        ttl_ms=st.integers(1, 50),
+        suspect=st.booleans(),
+        transfer_kb=st.integers(0, 40),
+        expected_start_ms=st.integers(0, 40),
+    )
+    def reserve(self, holder, **ask):
+        known = holder in self.held
+        asked = Ask(holder, **ask)
+        granted = self.ledger.reserve(asked, self.now_ms)
+        used = sum(pieces for pieces, _ in self.held.values())
+        suspects = sum(suspect for _, suspect in self.held.values())
+        fits = len(self.held) < SLOTS and 0 <= ask["pieces"] <= PIECES - used
+        alone = not (ask["suspect"] and suspects)
+        assert isinstance(granted, Ok) == (known or (fits and alone))
+        if isinstance(granted, Ok):
+            if not known:
+                self.held[holder] = (ask["pieces"], ask["suspect"])
+            return granted.ok_value
+        return None
+
+    @rule(grant=grants)
+    def start(self, grant):
+        if grant is None:
+            return
+        held = self.ledger.find(grant.holder)
+        current = held is grant and not grant.running
+        started = self.ledger.start(grant.number, grant.holder, self.now_ms)
+        lapsed = grant.expires_ms <= self.now_ms
+        assert isinstance(started, Ok) == (current and not lapsed)
+        if current and lapsed:
+            del self.held[grant.holder]
+
+    @rule(holder=HOLDERS)
+    def release(self, holder):
+        assert self.ledger.release(holder) == (holder in self.held)
+        self.held.pop(holder, None)
+        assert self.ledger.find(holder) is None
+
+    @rule(owner=OWNERS)
+    def disconnect(self, owner):
+        for holder in self.ledger.release_reserved(owner):
+            del self.held[holder]
+        assert not any(
+            h.owner == owner and not h.in_server for h in self.ledger.holdings
+        )
+
+    @rule(elapsed_ms=st.integers(0, 60))
+    def expire(self, elapsed_ms):
+        self.now_ms += elapsed_ms
+        for holder in self.ledger.expire(self.now_ms):
+            del self.held[holder]
+        assert all(
+            h.running or h.expires_ms > self.now_ms
+            for h in self.ledger.holdings
+        )
+
+    @invariant()
+    def never_oversold(self):
+        assert self.ledger.slots_used == len(self.held) <= SLOTS
+        used = sum(pieces for pieces, _ in self.held.values())
+        assert self.ledger.pieces_used == used <= PIECES
+        assert self.ledger.suspects <= 1
+
+    @invariant()
+    def transfers_never_overlap(self):
+        booked = sorted(
+            h.booking for h in self.ledger.holdings if h.booking is not None
+        )
+        for one, two in itertools.pairwise(booked):
+            assert one.end_ms <= two.start_ms
+        assert self.ledger.link_booked_kb_per_s(self.now_ms) <= RATE
+
+
+test_ledger_agrees_with_what_was_granted = LedgerMachine.TestCase
+test_ledger_agrees_with_what_was_granted.settings = settings(
+    max_examples=100, stateful_step_count=30
+)
+
+
+def test_a_transfer_is_booked_into_the_first_gap_that_fits():
+    """Guards against transfers that share the link and miss their time."""
+    ledger = Ledger(SLOTS, PIECES, RATE)
+
+    def book(key, kb, start_ms):
+        ask = Ask(Attempt(key, 1), 1, 1, 9_000, False, b"", kb, start_ms)
+        booking = ledger.reserve(ask, now_ms=100).unwrap().booking
+        return booking.start_ms, booking.end_ms
+
+    assert book("a", 50, 0) == (100, 150)
+    assert book("b", 50, 80) == (180, 230)
+    assert book("c", 40, 0) == (230, 270)
