--- a/tests/agent_kit.py
+++ b/tests/agent_kit.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import itertools
-from contextlib import asynccontextmanager
-from dataclasses import replace
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, replace
 
 from result import Err, Ok
 
@@ -20,6 +20,7 @@
 from gooseberrypost.settings.agent import AgentSettings, BackendSettings
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.messages import idl
+from tests.standins.engine import Engine
 
 INCARNATIONS = itertools.count(1_000)
 WAIT_MS = 5_000
@@ -132,6 +133,52 @@
         await channel.close()
 
 
+@dataclass
+class Rig:
+    """A prefill and a decode engine, their agents and an entry."""
+
+    source: Engine
+    engine: Engine
+    prefiller: Agent
+    decoder: Agent
+    near: Channel
+    """Connection to the prefill agent."""
+    far: Channel
+    """Connection to the decode agent."""
+
+    async def prepare(self, key="k", prompt=None):
+        """Reserve and prefill; returns both replies."""
+        reserved = await ask(self.far, reserve(key))
+        prompt = prompt or f"tell me about {key}"
+        return reserved, await ask(self.near, prefill(key, prompt=prompt))
+
+    def is_decoder_free(self) -> bool:
+        """Whether the decode engine and its ledger hold nothing."""
+        ledger = self.decoder.capacity.capacity.ledger
+        return not (self.engine.works or ledger.slots_used)
+
+    def is_free(self) -> bool:
+        """Whether no engine and no ledger holds anything."""
+        ledger = self.prefiller.capacity.capacity.ledger
+        return self.is_decoder_free() and not (
+            self.source.works or ledger.slots_used
+        )
+
+
+@asynccontextmanager
+async def rigged(source=None, engine=None, heartbeats=True, **changes):
+    """Run a rig; ``source`` and ``engine`` are options of the engines."""
+    async with AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        one = await enter(Engine.serving(**(source or {})))
+        two = await enter(Engine.serving(**(engine or {})))
+        prefiller = await enter(running(settings(one, **changes)))
+        decoder = await enter(running(settings(two, **changes)))
+        near = await enter(entry(prefiller, heartbeats=heartbeats))
+        far = await enter(entry(decoder, heartbeats=heartbeats))
+        yield Rig(one, two, prefiller, decoder, near, far)
+
+
 async def until(condition, timeout_ms=WAIT_MS):
     """Wait until a condition holds; fails after ``timeout_ms``."""
     async with asyncio.timeout(timeout_ms / 1_000):
--- a/tests/test_agent_execution.py
+++ b/tests/test_agent_execution.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-from contextlib import AsyncExitStack
 
 from gooseberrypost.wire.messages import idl
 from tests.agent_kit import (
@@ -13,12 +12,10 @@
     collect,
     decode,
     entry,
-    prefill,
-    reserve,
+    rigged,
     running,
     settings,
 )
-from tests.standins.engine import Engine
 from tests.standins.generation import answer
 from tests.standins.plain import PlainService
 
@@ -27,26 +24,19 @@
     """Guards against a lost, repeated or foreign token in a whole answer."""
 
     async def run():
-        async with AsyncExitStack() as stack:
-            enter = stack.enter_async_context
-            sources = await enter(Engine.serving())
-            engine = await enter(Engine.serving())
-            prefiller = await enter(running(settings(sources)))
-            decoder = await enter(running(settings(engine)))
-            near = await enter(entry(prefiller))
-            far = await enter(entry(decoder))
-            reserved = await ask(far, reserve())
+        async with rigged() as rig:
+            reserved, prefilled = await rig.prepare()
             assert reserved.load.slots_used == 1
-            prefilled = await ask(near, prefill())
-            async with far.stream(decode(reserved, prefilled)) as replies:
+            async with rig.far.stream(decode(reserved, prefilled)) as replies:
                 text, end = await collect(replies)
             assert text == answer("tell me about k", 20)
             assert (end.code, end.tokens) == ("", 20)
             assert end.load.slots_used == end.load.pieces_used == 0
-            await ask(near, idl.ReleasePrefill(key="k", attempt=1, handle="x"))
-            probe = await ask(near, idl.Probe(service_name="llm"))
-            assert probe.load.slots_used == 0
-            assert not sources.works and not engine.works
+            release = idl.ReleasePrefill(
+                key="k", attempt=1, handle=prefilled.handle
+            )
+            await ask(rig.near, release)
+            assert rig.is_free()
 
     asyncio.run(run())
 
--- /dev/null
+++ b/tests/test_agent_orders.py
@@ -0,0 +1,201 @@
+"""Orders, fencing and the lease of the agent."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from gooseberrypost.wire.messages import idl
+from tests.agent_kit import (
+    MemoryStore,
+    ask,
+    collect,
+    decode,
+    entry,
+    reserve,
+    rigged,
+    running,
+    settings,
+    until,
+)
+from tests.standins.engine import Engine
+
+
+class LeaseClock:
+    """Monotonic milliseconds that a test sets."""
+
+    def __init__(self):
+        self.ms = 1_000
+
+    def __call__(self):
+        return self.ms
+
+
+@asynccontextmanager
+async def ordered(engine, store, clock=None, **changes):
+    cfg = settings(engine, **changes)
+    parts = {"store": store, "lease_clock_ms": clock or LeaseClock()}
+    async with running(cfg, **parts) as agent, entry(agent) as channel:
+        yield agent, channel
+
+
+def order(fencing, kind="load_model", value="m2"):
+    return idl.Order(kind=kind, value=value, fencing=fencing)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_an_old_order_is_refused_for_every_engine(checks_fencing):
+    """Guards against an engine that obeys an order from an old plan."""
+
+    async def run():
+        async with (
+            Engine.serving(checks_fencing=checks_fencing) as engine,
+            ordered(engine, MemoryStore()) as (agent, channel),
+        ):
+            await until(agent.lease.remaining_ms)
+            assert await ask(channel, order(7)) == idl.Ok()
+            stale = await ask(channel, order(6))
+            assert stale.code == "stale_order"
+            assert [o["fencing"] for o in engine.orders] == [7]
+
+    asyncio.run(run())
+
+
+def test_an_engine_that_checks_is_asked_too():
+    """Guards against a new agent that knows less than its engine."""
+
+    async def run():
+        async with (
+            Engine.serving() as engine,
+            ordered(engine, MemoryStore()) as (agent, channel),
+        ):
+            engine.fencing = 9
+            await until(agent.lease.remaining_ms)
+            assert (await ask(channel, order(8))).code == "stale_order"
+            assert not engine.orders
+
+    asyncio.run(run())
+
+
+def test_a_paused_agent_orders_nothing_after_its_lease():
+    """Guards against an order from an agent that slept past its lease."""
+
+    async def run():
+        clock, store = LeaseClock(), MemoryStore()
+        async with (
+            Engine.serving(checks_fencing=False) as engine,
+            ordered(engine, store, clock) as (agent, channel),
+        ):
+            await until(agent.lease.remaining_ms)
+            clock.ms += agent.cfg.lease_ms
+            assert (await ask(channel, order(7))).code == "stale_order"
+            assert not engine.orders
+            store.lapse(1)
+            cfg = {"lease_renewal_ms": 50}
+            async with ordered(engine, store, **cfg) as (other, its_channel):
+                await until(other.lease.remaining_ms)
+                assert other.lease.epoch == agent.lease.epoch + 1
+                assert await ask(its_channel, order(7)) == idl.Ok()
+                await agent.lease.refresh()
+                assert not agent.lease.remaining_ms()
+
+    asyncio.run(run())
+
+
+def test_a_lease_that_lapses_during_a_role_change_stops_it():
+    """Guards against an order sent after a long wait on an old lease."""
+
+    async def run():
+        clock = LeaseClock()
+        async with (
+            Engine.serving(checks_fencing=False) as engine,
+            ordered(engine, MemoryStore(), clock) as (agent, channel),
+        ):
+            await until(agent.lease.remaining_ms)
+            reserved = await ask(channel, reserve())
+            change = order(7, "set_role", "prefill")
+            async with channel.stream(change) as replies:
+                await until(lambda: agent.lifecycle.lifecycle.reasons)
+                clock.ms += agent.cfg.lease_ms
+                release = idl.ReleaseReservation(
+                    reservation=reserved.reservation, key="k", attempt=1
+                )
+                await ask(channel, release)
+                refused = (await replies.next(2_000)).unwrap()
+            assert refused.code == "stale_order"
+            assert not engine.orders
+
+    asyncio.run(run())
+
+
+def test_a_successor_waits_for_the_lease_of_its_predecessor():
+    """Guards against two agents that order the same engine."""
+
+    async def run():
+        store = MemoryStore()
+        async with (
+            Engine.serving() as engine,
+            ordered(engine, store) as (first, _),
+        ):
+            await until(first.lease.remaining_ms)
+            async with ordered(engine, store) as (second, channel):
+                await second.lease.refresh()
+                assert (await ask(channel, order(7))).code == "stale_order"
+                await first.lease.stop()
+                await second.lease.refresh()
+                assert await ask(channel, order(7)) == idl.Ok()
+
+    asyncio.run(run())
+
+
+def test_an_outage_shorter_than_the_lease_changes_nothing():
+    """Guards against an agent that stops at the first failed renewal."""
+
+    async def run():
+        clock, store = LeaseClock(), MemoryStore()
+        async with (
+            Engine.serving() as engine,
+            ordered(engine, store, clock) as (agent, channel),
+        ):
+            await until(agent.lease.remaining_ms)
+            store.up = False
+            clock.ms += agent.cfg.lease_ms // 2
+            assert (await agent.lease.refresh()).is_err()
+            assert await ask(channel, order(7)) == idl.Ok()
+            clock.ms += agent.cfg.lease_ms // 2
+            assert (await ask(channel, order(8))).code == "stale_order"
+
+    asyncio.run(run())
+
+
+def test_a_role_change_waits_for_running_requests():
+    """Guards against a planned role change that cuts a stream off."""
+
+    async def run():
+        async with rigged(engine={"token_ms": 10}) as rig:
+            lease = rig.decoder.lease
+            lease._store, lease._clock_ms = MemoryStore(), LeaseClock()
+            await lease.refresh()
+            reserved, prefilled = await rig.prepare()
+            async with rig.far.stream(decode(reserved, prefilled)) as replies:
+                (await replies.next(1_000)).unwrap()
+                async with rig.far.stream(
+                    order(7, "set_role", "prefill")
+                ) as ordered_replies:
+                    await until(
+                        lambda: rig.decoder.lifecycle.lifecycle.reasons
+                    )
+                    refused = await ask(rig.far, reserve("late"))
+                    assert refused.code == "draining"
+                    _, end = await collect(replies)
+                    assert (end.code, end.tokens) == ("", 20)
+                    done = (await ordered_replies.next(2_000)).unwrap()
+            assert done == idl.Ok()
+            assert [o["running"] for o in rig.engine.orders] == [0]
+            probe = await ask(rig.far, idl.Probe(service_name="llm"))
+            assert probe.role == idl.Role.PREFILL
+            assert (await ask(rig.far, reserve("late"))).code == "no_capacity"
+
+    asyncio.run(run())
