--- /dev/null
+++ b/src/gooseberrypost/bench/flow.py
@@ -0,0 +1,442 @@
+"""One request on its way through an entry and two engines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from result import Err
+
+from gooseberrypost.bench.engines import (
+    RESULT_LIFE_MS,
+    FakeEngine,
+    PrefillJob,
+)
+from gooseberrypost.errors import NoCapacity
+from gooseberrypost.policy.admission import first_token_due_ms
+from gooseberrypost.policy.aging import effective_priority
+from gooseberrypost.policy.forecast import pieces_needed
+from gooseberrypost.policy.transfer import choose_fallback, stall_timeout_ms
+from gooseberrypost.policy.views import RequestView
+from gooseberrypost.state.records import EngineRole
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from gooseberrypost.bench.entry import Entry
+    from gooseberrypost.bench.workload import Offered
+    from gooseberrypost.errors import Failure
+    from gooseberrypost.policy.placement import Pair
+
+BASELINE_ATTEMPTS: Final = 3
+FULL_RETRY_MS: Final = 20
+"""Wait before a full decode engine is asked again."""
+ENTRY_SILENCE_MS: Final = 4_500
+"""Time after which agents free what a dead entry's requests hold."""
+
+
+class Flow:
+    """Lifecycle of a request; every callback checks that it still counts."""
+
+    def __init__(self, entry: Entry, offered: Offered, measured: bool) -> None:
+        self.entry = entry
+        self.system = entry.system
+        self.offered = offered
+        self.measured = measured
+        self.attempt = 1
+        self.resend = 0
+        """Times that the caller sent the request before."""
+        self.ended = False
+        self.counted = False
+        self.outcome = ""
+        self.first_token = 0.0
+        self.completed = 0.0
+        self.generated = 0
+        self.decode_started = 0.0
+        self._step = 0
+        self._job: PrefillJob | None = None
+        self._prefill: FakeEngine | None = None
+        self._decode: FakeEngine | None = None
+        self._hold = 0
+        self.req = self._request_view()
+        self.system.clock.at(
+            offered.arrived + offered.kind.answer_ms, self._deadline
+        )
+
+    def _request_view(self) -> RequestView:
+        offered, kind = self.offered, self.offered.kind
+        arrived = int(offered.arrived)
+        resumed = self.first_token > 0
+        return RequestView(
+            f"{offered.number}",
+            kind.service,
+            offered.account,
+            kind.model,
+            self.entry.zone,
+            offered.prompt + self.generated,
+            kind.max_output - self.generated,
+            0 if resumed else kind.priority,
+            kind.waste_weight,
+            arrived,
+            kind.answer_ms if resumed else kind.first_token_ms,
+            26,
+            arrived + kind.answer_ms,
+            0 if resumed else kind.max_wait_ms,
+            False,
+            self.attempt,
+        )
+
+    # Placement ------------------------------------------------------------
+
+    def place(self, pairs: list[Pair]) -> None:
+        """Start on the best pair, reserving decode first where we do."""
+        if not pairs and self.system.strategy.admits:
+            self._later(FULL_RETRY_MS, lambda: self.entry.consider(self))
+        elif not pairs:
+            self._retry(NoCapacity("no pair"))
+        elif self.system.strategy.reserves:
+            self._reserve(pairs)
+        else:
+            decode = self.system.engines[pairs[0].decode.name]
+            self._start_prefill(pairs[0], decode)
+
+    def _reserve(self, pairs: list[Pair]) -> None:
+        pair, rest = pairs[0], pairs[1:]
+        decode = self.system.engines[pair.decode.name]
+        req = self.req
+        self.entry.sent(
+            decode,
+            slots=1,
+            pieces=pieces_needed(req.prompt_tokens, req.max_output_tokens),
+        )
+        self._hold = self.system.next_number()
+        hold = self._hold
+
+        def at_agent() -> None:
+            granted = decode.reserve(
+                hold, req.prompt_tokens, req.max_output_tokens
+            )
+            self._send_back(decode, lambda: replied(granted))
+
+        def replied(granted: bool) -> None:
+            if self.ended:
+                decode.release(hold)
+            elif granted:
+                self._decode = decode
+                decode.on_lost[hold] = self._guard(self._decode_lost)
+                self._start_prefill(pair, decode)
+            elif rest:
+                self._reserve(rest)
+            else:
+                # Nothing ran, so asking again costs no retry.
+                delay = FULL_RETRY_MS * (0.5 + self.entry.rng.random())
+                self._later(delay, lambda: self.entry.consider(self))
+
+        self._send(decode, at_agent)
+
+    def _start_prefill(self, pair: Pair, decode: FakeEngine) -> None:
+        prefill = self.system.engines[pair.prefill.name]
+        self._prefill, self._decode = prefill, decode
+        tokens = self.req.prompt_tokens
+        self.entry.sent(
+            prefill, tokens=max(0, tokens - pair.prefill.cached_tokens)
+        )
+        self._job = PrefillJob(
+            self.system.next_number(),
+            tokens,
+            self.offered.prefix,
+            self.offered.prefix_tokens,
+            self._priority(),
+            self._prefill_due(),
+            self._prefill_done,
+        )
+        job = self._job
+        self.system.jobs.append((self, job))
+
+        def at_agent() -> None:
+            if not prefill.submit(job):
+                job.done(False)
+
+        self._send(prefill, at_agent)
+
+    def _priority(self) -> float:
+        if not self.system.strategy.admits:
+            return 0.0
+        return effective_priority(self.req, self.system.clock.now_ms)
+
+    def _prefill_due(self) -> float:
+        if not self.system.strategy.admits:
+            return self.req.answer_deadline_ms
+        return first_token_due_ms(self.req)
+
+    def _prefill_done(self, has_result: bool) -> None:
+        prefill = self._prefill
+        assert prefill is not None
+        expires = self.system.clock.now + RESULT_LIFE_MS
+
+        def heard() -> None:
+            if not has_result:
+                self._retry(NoCapacity("prefill lost"))
+            elif self._decode is not None:
+                self._start_decode(self._decode, expires, [])
+
+        self._send_back(prefill, self._guard(heard))
+
+    # Transfer and decode --------------------------------------------------
+
+    def _start_decode(
+        self, decode: FakeEngine, expires: float, tried: list[str]
+    ) -> None:
+        def at_agent() -> None:
+            if self.ended:
+                return
+            if not self._ensure_hold(decode):
+                self._send_back(
+                    decode,
+                    self._guard(lambda: self._full(decode, expires, tried)),
+                )
+                return
+            self._transfer(decode, expires, tried)
+
+        self._send(decode, self._guard(at_agent))
+
+    def _ensure_hold(self, decode: FakeEngine) -> bool:
+        if self._hold in decode.held:
+            return True
+        self._hold = self.system.next_number()
+        granted = decode.reserve(
+            self._hold, self.req.prompt_tokens, self.req.max_output_tokens
+        )
+        if granted:
+            self._decode = decode
+            decode.on_lost[self._hold] = self._guard(self._decode_lost)
+        return granted
+
+    def _full(
+        self, decode: FakeEngine, expires: float, tried: list[str]
+    ) -> None:
+        """Look for another decode engine while the result lives."""
+        tried = [*tried, decode.spec.name]
+        if self.system.clock.now >= expires:
+            self._retry(NoCapacity("result expired"))
+            return
+        other = self._other_decode(tried, expires)
+        if other is not None:
+            self._start_decode(other, expires, tried)
+        else:
+            self._later(FULL_RETRY_MS, lambda: self._full(decode, expires, []))
+
+    def _other_decode(
+        self, tried: list[str], expires: float
+    ) -> FakeEngine | None:
+        assert self._prefill is not None
+        if not self.system.strategy.guards:
+            for pair in self.entry.rank(self):
+                if pair.decode.name not in tried:
+                    return self.system.engines[pair.decode.name]
+            return None
+        chosen = choose_fallback(
+            self.req,
+            self._prefill.spec.zone,
+            self.entry.look(self.req, EngineRole.DECODE, -1),
+            tried,
+            self.system.clock.now_ms,
+            int(expires),
+        )
+        return None if chosen is None else self.system.engines[chosen.name]
+
+    def _transfer(
+        self, decode: FakeEngine, expires: float, tried: list[str]
+    ) -> None:
+        clock, hold = self.system.clock, self._hold
+        assert self._prefill is not None
+        zone = self._prefill.spec.zone
+        prompt = self.req.prompt_tokens
+        start = clock.now
+        moved = False
+
+        def done() -> None:
+            nonlocal moved
+            moved = True
+            if self.system.strategy.guards:
+                decode.book.cancel(booking.number)
+                decode.link_rate.note(
+                    booking.end_ms - booking.start_ms,
+                    clock.now - start,
+                    clock.now_ms,
+                )
+            self._imported(decode)
+
+        def begin() -> None:
+            nonlocal start
+            start = clock.now
+            decode.transfer(hold, prompt, zone, guarded_done)
+
+        def stalled() -> None:
+            if moved or hold != self._hold:
+                return
+            decode.book.cancel(booking.number)
+            decode.link_rate.note_stall(clock.now_ms)
+            self._free_decode()
+            self._full(decode, expires, tried)
+
+        def expired() -> None:
+            if not moved and hold == self._hold:
+                self._retry(NoCapacity("result expired"))
+
+        guarded_done = self._guard(done)
+        clock.at(expires, self._guard(expired))
+        if not self.system.strategy.guards:
+            begin()
+            return
+        booking = decode.book_transfer(prompt, clock.now, zone)
+        clock.at(booking.start_ms, self._guard(begin))
+        timeout = stall_timeout_ms(booking.end_ms - booking.start_ms)
+        clock.at(booking.start_ms + timeout, self._guard(stalled))
+
+    def _imported(self, decode: FakeEngine) -> None:
+        job, prefill = self._job, self._prefill
+        assert job is not None and prefill is not None
+        if prefill.drop(job.number) is None:
+            self._retry(NoCapacity("result expired"))
+            return
+        job.used = True
+        tokens = self.offered.output - self.generated
+        self.decode_started = self.system.clock.now
+        decode.decode(self._hold, tokens, self._guard(self._decoded))
+        if self.first_token == 0:
+            trip = self.system.latency(self.entry.zone, decode.spec.zone)
+            self.first_token = (
+                self.system.clock.now + decode.token_gap() + trip
+            )
+
+    def _decoded(self) -> None:
+        decode = self._decode
+        assert decode is not None
+        self._free_decode()
+        self._send_back(decode, self._guard(self._complete))
+
+    def _complete(self) -> None:
+        self.completed = self.system.clock.now
+        self._finish("completed")
+
+    # Failures -------------------------------------------------------------
+
+    def _decode_lost(self) -> None:
+        """Continue elsewhere from the next token, prompt computed again."""
+        if self.first_token > 0 and self.decode_started > 0:
+            elapsed = self.system.clock.now - self.decode_started
+            done = int(elapsed / 24.0)
+            self.generated = min(
+                self.offered.output - 1, self.generated + done
+            )
+        self._hold = 0
+        self._retry(NoCapacity("decode engine lost"))
+
+    def _retry(self, failure: Failure) -> None:
+        """Try again within the budget, or end with the failure."""
+        self._stop_work()
+        self._step += 1
+        now = self.system.clock.now_ms
+        if self.system.strategy.guards:
+            desk = self.entry.desk(self.req.service)
+            allowed = desk.budget.retry(
+                self.attempt, now, self.req.answer_deadline_ms, self.entry.rng
+            )
+            if isinstance(allowed, Err):
+                self.refuse(failure)
+                return
+            delay = allowed.ok_value
+        elif self.attempt < BASELINE_ATTEMPTS:
+            delay = 1
+        else:
+            self.refuse(failure)
+            return
+        self.attempt += 1
+        self.req = self._request_view()
+        self._later(delay, lambda: self.entry.consider(self))
+
+    def refuse(self, failure: Failure) -> None:
+        """End without an answer."""
+        self._stop_work()
+        self._finish("refused", failure.retry_after_ms)
+
+    def abandon(self) -> None:
+        """Lose the request with its entry; agents notice the silence."""
+        if self.ended:
+            return
+        prefill, job = self._prefill, self._job
+        decode, hold = self._decode, self._hold
+        self._finish("lost")
+
+        def noticed() -> None:
+            if decode is not None:
+                decode.release(hold)
+            if prefill is not None and job is not None:
+                prefill.drop(job.number)
+
+        self.system.clock.after(ENTRY_SILENCE_MS, noticed)
+
+    def _deadline(self) -> None:
+        if not self.ended:
+            self._stop_work()
+            self._finish("late")
+
+    # Helpers --------------------------------------------------------------
+
+    def _stop_work(self) -> None:
+        self._free_decode()
+        if self._prefill is not None and self._job is not None:
+            self._prefill.cancel(self._job)
+        self._job = None
+
+    def _free_decode(self) -> None:
+        if self._decode is not None and self._hold:
+            self._decode.release(self._hold)
+            self._hold = 0
+
+    def _finish(self, outcome: str, retry_after_ms: int | None = None) -> None:
+        self.ended = True
+        self.outcome = outcome
+        self.entry.flows.discard(self)
+        service = self.req.service
+        if self.counted:
+            now = self.system.clock.now_ms
+            limiter = self.entry.desk(service).limiter
+            limiter.release(self.req.account, now)
+        self.system.ended(self, retry_after_ms)
+        if self.entry.alive and self.system.strategy.admits:
+            self.entry.pump(service)
+
+    def _guard(self, callback: Callable[[], None]) -> Callable[[], None]:
+        """Make a callback void once the request ended or was retried."""
+        step = self._step
+
+        def guarded() -> None:
+            if not self.ended and self._step == step:
+                callback()
+
+        return guarded
+
+    def _later(self, delay: float, callback: Callable[[], None]) -> None:
+        self.system.clock.after(delay, self._guard(callback))
+
+    def _send(self, engine: FakeEngine, callback: Callable[[], None]) -> None:
+        trip = self.system.latency(self.entry.zone, engine.spec.zone)
+        self.system.clock.after(trip, callback)
+
+    def _send_back(
+        self, engine: FakeEngine, callback: Callable[[], None]
+    ) -> None:
+        """Deliver an agent's reply, with its load, after the trip."""
+        trip = self.system.latency(self.entry.zone, engine.spec.zone)
+
+        def arrives() -> None:
+            if engine.alive:
+                self.entry.heard(engine)
+            else:
+                self.entry.lost(engine)
+            callback()
+
+        if engine.silent:
+            trip += self.system.silence_ms
+        self.system.clock.after(trip, arrives)
