Measure fair share over 20 s and leave four requests to each account

Cause: use was remembered for about 7 s, in which a quiet account sends two requests at one entry, so chance alone put it over twice its share. Idle accounts also lowered the share of the others without limit. Ruled out: admission, which refuses the same requests without an account limit (no_reservation and the bound use the same limiter).

--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -6,18 +6,14 @@
 
 from result import Err
 
-from gooseberrypost.bench.engines import (
-    RESULT_LIFE_MS,
-    FakeEngine,
-    PrefillJob,
-)
+from gooseberrypost.bench.delivery import FULL_RETRY_MS, Delivery
+from gooseberrypost.bench.engines import RESULT_LIFE_MS, FakeEngine
+from gooseberrypost.bench.parts import PrefillJob
 from gooseberrypost.errors import NoCapacity
 from gooseberrypost.policy.admission import first_token_due_ms
 from gooseberrypost.policy.aging import effective_priority
 from gooseberrypost.policy.forecast import pieces_needed
-from gooseberrypost.policy.transfer import choose_fallback, stall_timeout_ms
 from gooseberrypost.policy.views import RequestView
-from gooseberrypost.state.records import EngineRole
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,8 +24,6 @@
     from gooseberrypost.policy.placement import Pair
 
 BASELINE_ATTEMPTS: Final = 3
-FULL_RETRY_MS: Final = 20
-"""Wait before a full decode engine is asked again."""
 ENTRY_SILENCE_MS: Final = 4_500
 """Time after which agents free what a dead entry's requests hold."""
 
@@ -51,12 +45,12 @@
         self.first_token = 0.0
         self.completed = 0.0
         self.generated = 0
-        self.decode_started = 0.0
+        self._decode_started = 0.0
         self._step = 0
         self._job: PrefillJob | None = None
         self._prefill: FakeEngine | None = None
         self._decode: FakeEngine | None = None
-        self._hold = 0
+        self.hold = 0
         self.req = self._request_view()
         self.system.clock.at(
             offered.arrived + offered.kind.answer_ms, self._deadline
@@ -90,9 +84,9 @@
     def place(self, pairs: list[Pair]) -> None:
         """Start on the best pair, reserving decode first where we do."""
         if not pairs and self.system.strategy.admits:
-            self._later(FULL_RETRY_MS, lambda: self.entry.consider(self))
+            self.later(FULL_RETRY_MS, lambda: self.entry.consider(self))
         elif not pairs:
-            self._retry(NoCapacity("no pair"))
+            self.retry(NoCapacity("no pair"))
         elif self.system.strategy.reserves:
             self._reserve(pairs)
         else:
@@ -108,30 +102,22 @@
             slots=1,
             pieces=pieces_needed(req.prompt_tokens, req.max_output_tokens),
         )
-        self._hold = self.system.next_number()
-        hold = self._hold
 
         def at_agent() -> None:
-            granted = decode.reserve(
-                hold, req.prompt_tokens, req.max_output_tokens
-            )
-            self._send_back(decode, lambda: replied(granted))
+            granted = not self.ended and self.hold_at(decode)
+            self.send_back(decode, self.guard(lambda: replied(granted)))
 
         def replied(granted: bool) -> None:
-            if self.ended:
-                decode.release(hold)
-            elif granted:
-                self._decode = decode
-                decode.on_lost[hold] = self._guard(self._decode_lost)
+            if granted:
                 self._start_prefill(pair, decode)
             elif rest:
                 self._reserve(rest)
             else:
                 # Nothing ran, so asking again costs no retry.
                 delay = FULL_RETRY_MS * (0.5 + self.entry.rng.random())
-                self._later(delay, lambda: self.entry.consider(self))
+                self.later(delay, lambda: self.entry.consider(self))
 
-        self._send(decode, at_agent)
+        self.send(decode, self.guard(at_agent))
 
     def _start_prefill(self, pair: Pair, decode: FakeEngine) -> None:
         prefill = self.system.engines[pair.prefill.name]
@@ -156,7 +142,7 @@
             if not prefill.submit(job):
                 job.done(False)
 
-        self._send(prefill, at_agent)
+        self.send(prefill, at_agent)
 
     def _priority(self) -> float:
         if not self.system.strategy.admits:
@@ -169,140 +155,41 @@
         return first_token_due_ms(self.req)
 
     def _prefill_done(self, has_result: bool) -> None:
-        prefill = self._prefill
-        assert prefill is not None
+        prefill, job = self._prefill, self._job
+        assert prefill is not None and job is not None
         expires = self.system.clock.now + RESULT_LIFE_MS
 
         def heard() -> None:
             if not has_result:
-                self._retry(NoCapacity("prefill lost"))
+                self.retry(NoCapacity("prefill lost"))
             elif self._decode is not None:
-                self._start_decode(self._decode, expires, [])
-
-        self._send_back(prefill, self._guard(heard))
-
-    # Transfer and decode --------------------------------------------------
-
-    def _start_decode(
-        self, decode: FakeEngine, expires: float, tried: list[str]
-    ) -> None:
-        def at_agent() -> None:
-            if self.ended:
-                return
-            if not self._ensure_hold(decode):
-                self._send_back(
-                    decode,
-                    self._guard(lambda: self._full(decode, expires, tried)),
-                )
-                return
-            self._transfer(decode, expires, tried)
-
-        self._send(decode, self._guard(at_agent))
-
-    def _ensure_hold(self, decode: FakeEngine) -> bool:
-        if self._hold in decode.held:
-            return True
-        self._hold = self.system.next_number()
-        granted = decode.reserve(
-            self._hold, self.req.prompt_tokens, self.req.max_output_tokens
-        )
-        if granted:
-            self._decode = decode
-            decode.on_lost[self._hold] = self._guard(self._decode_lost)
-        return granted
-
-    def _full(
-        self, decode: FakeEngine, expires: float, tried: list[str]
-    ) -> None:
-        """Look for another decode engine while the result lives."""
-        tried = [*tried, decode.spec.name]
-        if self.system.clock.now >= expires:
-            self._retry(NoCapacity("result expired"))
-            return
-        other = self._other_decode(tried, expires)
-        if other is not None:
-            self._start_decode(other, expires, tried)
-        else:
-            self._later(FULL_RETRY_MS, lambda: self._full(decode, expires, []))
-
-    def _other_decode(
-        self, tried: list[str], expires: float
-    ) -> FakeEngine | None:
-        assert self._prefill is not None
-        if not self.system.strategy.guards:
-            for pair in self.entry.rank(self):
-                if pair.decode.name not in tried:
-                    return self.system.engines[pair.decode.name]
-            return None
-        chosen = choose_fallback(
-            self.req,
-            self._prefill.spec.zone,
-            self.entry.look(self.req, EngineRole.DECODE, -1),
-            tried,
-            self.system.clock.now_ms,
-            int(expires),
-        )
-        return None if chosen is None else self.system.engines[chosen.name]
-
-    def _transfer(
-        self, decode: FakeEngine, expires: float, tried: list[str]
-    ) -> None:
-        clock, hold = self.system.clock, self._hold
-        assert self._prefill is not None
-        zone = self._prefill.spec.zone
-        prompt = self.req.prompt_tokens
-        start = clock.now
-        moved = False
-
-        def done() -> None:
-            nonlocal moved
-            moved = True
-            if self.system.strategy.guards:
-                decode.book.cancel(booking.number)
-                decode.link_rate.note(
-                    booking.end_ms - booking.start_ms,
-                    clock.now - start,
-                    clock.now_ms,
-                )
-            self._imported(decode)
-
-        def begin() -> None:
-            nonlocal start
-            start = clock.now
-            decode.transfer(hold, prompt, zone, guarded_done)
-
-        def stalled() -> None:
-            if moved or hold != self._hold:
-                return
-            decode.book.cancel(booking.number)
-            decode.link_rate.note_stall(clock.now_ms)
-            self._free_decode()
-            self._full(decode, expires, tried)
-
-        def expired() -> None:
-            if not moved and hold == self._hold:
-                self._retry(NoCapacity("result expired"))
-
-        guarded_done = self._guard(done)
-        clock.at(expires, self._guard(expired))
-        if not self.system.strategy.guards:
-            begin()
-            return
-        booking = decode.book_transfer(prompt, clock.now, zone)
-        clock.at(booking.start_ms, self._guard(begin))
-        timeout = stall_timeout_ms(booking.end_ms - booking.start_ms)
-        clock.at(booking.start_ms + timeout, self._guard(stalled))
-
-    def _imported(self, decode: FakeEngine) -> None:
-        job, prefill = self._job, self._prefill
-        assert job is not None and prefill is not None
-        if prefill.drop(job.number) is None:
-            self._retry(NoCapacity("result expired"))
-            return
-        job.used = True
+                delivery = Delivery(self, prefill, job, expires)
+                delivery.start(self._decode, [])
+
+        self.send_back(prefill, self.guard(heard))
+
+    # Decode ---------------------------------------------------------------
+
+    def holds(self, decode: FakeEngine) -> bool:
+        """Whether this attempt holds a slot at the engine."""
+        return self.hold in decode.held
+
+    def hold_at(self, decode: FakeEngine) -> bool:
+        """Reserve a slot and all pieces, if the agent has them."""
+        number = self.system.next_number()
+        if not decode.reserve(
+            number, self.req.prompt_tokens, self.req.max_output_tokens
+        ):
+            return False
+        self.hold, self._decode = number, decode
+        decode.on_lost[number] = self.guard(self._decode_lost)
+        return True
+
+    def decode_on(self, decode: FakeEngine) -> None:
+        """Generate the rest of the answer from an imported KV cache."""
         tokens = self.offered.output - self.generated
-        self.decode_started = self.system.clock.now
-        decode.decode(self._hold, tokens, self._guard(self._decoded))
+        self._decode_started = self.system.clock.now
+        decode.decode(self.hold, tokens, self.guard(self._decoded))
         if self.first_token == 0:
             trip = self.system.latency(self.entry.zone, decode.spec.zone)
             self.first_token = (
@@ -312,8 +199,8 @@
     def _decoded(self) -> None:
         decode = self._decode
         assert decode is not None
-        self._free_decode()
-        self._send_back(decode, self._guard(self._complete))
+        self.free_decode()
+        self.send_back(decode, self.guard(self._complete))
 
     def _complete(self) -> None:
         self.completed = self.system.clock.now
@@ -323,16 +210,16 @@
 
     def _decode_lost(self) -> None:
         """Continue elsewhere from the next token, prompt computed again."""
-        if self.first_token > 0 and self.decode_started > 0:
-            elapsed = self.system.clock.now - self.decode_started
+        if self.first_token > 0 and self._decode_started > 0:
+            elapsed = self.system.clock.now - self._decode_started
             done = int(elapsed / 24.0)
             self.generated = min(
                 self.offered.output - 1, self.generated + done
             )
-        self._hold = 0
-        self._retry(NoCapacity("decode engine lost"))
+        self.hold = 0
+        self.retry(NoCapacity("decode engine lost"))
 
-    def _retry(self, failure: Failure) -> None:
+    def retry(self, failure: Failure) -> None:
         """Try again within the budget, or end with the failure."""
         self._stop_work()
         self._step += 1
@@ -353,7 +240,7 @@
             return
         self.attempt += 1
         self.req = self._request_view()
-        self._later(delay, lambda: self.entry.consider(self))
+        self.later(delay, lambda: self.entry.consider(self))
 
     def refuse(self, failure: Failure) -> None:
         """End without an answer."""
@@ -365,7 +252,7 @@
         if self.ended:
             return
         prefill, job = self._prefill, self._job
-        decode, hold = self._decode, self._hold
+        decode, hold = self._decode, self.hold
         self._finish("lost")
 
         def noticed() -> None:
@@ -384,15 +271,16 @@
     # Helpers --------------------------------------------------------------
 
     def _stop_work(self) -> None:
-        self._free_decode()
+        self.free_decode()
         if self._prefill is not None and self._job is not None:
             self._prefill.cancel(self._job)
         self._job = None
 
-    def _free_decode(self) -> None:
-        if self._decode is not None and self._hold:
-            self._decode.release(self._hold)
-            self._hold = 0
+    def free_decode(self) -> None:
+        """Release what the attempt holds at its decode engine."""
+        if self._decode is not None and self.hold:
+            self._decode.release(self.hold)
+            self.hold = 0
 
     def _finish(self, outcome: str, retry_after_ms: int | None = None) -> None:
         self.ended = True
@@ -407,7 +295,7 @@
         if self.entry.alive and self.system.strategy.admits:
             self.entry.pump(service)
 
-    def _guard(self, callback: Callable[[], None]) -> Callable[[], None]:
+    def guard(self, callback: Callable[[], None]) -> Callable[[], None]:
         """Make a callback void once the request ended or was retried."""
         step = self._step
 
@@ -417,14 +305,16 @@
 
         return guarded
 
-    def _later(self, delay: float, callback: Callable[[], None]) -> None:
-        self.system.clock.after(delay, self._guard(callback))
+    def later(self, delay: float, callback: Callable[[], None]) -> None:
+        """Run a guarded callback after a delay in ms."""
+        self.system.clock.after(delay, self.guard(callback))
 
-    def _send(self, engine: FakeEngine, callback: Callable[[], None]) -> None:
+    def send(self, engine: FakeEngine, callback: Callable[[], None]) -> None:
+        """Deliver a message to an agent after the trip."""
         trip = self.system.latency(self.entry.zone, engine.spec.zone)
         self.system.clock.after(trip, callback)
 
-    def _send_back(
+    def send_back(
         self, engine: FakeEngine, callback: Callable[[], None]
     ) -> None:
         """Deliver an agent's reply, with its load, after the trip."""
--- a/src/gooseberrypost/bench/scenarios.py
+++ b/src/gooseberrypost/bench/scenarios.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.bench import faults
-from gooseberrypost.bench.engines import EngineSpec
+from gooseberrypost.bench.parts import EngineSpec
 from gooseberrypost.bench.system import Region, System, Totals
 from gooseberrypost.bench.workload import (
     COUNTING,
--- a/src/gooseberrypost/bench/strategy.py
+++ b/src/gooseberrypost/bench/strategy.py
@@ -8,6 +8,7 @@
 from gooseberrypost.policy.admission import usable
 from gooseberrypost.policy.forecast import forecast
 from gooseberrypost.policy.placement import (
+    MAX_PAIRS,
     Pair,
     PlacementPolicy,
     ReservingPlacement,
@@ -102,7 +103,7 @@
     if not sources:
         return []
     pairs = []
-    for target in targets:
+    for target in targets[:MAX_PAIRS]:
         predicted = forecast(req, sources[0], target, now_ms)
         pairs.append(
             Pair(
--- a/src/gooseberrypost/bench/system.py
+++ b/src/gooseberrypost/bench/system.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.bench.clock import VirtualClock
-from gooseberrypost.bench.engines import EngineSpec, FakeEngine, PrefillJob
+from gooseberrypost.bench.engines import FakeEngine
 from gooseberrypost.bench.entry import Entry
 from gooseberrypost.bench.flow import Flow
+from gooseberrypost.bench.parts import EngineSpec, PrefillJob
 
 if TYPE_CHECKING:
     from gooseberrypost.bench.strategy import Strategy
--- a/src/gooseberrypost/policy/limits.py
+++ b/src/gooseberrypost/policy/limits.py
@@ -15,11 +15,17 @@
     from gooseberrypost.policy.views import AgentView
     from gooseberrypost.state.records import AccountRecord, ServiceRecord
 
-USAGE_HALF_LIFE_MS: Final = 5_000
+USAGE_HALF_LIFE_MS: Final = 20_000
+"""With 5 s, chance alone put quiet accounts over their share."""
 FULL_PRESSURE: Final = 0.85
 """Occupancy from which accounts are held to their fair share."""
 SHARE_TOLERANCE: Final = 2.0
 """Multiple of its fair share that an account may use of a full service."""
+MIN_SHARE_REQUESTS: Final = 4.0
+"""Requests that an account may have used whatever its share: among many
+accounts the share of one is less than a request."""
+KEPT_ACCOUNTS: Final = 256
+IDLE_SHARE: Final = 1e-4
 SHARE_RETRY_MS: Final = 1_000
 SERVICE_BURST_S: Final = 1.0
 
@@ -65,26 +71,37 @@
         self._updated_ms = max(now_ms, self._updated_ms)
 
 
+class _DecayedSum:
+    """Sum in which older additions count less."""
+
+    __slots__ = ("_updated_ms", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._updated_ms = 0
+
+    def at(self, now_ms: int) -> float:
+        """Value at a time."""
+        elapsed = max(0, now_ms - self._updated_ms)
+        return self._value * 0.5 ** (elapsed / USAGE_HALF_LIFE_MS)
+
+    def add(self, amount: float, now_ms: int) -> None:
+        """Add an amount now."""
+        self._value = self.at(now_ms) + amount
+        self._updated_ms = max(now_ms, self._updated_ms)
+
+
 class _AccountUse:
     """What one account has in flight and has used lately."""
 
-    __slots__ = ("bucket", "in_flight", "limits", "share", "updated_ms", "use")
+    __slots__ = ("bucket", "in_flight", "limits", "share", "use")
 
     def __init__(self) -> None:
         self.bucket: TokenBucket | None = None
         self.limits: tuple[float, int] = (0.0, 0)
         self.in_flight = 0
-        self.share = 1.0
-        self.use = 0.0
-        self.updated_ms = 0
-
-    def decayed(self, now_ms: int) -> float:
-        elapsed = max(0, now_ms - self.updated_ms)
-        return self.use * 0.5 ** (elapsed / USAGE_HALF_LIFE_MS)
-
-    def add(self, cost: float, now_ms: int) -> None:
-        self.use = self.decayed(now_ms) + cost
-        self.updated_ms = now_ms
+        self.share = 0.0
+        self.use = _DecayedSum()
 
 
 class Limiter:
@@ -101,13 +118,22 @@
     'service_limit'
     """
 
-    __slots__ = ("_accounts", "_bucket", "_in_flight", "_service")
+    __slots__ = (
+        "_accounts",
+        "_bucket",
+        "_in_flight",
+        "_service",
+        "_shares",
+        "_total",
+    )
 
     def __init__(self, service: ServiceRecord) -> None:
         self._service = service
         self._accounts: dict[str, _AccountUse] = {}
         self._bucket: TokenBucket | None = None
         self._in_flight = 0
+        self._shares = 0.0
+        self._total = _DecayedSum()
 
     @classmethod
     def from_config(cls, service: ServiceRecord) -> Limiter:
@@ -139,12 +165,14 @@
         that is the same for all accounts.
         """
         use = self._accounts.setdefault(account.name, _AccountUse())
+        self._shares += account.share - use.share
         use.share = account.share
-        refusal = self._refusal(account, use, now_ms, pressure)
+        refusal = self._refusal(account, use, now_ms, pressure, cost)
         if refusal is not None:
             return Err(refusal)
         use.in_flight += 1
-        use.add(cost, now_ms)
+        use.use.add(cost, now_ms)
+        self._total.add(cost, now_ms)
         self._in_flight += 1
         return Ok(None)
 
@@ -163,6 +191,7 @@
         use: _AccountUse,
         now_ms: int,
         pressure: float,
+        cost: float,
     ) -> NotRun | None:
         if 0 < account.max_in_flight <= use.in_flight:
             return AccountLimited(
@@ -175,7 +204,7 @@
                 " in flight",
                 retry_after_ms=SHARE_RETRY_MS,
             )
-        if pressure >= FULL_PRESSURE and self._over_share(use, now_ms):
+        if pressure >= FULL_PRESSURE and self._over_share(use, now_ms, cost):
             return AccountLimited(
                 f"account {account.name!r} is over its share of a full"
                 " service",
@@ -210,17 +239,19 @@
             self._bucket = TokenBucket(rate, rate * SERVICE_BURST_S, now_ms)
         return self._bucket
 
-    def _over_share(self, use: _AccountUse, now_ms: int) -> bool:
-        total = sum(u.decayed(now_ms) for u in self._accounts.values())
-        shares = sum(u.share for u in self._accounts.values())
-        fair = total * use.share / max(shares, 1e-9)
-        return use.decayed(now_ms) > max(1.0, SHARE_TOLERANCE * fair)
+    def _over_share(self, use: _AccountUse, now_ms: int, cost: float) -> bool:
+        fair = self._total.at(now_ms) * use.share / max(self._shares, 1e-9)
+        allowed = max(SHARE_TOLERANCE * fair, MIN_SHARE_REQUESTS * cost)
+        return use.use.at(now_ms) + cost > allowed
 
     def _forget_idle(self, now_ms: int) -> None:
-        if len(self._accounts) < 2 * (self._in_flight + 64):
+        """Drop accounts that used nothing lately, which count as active."""
+        if len(self._accounts) < 2 * self._in_flight + KEPT_ACCOUNTS:
             return
         for name, use in list(self._accounts.items()):
-            if use.in_flight == 0 and use.decayed(now_ms) < 0.01:
+            idle = use.use.at(now_ms) < IDLE_SHARE * self._total.at(now_ms)
+            if use.in_flight == 0 and idle and use.bucket is None:
+                self._shares -= use.share
                 del self._accounts[name]
 
 
