--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,8 @@
 test: check
 	$(BIN)/python -m pytest
 
+bench: install
+	$(BIN)/python -m gooseberrypost.bench $(BENCH_OPTIONS)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/gooseberrypost/bench/__main__.py
@@ -0,0 +1,128 @@
+"""Command behind ``make bench``: compares policies on a virtual clock.
+
+Exit codes: 0; 1 when a baseline beats ours (see ``Report.worse``); 2 for a
+wrong option.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from typing import Final, NamedTuple
+
+import click
+
+from gooseberrypost.bench.report import Figures, Report
+from gooseberrypost.bench.scenarios import SCENARIOS, Scenario, fleet_scenario
+from gooseberrypost.bench.strategy import STRATEGIES
+
+MAX_WORKERS: Final = 6
+QUICK_SCALE: Final = 0.45
+QUICK_SCENARIOS: Final = (
+    "kyvadlo-steady",
+    "kyvadlo-bad-link",
+    "trust-steady",
+    "trust-zone-lost",
+)
+
+
+class Task(NamedTuple):
+    """One run in a worker process."""
+
+    scenario: str
+    policy: str
+    seed: int
+    scale: float
+
+
+def find_scenario(name: str) -> Scenario | None:
+    """Find a scenario by name; ``fleet-N`` is a fleet of N engines."""
+    if name.startswith("fleet-") and name[6:].isdigit():
+        return fleet_scenario(int(name[6:]))
+    return SCENARIOS.get(name)
+
+
+def run_task(task: Task) -> Figures:
+    """Run one scenario under one policy with one seed."""
+    scenario = find_scenario(task.scenario)
+    assert scenario is not None
+    totals = scenario.run(STRATEGIES[task.policy], task.seed, task.scale)
+    return Figures.from_totals(
+        task.scenario, task.policy, task.seed, scenario.fault, totals
+    )
+
+
+def run_all(tasks: list[Task], workers: int) -> Report:
+    """Run the tasks, the longest first, and report in their order."""
+    if workers <= 1:
+        return Report(map(run_task, tasks))
+    with ProcessPoolExecutor(workers) as executor:
+        order = sorted(tasks, key=lambda t: not t.scenario.startswith("fleet"))
+        figures = dict(zip(order, executor.map(run_task, order), strict=True))
+    return Report(figures[task] for task in tasks)
+
+
+@click.command()
+@click.option("--scenario", "scenarios", multiple=True, help="Name; repeat.")
+@click.option("--policy", "policies", multiple=True, help="Name; repeat.")
+@click.option("--seeds", default=5, show_default=True, help="Seeds 1 to N.")
+@click.option(
+    "--size",
+    "sizes",
+    type=int,
+    multiple=True,
+    help="Also run a fleet of this many engines; repeat.",
+)
+@click.option("--quick", is_flag=True, help="A few short scenarios.")
+@click.option("--workers", type=int, default=0, help="0: by CPU count.")
+def main(
+    scenarios: tuple[str, ...],
+    policies: tuple[str, ...],
+    seeds: int,
+    sizes: tuple[int, ...],
+    quick: bool,
+    workers: int,
+) -> None:
+    """Compare routing policies on the same seeds."""
+    names = list(scenarios) or list(QUICK_SCENARIOS if quick else SCENARIOS)
+    names += [f"fleet-{size}" for size in sizes]
+    chosen = list(policies) or list(STRATEGIES)
+    _check(names, chosen)
+    scale = QUICK_SCALE if quick else 1.0
+    tasks = [
+        Task(name, policy, seed, scale)
+        for name in names
+        for policy in chosen
+        for seed in range(1, (min(seeds, 2) if quick else seeds) + 1)
+    ]
+    workers = workers or min(MAX_WORKERS, os.cpu_count() or 1)
+    sys.exit(_print(run_all(tasks, workers)))
+
+
+def _check(names: list[str], policies: list[str]) -> None:
+    for name in names:
+        if find_scenario(name) is None:
+            known = ", ".join(SCENARIOS)
+            raise click.UsageError(f"scenario {name!r} is not one of {known}")
+    for policy in policies:
+        if policy not in STRATEGIES:
+            known = ", ".join(STRATEGIES)
+            raise click.UsageError(f"policy {policy!r} is not one of {known}")
+
+
+def _print(report: Report) -> int:
+    worse = report.worse()
+    for line in report.table():
+        click.echo(line)
+    for line in report.missed():
+        click.echo(f"missed: {line}")
+    for line in worse:
+        click.echo(f"worse: {line}")
+    for figures in report.figures:
+        click.echo(figures.line())
+    return 1 if worse else 0
+
+
+if __name__ == "__main__":
+    main()
