Lower the allowed share of an account gradually as the service fills

Ruled out: slots, memory pieces and prefill queues, printed at each refusal. Conclusion: an account keeps seven fair shares at 85% and three when full.

--- a/src/gooseberrypost/policy/limits.py
+++ b/src/gooseberrypost/policy/limits.py
@@ -17,10 +17,13 @@
 
 USAGE_HALF_LIFE_MS: Final = 20_000
 """With 5 s, chance alone put quiet accounts over their share."""
-FULL_PRESSURE: Final = 0.85
-"""Occupancy from which accounts are held to their fair share."""
-SHARE_TOLERANCE: Final = 2.0
-"""Multiple of its fair share that an account may use of a full service."""
+BUSY_PRESSURE: Final = 0.85
+"""Occupancy from which accounts are held to multiples of their fair share."""
+BUSY_SHARES: Final = 7.0
+"""Fair shares that an account may use of a service that gets busy."""
+FULL_SHARES: Final = 3.0
+"""Fair shares that it may use of a full one. Chance alone puts one account
+in twenty over twice its share."""
 MIN_SHARE_REQUESTS: Final = 4.0
 """Requests that an account may have used whatever its share: among many
 accounts the share of one is less than a request."""
@@ -204,7 +207,7 @@
                 " in flight",
                 retry_after_ms=SHARE_RETRY_MS,
             )
-        if pressure >= FULL_PRESSURE and self._over_share(use, now_ms, cost):
+        if self._over_share(use, now_ms, pressure, cost):
             return AccountLimited(
                 f"account {account.name!r} is over its share of a full"
                 " service",
@@ -239,9 +242,15 @@
             self._bucket = TokenBucket(rate, rate * SERVICE_BURST_S, now_ms)
         return self._bucket
 
-    def _over_share(self, use: _AccountUse, now_ms: int, cost: float) -> bool:
+    def _over_share(
+        self, use: _AccountUse, now_ms: int, pressure: float, cost: float
+    ) -> bool:
+        if pressure < BUSY_PRESSURE:
+            return False
         fair = self._total.at(now_ms) * use.share / max(self._shares, 1e-9)
-        allowed = max(SHARE_TOLERANCE * fair, MIN_SHARE_REQUESTS * cost)
+        allowed = max(
+            allowed_shares(pressure) * fair, MIN_SHARE_REQUESTS * cost
+        )
         return use.use.at(now_ms) + cost > allowed
 
     def _forget_idle(self, now_ms: int) -> None:
@@ -255,6 +264,16 @@
                 del self._accounts[name]
 
 
+def allowed_shares(pressure: float) -> float:
+    """Multiple of its fair share that an account may use.
+
+    >>> allowed_shares(0.85), allowed_shares(1.0)
+    (7.0, 3.0)
+    """
+    free = max(0.0, 1 - pressure) / (1 - BUSY_PRESSURE)
+    return FULL_SHARES + (BUSY_SHARES - FULL_SHARES) * min(1.0, free)
+
+
 def _account_bucket(
     account: AccountRecord, use: _AccountUse, now_ms: int
 ) -> TokenBucket | None:
