Add trace checker and a stateful machine of claim owners

The machine steps owners call by call against a model of the key-value service, with calls that fail, lose their answer or arrive late, lapsed leases, killed owners, resends and paused entries.

--- /dev/null
+++ b/src/gooseberrypost/state/trace.py
@@ -0,0 +1,115 @@
+"""Checks a trace of events against the promises about keys.
+
+The trace lists what happened in the order of one observer. Bodies and digests
+may be of any type that can be compared.
+
+>>> trace = [
+...     Event(What.EXECUTED, "k", digest=b"d", attempt=1),
+...     Event(What.ANSWERED, "k", digest=b"d", attempt=1, body=b"yes"),
+...     Event(What.REPLAYED, "k", digest=b"d", body=b"yes"),
+... ]
+>>> violations(trace)
+[]
+>>> [v.rule for v in violations([*trace, trace[1]])]
+['answered twice']
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+class What(StrEnum):
+    """What happened to a key."""
+
+    EXECUTED = "executed"
+    """A backend server started to run an attempt."""
+    ANSWERED = "answered"
+    """The final frame was handed to the caller as ``completed``."""
+    REPLAYED = "replayed"
+    """A resend was given the stored answer."""
+    NOT_RUN = "not-run"
+    """A caller was told that the request was not run."""
+
+
+class Event(NamedTuple):
+    """One event of a trace."""
+
+    what: What
+    key: str
+    digest: bytes = b""
+    attempt: int = 0
+    idempotent: bool = False
+    body: bytes = b""
+
+
+class Violation(NamedTuple):
+    """A broken rule and the event that broke it."""
+
+    rule: str
+    event: Event
+    position: int
+
+
+class TraceChecker:
+    """Checks events one by one, in constant time each."""
+
+    __slots__ = (
+        "_answered",
+        "_bodies",
+        "_executed",
+        "_position",
+        "_runs",
+        "found",
+    )
+
+    def __init__(self) -> None:
+        self.found: list[Violation] = []
+        self._answered: Counter[str] = Counter()
+        self._bodies: dict[str, bytes] = {}
+        self._executed: Counter[tuple[str, bytes]] = Counter()
+        self._runs: Counter[str] = Counter()
+        self._position = 0
+
+    def add(self, event: Event) -> None:
+        """Check the next event."""
+        match event.what:
+            case What.EXECUTED:
+                self._check_executed(event)
+            case What.ANSWERED:
+                self._answered[event.key] += 1
+                if self._answered[event.key] > 1:
+                    self._fail("answered twice", event)
+                self._check_body(event)
+            case What.REPLAYED:
+                self._check_body(event)
+            case What.NOT_RUN:
+                if self._executed[event.key, event.digest]:
+                    self._fail("told not run after it ran", event)
+        self._position += 1
+
+    def _check_executed(self, event: Event) -> None:
+        self._executed[event.key, event.digest] += 1
+        self._runs[event.key] += 1
+        if self._runs[event.key] > 1 and not event.idempotent:
+            self._fail("non-idempotent call run twice", event)
+
+    def _check_body(self, event: Event) -> None:
+        if self._bodies.setdefault(event.key, event.body) != event.body:
+            self._fail("replayed with other bytes", event)
+
+    def _fail(self, rule: str, event: Event) -> None:
+        self.found.append(Violation(rule, event, self._position))
+
+
+def violations(trace: Iterable[Event]) -> list[Violation]:
+    """Return every broken rule of a trace, in order."""
+    checker = TraceChecker()
+    for event in trace:
+        checker.add(event)
+    return checker.found
--- /dev/null
+++ b/tests/claim_model.py
@@ -0,0 +1,345 @@
+"""Claim owners, entries and a key-value service, stepped call by call."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Err, Ok
+
+from gooseberrypost.claims.client import StoredAnswer
+from gooseberrypost.errors import Failure
+from gooseberrypost.platform.keyvalue import (
+    Conflict,
+    KeyValueUnavailable,
+    KeyValueUnknown,
+    Versioned,
+)
+from gooseberrypost.state.claim import ClaimAsk, ClaimState, Decision, Verdict
+from gooseberrypost.state.claims import ShardClaims
+from gooseberrypost.state.heads import lease_key
+from gooseberrypost.state.shard_log import Get, Put, ShardLog
+from gooseberrypost.state.trace import Event, TraceChecker, What
+
+SEGMENT_BYTES = 600
+DEADLINE_MS = 1_000
+
+
+class Values:
+    """Values and versions; a version never repeats for a key."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Versioned] = {}
+
+    def call(self, call: Any) -> Any:
+        found = self.values.get(call.key, Versioned("", 0))
+        if isinstance(call, Get):
+            return Ok(found)
+        if call.expect_version != found.version:
+            return Err(Conflict(call.key))
+        if isinstance(call, Put):
+            written = Versioned(call.value, found.version + 1)
+            self.values[call.key] = written
+            return Ok(written.version)
+        self.values.pop(call.key, None)
+        return Ok(None)
+
+
+@dataclass
+class Run:
+    """One grant at an entry."""
+
+    entry: str
+    ask: ClaimAsk
+    attempt: int
+    executed: bool = False
+    ended: bool = False
+    """Answered or given up; nothing more is sent to the caller."""
+
+
+@dataclass
+class Waiting:
+    """A decision that waits for the log."""
+
+    ask: ClaimAsk
+    entry: str
+    decision: Decision
+    run: Run | None = None
+    """The run that completes, if this is a completion."""
+
+
+@dataclass
+class Node:
+    """One owner process."""
+
+    name: str
+    incarnation: int
+    log: Any = None
+    claims: ShardClaims | None = None
+    steps: Any = None
+    call: Any = None
+    batch: int = 0
+    purpose: str = ""
+    holds_lease: bool = False
+    waiting: list[Waiting] = field(default_factory=list)
+
+
+class Model:
+    """Every mechanism can be replaced, to show what it prevents."""
+
+    def __init__(
+        self,
+        log_class: type[ShardLog] = ShardLog,
+        claims_class: type[ShardClaims] = ShardClaims,
+        confirms: bool = True,
+        completes_first: bool = True,
+        needs_lease: bool = True,
+    ) -> None:
+        self.log_class = log_class
+        self.claims_class = claims_class
+        self.confirms = confirms
+        self.completes_first = completes_first
+        self.needs_lease = needs_lease
+        self.store = Values()
+        self.late: list[Any] = []
+        """Writes on their way, reported as unknown to their sender."""
+        self.nodes = {name: Node(name, n + 1) for n, name in enumerate("AB")}
+        self.runs: list[Run] = []
+        self.messages: list[tuple[str, Run]] = []
+        """Completions on their way to a node."""
+        self.checker = TraceChecker()
+        self.rng = random.Random(5)
+        self.now_ms = 0
+
+    # Owners
+
+    def grant_lease(self, name: str) -> None:
+        node = self.nodes[name]
+        key = lease_key(name, node.incarnation)
+        self.store.values.setdefault(key, Versioned("1", 1))
+        if node.claims is None:
+            node.holds_lease = True
+        elif not node.steps:
+            self._start(node, "reaffirm", node.log.reaffirm())
+
+    def lapse(self, name: str) -> None:
+        """Let the lease lapse; its holder stops believing in it before."""
+        node = self.nodes[name]
+        node.holds_lease = False
+        self.store.values.pop(lease_key(name, node.incarnation), None)
+
+    def kill(self, name: str) -> None:
+        old = self.nodes[name]
+        self.lapse(name)
+        self.nodes[name] = Node(name, old.incarnation + 10)
+
+    def take(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.claims is None and node.steps is None and node.holds_lease:
+            node.log = self.log_class(
+                0, name, name, node.incarnation, SEGMENT_BYTES
+            )
+            self._start(node, "take", node.log.take())
+
+    def write(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.claims is None or node.steps or not node.claims.outbox:
+            return
+        batch = node.claims.take_outbox()
+        node.batch = len(batch)
+        self._start(node, "append", node.log.append(batch))
+
+    def step(self, name: str, fault: str = "") -> None:
+        """Perform the node's next call to the key-value service."""
+        node = self.nodes[name]
+        if node.steps is None:
+            return
+        call, reply = node.call, None
+        if fault == "down":
+            reply = Err(KeyValueUnavailable(""))
+        elif fault == "late" and isinstance(call, Put):
+            self.late.append(call)
+            reply = Err(KeyValueUnknown(""))
+        else:
+            reply = self.store.call(call)
+            if fault == "lost":
+                lost_write = isinstance(call, Put)
+                kind = KeyValueUnknown if lost_write else KeyValueUnavailable
+                reply = Err(kind(""))
+        self._advance(node, lambda: node.steps.send(reply))
+
+    def arrive(self, index: int = 0) -> None:
+        """Let a write arrive that its sender no longer waits for."""
+        if self.late:
+            self.store.call(self.late.pop(index % len(self.late)))
+
+    def settle(self, name: str) -> None:
+        """Run the node without faults until it has nothing to do."""
+        for _ in range(200):
+            if self.nodes[name].steps is None:
+                self.write(name)
+            self.step(name)
+
+    def owner(self, name: str) -> Node:
+        """Give a node its lease and the shard."""
+        self.grant_lease(name)
+        self.take(name)
+        self.settle(name)
+        return self.nodes[name]
+
+    def _start(self, node: Node, purpose: str, steps: Any) -> None:
+        node.purpose, node.steps = purpose, steps
+        self._advance(node, lambda: next(steps))
+
+    def _advance(self, node: Node, resume: Any) -> None:
+        try:
+            node.call = resume()
+        except StopIteration as stop:
+            node.steps = node.call = None
+            self._finish(node, stop.value)
+
+    def _finish(self, node: Node, result: Any) -> None:
+        is_ok = isinstance(result, Ok)
+        match node.purpose:
+            case "take" if is_ok:
+                node.claims = self.claims_class(0, node.log.epoch)
+                node.claims.replay(node.log.replayed, self.now_ms)
+            case "reaffirm" if is_ok:
+                key = lease_key(node.name, node.incarnation)
+                node.holds_lease = key in self.store.values
+            case "append" if is_ok:
+                node.claims.confirm(node.batch)
+                self._tell_waiting(node)
+            case "append" | "reaffirm":
+                if not isinstance(result.err_value, KeyValueUnavailable):
+                    node.claims, node.waiting = None, []
+
+    # Claims
+
+    def claim(self, name: str, entry: str, ask: ClaimAsk) -> Verdict | None:
+        """Deliver a claim to a node; told now or once it is confirmed."""
+        node = self.nodes[name]
+        if node.claims is None:
+            return None
+        decision = node.claims.claim(ask, entry, self.now_ms)
+        if decision.verdict is Verdict.GRANTED and not self.confirms:
+            decision = decision._replace(needs=0)
+        waiting = Waiting(ask, entry, decision)
+        if not node.claims.is_confirmed(decision):
+            node.waiting.append(waiting)
+            return None
+        return self._tell(node, waiting)
+
+    def give_up(self, name: str) -> None:
+        """Let the wait of every unconfirmed decision of a node pass."""
+        node = self.nodes[name]
+        waiting, node.waiting = node.waiting, []
+        for item in waiting:
+            if item.run or item.decision.verdict is not Verdict.GRANTED:
+                continue
+            verdict = node.claims.withdraw(
+                item.ask.key, item.decision.attempt, self.now_ms
+            )
+            if verdict is Verdict.UNAVAILABLE:
+                self._not_run(node, item.ask)
+
+    def lose_entry(self, entry: str) -> None:
+        """Close the entry's connections; it may be paused and go on later."""
+        for node in self.nodes.values():
+            if node.claims is not None:
+                node.claims.holder_lost(entry, self.now_ms)
+
+    def wait(self, time_ms: int) -> None:
+        self.now_ms += time_ms
+        for node in self.nodes.values():
+            if node.claims is not None:
+                node.claims.tick(self.now_ms)
+
+    def execute(self, run: Run) -> None:
+        if not run.executed and not run.ended:
+            run.executed = True
+            self._record(What.EXECUTED, run.ask, attempt=run.attempt)
+
+    def abandon(self, name: str, run: Run) -> None:
+        """Give up; without execution the entry has proof of it."""
+        node = self.nodes[name]
+        if not run.ended and node.claims is not None:
+            run.ended = True
+            node.claims.abandon(
+                run.ask.key, run.attempt, not run.executed, self.now_ms
+            )
+
+    def renew(self, name: str, run: Run) -> None:
+        node = self.nodes[name]
+        if run.ended or node.claims is None or not run.ask.idempotent:
+            return
+        decision = node.claims.renew(run.ask.key, run.attempt, self.now_ms)
+        if decision.verdict is Verdict.GRANTED:
+            run.attempt = decision.attempt
+            run.executed = False
+
+    def complete(self, name: str, run: Run) -> None:
+        """Deliver a completion; the entry answers when it is confirmed."""
+        node = self.nodes[name]
+        if not self.completes_first:
+            self._answer(run)
+        if not run.executed or node.claims is None:
+            return
+        answer = StoredAnswer(200, self._body(run), "")
+        decision = node.claims.complete(
+            run.ask.key, run.attempt, answer, self.now_ms
+        )
+        if decision.verdict is not Verdict.GRANTED:
+            run.ended = True
+            return
+        waiting = Waiting(run.ask, run.entry, decision, run)
+        if node.claims.is_confirmed(decision):
+            self._tell(node, waiting)
+        else:
+            node.waiting.append(waiting)
+
+    def _tell_waiting(self, node: Node) -> None:
+        waiting, node.waiting = node.waiting, []
+        for item in waiting:
+            if node.claims.is_confirmed(item.decision):
+                self._tell(node, item)
+            else:
+                node.waiting.append(item)
+
+    def _tell(self, node: Node, item: Waiting) -> Verdict:
+        ask, decision = item.ask, item.decision
+        verdict = decision.verdict
+        if item.run is not None:
+            self._answer(item.run)
+        elif verdict is Verdict.GRANTED:
+            if node.claims.tell_grant(ask.key, decision.attempt):
+                self.runs.append(Run(item.entry, ask, decision.attempt))
+        elif verdict is Verdict.KEY_REUSED:
+            self._record(What.NOT_RUN, ask)
+        elif verdict is Verdict.COMPLETED and decision.answer is not None:
+            self._record(What.REPLAYED, ask, body=decision.answer.body)
+        return verdict
+
+    def _not_run(self, node: Node, ask: ClaimAsk) -> None:
+        if node.holds_lease or not self.needs_lease:
+            self._record(What.NOT_RUN, ask)
+
+    def _answer(self, run: Run) -> None:
+        if not run.ended:
+            run.ended = True
+            body = self._body(run)
+            self._record(What.ANSWERED, run.ask, run.attempt, body)
+
+    def _body(self, run: Run) -> bytes:
+        return f"{run.entry} {run.attempt}".encode()
+
+    def _record(
+        self, what: What, ask: ClaimAsk, attempt: int = 0, body: bytes = b""
+    ) -> None:
+        self.checker.add(
+            Event(what, ask.key, ask.digest, attempt, ask.idempotent, body)
+        )
+
+
+__all__ = ["ClaimState", "Failure", "Model", "Node", "Run", "Values"]
