--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
@@ -52,6 +53,21 @@
     """Ran in two crashes, and was the only one of a crash to do so."""
 
 
+def isolation_order(digest: str, servers: Iterable[str]) -> list[str]:
+    """Order of servers on which every entry places the same suspect.
+
+    A suspect goes to the first server or waits for it. Copies of the content
+    under several ids thus meet on one server, which runs one suspect at a
+    time; on two servers they would take down both at once.
+    """
+
+    def weight(server: str) -> bytes:
+        text = f"{digest} {server}"
+        return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+    return sorted(servers, key=weight)
+
+
 class Evidence:
     """Crashes and convictions, by the wall-clock time of the report in ms.
 
@@ -79,7 +95,7 @@
                 evidence._add(str(crash), frozenset(digests), int(at_ms))
             for digest, at_ms in document[1].items():
                 evidence.convicted[digest] = int(at_ms)
-        except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        except (ValueError, TypeError, LookupError, AttributeError) as exc:
             return Err(InvalidEvidence(f"evidence: {exc!r}"))
         return Ok(evidence)
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,166 @@
+"""Crash evidence: suspicion, conviction, and merging between owners."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gooseberrypost.policy.quarantine import (
+    CONVICTED_MS,
+    SUSPECT_MS,
+    Evidence,
+    Suspicion,
+    isolation_order,
+)
+
+SLOTS = 20
+DIGESTS = st.sets(st.sampled_from("abcdefgh"), min_size=1)
+REPORTS = st.lists(st.tuples(st.sampled_from("123456"), DIGESTS), max_size=8)
+
+
+class Fleet:
+    """Engines of twenty slots; poison crashes the engine that runs it."""
+
+    def __init__(self, engines, isolates, rng):
+        self.engines = [{} for _ in range(engines)]
+        self.evidence = Evidence()
+        self.isolates = isolates
+        self.rng = rng
+        self.crashes = 0
+        self.refused = []
+        self.answered = []
+
+    def place(self, key, digest):
+        """Start a request; false when no engine may take it now."""
+        verdict = self.evidence.verdict(digest)
+        if verdict is Suspicion.CONVICTED:
+            self.refused.append(key)
+            return True
+        free = [e for e in self.engines if len(e) < SLOTS]
+        if verdict is Suspicion.SUSPECT and self.isolates:
+            first = isolation_order(digest, "01234")[0]
+            target = self.engines[int(first)]
+            free = [e for e in free if e is target]
+            free = [e for e in free if not self.has_suspect(e)]
+        if free:
+            self.rng.choice(free)[key] = digest
+        return bool(free)
+
+    def has_suspect(self, engine):
+        verdicts = map(self.evidence.verdict, engine.values())
+        return Suspicion.SUSPECT in verdicts
+
+    def run(self, poison):
+        """Crash or finish every engine; returns the requests to place."""
+        again = []
+        for number, engine in enumerate(self.engines):
+            if poison & set(engine.values()):
+                self.crashes += 1
+                crash = f"{number}.{self.crashes}"
+                for _ in range(self.rng.randint(1, 2)):
+                    self.evidence.report(crash, engine.values(), 0)
+                again.extend(engine.items())
+            else:
+                self.answered.extend(engine)
+            engine.clear()
+        return again
+
+
+def play(seed, isolates):
+    """Send poison among innocents, again and again under new ids."""
+    rng = random.Random(seed)
+    fleet = Fleet(5, isolates, rng)
+    poison = {"poison"}
+    innocents = {f"i{n}": f"digest{n}" for n in range(rng.randint(20, 95))}
+    waiting = list(innocents.items())
+    for number in range(60):
+        waiting += [(f"p{number}.{d}", d) for d in sorted(poison)]
+        rng.shuffle(waiting)
+        waiting = [item for item in waiting if not fleet.place(*item)]
+        waiting += fleet.run(poison)
+    lost = innocents.keys() - set(fleet.answered)
+    return fleet.crashes, lost, fleet.refused
+
+
+@settings(max_examples=100)
+@given(seed=st.integers(0, 2**32))
+def test_poison_takes_down_two_servers_and_innocents_are_answered(seed):
+    """Guards against a poison that goes on under new ids (P9)."""
+    crashes, lost, refused = play(seed, isolates=True)
+    assert crashes <= 2
+    assert not lost
+    assert all(key.startswith("p") for key in refused)
+
+
+def test_without_isolation_more_servers_fall():
+    """Guards against isolation of suspects that has no effect."""
+    outcomes = [play(seed, isolates=False) for seed in range(50)]
+    assert any(crashes > 2 for crashes, _, _ in outcomes)
+
+
+def test_two_copies_at_once_convict_only_the_content_they_share():
+    """Guards against convicting bystanders of the same digest run twice."""
+    evidence = Evidence()
+    evidence.report("c1", {"p", "a", "b"}, 0)
+    evidence.report("c2", {"p", "x", "y"}, 0)
+    assert set(evidence.convicted) == {"p"}
+
+
+def test_a_crash_with_a_single_request_only_makes_it_suspect():
+    """Guards against refusing content for one crash of a bad server."""
+    evidence = Evidence()
+    evidence.report("c1", {"p"}, 0)
+    assert evidence.verdict("p") is Suspicion.SUSPECT
+    evidence.report("c1", {"p"}, 0)
+    assert evidence.verdict("p") is Suspicion.SUSPECT
+    evidence.report("c2", {"p"}, 0)
+    assert evidence.verdict("p") is Suspicion.CONVICTED
+
+
+def test_two_suspects_in_one_crash_are_not_convicted():
+    """Guards against convicting an innocent moved along with the poison."""
+    evidence = Evidence()
+    evidence.report("c1", {"p", "a"}, 0)
+    evidence.report("c2", {"p", "a"}, 0)
+    assert not evidence.convicted
+    evidence.report("c3", {"p", "z"}, 0)
+    assert set(evidence.convicted) == {"p"}
+
+
+@given(REPORTS, st.randoms(use_true_random=False))
+def test_merging_is_idempotent_and_loses_no_crash(reports, rng):
+    """Guards against evidence lost by reordered or duplicated merges."""
+    parts = [Evidence(), Evidence()]
+    for number, digests in reports:
+        rng.choice(parts).report(f"{number}{sorted(digests)}", digests, 0)
+    whole = Evidence()
+    for part in [*parts, *reversed(parts)]:
+        stored = Evidence.parse(part.text()).unwrap()
+        whole.merge(stored, 0)
+    assert all(whole.covers(part) for part in parts)
+    assert not whole.merge(parts[0], 0)
+    for _, digests in reports:
+        for digest in digests:
+            assert whole.verdict(digest) is not Suspicion.CLEAN
+
+
+def test_evidence_expires():
+    """Guards against content refused for ever and evidence that only grows."""
+    evidence = Evidence()
+    evidence.report("c1", {"p"}, 0)
+    evidence.report("c2", {"p"}, 0)
+    evidence.expire(SUSPECT_MS)
+    assert evidence.verdict("p") is Suspicion.CONVICTED
+    evidence.expire(CONVICTED_MS)
+    assert evidence.verdict("p") is Suspicion.CLEAN
+
+
+@pytest.mark.parametrize(
+    "text", ["x", "[]", "[[[1]], {}]", '[1, {"a": 2}]', '[[], {"a": "b"}]']
+)
+def test_malformed_evidence_is_a_typed_failure(text):
+    """Guards against an owner that stops on a damaged value."""
+    assert Evidence.parse(text).is_err()
