Test claim owners and clients over loopback

The owner's mechanisms run here against a store that is down, cut off from one process, or loses the answers of its writes. A random trial of the machine first reported a key told not run after it ran; the cause was the model's entry, which called a renewed attempt not run although its first attempt had run. The meaning of abandon now covers all attempts of a holder.

--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 from absl import logging
 from mode import Service
 from result import Err, Ok, Result
 
-from gooseberrypost.blackboard import Blackboard, Section
+from gooseberrypost.claims._clocks import monotonic_ms, wall_ms
 from gooseberrypost.claims._lease import OwnerLease
 from gooseberrypost.claims._messages import MessageHandlers
 from gooseberrypost.claims._store import run_steps
 from gooseberrypost.claims.evidence import EvidenceKeeper
+from gooseberrypost.claims.section import ClaimsSection
 from gooseberrypost.claims.shard import HeldShard, Judgement, NotOwner
 from gooseberrypost.errors import Failure
 from gooseberrypost.identity import new_incarnation, shard_of
@@ -28,6 +28,7 @@
     import random
     from collections.abc import Callable
 
+    from gooseberrypost.blackboard import Blackboard
     from gooseberrypost.claims.client import StoredAnswer
     from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import EntrySettings
@@ -42,29 +43,6 @@
 OWNER: Final = "ClaimOwnerController"
 
 
-def monotonic_ms() -> int:
-    """Monotonic clock in milliseconds."""
-    return time.monotonic_ns() // 1_000_000
-
-
-def wall_ms() -> int:
-    """Wall clock in milliseconds."""
-    return time.time_ns() // 1_000_000
-
-
-class ClaimsSection(Section):
-    """Shards held by this entry, and what it knows of all others."""
-
-    __slots__ = ("evidence", "heads", "shards")
-
-    def __init__(self, keeper: EvidenceKeeper) -> None:
-        super().__init__()
-        self.shards: dict[int, HeldShard] = {}
-        self.heads: dict[int, Head] = {}
-        """Head of each shard as last read."""
-        self.evidence = keeper
-
-
 class ClaimOwnerController(Service):
     """Owns claim shards and answers the messages about their keys."""
 
--- /dev/null
+++ b/src/gooseberrypost/claims/section.py
@@ -0,0 +1,25 @@
+"""Blackboard section of the claim owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gooseberrypost.blackboard import Section
+
+if TYPE_CHECKING:
+    from gooseberrypost.claims.evidence import EvidenceKeeper
+    from gooseberrypost.claims.shard import HeldShard
+    from gooseberrypost.state.heads import Head
+
+
+class ClaimsSection(Section):
+    """Shards held by this entry, and what it knows of all others."""
+
+    __slots__ = ("evidence", "heads", "shards")
+
+    def __init__(self, keeper: EvidenceKeeper) -> None:
+        super().__init__()
+        self.shards: dict[int, HeldShard] = {}
+        self.heads: dict[int, Head] = {}
+        """Head of each shard as last read."""
+        self.evidence = keeper
--- a/src/gooseberrypost/state/claims.py
+++ b/src/gooseberrypost/state/claims.py
@@ -152,7 +152,10 @@
     def abandon(
         self, key: str, attempt: int, not_run: bool, now_ms: int
     ) -> None:
-        """End an attempt without an answer; a stale attempt is ignored."""
+        """End an attempt without an answer; a stale attempt is ignored.
+
+        ``not_run`` covers every attempt of the holder, renewed ones too.
+        """
         claim = self.claims.get(key)
         if claim is None or not self._is_current(claim, attempt):
             return
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -54,6 +54,8 @@
     ask: ClaimAsk
     attempt: int
     executed: bool = False
+    ran: bool = False
+    """This or a renewed attempt was executed."""
     ended: bool = False
     """Answered or given up; nothing more is sent to the caller."""
 
@@ -258,16 +260,16 @@
 
     def execute(self, run: Run) -> None:
         if not run.executed and not run.ended:
-            run.executed = True
+            run.executed = run.ran = True
             self._record(What.EXECUTED, run.ask, attempt=run.attempt)
 
     def abandon(self, name: str, run: Run) -> None:
-        """Give up; without execution the entry has proof of it."""
+        """Give up; an entry that ran no attempt has proof of it."""
         node = self.nodes[name]
         if not run.ended and node.claims is not None:
             run.ended = True
             node.claims.abandon(
-                run.ask.key, run.attempt, not run.executed, self.now_ms
+                run.ask.key, run.attempt, not run.ran, self.now_ms
             )
 
     def renew(self, name: str, run: Run) -> None:
--- /dev/null
+++ b/tests/test_claim_owner.py
@@ -0,0 +1,342 @@
+"""Claim owners and clients of several entries over loopback connections."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+from result import Err, Ok
+
+from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.claims._clocks import monotonic_ms
+from gooseberrypost.claims.client import (
+    AnsweredBefore,
+    ClaimRequest,
+    StoredAnswer,
+)
+from gooseberrypost.claims.owner import ClaimOwnerController
+from gooseberrypost.claims.remote import RemoteClaimClient
+from gooseberrypost.errors import (
+    ClaimsUnavailable,
+    Duplicate,
+    KeyReused,
+    Outcome,
+    Quarantined,
+    Superseded,
+    UnknownOutcome,
+)
+from gooseberrypost.identity import MintedKey, shard_of
+from gooseberrypost.settings.entry import ClaimSettings, EntrySettings
+from gooseberrypost.wire.channel import ChannelPool
+from gooseberrypost.wire.dispatch import Dispatcher
+from gooseberrypost.wire.listener import Listener
+from gooseberrypost.wire.messages import idl
+from tests.fake_store import FakeStore, Shared
+
+SHARDS = 4
+ANSWER = StoredAnswer(200, b"whole answer", "text/plain")
+
+
+class Entry:
+    """Owner, client and listener of one entry."""
+
+    def __init__(self, name, shared, rng):
+        self.name = name
+        self.rng = rng
+        self.store = FakeStore(shared)
+        self.dispatcher = Dispatcher()
+        self.listener = Listener(self.dispatcher)
+
+    async def start(self, entries, own=True, lease_ms=800):
+        peers = [e.listener.address for e in entries if e is not self]
+        address = self.listener.address
+        claims = ClaimSettings(SHARDS, own, lease_ms, linger_ms=2)
+        cfg = EntrySettings(self.name, "z1", "", address, peers, claims=claims)
+        self.owner = ClaimOwnerController.from_config(
+            cfg, Blackboard(), self.store, self.dispatcher, self.rng
+        )
+        hello = idl.Hello(
+            process_kind="entry",
+            name=self.name,
+            incarnation=self.owner.incarnation,
+            zone="z1",
+            address=address,
+        )
+        self.pool = ChannelPool(hello)
+        self.client = RemoteClaimClient.from_config(
+            cfg, self.store, self.pool, self.rng, monotonic_ms, self.owner
+        )
+        await self.owner.start()
+
+    async def die(self):
+        """Stop without a release, as a lost VM does."""
+        self.store.cut_off = True
+        for shard in list(self.owner.section.shards.values()):
+            shard.lose()
+        self.owner.section.shards.clear()
+        await self.listener.stop()
+        await self.pool.close()
+        await self.owner.stop()
+
+    async def claim(self, key, idempotent=True, digest=b"d", wait_ms=0):
+        req = ClaimRequest(key, digest, "s", idempotent, 8_000, wait_ms)
+        return await self.client.claim(req)
+
+
+@asynccontextmanager
+async def entries(count, owners=None, **settings):
+    """Entries of one cluster, once every shard has an owner."""
+    shared = Shared()
+    rng = random.Random(3)
+    made = [Entry(f"e{n}", shared, rng) for n in range(count)]
+    for entry in made:
+        await entry.listener.start("127.0.0.1:0")
+    for number, entry in enumerate(made):
+        own = owners is None or number in owners
+        await entry.start(made, own, **settings)
+    try:
+        await until(lambda: owned(made) == SHARDS)
+        yield made
+    finally:
+        shared.down = False
+        for entry in made:
+            await entry.pool.close()
+            await entry.owner.stop()
+            await entry.listener.stop()
+
+
+def owned(made):
+    return sum(len(entry.owner.section.shards) for entry in made)
+
+
+async def until(condition, seconds=8):
+    async with asyncio.timeout(seconds):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+def key_owned_by(entry, name="k"):
+    """Caller-made key whose shard an entry holds."""
+    for number in range(1_000):
+        if shard_of(f"{name}{number}", SHARDS) in entry.owner.section.shards:
+            return f"{name}{number}"
+    raise AssertionError("the entry holds no shard")
+
+
+def test_a_fresh_cluster_spreads_its_shards_within_two_seconds():
+    """Guards against unowned shards and against one owner of all."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        async with entries(3, lease_ms=15_000) as made:
+            assert loop.time() - start < 2
+            held = [len(e.owner.section.shards) for e in made]
+            assert max(held) <= 3
+            assert sum(held) == SHARDS
+
+    asyncio.run(run())
+
+
+def test_a_resend_through_another_entry_gets_the_stored_answer():
+    """Guards against a second answer to the same id (P2)."""
+
+    async def run():
+        async with entries(3) as (first, second, third):
+            key = key_owned_by(next(e for e in (first, third, second)))
+            grant = (await second.claim(key)).unwrap()
+            assert isinstance((await third.claim(key)).err(), Duplicate)
+            other = await third.claim(key, digest=b"other")
+            assert isinstance(other.err(), KeyReused)
+            waiting = asyncio.create_task(third.claim(key, wait_ms=5_000))
+            done = await second.client.complete(key, grant.attempt, ANSWER)
+            assert done.is_ok()
+            replay = (await waiting).unwrap_err()
+            assert isinstance(replay, AnsweredBefore)
+            assert replay.answer == ANSWER
+            again = await second.client.complete(key, grant.attempt, ANSWER)
+            assert again.is_ok()
+
+    asyncio.run(run())
+
+
+def test_a_lost_entry_orphans_its_claims():
+    """Guards against resends that wait for, or repeat, a lost run (P5)."""
+
+    async def run():
+        async with entries(3, owners=[0]) as (owner, lost, other):
+            for key, idempotent in (("check", True), ("book", False)):
+                grant = (await lost.claim(key, idempotent)).unwrap()
+                assert grant.attempt > 0
+            await lost.pool.close()
+            shards = owner.owner.section.shards.values()
+            claims = [c for s in shards for c in s.claims.claims.values()]
+            await until(lambda: all(c.state == "orphaned" for c in claims))
+            again = (await other.claim("check")).unwrap()
+            assert again.attempt > grant.attempt
+            once = await other.claim("book", idempotent=False)
+            assert once.unwrap_err().outcome is Outcome.UNKNOWN
+            late = await lost.client.complete("check", grant.attempt, ANSWER)
+            assert isinstance(late.unwrap_err(), Superseded)
+
+    asyncio.run(run())
+
+
+def test_a_successor_knows_the_claims_of_a_lost_owner():
+    """Guards against a second run after the owner died (P5)."""
+
+    async def run():
+        async with entries(3, owners=[0, 1]) as (first, second, third):
+            once, done = key_owned_by(first, "o"), key_owned_by(first, "d")
+            grant = (await third.claim(once, idempotent=False)).unwrap()
+            whole = (await third.claim(done)).unwrap()
+            await third.client.complete(done, whole.attempt, ANSWER)
+            minted = await third.client.mint("s")
+            assert MintedKey.parse(minted.unwrap()).is_ok()
+            await first.die()
+            resend = await third.claim(once, idempotent=False)
+            assert isinstance(resend.unwrap_err(), Duplicate)
+            assert isinstance((await third.claim(done)).err(), Duplicate)
+            assert len(second.owner.section.shards) == SHARDS
+            kept = await third.client.complete(once, grant.attempt, ANSWER)
+            assert kept.is_ok()
+
+    asyncio.run(run())
+
+
+def test_a_released_shard_moves_with_its_running_claims():
+    """Guards against answers lost by a graceful shutdown (P7)."""
+
+    async def run():
+        async with entries(3, owners=[0, 1]) as (first, second, third):
+            key = key_owned_by(first)
+            grant = (await third.claim(key)).unwrap()
+            epoch = first.owner.shard_for(key).log.epoch
+            old = next(iter(first.owner.section.shards.values()))
+            minted = old.claims.mint(first.rng)
+            run = (await third.claim(minted, idempotent=False)).unwrap()
+            await first.owner.stop()
+            for name, attempt in ((key, grant.attempt), (minted, run.attempt)):
+                done = await third.client.complete(name, attempt, ANSWER)
+                assert done == Ok(None)
+            assert second.owner.shard_for(key).log.epoch == epoch + 1
+            unused = old.claims.mint(first.rng)
+            unknown = await third.claim(unused)
+            assert isinstance(unknown.unwrap_err(), UnknownOutcome)
+
+    asyncio.run(run())
+
+
+def test_claims_in_an_outage():
+    """Guards against grants that no successor could know of (P5)."""
+
+    async def run():
+        async with entries(2, owners=[0], lease_ms=1_500) as (owner, entry):
+            before = (await entry.claim("before")).unwrap()
+            owner.store.shared.down = True
+            shard = owner.owner.shard_for("x")
+            first = await entry.claim("x", idempotent=False)
+            assert isinstance(first.unwrap_err(), ClaimsUnavailable)
+            assert shard.is_stalled
+            minted = (await entry.client.mint("s")).unwrap()
+            run = (await entry.claim(minted, idempotent=False)).unwrap()
+            done = await entry.client.complete(minted, run.attempt, ANSWER)
+            assert done.is_ok()
+            held = owner.owner.lease.held
+            await until(lambda: not held.is_held(monotonic_ms()))
+            late = await entry.claim("x", idempotent=False)
+            assert late.unwrap_err().outcome is Outcome.UNKNOWN
+            assert late.unwrap_err().retry_after_ms
+            owner.store.shared.down = False
+            await until(lambda: held.is_held(monotonic_ms()))
+            done = await entry.client.complete(
+                "before", before.attempt, ANSWER
+            )
+            assert done.is_ok()
+            await until(lambda: not shard.is_stalled)
+            again = await entry.claim("x", idempotent=False)
+            assert again.is_ok()
+
+    asyncio.run(run())
+
+
+def test_a_short_outage_is_bridged_for_idempotent_calls():
+    """Guards against an answer that the log does not know (P2)."""
+
+    async def run():
+        async with entries(2, owners=[0], lease_ms=5_000) as (owner, entry):
+            owner.store.shared.down = True
+            first = await entry.claim("x", idempotent=False)
+            assert isinstance(first, Err)
+            key = next(
+                f"k{n}"
+                for n in range(99)
+                if owner.owner.shard_for(f"k{n}").is_stalled
+            )
+            grant = (await entry.claim(key)).unwrap()
+            task = asyncio.create_task(
+                entry.client.complete(key, grant.attempt, ANSWER)
+            )
+            await asyncio.sleep(0.1)
+            assert not task.done()
+            owner.store.shared.down = False
+            assert (await task).is_ok()
+
+    asyncio.run(run())
+
+
+def test_a_cut_off_owner_is_replaced_and_grants_nothing():
+    """Guards against two owners that grant the same key (P5)."""
+
+    async def run():
+        async with entries(3, owners=[0, 1]) as (first, second, _):
+            key = key_owned_by(first)
+            stale = first.owner.shard_for(key)
+            first.store.cut_off = True
+            await until(lambda: second.owner.shard_for(key) is not None)
+            direct = await first.claim(key, idempotent=False)
+            assert direct.unwrap_err().outcome is Outcome.UNKNOWN
+            assert (await second.claim(key, idempotent=False)).is_ok()
+            first.store.cut_off = False
+            await until(lambda: first.owner.shard_for(key) is not stale)
+            resend = await first.claim(key, idempotent=False)
+            assert isinstance(resend.unwrap_err(), Duplicate)
+
+    asyncio.run(run())
+
+
+def test_lost_answers_of_writes_are_settled():
+    """Guards against refusing or repeating what was written."""
+
+    async def run():
+        async with entries(2, owners=[0]) as (owner, entry):
+            for number in range(20):
+                owner.store.lose_answers = 1
+                assert (await entry.claim(f"k{number}")).is_ok()
+            assert owned([owner]) == SHARDS
+
+    asyncio.run(run())
+
+
+def test_evidence_outlives_its_owner():
+    """Guards against a poison that runs again after an owner died (P9)."""
+
+    async def run():
+        async with entries(3, owners=[0, 1]) as (first, second, third):
+            for crash in ("c1", "c2"):
+                report = idl.CrashReport(
+                    crash_id=crash, server="s1", digests=[b"p", crash.encode()]
+                )
+                address = first.listener.address
+                done = await third.pool.request(address, report, 2_000)
+                assert isinstance(done.unwrap(), idl.Ok)
+            await first.die()
+            await until(lambda: owned([second]) == SHARDS)
+            await second.owner.keeper.sync()
+            refused = await third.claim("k", digest=b"p")
+            assert isinstance(refused.unwrap_err(), Quarantined)
+            grant = (await third.claim("j", digest=b"c1")).unwrap()
+            assert grant.suspect
+
+    asyncio.run(run())
