--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
 from gooseberrypost.entry.decoding import TokenReader
+from gooseberrypost.entry.placing import KV_KB_PER_TOKEN, Placer
 from gooseberrypost.entry.sections import Stage
 from gooseberrypost.errors import (
     Failure,
@@ -16,30 +17,16 @@
     NotRun,
     TransferStalled,
 )
-from gooseberrypost.logs import RoutingDecision
-from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
-    from gooseberrypost.entry.answer import CompletionAnswer
-    from gooseberrypost.entry.collaborators import RetryBudget
     from gooseberrypost.entry.context import EntryContext
-    from gooseberrypost.entry.parse import Completion
-    from gooseberrypost.entry.sections import LiveRequest
+    from gooseberrypost.entry.placing import ModelWork, Placed
     from gooseberrypost.policy.placement import Pair
-    from gooseberrypost.policy.views import AgentView, RequestView
-    from gooseberrypost.state.records import ServiceRecord
-    from gooseberrypost.state.streams import TokenStream
+    from gooseberrypost.policy.views import AgentView
 
-PIECE_TOKENS: Final = 2_000
-KV_KB_PER_TOKEN: Final = 128
-RESERVE_TRIES: Final = 6
-RESERVE_TIMEOUT_MS: Final = 1_000
-RESERVATION_MARGIN_MS: Final = 2_000
-"""Time for a late prefill before its reservation lapses."""
 MAX_PREFILLS: Final = 3
 """Prefill agents tried while they refuse definitely."""
-NO_CAPACITY_RETRY_MS: Final = 500
 UNBOOKED_TRANSFER_MS: Final = 400
 """Time for a transfer over a link without a booked rate."""
 STALL_FACTOR: Final = 2
@@ -47,28 +34,6 @@
 MIN_TRANSFER_MS: Final = 50
 
 
-@dataclass(slots=True)
-class ModelWork:
-    """What all attempts at one model request share."""
-
-    live: LiveRequest
-    service: ServiceRecord
-    view: RequestView
-    completion: Completion
-    digest: bytes
-    stream: TokenStream
-    answer: CompletionAnswer
-    retries: RetryBudget
-    avoided: set[str]
-    """Engines that failed earlier attempts."""
-
-
-@dataclass(slots=True)
-class _Placed:
-    pair: Pair
-    reserved: Any
-
-
 @dataclass(slots=True)
 class _Result:
     """Prefill result and the time until which it lives."""
@@ -84,8 +49,7 @@
     def __init__(self, ctx: EntryContext, work: ModelWork) -> None:
         self._ctx = ctx
         self._work = work
-        self._refused: set[str] = set()
-        self._touched: dict[str, AgentView] = {}
+        self._placer = Placer(ctx, work)
         self._prefilled_at: AgentView | None = None
         self._result: _Result | None = None
 
@@ -101,7 +65,7 @@
                 self._cancel()
 
     async def _run(self) -> Result[None, Failure]:
-        placed = await self._reserve()
+        placed = await self._placer.reserve()
         for _ in range(MAX_PREFILLS):
             if isinstance(placed, Err):
                 return placed
@@ -113,89 +77,11 @@
             if not isinstance(failure, NotRun):
                 self._work.avoided.add(placed.ok_value.pair.prefill.name)
                 return prefilled
-            self._refused.add(placed.ok_value.pair.prefill.name)
+            self._placer.refused.add(placed.ok_value.pair.prefill.name)
             self._ctx.log_retry(self._work.live, failure, "next_prefill")
-            placed = await self._reserve()
+            placed = await self._placer.reserve()
         return placed.and_then(lambda _: Err(NoCapacity("no prefill engine")))
 
-    async def _reserve(
-        self, source: AgentView | None = None
-    ) -> Result[_Placed, Failure]:
-        """Reserve at the best decode engine, on refusal at the next ones.
-
-        ``source`` is the prefill engine when its result exists already.
-        """
-        live = self._work.live
-        live.stage = Stage.RESERVE
-        last: Failure = NoCapacity(
-            "no engine can serve the request",
-            retry_after_ms=NO_CAPACITY_RETRY_MS,
-        )
-        for _ in range(RESERVE_TRIES):
-            pairs = self._rank(source)
-            if not pairs:
-                return Err(last)
-            pair = pairs[0]
-            self._log_routing(pair)
-            self._touched[pair.decode.name] = pair.decode
-            reply = await self._ctx.agents.request(
-                pair.decode, self._reserve_message(pair), RESERVE_TIMEOUT_MS
-            )
-            match reply:
-                case Ok(reserved) if isinstance(reserved, idl.Reserved):
-                    return Ok(_Placed(pair, reserved))
-                case Err(failure):
-                    if isinstance(failure, NotRun):
-                        self._touched.pop(pair.decode.name, None)
-                    last = NoCapacity(
-                        f"{pair.decode.name}: {failure}",
-                        retry_after_ms=failure.retry_after_ms
-                        or NO_CAPACITY_RETRY_MS,
-                    )
-                    self._ctx.log_retry(live, failure, "next_decode")
-            self._refused.add(pair.decode.name)
-        return Err(last)
-
-    def _rank(self, source: AgentView | None) -> list[Pair]:
-        work = self._work
-        prefill = self._candidates(EngineRole.PREFILL)
-        if source is not None:
-            prefill = [source]
-        return self._ctx.parts.placement.rank(
-            work.view,
-            prefill,
-            self._candidates(EngineRole.DECODE),
-            self._ctx.now_ms(),
-            self._ctx.parts.rng,
-        )
-
-    def _candidates(self, role: str) -> list[AgentView]:
-        work = self._work
-        views = self._ctx.fleet.candidates(
-            work.live.service, role, work.view.model
-        )
-        fresh = [v for v in views if v.name not in self._refused]
-        preferred = [v for v in fresh if v.name not in work.avoided]
-        return preferred or fresh
-
-    def _reserve_message(self, pair: Pair) -> Any:
-        view = self._work.view
-        starts_in = max(0, pair.transfer_start_ms - self._ctx.now_ms())
-        tokens = view.prompt_tokens + view.max_output_tokens
-        return idl.Reserve(
-            key=view.key,
-            attempt=view.attempt,
-            service_name=view.service,
-            model=view.model,
-            pieces=max(1, -(-tokens // PIECE_TOKENS)),
-            ttl_ms=starts_in + RESERVATION_MARGIN_MS,
-            expected_start_ms=starts_in,
-            priority=view.priority,
-            suspect=view.suspect,
-            digest=self._work.digest,
-            transfer_kb=view.prompt_tokens * KV_KB_PER_TOKEN,
-        )
-
     async def _prefill(self, pair: Pair) -> Result[_Result, Failure]:
         live, view = self._work.live, self._work.view
         live.stage = Stage.PREFILL
@@ -213,7 +99,7 @@
             generated=self._work.stream.text or None,
         )
         sent_before, live.sent = live.sent, True
-        self._touched[pair.prefill.name] = pair.prefill
+        self._placer.touched[pair.prefill.name] = pair.prefill
         reply = await self._ctx.agents.request(
             pair.prefill, message, remaining_ms
         )
@@ -234,11 +120,11 @@
             case Err(failure):
                 if isinstance(failure, NotRun):
                     live.sent = sent_before
-                    self._touched.pop(pair.prefill.name, None)
+                    self._placer.touched.pop(pair.prefill.name, None)
                 return Err(failure)
 
     async def _decode(
-        self, placed: _Placed, result: _Result
+        self, placed: Placed, result: _Result
     ) -> Result[None, Failure]:
         """Decode, at fallback engines while the prefill result lives."""
         live, stream = self._work.live, self._work.stream
@@ -255,7 +141,7 @@
                 return decoded
             self._abandon_decode(placed.pair.decode)
             self._ctx.log_retry(live, failure, "fallback_decode")
-            again = await self._reserve(placed.pair.prefill)
+            again = await self._placer.reserve(placed.pair.prefill)
             if isinstance(again, Err):
                 return Err(failure)
             placed = again.ok_value
@@ -277,7 +163,7 @@
         return isinstance(spent, Ok)
 
     async def _decode_at(
-        self, placed: _Placed, result: _Result
+        self, placed: Placed, result: _Result
     ) -> Result[None, Failure]:
         view, stream = self._work.view, self._work.stream
         timeout_ms = self._transfer_timeout_ms(placed, result)
@@ -299,7 +185,7 @@
         )
         return await reader.read(message, timeout_ms)
 
-    def _transfer_timeout_ms(self, placed: _Placed, result: _Result) -> int:
+    def _transfer_timeout_ms(self, placed: Placed, result: _Result) -> int:
         rate = placed.reserved.link_kb_per_s or 0
         booked_ms = UNBOOKED_TRANSFER_MS
         if rate > 0:
@@ -313,52 +199,30 @@
     def _remaining_ms(self) -> int:
         return max(1, self._work.live.deadline_ms - self._ctx.now_ms())
 
-    def _return_reservation(self, placed: _Placed) -> None:
+    def _return_reservation(self, placed: Placed) -> None:
         view = self._work.view
         decode = placed.pair.decode
-        self._touched.pop(decode.name, None)
+        self._placer.touched.pop(decode.name, None)
         self._ctx.agents.release_reservation(
             decode, placed.reserved.reservation, view.key, view.attempt
         )
 
     def _abandon_decode(self, decode: AgentView) -> None:
         view = self._work.view
-        self._refused.add(decode.name)
-        self._touched.pop(decode.name, None)
+        self._placer.refused.add(decode.name)
+        self._placer.touched.pop(decode.name, None)
         self._ctx.agents.cancel(decode, view.key, view.attempt)
 
     def _release_result(self) -> None:
         result, self._result = self._result, None
         if result is not None and self._prefilled_at is not None:
             view = self._work.view
-            self._touched.pop(self._prefilled_at.name, None)
+            self._placer.touched.pop(self._prefilled_at.name, None)
             self._ctx.agents.release_prefill(
                 self._prefilled_at, view.key, view.attempt, result.handle
             )
 
     def _cancel(self) -> None:
         view = self._work.view
-        for agent in self._touched.values():
+        for agent in self._placer.touched.values():
             self._ctx.agents.cancel(agent, view.key, view.attempt)
-
-    def _log_routing(self, pair: Pair) -> None:
-        view = self._work.view
-        arrived_ms = view.arrived_ms
-        names = [
-            agent.name
-            for role in (EngineRole.PREFILL, EngineRole.DECODE)
-            for agent in self._candidates(role)
-        ]
-        self._ctx.decisions.record(
-            RoutingDecision(
-                view.key,
-                view.service,
-                view.attempt,
-                names,
-                pair.prefill.name,
-                pair.decode.name,
-                pair.first_token_at_ms - arrived_ms,
-                pair.complete_at_ms - arrived_ms,
-                pair.reason,
-            )
-        )
--- a/src/gooseberrypost/entry/decoding.py
+++ b/src/gooseberrypost/entry/decoding.py
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gooseberrypost.entry.attempt import ModelWork
     from gooseberrypost.entry.context import EntryContext
+    from gooseberrypost.entry.placing import ModelWork
     from gooseberrypost.policy.views import AgentView
     from gooseberrypost.wire.channel import ReplyStream
 
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -9,8 +9,9 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.entry.answer import FINISH_LENGTH, FINISH_STOP
-from gooseberrypost.entry.attempt import ModelAttempt, ModelWork
+from gooseberrypost.entry.attempt import ModelAttempt
 from gooseberrypost.entry.context import ClaimHold, next_attempt
+from gooseberrypost.entry.placing import ModelWork
 from gooseberrypost.entry.sections import Stage
 from gooseberrypost.errors import (
     CallerGone,
@@ -127,7 +128,6 @@
     ) -> Result[None, Failure]:
         work = ModelWork(
             live=self._live,
-            service=self._service,
             view=view,
             completion=self._completion,
             digest=self._digest,
--- /dev/null
+++ b/src/gooseberrypost/entry/placing.py
@@ -0,0 +1,166 @@
+"""Placement of an attempt: reserves a decode engine of the best pair."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from result import Err, Ok, Result
+
+from gooseberrypost.entry.sections import Stage
+from gooseberrypost.errors import Failure, NoCapacity, NotRun
+from gooseberrypost.logs import RoutingDecision
+from gooseberrypost.state.records import EngineRole
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.entry.answer import CompletionAnswer
+    from gooseberrypost.entry.collaborators import RetryBudget
+    from gooseberrypost.entry.context import EntryContext
+    from gooseberrypost.entry.parse import Completion
+    from gooseberrypost.entry.sections import LiveRequest
+    from gooseberrypost.policy.placement import Pair
+    from gooseberrypost.policy.views import AgentView, RequestView
+    from gooseberrypost.state.streams import TokenStream
+
+PIECE_TOKENS: Final = 2_000
+KV_KB_PER_TOKEN: Final = 128
+RESERVE_TRIES: Final = 6
+RESERVE_TIMEOUT_MS: Final = 1_000
+RESERVATION_MARGIN_MS: Final = 2_000
+"""Time for a late prefill before its reservation lapses."""
+NO_CAPACITY_RETRY_MS: Final = 500
+
+
+@dataclass(slots=True)
+class ModelWork:
+    """What all attempts at one model request share."""
+
+    live: LiveRequest
+    view: RequestView
+    completion: Completion
+    digest: bytes
+    stream: TokenStream
+    answer: CompletionAnswer
+    retries: RetryBudget
+    avoided: set[str]
+    """Engines that failed earlier attempts."""
+
+
+@dataclass(slots=True)
+class Placed:
+    """A pair and the reservation at its decode engine."""
+
+    pair: Pair
+    reserved: Any
+
+
+class Placer:
+    """Places one attempt; ``touched`` are the agents that may hold for it."""
+
+    def __init__(self, ctx: EntryContext, work: ModelWork) -> None:
+        self._ctx = ctx
+        self._work = work
+        self.refused: set[str] = set()
+        """Engines that this attempt does not try again."""
+        self.touched: dict[str, AgentView] = {}
+
+    async def reserve(
+        self, source: AgentView | None = None
+    ) -> Result[Placed, Failure]:
+        """Reserve at the best decode engine, on refusal at the next ones.
+
+        ``source`` is the prefill engine when its result exists already.
+        """
+        live = self._work.live
+        live.stage = Stage.RESERVE
+        last: Failure = NoCapacity(
+            "no engine can serve the request",
+            retry_after_ms=NO_CAPACITY_RETRY_MS,
+        )
+        for _ in range(RESERVE_TRIES):
+            pairs = self._rank(source)
+            if not pairs:
+                return Err(last)
+            pair = pairs[0]
+            self._log_routing(pair)
+            self.touched[pair.decode.name] = pair.decode
+            reply = await self._ctx.agents.request(
+                pair.decode, self._reserve_message(pair), RESERVE_TIMEOUT_MS
+            )
+            match reply:
+                case Ok(reserved) if isinstance(reserved, idl.Reserved):
+                    return Ok(Placed(pair, reserved))
+                case Err(failure):
+                    if isinstance(failure, NotRun):
+                        self.touched.pop(pair.decode.name, None)
+                    last = NoCapacity(
+                        f"{pair.decode.name}: {failure}",
+                        retry_after_ms=failure.retry_after_ms
+                        or NO_CAPACITY_RETRY_MS,
+                    )
+                    self._ctx.log_retry(live, failure, "next_decode")
+            self.refused.add(pair.decode.name)
+        return Err(last)
+
+    def _rank(self, source: AgentView | None) -> list[Pair]:
+        work = self._work
+        prefill = self._candidates(EngineRole.PREFILL)
+        if source is not None:
+            prefill = [source]
+        return self._ctx.parts.placement.rank(
+            work.view,
+            prefill,
+            self._candidates(EngineRole.DECODE),
+            self._ctx.now_ms(),
+            self._ctx.parts.rng,
+        )
+
+    def _candidates(self, role: str) -> list[AgentView]:
+        work = self._work
+        views = self._ctx.fleet.candidates(
+            work.live.service, role, work.view.model
+        )
+        fresh = [v for v in views if v.name not in self.refused]
+        preferred = [v for v in fresh if v.name not in work.avoided]
+        return preferred or fresh
+
+    def _reserve_message(self, pair: Pair) -> Any:
+        view = self._work.view
+        starts_in = max(0, pair.transfer_start_ms - self._ctx.now_ms())
+        tokens = view.prompt_tokens + view.max_output_tokens
+        return idl.Reserve(
+            key=view.key,
+            attempt=view.attempt,
+            service_name=view.service,
+            model=view.model,
+            pieces=max(1, -(-tokens // PIECE_TOKENS)),
+            ttl_ms=starts_in + RESERVATION_MARGIN_MS,
+            expected_start_ms=starts_in,
+            priority=view.priority,
+            suspect=view.suspect,
+            digest=self._work.digest,
+            transfer_kb=view.prompt_tokens * KV_KB_PER_TOKEN,
+        )
+
+    def _log_routing(self, pair: Pair) -> None:
+        view = self._work.view
+        arrived_ms = view.arrived_ms
+        names = [
+            agent.name
+            for role in (EngineRole.PREFILL, EngineRole.DECODE)
+            for agent in self._candidates(role)
+        ]
+        self._ctx.decisions.record(
+            RoutingDecision(
+                view.key,
+                view.service,
+                view.attempt,
+                names,
+                pair.prefill.name,
+                pair.decode.name,
+                pair.first_token_at_ms - arrived_ms,
+                pair.complete_at_ms - arrived_ms,
+                pair.reason,
+            )
+        )
--- /dev/null
+++ b/tests/test_entry_input.py
@@ -0,0 +1,194 @@
+"""Bad input to an entry: typed errors, and nothing held."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from multidict import CIMultiDict
+from result import Err, Ok
+
+from gooseberrypost.entry import parse
+from gooseberrypost.errors import MalformedRequest, NotRun
+from gooseberrypost.wire.channel import Channel
+from gooseberrypost.wire.messages import idl
+from tests.entry_fakes import run
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+FIELDS = st.sampled_from(
+    ["model", "prompt", "messages", "max_tokens", "stream", "role", "content"]
+)
+
+
+@given(
+    st.binary(max_size=60)
+    | st.dictionaries(FIELDS, JSON).map(lambda d: json.dumps(d).encode())
+)
+def test_any_body_is_parsed_or_refused(body):
+    """Guards against an exception from a hostile body."""
+    for parser in (parse.parse_completion, parse.parse_chat):
+        match parser(body):
+            case Ok(completion):
+                assert completion.model and completion.prompt
+                assert completion.prompt_tokens >= 1
+                completion.prompt.encode()
+            case Err(failure):
+                assert isinstance(failure, NotRun)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            [parse.KEY_HEADER, parse.DEADLINE_HEADER, parse.ACCOUNT_HEADER]
+        ),
+        st.text(max_size=150) | st.integers().map(str),
+    )
+)
+def test_any_header_values_are_parsed_or_refused(headers):
+    """Guards against an exception from hostile header values."""
+    match parse.parse_headers(CIMultiDict(headers)):
+        case Ok(parsed):
+            assert 0 <= parsed.deadline_ms <= parse.MAX_DEADLINE_MS
+        case Err(failure):
+            assert isinstance(failure, MalformedRequest)
+
+
+GOOD = b'{"model": "m", "prompt": "p"}'
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers", "status", "code"),
+    [
+        ("/v1/completions", b"{", {}, 400, "malformed_request"),
+        ("/v1/completions", b"x" * 2_000, {}, 413, "body_too_large"),
+        (
+            "/v1/completions",
+            b'{"model": "x", "prompt": "p"}',
+            {},
+            404,
+            "unknown_model",
+        ),
+        (
+            "/v1/completions",
+            GOOD,
+            {parse.DEADLINE_HEADER: "-1"},
+            400,
+            "malformed_request",
+        ),
+        (
+            "/v1/completions",
+            GOOD,
+            {parse.KEY_HEADER: "gbp1-forged"},
+            400,
+            "malformed_request",
+        ),
+        (
+            "/v1/completions",
+            GOOD,
+            {"X-Long": "x" * 1_500},
+            431,
+            "headers_too_large",
+        ),
+        (
+            "/v1/completions",
+            GOOD,
+            {f"X-{n}": "x" * 200 for n in range(8)},
+            431,
+            "headers_too_large",
+        ),
+        (
+            "/v1/completions",
+            GOOD,
+            {parse.ACCOUNT_HEADER: "stranger"},
+            403,
+            "unknown_account",
+        ),
+        ("/services/none/x", b"", {}, 404, "unknown_service"),
+        ("/services/llm/x", b"", {}, 404, "unknown_service"),
+        ("/elsewhere", b"", {}, 404, "unknown_path"),
+    ],
+)
+def test_bad_requests_get_a_typed_error(path, body, headers, status, code):
+    """Guards against an untyped error, or a claim left by a bad request."""
+
+    async def scenario(rig):
+        async with rig.post(path, data=body, headers=headers) as response:
+            error = (await response.json())["error"]
+        assert (response.status, error["code"]) == (status, code)
+        assert error["outcome"] == "not-run"
+        assert rig.daemon.requests.in_flight == 0
+        assert rig.claims.attempts == {}
+        text = rig.daemon.context.metrics.render()
+        assert f'failures_total{{code="{code}"' in text
+
+    run(
+        scenario,
+        max_body_bytes=1_000,
+        max_header_bytes=1_000,
+        allow_unknown_accounts=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"POST /v1/completions HT", b""),
+        (b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Half", b""),
+        (
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 100\r\n\r\n{",
+            b"408",
+        ),
+        (b"\x16\x03\x01\x00\xa5\x01\r\n\r\n", b"400"),
+        (
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"400",
+        ),
+    ],
+)
+def test_half_sent_requests_are_ended_in_time(sent, status):
+    """Guards against connections held by callers that stop sending."""
+
+    async def scenario(rig):
+        host, port = rig.daemon.http.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(sent)
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        writer.close()
+        assert b"".join(answer.split(b" ")[1:2]) == status
+        assert rig.daemon.requests.in_flight == 0
+
+    run(scenario, read_timeout_ms=200)
+
+
+def test_operators_see_status_and_decisions_and_can_drain():
+    """Guards against an entry that cannot be inspected or drained."""
+
+    async def scenario(rig):
+        async with rig.complete(key="k1") as response:
+            assert response.status == 200
+        pool = rig.daemon.context.agents.pool
+        address = pool.hello.address
+        channel = (await Channel.connect(address, pool.hello)).unwrap()
+        explained = await channel.request(idl.Explain(key="k1"), 2_000)
+        (line,) = explained.unwrap().lines
+        assert "event=routed request=k1 service=llm" in line
+        assert "prefill=p1 decode=d1" in line
+        await channel.request(idl.Drain(draining=True), 2_000)
+        status = (await channel.request(idl.StatusRequest(), 2_000)).unwrap()
+        assert (status.state, status.in_flight) == ("draining", 0)
+        await channel.close()
+
+    run(scenario)
