Send the total output limit and keep agents' cancellations apart

The engine counts max_tokens over all sequence numbers, so a resumed decode must send the total and not the rest: with the rest, an answer resumed after 3 of 8 tokens would end early. An agent that cancels an attempt on its own says caller_gone; the entry took that for its caller's disconnect and sent nothing. It now replaces the attempt. Roles come from the plan alone: an agent that has not learnt its role yet answers probes with a default.

--- a/src/gooseberrypost/entry/agents.py
+++ b/src/gooseberrypost/entry/agents.py
@@ -8,7 +8,14 @@
 from absl import logging
 from result import Err, Ok, Result
 
-from gooseberrypost.errors import Draining, Failure, PeerUnreachable
+from gooseberrypost.errors import (
+    CallerGone,
+    Draining,
+    ExecutionFailed,
+    Failure,
+    PeerUnreachable,
+    failure_from_code,
+)
 from gooseberrypost.logs import format_fields
 from gooseberrypost.wire.channel import refusal_of
 from gooseberrypost.wire.messages import idl
@@ -89,9 +96,12 @@
                 self._fleet.mark_down(agent.name)
             return reply
         self._fleet.observe(agent.name, getattr(reply.ok_value, "load", None))
-        failure = refusal_of(reply.ok_value)
+        failure = _failure_in(reply.ok_value)
         if failure is None:
             return reply
+        if isinstance(failure, CallerGone):
+            # The agent gave the attempt up; the caller is still here.
+            failure = ExecutionFailed(f"{agent.name}: {failure}")
         if isinstance(failure, Draining):
             self._fleet.mark_draining(agent.name)
         return Err(failure)
@@ -136,3 +146,10 @@
             ]
         )
         logging.warning("%s", fields)
+
+
+def _failure_in(message: Any) -> Failure | None:
+    """Failure that a refusal, or the end of a stream, carries."""
+    if isinstance(message, idl.End) and message.code:
+        return failure_from_code(message.code, message.detail or "")
+    return refusal_of(message)
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -173,7 +173,7 @@
             reservation=placed.reserved.reservation,
             handle=result.handle,
             engine_address=result.engine_address,
-            max_tokens=view.max_output_tokens - stream.next_sequence,
+            max_tokens=view.max_output_tokens,
             first_sequence=stream.next_sequence,
             priority=view.priority,
             deadline_ms=self._remaining_ms(),
@@ -183,7 +183,9 @@
         reader = TokenReader(
             self._ctx, self._work, placed.pair.decode, self._release_result
         )
-        return await reader.read(message, timeout_ms)
+        # The agent counts the time for a transfer from its booked start.
+        start_ms = placed.reserved.link_start_ms or 0
+        return await reader.read(message, start_ms + timeout_ms)
 
     def _transfer_timeout_ms(self, placed: Placed, result: _Result) -> int:
         rate = placed.reserved.link_kb_per_s or 0
@@ -191,7 +193,6 @@
         if rate > 0:
             kb = self._work.view.prompt_tokens * KV_KB_PER_TOKEN
             booked_ms = STALL_FACTOR * kb * 1_000 // rate
-            booked_ms += placed.reserved.link_start_ms or 0
         # Half of the remaining life is left to a fallback engine.
         lives_ms = result.until_ms - self._ctx.now_ms()
         return max(MIN_TRANSFER_MS, min(booked_ms, lives_ms // 2))
--- a/src/gooseberrypost/entry/decoding.py
+++ b/src/gooseberrypost/entry/decoding.py
@@ -14,7 +14,6 @@
     PeerUnreachable,
     TimedOut,
     TransferStalled,
-    failure_from_code,
 )
 from gooseberrypost.wire.messages import idl
 
@@ -141,8 +140,6 @@
         work = self._work
         if end.key != work.live.key or end.attempt != work.view.attempt:
             return Err(ConnectionLost("the end of another attempt"))
-        if end.code:
-            return Err(failure_from_code(end.code, end.detail or ""))
         work.stream.end(end.attempt, end.tokens)
         if work.stream.is_whole:
             return Ok(None)
--- a/src/gooseberrypost/entry/fleet.py
+++ b/src/gooseberrypost/entry/fleet.py
@@ -37,12 +37,6 @@
 UNSEEN_MS: Final = -3_600_000
 """Observation time of a load that was never reported."""
 
-_ROLE_NAMES: Final = {
-    idl.Role.PREFILL: EngineRole.PREFILL,
-    idl.Role.DECODE: EngineRole.DECODE,
-    idl.Role.PLAIN: EngineRole.PLAIN,
-}
-
 
 class FleetController(Service):
     """Owner of the fleet section."""
@@ -62,7 +56,6 @@
         self._pool = pool
         board.add(Fleet(), OWNER)
         self._section = board.write(Fleet, OWNER)
-        self._planned: dict[str, tuple[str, str]] = {}
 
     async def on_start(self) -> None:
         """Read the configuration in force."""
@@ -90,31 +83,25 @@
         agents: dict[str, AgentView] = {}
         for name, record in engines.items():
             assignment = assigned.get(name)
-            role = assignment.role if assignment else record.role
-            model = assignment.model if assignment else record.model
-            agents[name] = self._merge(record, (role, model))
+            agents[name] = dataclasses.replace(
+                self._seen(record),
+                zone=record.zone,
+                role=assignment.role if assignment else record.role,
+                model=assignment.model if assignment else record.model,
+                link=record.link,
+                link_kb_per_s=record.link_kb_per_s,
+            )
         self._section.agents = agents
         self._section.services = {
             name: record.service for name, record in engines.items()
         }
         self._section.notify()
 
-    def _merge(
-        self, record: EngineRecord, planned: tuple[str, str]
-    ) -> AgentView:
+    def _seen(self, record: EngineRecord) -> AgentView:
         seen = self._section.agents.get(record.name)
         if seen is None or seen.address != record.agent_address:
-            seen = _unseen(record)
-        # A role reported by the agent stands until the plan changes again.
-        if self._planned.get(record.name) != planned:
-            self._planned[record.name] = planned
-            seen = dataclasses.replace(seen, role=planned[0], model=planned[1])
-        return dataclasses.replace(
-            seen,
-            zone=record.zone,
-            link=record.link,
-            link_kb_per_s=record.link_kb_per_s,
-        )
+            return _unseen(record)
+        return seen
 
     def candidates(
         self, service: str, role: str, model: str = ""
@@ -149,7 +136,6 @@
         match reply:
             case Ok(message) if isinstance(message, idl.ProbeReply):
                 self.observe(view.name, message.load)
-                self._observe_role(view.name, message)
             case Ok(message):
                 self.observe(view.name, getattr(message, "load", None))
             case _:
@@ -190,14 +176,6 @@
                 view, draining=True, observed_ms=self._parts.clock()
             )
 
-    def _observe_role(self, name: str, reply: Any) -> None:
-        view = self._section.agents.get(name)
-        role = _ROLE_NAMES.get(reply.role)
-        if view is not None and role is not None:
-            self._section.agents[name] = dataclasses.replace(
-                view, role=role, model=reply.model or view.model
-            )
-
 
 def _unseen(record: EngineRecord) -> AgentView:
     return AgentView(
--- a/src/gooseberrypost/entry/parse.py
+++ b/src/gooseberrypost/entry/parse.py
@@ -55,8 +55,12 @@
 
     @property
     def prompt_tokens(self) -> int:
-        """Estimated length of the prompt in tokens, at least 1."""
-        return max(1, -(-len(self.prompt) // CHARS_PER_TOKEN))
+        """Estimated length of the prompt in tokens, at least 1.
+
+        A word has at least one token, so short words raise the estimate.
+        """
+        words = len(self.prompt.split())
+        return max(1, words, -(-len(self.prompt) // CHARS_PER_TOKEN))
 
 
 def parse_headers(
--- a/tests/test_entry_model.py
+++ b/tests/test_entry_model.py
@@ -334,3 +334,15 @@
         await drained
 
     run(scenario)
+
+
+def test_an_attempt_given_up_by_its_agent_is_replaced():
+    """Guards against taking an agent's cancellation for the caller's."""
+
+    async def scenario(rig):
+        rig.agents["d1"].script[idl.Decode] = [refuse("caller_gone")]
+        async with rig.complete(stream=True, max_tokens=20) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        assert rig.agents["d2"].of(idl.Decode)[0].max_tokens == 20
+
+    run(scenario)
