Deliver the last replies before a terminated agent stops

A drain ended when the last slot was free, which is before the reply of that request is written, and stopping aborts the connections. The entry saw connection_lost for a call that had completed.

The listener can now finish: it lets handlers end, ends the write side of each connection and waits for the peer to close it.

Messages are also checked for absent and negative fields, a higher attempt replaces a lower one, cache events are followed for the probe reply, and a pause of the agent itself no longer counts as silence of its entries.

--- a/src/gooseberrypost/agent/backend.py
+++ b/src/gooseberrypost/agent/backend.py
@@ -40,12 +40,14 @@
     model: str = ""
 
     @classmethod
-    def from_document(cls, document: Any) -> LoadReport:
+    def from_document(
+        cls, document: Any
+    ) -> Result[LoadReport, ProtocolFailure]:
         """Read the known fields of a JSON object; others are ignored."""
         if not isinstance(document, dict):
-            raise ProtocolFailure("load report is no JSON object")
+            return Err(ProtocolFailure("load report is no JSON object"))
         known = cls.__dataclass_fields__
-        return cls(**{n: v for n, v in document.items() if n in known})
+        return Ok(cls(**{n: v for n, v in document.items() if n in known}))
 
 
 class Backend(ABC):
--- a/src/gooseberrypost/agent/calls.py
+++ b/src/gooseberrypost/agent/calls.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from gooseberrypost.agent.checks import attempt_of
 from gooseberrypost.agent.context import Context, error
 from gooseberrypost.agent.jobs import Job
 from gooseberrypost.agent.log import decision
@@ -19,13 +20,13 @@
     ProtocolFailure,
     UnknownOutcome,
 )
-from gooseberrypost.identity import Attempt
 from gooseberrypost.state.attempts import AttemptState, Phase
 from gooseberrypost.state.ledger import Ask
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
+    from gooseberrypost.identity import Attempt
     from gooseberrypost.wire.listener import Session
 
 
@@ -40,13 +41,13 @@
     async def call(self, session: Session, correlation: int, req: Any) -> None:
         """Run a call once, or refuse it and bar the attempt for good."""
         context = self._context
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         refusal = self._admit(session, attempt, req)
         if refusal is not None:
             await context.refuse(session, correlation, attempt, refusal)
             return
         decision("admit", key=req.key, attempt=req.attempt, phase=Phase.CALL)
-        job = Job(attempt, Phase.CALL, session, req.digest or b"")
+        job = Job(attempt, Phase.CALL, session, req.digest)
         job.task = asyncio.create_task(self._run(attempt, req))
         context.attempts.jobs[attempt] = job
         answer = await asyncio.shield(job.task)
@@ -99,8 +100,8 @@
             owner=session.peer.incarnation,
             pieces=0,
             ttl_ms=req.deadline_ms,
-            suspect=bool(req.suspect),
-            digest=req.digest or b"",
+            suspect=req.suspect,
+            digest=req.digest,
         )
         reserved = context.capacity_controller.reserve(ask, now_ms)
         if isinstance(reserved, Err):
--- a/src/gooseberrypost/agent/context.py
+++ b/src/gooseberrypost/agent/context.py
@@ -22,6 +22,7 @@
     from collections.abc import Callable
 
     from gooseberrypost.agent.backend import Backend
+    from gooseberrypost.agent.cache import CacheController
     from gooseberrypost.agent.crash import CrashReporter
     from gooseberrypost.agent.lifecycle import LifecycleController
     from gooseberrypost.identity import Attempt, ProcessId
@@ -37,6 +38,7 @@
     backend: Backend
     capacity_controller: CapacityController
     lifecycle_controller: LifecycleController
+    cache_controller: CacheController
     attempts: Attempts
     crashes: CrashReporter
     now_ms: Callable[[], int]
--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -9,6 +9,7 @@
 
 from mode import Service
 
+from gooseberrypost.agent.cache import CacheController
 from gooseberrypost.agent.capacity import CapacityController
 from gooseberrypost.agent.context import Context
 from gooseberrypost.agent.crash import CrashReporter
@@ -37,6 +38,8 @@
     from gooseberrypost.settings.agent import AgentSettings
 
 SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+FINISH_TIMEOUT_MS: Final = 2_000
+"""Time for entries to read the last replies before the agent stops."""
 
 
 class Agent(Service):
@@ -62,6 +65,7 @@
         self.lifecycle = LifecycleController(
             cfg, self.board, self.backend, vm_list
         )
+        self.cache = CacheController(self.board, self.backend)
         self.context = self._make_context()
         self.execution = ExecutionController(self.board, self.context)
         self.lease = AgentLease(cfg, self.me, store, rng, lease_clock_ms)
@@ -91,6 +95,7 @@
         return [
             self.capacity,
             self.lifecycle,
+            self.cache,
             self.execution,
             self.lease,
             self.orders,
@@ -121,6 +126,8 @@
                     await capacity.changed()
         except TimeoutError:
             decision("drain_timeout", running=capacity.ledger.slots_used)
+        # Slots are free before the last replies are on their way.
+        await self.listener.finish(FINISH_TIMEOUT_MS)
 
     def _hello(self) -> Any:
         return idl.Hello(
@@ -147,6 +154,7 @@
             backend=self.backend,
             capacity_controller=self.capacity,
             lifecycle_controller=self.lifecycle,
+            cache_controller=self.cache,
             attempts=attempts,
             crashes=crashes,
             now_ms=monotonic_ms,
@@ -170,7 +178,10 @@
 
 
 async def run(cfg: AgentSettings) -> None:
-    """Run an agent until SIGTERM or SIGINT, then drain and stop."""
+    """Run an agent until SIGTERM or SIGINT, then drain and stop.
+
+    Raises what a controller failed with.
+    """
     agent = Agent.from_config(cfg, make_store(cfg), make_vm_list(cfg))
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -178,10 +189,12 @@
         loop.add_signal_handler(number, stopping.set)
     await agent.start()
     try:
-        await stopping.wait()
-        await agent.drain()
+        if not await agent.wait_for_stopped(stopping):
+            await agent.drain()
     finally:
         await agent.stop()
+    if agent.crash_reason is not None:
+        raise agent.crash_reason
 
 
 def make_store(cfg: AgentSettings) -> KeyValueStore | None:
--- a/src/gooseberrypost/agent/engine.py
+++ b/src/gooseberrypost/agent/engine.py
@@ -21,6 +21,7 @@
 )
 from gooseberrypost.errors import Failure, ProtocolFailure
 from gooseberrypost.identity import Attempt
+from gooseberrypost.state.cache import CacheEvent
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -94,7 +95,7 @@
     ) -> Result[LoadReport, Failure]:
         """Ask for the load report."""
         reply = await self.exchange("GET", "/load", None, timeout_ms)
-        return reply.map(LoadReport.from_document)
+        return reply.and_then(LoadReport.from_document)
 
     async def prefill(
         self,
@@ -166,6 +167,21 @@
         except (KeyError, TypeError) as exc:
             return Err(ProtocolFailure(f"request list: {exc!r}"))
 
+    async def events(self, after: int) -> Result[list[CacheEvent], Failure]:
+        """List cache events with a higher number, as far as known."""
+        reply = await self.exchange("GET", f"/events?after={after}")
+        if isinstance(reply, Err):
+            return reply
+        try:
+            return Ok(
+                [
+                    CacheEvent(int(e["n"]), str(e["kind"]), int(e["hash"]))
+                    for e in reply.ok_value
+                ]
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            return Err(ProtocolFailure(f"cache events: {exc!r}"))
+
     async def order(
         self, body: dict[str, Any], timeout_ms: float
     ) -> Result[Any, Failure]:
--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from gooseberrypost.agent.calls import Calls
+from gooseberrypost.agent.checks import attempt_of, register_checked
 from gooseberrypost.agent.context import Context, error
 from gooseberrypost.agent.decoding import Decoding
 from gooseberrypost.agent.freeing import Freeing
@@ -55,15 +56,19 @@
 
     def register(self, dispatcher: Dispatcher) -> None:
         """Receive the messages that concern attempts."""
-        dispatcher.register(idl.Reserve, self._reserve)
-        dispatcher.register(idl.ReleaseReservation, self._release)
-        dispatcher.register(idl.Prefill, self._prefilling.prefill)
-        dispatcher.register(idl.ReleasePrefill, self._prefilling.release)
-        dispatcher.register(idl.Decode, self._decode)
-        dispatcher.register(idl.Reattach, self._reattach)
-        dispatcher.register(idl.Call, self._calls.call)
-        dispatcher.register(idl.Cancel, self._cancel)
-        dispatcher.register(idl.Revoke, self._revoke)
+        handlers = {
+            idl.Reserve: self._reserve,
+            idl.ReleaseReservation: self._release,
+            idl.Prefill: self._prefilling.prefill,
+            idl.ReleasePrefill: self._prefilling.release,
+            idl.Decode: self._decode,
+            idl.Reattach: self._reattach,
+            idl.Call: self._calls.call,
+            idl.Cancel: self._cancel,
+            idl.Revoke: self._revoke,
+        }
+        for message_type, handler in handlers.items():
+            register_checked(dispatcher, message_type, handler)
         dispatcher.on_connect(self._ownership.connected)
         dispatcher.on_disconnect(self._ownership.disconnected)
 
@@ -77,12 +82,12 @@
     async def _reserve(
         self, session: Session, correlation: int, req: Any
     ) -> None:
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         granted = self._grant(session, attempt, req)
         if isinstance(granted, Failure):
             await self._context.refuse(session, correlation, attempt, granted)
             return
-        self._replace_lower(attempt)
+        self._freeing.replace_lower(attempt)
         decision("admit", key=req.key, attempt=req.attempt, phase="reserve")
         now_ms = self._context.now_ms()
         booking = granted.booking
@@ -112,10 +117,10 @@
             owner=session.peer.incarnation,
             pieces=req.pieces,
             ttl_ms=ttl_ms,
-            suspect=bool(req.suspect),
-            digest=req.digest or b"",
-            transfer_kb=req.transfer_kb or 0,
-            expected_start_ms=req.expected_start_ms or 0,
+            suspect=req.suspect,
+            digest=req.digest,
+            transfer_kb=req.transfer_kb,
+            expected_start_ms=req.expected_start_ms,
         )
         reserved = context.capacity_controller.reserve(ask, now_ms)
         if isinstance(reserved, Err):
@@ -123,16 +128,10 @@
         table.reserve(attempt, now_ms + ttl_ms + RECORD_RETENTION_MS)
         return reserved.ok_value
 
-    def _replace_lower(self, attempt: Attempt) -> None:
-        for job in self._context.attempts.running:
-            lower = job.attempt.number < attempt.number
-            if job.attempt.key == attempt.key and lower:
-                self._freeing.cancel_soon(job.attempt, "superseded")
-
     async def _release(
         self, session: Session, correlation: int, req: Any
     ) -> None:
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         holding = self._context.capacity.ledger.find(attempt)
         if (
             holding is not None
@@ -147,15 +146,13 @@
         self, session: Session, correlation: int, req: Any
     ) -> None:
         context = self._context
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         holding = self._start(attempt, req)
         if isinstance(holding, Failure):
             await context.refuse(session, correlation, attempt, holding)
             return
         decision("admit", key=req.key, attempt=req.attempt, phase=Phase.DECODE)
-        job = DecodeJob(
-            attempt, session, holding.digest, req.first_sequence or 0
-        )
+        job = DecodeJob(attempt, session, holding.digest, req.first_sequence)
         context.attempts.jobs[attempt] = job
         work = self._decoding.run(job, req, holding.booking)
         job.task = asyncio.create_task(work)
@@ -181,7 +178,7 @@
         self, session: Session, correlation: int, req: Any
     ) -> None:
         context = self._context
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         job = context.attempts.jobs.get(attempt)
         if job is None and self.reconciler.claim(attempt):
             job = DecodeJob(attempt, session, b"", req.next_sequence)
@@ -205,7 +202,7 @@
     async def _cancel(
         self, session: Session, correlation: int, req: Any
     ) -> None:
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         self._bar(attempt)
         await self._freeing.cancel(attempt, "cancel")
         await session.send(correlation, idl.Ok())
@@ -213,7 +210,7 @@
     async def _revoke(
         self, session: Session, correlation: int, req: Any
     ) -> None:
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         certain = self._saw_all_since(req.incarnation)
         never_started = self._bar(attempt) and certain
         decision(
@@ -232,10 +229,11 @@
         expires_ms = context.now_ms() + RECORD_RETENTION_MS
         return context.attempts.table.revoke(attempt, expires_ms)
 
-    def _saw_all_since(self, incarnation: int | None) -> bool:
+    def _saw_all_since(self, incarnation: int) -> bool:
         """Whether this process received all that was sent to the agent.
 
-        ``incarnation`` is that of the agent the attempt was sent to.
+        ``incarnation`` is that of the agent the attempt was sent to; 0: the
+        entry does not know it.
         """
         if incarnation:
             return incarnation == self._context.me.incarnation
--- a/src/gooseberrypost/agent/freeing.py
+++ b/src/gooseberrypost/agent/freeing.py
@@ -35,6 +35,13 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def replace_lower(self, attempt: Attempt) -> None:
+        """Cancel the lower attempts of a key in favour of a new one."""
+        for holding in self._context.capacity.ledger.holdings:
+            holder = holding.holder
+            if holder.key == attempt.key and holder.number < attempt.number:
+                self.cancel_soon(holder, "superseded")
+
     async def cancel(
         self, attempt: Attempt, reason: str, failure: Failure | None = None
     ) -> None:
--- a/src/gooseberrypost/agent/lifecycle.py
+++ b/src/gooseberrypost/agent/lifecycle.py
@@ -48,6 +48,7 @@
     __slots__ = (
         "backend_up",
         "configuration_version",
+        "crashes",
         "model",
         "reasons",
         "reconciled",
@@ -61,6 +62,7 @@
         self.reconciled = False
         self.stopped = False
         self.backend_up = True
+        self.crashes = 0
         self.role: EngineRole | None = None
         """``None`` until an order or the load report tells it."""
         self.model = ""
@@ -142,6 +144,7 @@
 
     def note_crash(self) -> None:
         """Note that the server is down until its load report succeeds."""
+        self.lifecycle.crashes += 1
         self._failed_polls = FAILED_POLLS
         self._set_up(False)
 
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -8,6 +8,7 @@
 from mode import Service
 from result import Err, Ok, Result
 
+from gooseberrypost.agent.checks import fill_defaults
 from gooseberrypost.agent.engine import EngineClient
 from gooseberrypost.agent.lifecycle import DrainReason
 from gooseberrypost.agent.log import decision, refusal
@@ -48,6 +49,7 @@
 
     async def execute(self, req: Any) -> Result[None, Failure]:
         """Carry out an ``Order``; refused: ``StaleOrder``."""
+        fill_defaults(req)
         if req.kind not in KINDS:
             return Err(MalformedRequest(f"order {req.kind!r} is unknown"))
         async with self._lock:
--- a/src/gooseberrypost/agent/ownership.py
+++ b/src/gooseberrypost/agent/ownership.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.agent.jobs import DecodeJob, is_over
 from gooseberrypost.agent.retention import RECORD_RETENTION_MS
@@ -15,6 +14,9 @@
     from gooseberrypost.agent.jobs import Job
     from gooseberrypost.wire.listener import Session
 
+PAUSE_MS: Final = 1_000
+"""A longer time between two checks means that this process was paused."""
+
 
 class Ownership:
     """Ties jobs and reservations to the connections of entries.
@@ -24,12 +26,20 @@
     stopped, because a live one sends a heartbeat each second.
     """
 
-    __slots__ = ("_context", "_freeing", "_lost", "_sessions")
+    __slots__ = (
+        "_context",
+        "_enforced_ms",
+        "_freeing",
+        "_lost",
+        "_resumed_ms",
+        "_sessions",
+    )
 
     def __init__(self, context: Context, freeing: Freeing) -> None:
         self._context = context
         self._freeing = freeing
         self._sessions: set[Session] = set()
+        self._enforced_ms = self._resumed_ms = context.now_ms()
         self._lost: dict[int, int] = {}
         """Clock time at which each entry incarnation was last connected."""
 
@@ -52,6 +62,10 @@
 
     def enforce(self, now_ms: int) -> None:
         """Cancel what has been without its entry for too long."""
+        if now_ms - self._enforced_ms > PAUSE_MS:
+            # This process was paused: heartbeats wait to be read.
+            self._resumed_ms = now_ms
+        self._enforced_ms = now_ms
         grace_ms = self._context.cfg.reattach_ms
         for job in list(self._context.attempts.jobs.values()):
             self._enforce_job(job, now_ms, grace_ms)
@@ -69,14 +83,16 @@
         orphaned_ms = job.orphaned_ms
         if orphaned_ms is not None and now_ms - orphaned_ms >= grace_ms:
             self._end(job, now_ms, "entry_gone")
-        elif self._silent_ms(job) >= self._context.cfg.entry_silence_ms:
+        elif (
+            self._silent_ms(job, now_ms) >= self._context.cfg.entry_silence_ms
+        ):
             self._end(job, now_ms, "entry_silent")
 
-    def _silent_ms(self, job: Job) -> float:
+    def _silent_ms(self, job: Job, now_ms: int) -> float:
         if job.session.closed.is_set():
             return 0
-        now_s = asyncio.get_running_loop().time()
-        return (now_s - job.session.last_heard_s) * 1_000
+        heard_ms = job.session.last_heard_s * 1_000
+        return now_ms - max(heard_ms, self._resumed_ms)
 
     def _forget(self, job: Job, now_ms: int, grace_ms: int) -> None:
         if isinstance(job, DecodeJob) and now_ms - job.ended_ms >= grace_ms:
--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -62,7 +62,7 @@
                 if reply.status == HTTP_NOT_FOUND:
                     return Ok(LoadReport())
                 document = await reply.json(content_type=None)
-            return Ok(LoadReport.from_document(document))
+            return LoadReport.from_document(document)
         except (*LOST, ValueError) as exc:
             return Err(translate(exc))
 
--- a/src/gooseberrypost/agent/prefilling.py
+++ b/src/gooseberrypost/agent/prefilling.py
@@ -7,6 +7,7 @@
 
 from result import Err, Result
 
+from gooseberrypost.agent.checks import attempt_of
 from gooseberrypost.agent.context import Context, error
 from gooseberrypost.agent.engine import PrefillResult
 from gooseberrypost.agent.jobs import Job
@@ -18,14 +19,15 @@
     Failure,
     NoCapacity,
 )
-from gooseberrypost.identity import Attempt
 from gooseberrypost.state.attempts import AttemptState, Phase
 from gooseberrypost.state.ledger import Ask
+from gooseberrypost.state.prefix import prefix_hashes
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
     from gooseberrypost.agent.freeing import Freeing
+    from gooseberrypost.identity import Attempt
     from gooseberrypost.wire.listener import Session
 
 MAX_RESULT_LIFE_MS: Final = 1_000
@@ -45,13 +47,14 @@
     ) -> None:
         """Compute a prompt's KV cache, or refuse."""
         context = self._context
-        attempt = Attempt(req.key, req.attempt)
-        prompt = req.prompt + (req.generated or "")
+        attempt = attempt_of(req)
+        prompt = req.prompt + req.generated
         tokens = len(prompt.split())
         refusal = self._admit(session, attempt, req, tokens)
         if refusal is not None:
             await context.refuse(session, correlation, attempt, refusal)
             return
+        self._freeing.replace_lower(attempt)
         decision(
             "admit",
             key=req.key,
@@ -59,7 +62,7 @@
             phase=Phase.PREFILL,
             tokens=tokens,
         )
-        job = Job(attempt, Phase.PREFILL, session, req.digest or b"")
+        job = Job(attempt, Phase.PREFILL, session, req.digest)
         job.task = asyncio.create_task(self._run(attempt, req, prompt))
         context.attempts.jobs[attempt] = job
         context.capacity_controller.enqueue(tokens)
@@ -81,7 +84,7 @@
         self, session: Session, correlation: int, req: Any
     ) -> None:
         """Drop a prefill result that no engine will import."""
-        attempt = Attempt(req.key, req.attempt)
+        attempt = attempt_of(req)
         holding = self._context.capacity.ledger.find(attempt)
         if holding is not None and not holding.running:
             await self._context.engine.release(req.handle)
@@ -107,8 +110,8 @@
             owner=session.peer.incarnation,
             pieces=-(-tokens // context.cfg.backend.piece_tokens),
             ttl_ms=req.deadline_ms,
-            suspect=bool(req.suspect),
-            digest=req.digest or b"",
+            suspect=req.suspect,
+            digest=req.digest,
         )
         reserved = context.capacity_controller.reserve(ask, now_ms)
         if isinstance(reserved, Err):
@@ -141,6 +144,9 @@
         context.capacity_controller.measure_prefill(
             found.tokens - found.cached_tokens, (clock() - started_s) * 1_000
         )
+        context.cache_controller.correct(
+            prefix_hashes(prompt), found.cached_tokens
+        )
         life_ms = min(found.lives_ms, MAX_RESULT_LIFE_MS)
         context.capacity_controller.limit(attempt, context.now_ms() + life_ms)
         return outcome
--- a/src/gooseberrypost/agent/reports.py
+++ b/src/gooseberrypost/agent/reports.py
@@ -47,7 +47,9 @@
             role=ROLE_NUMBERS[self._role()],
             model=self._lifecycle.model,
             load=context.load(),
-            cached_tokens=0,
+            cached_tokens=context.cache_controller.cache.view.cached_tokens(
+                req.prefix_hashes or []
+            ),
             engine_address=context.cfg.backend.address,
         )
         await session.send(correlation, reply)
--- a/src/gooseberrypost/wire/listener.py
+++ b/src/gooseberrypost/wire/listener.py
@@ -58,6 +58,15 @@
             return False
         return True
 
+    async def finish(self) -> None:
+        """Send what is pending, end the write side, wait for the peer."""
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+        with suppress(OSError):
+            if not self.closed.is_set():
+                self._writer.write_eof()
+        await self.closed.wait()
+
     def abort(self) -> None:
         """Drop the connection without flushing what is buffered."""
         self._writer.transport.abort()
@@ -134,6 +143,22 @@
             session.abort()
         await self._server.wait_closed()
 
+    async def finish(self, timeout_ms: float) -> None:
+        """Let every reply reach its peer, then close the connections.
+
+        Stops accepting, waits for the messages being handled, and ends the
+        write side of each connection; the peer closes it when it has read
+        everything. Sessions that are left after ``timeout_ms`` stay open.
+        """
+        if self._server is not None:
+            self._server.close()
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                for session in self.sessions:
+                    await session.finish()
+        except TimeoutError:
+            logging.warning("event=finish_timeout open=%d", len(self.sessions))
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
