--- a/src/gooseberrypost/agent/crash.py
+++ b/src/gooseberrypost/agent/crash.py
@@ -86,7 +86,6 @@
         running = {job.attempt for job in self._attempts.running}
         report = await self._backend.load(LOAD_TIMEOUT_MS)
         if isinstance(report, Err):
-            self._lifecycle.note_crash()
             return running
         if not isinstance(self._backend, EngineClient):
             return set()
@@ -98,6 +97,7 @@
 
     async def _report(self, lost: set[Attempt]) -> None:
         self._crashes += 1
+        self._lifecycle.note_crash()
         jobs = [self._attempts.jobs.get(attempt) for attempt in lost]
         digests = sorted({job.digest for job in jobs if job and job.digest})
         crash_id = f"{self._me.name}-{self._me.incarnation}-{self._crashes}"
--- a/src/gooseberrypost/agent/ownership.py
+++ b/src/gooseberrypost/agent/ownership.py
@@ -47,7 +47,8 @@
         """Note a new connection."""
         self._sessions.add(session)
         self._lost.pop(session.peer.incarnation, None)
-        self._context.crashes.add_owner(session.peer.address)
+        if session.peer.process_kind == "entry":
+            self._context.crashes.add_owner(session.peer.address)
 
     def disconnected(self, session: Session) -> None:
         """Note the end of a connection; its jobs are orphans now."""
--- a/tests/test_agent_execution.py
+++ b/tests/test_agent_execution.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import json
+import random
+
+import pytest
 
 from gooseberrypost.wire.messages import idl
 from tests.agent_kit import (
@@ -12,9 +15,12 @@
     collect,
     decode,
     entry,
+    prefill,
+    reserve,
     rigged,
     running,
     settings,
+    until,
 )
 from tests.standins.generation import answer
 from tests.standins.plain import PlainService
@@ -41,6 +47,81 @@
     asyncio.run(run())
 
 
+def test_an_answer_goes_on_from_its_generated_part():
+    """Guards against tokens lost or repeated when a request is re-placed."""
+
+    async def run():
+        async with rigged() as rig:
+            whole = answer("tell me about k", 20)
+            sent = answer("tell me about k", 7)
+            reserved = await ask(rig.far, reserve(attempt=2))
+            req = prefill(attempt=2, generated=sent)
+            req = decode(
+                reserved,
+                await ask(rig.near, req),
+                attempt=2,
+                first_sequence=7,
+            )
+            async with rig.far.stream(req) as replies:
+                text, end = await collect(replies)
+            assert (end.code, end.tokens) == ("", 20)
+            assert sent + text == whole
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_many_requests_with_cancels_and_broken_connections(seed):
+    """Guards against leaks and wrong answers where events coincide."""
+
+    async def run():
+        rng = random.Random(seed)
+        sizes = {"slots": 8, "pieces": 24}
+        async with rigged(engine=sizes, source=sizes, **sizes) as rig:
+            faults = asyncio.create_task(break_connections(rig, rng))
+            plans = [(f"k{n}", rng.random() * 1.5) for n in range(60)]
+            outcomes = await asyncio.gather(
+                *(one_request(rig, key, delay) for key, delay in plans)
+            )
+            faults.cancel()
+            assert outcomes.count("complete") >= 5
+            assert not set(outcomes) - {"complete", "cancelled", "refused"}
+            await until(rig.is_free)
+            assert not rig.engine.oversold and not rig.source.oversold
+
+    asyncio.run(run())
+
+
+async def break_connections(rig, rng):
+    while True:
+        await asyncio.sleep(0.1 + 0.2 * rng.random())
+        rig.engine.cut()
+
+
+async def one_request(rig, key, delay):
+    """Run a request and cancel it at a time that depends on ``delay``."""
+    await asyncio.sleep(delay)
+    reserved = await ask(rig.far, reserve(key))
+    if isinstance(reserved, idl.Refused):
+        return "refused"
+    prefilled = await ask(rig.near, prefill(key))
+    cancel = idl.Cancel(key=key, attempt=1)
+    if isinstance(prefilled, idl.Refused):
+        await ask(rig.far, cancel)
+        return "refused"
+    req = decode(reserved, prefilled, key, max_tokens=60)
+    async with rig.far.stream(req) as replies:
+        if delay > 0.75:
+            await asyncio.sleep(delay - 0.75)
+            await ask(rig.far, cancel)
+            await ask(rig.near, cancel)
+        text, end = await collect(replies)
+    if end.code == "":
+        assert text == answer(f"tell me about {key}", 60)
+        return "complete"
+    return "cancelled" if delay > 0.75 else end.code
+
+
 def test_a_call_is_passed_on_once_with_its_key():
     """Guards against a call that loses its body, path or key."""
 
