--- a/src/gooseberrypost/bench/entry.py
+++ b/src/gooseberrypost/bench/entry.py
@@ -258,6 +258,9 @@
                     flow.refuse(failure)
                     continue
                 self._pump_later(service, desk, failure.retry_after_ms or 20)
+                if req.max_wait_ms > 0:
+                    # It may only have left headroom for the ones behind it.
+                    continue
                 return
             self._forget(desk, req.key)
             flow.place(
