Estimate when a slot frees from the mean output of the service

Cause: a full service was asked again after the time in which requests of the longest output would end, about three times too late, so slots stood free. Ruled out: stale views; the bound waits for the same timer. RequestView gets expected_output_tokens with a default, 0 for not known.

--- a/src/gooseberrypost/bench/entry.py
+++ b/src/gooseberrypost/bench/entry.py
@@ -10,6 +10,7 @@
 from gooseberrypost.errors import NoCapacity
 from gooseberrypost.policy.admission import DeadlineAdmission
 from gooseberrypost.policy.aging import WaitingList
+from gooseberrypost.policy.demand import OutputEstimate
 from gooseberrypost.policy.limits import Limiter, service_pressure
 from gooseberrypost.policy.retry import RetryBudget
 from gooseberrypost.policy.subset import (
@@ -39,13 +40,22 @@
 class ServiceDesk:
     """What an entry keeps for one service."""
 
-    __slots__ = ("budget", "flows", "limiter", "pump_at", "pumping", "waiting")
+    __slots__ = (
+        "budget",
+        "flows",
+        "limiter",
+        "output",
+        "pump_at",
+        "pumping",
+        "waiting",
+    )
 
     def __init__(self, service: str) -> None:
         record = ServiceRecord(service)
         self.limiter = Limiter.from_config(record)
         self.budget = RetryBudget.from_config(record)
         self.waiting = WaitingList()
+        self.output = OutputEstimate()
         self.flows: dict[str, Flow] = {}
         self.pump_at = float("inf")
         self.pumping = False
--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -77,6 +77,7 @@
             0 if resumed else kind.max_wait_ms,
             False,
             self.attempt,
+            self.entry.desk(kind.service).output.expected(kind.max_output),
         )
 
     # Placement ------------------------------------------------------------
@@ -204,6 +205,7 @@
 
     def _complete(self) -> None:
         self.completed = self.system.clock.now
+        self.entry.desk(self.req.service).output.note(self.offered.output)
         self._finish("completed")
 
     # Failures -------------------------------------------------------------
--- a/src/gooseberrypost/policy/admission.py
+++ b/src/gooseberrypost/policy/admission.py
@@ -155,11 +155,12 @@
 def next_slot_ms(req: RequestView, targets: Sequence[AgentView]) -> int:
     """Estimate the wait until one of the full engines ends a request.
 
-    Requests in progress are assumed to be as long as this one and evenly
-    spread over their lives.
+    Requests in progress are assumed to have the mean output of the service
+    and to be evenly spread over their lives.
     """
+    tokens = req.expected_output_tokens or req.max_output_tokens
     ends_per_ms = sum(
-        agent.slots_used / max(1.0, agent.token_gap_ms * req.max_output_tokens)
+        agent.slots_used / max(1.0, agent.token_gap_ms * tokens)
         for agent in targets
     )
     return _bounded(int(1 / ends_per_ms) if ends_per_ms else MAX_RETRY_MS)
--- a/src/gooseberrypost/policy/views.py
+++ b/src/gooseberrypost/policy/views.py
@@ -63,3 +63,5 @@
     max_wait_ms: int = 0
     suspect: bool = False
     attempt: int = 1
+    expected_output_tokens: int = 0
+    """Mean answer of the service lately; 0: not known."""
