Use slow decode engines for answers that still end in time

Cause: completion was predicted for the longest output, so a decode engine at 0.3 of its speed was left idle although most answers would have ended in time. Ruled out: held reservations, which the bound has as well. Conclusion: predict the mean output and prefer engines within the token gap.

--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -10,9 +10,8 @@
 from gooseberrypost.bench.engines import RESULT_LIFE_MS, FakeEngine
 from gooseberrypost.bench.parts import PrefillJob
 from gooseberrypost.errors import NoCapacity
-from gooseberrypost.policy.admission import first_token_due_ms
 from gooseberrypost.policy.aging import effective_priority
-from gooseberrypost.policy.forecast import pieces_needed
+from gooseberrypost.policy.forecast import first_token_due_ms, pieces_needed
 from gooseberrypost.policy.views import RequestView
 
 if TYPE_CHECKING:
--- a/src/gooseberrypost/policy/admission.py
+++ b/src/gooseberrypost/policy/admission.py
@@ -12,6 +12,7 @@
 from gooseberrypost.policy.forecast import (
     Forecast,
     can_ever_hold,
+    excess_ms,
     forecast,
     has_room,
     prefill_ms,
@@ -101,9 +102,7 @@
         now_ms: int,
     ) -> Result[Prediction, NotRun]:
         best = best_forecast(req, sources, targets, now_ms)
-        late = best.first_token_ms - first_token_due_ms(req)
-        overdue = best.complete_ms - req.answer_deadline_ms
-        excess = max(late, overdue)
+        excess = excess_ms(req, best)
         if excess > 0:
             return Err(
                 TargetUnreachable(
@@ -133,22 +132,17 @@
     ]
 
 
-def first_token_due_ms(req: RequestView) -> int:
-    """Clock time by which the first token is due, waiting included."""
-    return req.arrived_ms + max(req.first_token_ms, req.max_wait_ms)
-
-
 def best_forecast(
     req: RequestView,
     sources: Sequence[AgentView],
     targets: Sequence[AgentView],
     now_ms: int,
 ) -> Forecast:
-    """Earliest first token over the pairs of the fastest sources."""
+    """Best pair of the fastest sources: targets met, then first token."""
     fastest = sorted(sources, key=lambda a: prefill_ms(req, a))[:BEST_PREFILL]
     return min(
         (forecast(req, p, d, now_ms) for p in fastest for d in targets),
-        key=lambda f: f.first_token_ms,
+        key=lambda f: (excess_ms(req, f), f.first_token_ms),
     )
 
 
--- a/src/gooseberrypost/policy/forecast.py
+++ b/src/gooseberrypost/policy/forecast.py
@@ -72,6 +72,18 @@
     return agent.slots > 0 and pieces <= agent.pieces
 
 
+def first_token_due_ms(req: RequestView) -> int:
+    """Clock time by which the first token is due, waiting included."""
+    return req.arrived_ms + max(req.first_token_ms, req.max_wait_ms)
+
+
+def excess_ms(req: RequestView, predicted: Forecast) -> int:
+    """Time by which a forecast misses the targets; 0 when it meets them."""
+    late = predicted.first_token_ms - first_token_due_ms(req)
+    overdue = predicted.complete_ms - req.answer_deadline_ms
+    return max(0, late, overdue)
+
+
 def forecast(
     req: RequestView, prefill: AgentView, decode: AgentView, now_ms: int
 ) -> Forecast:
@@ -83,5 +95,6 @@
     )
     gap = max(decode.token_gap_ms, 1.0)
     first = int(moved + HOP_MS + gap)
-    last = int(first + gap * max(0, req.max_output_tokens - 1))
+    tokens = req.expected_output_tokens or req.max_output_tokens
+    last = int(first + gap * max(0, tokens - 1))
     return Forecast(prefill_end, start, first, last)
--- a/src/gooseberrypost/policy/placement.py
+++ b/src/gooseberrypost/policy/placement.py
@@ -23,6 +23,9 @@
 """Age of a load report beyond which it spreads choices no further."""
 SPREAD_PER_STALE_MS: Final = 0.1
 """Random spread of the predicted times for each ms of a report's age."""
+SLOW_COST_MS: Final = 20
+"""Cost of each ms by which an engine's token gap exceeds the target, so that
+a slow engine is used only when the others are full."""
 OCCUPANCY_COST_MS: Final = 60
 """Cost of a full decode engine against an empty one."""
 
@@ -98,6 +101,7 @@
     ) -> tuple[float, Pair]:
         own = _spread_ms(target, now_ms, rng)
         own += OCCUPANCY_COST_MS * target.slots_used / max(1, target.slots)
+        own += SLOW_COST_MS * max(0.0, target.token_gap_ms - req.token_gap_ms)
         costs = []
         for spread_prefill_ms, source in sources:
             pair = _pair(req, source, target, now_ms)
