Avoid links on which a result would expire; results get slots first

The link counted as usable ten seconds after each stall, a planned transfer was allowed to outlive its result, and a result whose transfer stalled competed with new requests for the few free slots elsewhere. Ruled out: engines lost and reservations refused; every discarded prefill had expired waiting for the lossy engine (counted by reason and engine).

--- a/src/gooseberrypost/bench/delivery.py
+++ b/src/gooseberrypost/bench/delivery.py
@@ -20,7 +20,15 @@
 class Delivery:
     """Moves one prefill result to a decode engine while it lives."""
 
-    __slots__ = ("_expires", "_flow", "_job", "_prefill", "_system")
+    __slots__ = (
+        "_decode",
+        "_expires",
+        "_flow",
+        "_job",
+        "_prefill",
+        "_system",
+        "_waiting",
+    )
 
     def __init__(
         self,
@@ -34,6 +42,13 @@
         self._prefill = prefill
         self._job = job
         self._expires = expires
+        self._decode: FakeEngine | None = None
+        self._waiting = flow.entry.desk(flow.req.service).results
+
+    @property
+    def ended(self) -> bool:
+        """Whether the result is of no use any more."""
+        return self._flow.ended or not self._flow.has_job(self._job)
 
     def start(self, decode: FakeEngine, tried: list[str]) -> None:
         """Send ``Decode`` to an agent, which reserves if nothing is held."""
@@ -52,15 +67,24 @@
     def _full(self, decode: FakeEngine, tried: list[str]) -> None:
         """Look for another decode engine while the result lives."""
         flow = self._flow
+        self._decode = decode
         tried = [*tried, decode.spec.name]
         if self._system.clock.now >= self._expires:
+            self._waiting.discard(self)
             flow.retry(NoCapacity("result expired"))
             return
         other = self._other(tried)
         if other is not None:
+            self._waiting.discard(self)
             self.start(other, tried)
         else:
-            flow.later(FULL_RETRY_MS, lambda: self._full(decode, []))
+            self._waiting.add(self)
+            flow.later(FULL_RETRY_MS, self.look_again)
+
+    def look_again(self) -> None:
+        """Look for a decode engine again if the result still waits."""
+        if self in self._waiting and self._decode is not None:
+            self._full(self._decode, [])
 
     def _other(self, tried: list[str]) -> FakeEngine | None:
         flow = self._flow
@@ -106,11 +130,12 @@
         zone, prompt = self._prefill.spec.zone, flow.req.prompt_tokens
         booking = decode.book_transfer(prompt, clock.now, zone)
         booked_ms = booking.end_ms - booking.start_ms
+        nominal_ms = booked_ms * decode.link_rate.share(clock.now_ms)
 
         def moved() -> None:
             decode.book.cancel(booking.number)
             took = clock.now - max(booking.start_ms, booked_at)
-            decode.link_rate.note(booked_ms, took, clock.now_ms)
+            decode.link_rate.note(nominal_ms, took, clock.now_ms)
             self._imported(decode)
 
         def begin() -> None:
--- a/src/gooseberrypost/bench/engines.py
+++ b/src/gooseberrypost/bench/engines.py
@@ -241,6 +241,7 @@
         """Book the import link for the KV cache of a prompt."""
         self.book.expire(self.clock.now_ms)
         share = 1.0 if zone == self.spec.zone else CROSS_ZONE_RATE_SHARE
+        share *= self.link_rate.share(self.clock.now_ms)
         kb = int(transfer_kb(prompt) / share)
         return self.book.book(kb, int(earliest_ms))
 
--- a/src/gooseberrypost/bench/entry.py
+++ b/src/gooseberrypost/bench/entry.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from gooseberrypost.bench.delivery import FULL_RETRY_MS
 from gooseberrypost.errors import NoCapacity
 from gooseberrypost.policy.admission import DeadlineAdmission
 from gooseberrypost.policy.aging import WaitingList
@@ -27,6 +28,7 @@
 if TYPE_CHECKING:
     import random
 
+    from gooseberrypost.bench.delivery import Delivery
     from gooseberrypost.bench.engines import FakeEngine
     from gooseberrypost.bench.flow import Flow
     from gooseberrypost.bench.system import System
@@ -37,6 +39,35 @@
 PROBES: Final = 2
 
 
+class ResultsWaiting:
+    """Prefill results that wait for a decode engine, the oldest first."""
+
+    __slots__ = ("_deliveries",)
+
+    def __init__(self) -> None:
+        self._deliveries: dict[Delivery, None] = {}
+
+    def __contains__(self, delivery: Delivery) -> bool:
+        return delivery in self._deliveries
+
+    def add(self, delivery: Delivery) -> None:
+        """Note a result that found no decode engine."""
+        self._deliveries[delivery] = None
+
+    def discard(self, delivery: Delivery) -> None:
+        """Forget a result that was placed or has expired."""
+        self._deliveries.pop(delivery, None)
+
+    def offer(self) -> bool:
+        """Let the results look again; returns whether any still waits."""
+        for delivery in list(self._deliveries):
+            if delivery.ended:
+                self.discard(delivery)
+            else:
+                delivery.look_again()
+        return bool(self._deliveries)
+
+
 class ServiceDesk:
     """What an entry keeps for one service."""
 
@@ -47,6 +78,7 @@
         "output",
         "pump_at",
         "pumping",
+        "results",
         "waiting",
     )
 
@@ -59,6 +91,7 @@
         self.flows: dict[str, Flow] = {}
         self.pump_at = float("inf")
         self.pumping = False
+        self.results = ResultsWaiting()
 
 
 class Entry:
@@ -251,6 +284,10 @@
         desk.pumping = False
 
     def _pump_all(self, service: str, desk: ServiceDesk) -> None:
+        if desk.results.offer():
+            # New requests would take the slots that results are waiting for.
+            self._pump_later(service, desk, FULL_RETRY_MS)
+            return
         now = self.system.clock.now_ms
         for req in desk.waiting.ordered(now):
             flow = desk.flows[req.key]
--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -170,6 +170,10 @@
 
     # Decode ---------------------------------------------------------------
 
+    def has_job(self, job: PrefillJob) -> bool:
+        """Whether a prefill belongs to the present attempt."""
+        return self._job is job
+
     def holds(self, decode: FakeEngine) -> bool:
         """Whether this attempt holds a slot at the engine."""
         return self.hold in decode.held
--- a/src/gooseberrypost/policy/forecast.py
+++ b/src/gooseberrypost/policy/forecast.py
@@ -11,6 +11,8 @@
 """Tokens whose KV cache fills one memory piece."""
 KV_KB_PER_TOKEN: Final = 128
 """KV cache of one prompt token: 610 GB/s at 930 requests/s of 5,000 tokens."""
+MAX_TRANSFER_MS: Final = 600
+"""Longest transfer that a placement may plan: the result lives under 1 s."""
 HOP_MS: Final = 2
 """Messages between entry and agents before a stage starts."""
 CROSS_ZONE_RATE_SHARE: Final = 0.6
@@ -18,10 +20,14 @@
 
 
 class Forecast(NamedTuple):
-    """Predicted clock times of one request on one pair, in milliseconds."""
+    """Predicted times of one request on one pair, in milliseconds.
+
+    All are clock times but ``transfer_ms``, a duration.
+    """
 
     prefill_end_ms: int
     transfer_start_ms: int
+    transfer_ms: int
     first_token_ms: int
     complete_ms: int
 
@@ -81,7 +87,8 @@
     """Time by which a forecast misses the targets; 0 when it meets them."""
     late = predicted.first_token_ms - first_token_due_ms(req)
     overdue = predicted.complete_ms - req.answer_deadline_ms
-    return max(0, late, overdue)
+    moving = predicted.transfer_ms - MAX_TRANSFER_MS
+    return max(0, late, overdue, moving)
 
 
 def forecast(
@@ -90,11 +97,11 @@
     """Predict the request on a pair whose decode engine has room."""
     prefill_end = now_ms + HOP_MS + prefill_ms(req, prefill)
     start = max(prefill_end, decode.link_free_ms)
-    moved = start + transfer_ms(
+    moving = transfer_ms(
         req.prompt_tokens, decode.link_kb_per_s, prefill.zone == decode.zone
     )
     gap = max(decode.token_gap_ms, 1.0)
-    first = int(moved + HOP_MS + gap)
+    first = int(start + moving + HOP_MS + gap)
     tokens = req.expected_output_tokens or req.max_output_tokens
     last = int(first + gap * max(0, tokens - 1))
-    return Forecast(prefill_end, start, first, last)
+    return Forecast(prefill_end, start, moving, first, last)
--- a/src/gooseberrypost/policy/placement.py
+++ b/src/gooseberrypost/policy/placement.py
@@ -7,6 +7,8 @@
 
 from gooseberrypost.policy.admission import usable
 from gooseberrypost.policy.forecast import (
+    Forecast,
+    excess_ms,
     forecast,
     has_room,
     prefill_ms,
@@ -74,46 +76,53 @@
         now_ms: int,
         rng: random.Random,
     ) -> list[Pair]:
-        """Return at most ``MAX_PAIRS`` pairs with distinct decode engines."""
+        """Return at most ``MAX_PAIRS`` pairs with distinct decode engines.
+
+        Pairs that are predicted to miss a target are left out.
+        """
         targets = [a for a in usable(req, decode) if has_room(req, a)]
         sources = [
-            (prefill_ms(req, a) + _spread_ms(a, now_ms, rng), a)
-            for a in usable(req, prefill)
+            (_spread_ms(a, now_ms, rng), a) for a in usable(req, prefill)
         ]
-        sources.sort(key=lambda item: item[0])
-        ranked = sorted(
-            (
-                self._best_source(req, sources[:BEST_PREFILL], d, now_ms, rng)
-                for d in targets
-                if sources
-            ),
-            key=lambda item: item[0],
-        )
+        sources.sort(key=lambda item: item[0] + prefill_ms(req, item[1]))
+        ranked = []
+        for target in targets:
+            extra = _spread_ms(target, now_ms, rng) + _decode_cost_ms(
+                req, target
+            )
+            best = _best_source(req, sources[:BEST_PREFILL], target, now_ms)
+            if best is not None:
+                ranked.append((best[0] + extra, best[1]))
+        ranked.sort(key=lambda item: item[0])
         return [pair for _, pair in ranked[:MAX_PAIRS]]
 
-    def _best_source(
-        self,
-        req: RequestView,
-        sources: Sequence[tuple[float, AgentView]],
-        target: AgentView,
-        now_ms: int,
-        rng: random.Random,
-    ) -> tuple[float, Pair]:
-        own = _spread_ms(target, now_ms, rng)
-        own += OCCUPANCY_COST_MS * target.slots_used / max(1, target.slots)
-        own += SLOW_COST_MS * max(0.0, target.token_gap_ms - req.token_gap_ms)
-        costs = []
-        for spread_prefill_ms, source in sources:
-            pair = _pair(req, source, target, now_ms)
-            spread = spread_prefill_ms - prefill_ms(req, source)
-            costs.append((pair.first_token_at_ms + spread + own, pair))
-        return min(costs, key=lambda item: item[0])
-
-
-def _pair(
-    req: RequestView, source: AgentView, target: AgentView, now_ms: int
-) -> Pair:
-    predicted = forecast(req, source, target, now_ms)
+
+def _decode_cost_ms(req: RequestView, target: AgentView) -> float:
+    occupancy = target.slots_used / max(1, target.slots)
+    slow = max(0.0, target.token_gap_ms - req.token_gap_ms)
+    return OCCUPANCY_COST_MS * occupancy + SLOW_COST_MS * slow
+
+
+def _best_source(
+    req: RequestView,
+    sources: Sequence[tuple[float, AgentView]],
+    target: AgentView,
+    now_ms: int,
+) -> tuple[float, Pair] | None:
+    """Cheapest pair with a target that meets the request's targets."""
+    best: tuple[float, AgentView, Forecast] | None = None
+    for spread, source in sources:
+        predicted = forecast(req, source, target, now_ms)
+        cost = predicted.first_token_ms + spread
+        if excess_ms(req, predicted) == 0 and (best is None or cost < best[0]):
+            best = (cost, source, predicted)
+    if best is None:
+        return None
+    cost, source, predicted = best
+    return cost, _pair(source, target, predicted)
+
+
+def _pair(source: AgentView, target: AgentView, predicted: Forecast) -> Pair:
     where = "same_zone" if source.zone == target.zone else "cross_zone"
     cached = "cached" if source.cached_tokens else "uncached"
     return Pair(
--- a/src/gooseberrypost/policy/transfer.py
+++ b/src/gooseberrypost/policy/transfer.py
@@ -19,10 +19,10 @@
 """A transfer is late when it takes this multiple of its booked time."""
 STALL_GRACE_MS: Final = 30
 """Allowance for messages and timers on top of the booked time."""
-RATE_WEIGHT: Final = 0.3
-"""Weight of the newest transfer in the measured rate of a link."""
-RECOVERY_HALF_LIFE_MS: Final = 10_000
-"""Half of a measured shortfall is forgotten after this, to try again."""
+STALLED_SHARE: Final = 0.05
+"""Share of its rate that a link is assumed to have after a stall."""
+MIN_SHARE: Final = 0.001
+RECOVERY_MS: Final = 5_000
 
 
 class Booking(NamedTuple):
@@ -118,37 +118,40 @@
 
 
 class MeasuredRate:
-    """Rate of a link or engine as a share of nominal, from what it did.
+    """Rate of a link as a share of nominal, from its transfers.
 
-    A shortfall is forgotten with time, so that a link which recovered while
-    it was avoided is tried again.
+    A low share doubles every ``RECOVERY_MS``, so that a link which recovered
+    while it was avoided is tried again, with small transfers first.
+
+    >>> rate = MeasuredRate()
+    >>> rate.note(expected_ms=50, took_ms=100, now_ms=0)
+    >>> rate.share(0), rate.share(RECOVERY_MS)
+    (0.5, 1.0)
     """
 
-    __slots__ = ("_shortfall", "_updated_ms")
+    __slots__ = ("_share", "_updated_ms")
 
     def __init__(self) -> None:
-        self._shortfall = 0.0
+        self._share = 1.0
         self._updated_ms = 0
 
     def note(self, expected_ms: float, took_ms: float, now_ms: int) -> None:
-        """Count one piece of work that took ``took_ms``."""
-        share = min(1.0, max(expected_ms, 1.0) / max(took_ms, 1.0))
-        before = self._remaining(now_ms)
-        self._shortfall = before + RATE_WEIGHT * ((1 - share) - before)
-        self._updated_ms = now_ms
+        """Count a transfer that took ``took_ms``."""
+        share = max(expected_ms, 1.0) / max(took_ms, expected_ms, 1.0)
+        self._set(share, now_ms)
 
     def note_stall(self, now_ms: int) -> None:
         """Count a transfer that was abandoned."""
-        self._shortfall = max(self._remaining(now_ms), 0.9)
-        self._updated_ms = now_ms
+        self._set(min(STALLED_SHARE, self.share(now_ms) / 2), now_ms)
 
     def share(self, now_ms: int) -> float:
         """Share of the nominal rate, above 0 and at most 1."""
-        return 1 - self._remaining(now_ms)
-
-    def _remaining(self, now_ms: int) -> float:
         elapsed = max(0, now_ms - self._updated_ms)
-        return self._shortfall * 0.5 ** (elapsed / RECOVERY_HALF_LIFE_MS)
+        return min(1.0, self._share * 2 ** min(32, elapsed / RECOVERY_MS))
+
+    def _set(self, share: float, now_ms: int) -> None:
+        self._share = max(MIN_SHARE, share)
+        self._updated_ms = now_ms
 
 
 def stall_timeout_ms(booked_ms: int) -> int:
