--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,297 @@
+"""Decisions: admission, placement, limits, retries, transfers and aging."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from gooseberrypost.errors import (
+    AccountLimited,
+    NoCapacity,
+    ServiceLimited,
+    TargetUnreachable,
+)
+from gooseberrypost.policy.admission import DeadlineAdmission
+from gooseberrypost.policy.aging import WaitingList, effective_priority
+from gooseberrypost.policy.limits import Limiter
+from gooseberrypost.policy.placement import ReservingPlacement
+from gooseberrypost.policy.retry import (
+    MIN_RETRIES,
+    WINDOW_MS,
+    RetryBudget,
+    backoff_bound_ms,
+)
+from gooseberrypost.policy.subset import choose_subset
+from gooseberrypost.policy.transfer import (
+    LinkBook,
+    MeasuredRate,
+    choose_fallback,
+    stall_timeout_ms,
+)
+from gooseberrypost.policy.views import AgentView, RequestView
+from gooseberrypost.state.records import AccountRecord, ServiceRecord
+
+
+def agent(name="d0", **changes):
+    view = AgentView(
+        name, "", "z1", "decode", "m", 20, 0, 200, 0, 0, 20_000.0, 24.0,
+        False, 0, link_kb_per_s=12_500_000,
+    )  # fmt: skip
+    return dataclasses.replace(view, **changes)
+
+
+def request(key="k", **changes):
+    view = RequestView(
+        key, "s", "a", "m", "z1", 4_000, 512, 5, 0.5, 0, 480, 26, 30_000
+    )
+    return dataclasses.replace(view, **changes)
+
+
+def test_admission_refuses_before_prefill_what_comes_too_late():
+    """Guards against prefill spent on a request that misses its target."""
+    busy = agent("p", queue_tokens=20_000)
+    decided = DeadlineAdmission().decide(request(), [busy], [agent()], 0)
+    failure = decided.unwrap_err()
+    assert isinstance(failure, TargetUnreachable)
+    assert failure.retry_after_ms >= 500
+
+
+def test_admission_counts_the_cached_prefix_and_the_transfer():
+    """Guards against a forecast that ignores the cache or the link."""
+    prompt = request(prompt_tokens=9_000)
+    cold, warm = agent("p"), agent("p", cached_tokens=8_000)
+    policy = DeadlineAdmission()
+    assert policy.decide(prompt, [cold], [agent()], 0).is_err()
+    assert policy.decide(prompt, [warm], [agent()], 0).is_ok()
+    slow_link = agent(link_kb_per_s=2_000_000)
+    assert policy.decide(prompt, [warm], [slow_link], 0).is_err()
+
+
+def test_a_full_pool_is_a_wait_only_while_the_target_is_reachable():
+    """Guards against refusing what a freed slot would serve in time."""
+    full = [agent(f"d{n}", slots_used=20) for n in range(20)]
+    policy = DeadlineAdmission()
+    early = policy.decide(request(), [agent("p")], full, 0).unwrap_err()
+    assert isinstance(early, NoCapacity)
+    late = policy.decide(request(), [agent("p")], full, 450).unwrap_err()
+    assert isinstance(late, TargetUnreachable)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 20), st.integers(0, 200), st.booleans(),
+            st.sampled_from(["m", "other"]), st.integers(0, 5_000),
+        ),
+        max_size=12,
+    ),
+    st.integers(10, 30_000),
+    st.integers(0, 2**32),
+)  # fmt: skip
+def test_placement_offers_only_engines_that_can_serve(loads, prompt, seed):
+    """Guards against a reservation that is certain to be refused."""
+    decode = [
+        agent(f"d{n}", slots_used=s, pieces_used=p, draining=d, model=m,
+              observed_ms=-age)
+        for n, (s, p, d, m, age) in enumerate(loads)
+    ]  # fmt: skip
+    req = request(prompt_tokens=prompt, first_token_ms=5_000)
+    pairs = ReservingPlacement().rank(
+        req, [agent("p")], decode, 0, random.Random(seed)
+    )
+    assert len({p.decode.name for p in pairs}) == len(pairs)
+    for pair in pairs:
+        view = pair.decode
+        assert not view.draining and view.model == "m"
+        assert view.slots_used < view.slots
+        assert view.pieces_used + (prompt + 512) / 2_000 <= view.pieces
+        assert pair.first_token_at_ms <= 5_000
+
+
+def test_stale_views_do_not_send_all_entries_to_one_engine():
+    """Guards against a herd onto the engine that looked best."""
+    decode = [agent(f"d{n}", slots_used=n, observed_ms=-1_000)
+              for n in range(8)]  # fmt: skip
+    prefill = [agent(f"p{n}", queue_tokens=100 * n, observed_ms=-1_000)
+               for n in range(8)]  # fmt: skip
+    first = [
+        ReservingPlacement().rank(
+            request(), prefill, decode, 0, random.Random(seed)
+        )[0]
+        for seed in range(200)
+    ]
+    for names in ([p.decode.name for p in first],
+                  [p.prefill.name for p in first]):  # fmt: skip
+        assert max(names.count(n) for n in set(names)) < 100
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 50), st.booleans()), max_size=200),
+    st.floats(0, 0.5),
+    st.integers(0, 2**32),
+)
+def test_retry_budget_is_never_exceeded(steps, share, seed):
+    """Guards against retries that multiply the load on a failing service."""
+    budget, rng = RetryBudget(share), random.Random(seed)
+    requests, retries, now = [], [], 0
+    for gap, is_retry in steps:
+        now += gap
+        if is_retry:
+            if budget.retry(1, now, now + 10_000, rng).is_ok():
+                retries.append(now)
+        else:
+            budget.note_request(now)
+            requests.append(now)
+        recent = [t for t in requests if t > now - WINDOW_MS]
+        spent = [t for t in retries if t > now - WINDOW_MS]
+        assert len(spent) <= max(MIN_RETRIES, share * len(recent))
+
+
+@given(st.integers(1, 50), st.integers(-100, 2_000), st.integers(0, 2**32))
+def test_no_retry_starts_past_its_deadline(attempt, left, seed):
+    """Guards against work for a caller who has given up."""
+    match RetryBudget().retry(attempt, 0, left, random.Random(seed)):
+        case Ok(delay):
+            assert 0 <= delay < left
+            assert delay <= backoff_bound_ms(attempt)
+        case Err(failure):
+            assert failure.code == "retry_refused"
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 5_000), st.integers(0, 2_000)), max_size=25
+    ),
+    st.integers(1, 4_000),
+    st.sampled_from([1.0, 0.5, 0.34, 0.25]),
+)
+def test_bookings_never_exceed_the_link(transfers, rate, share):
+    """Guards against transfers that slow each other down on one link."""
+    book = LinkBook(rate, share)
+    made = [book.book(kb, earliest) for kb, earliest in transfers]
+    for booking, (kb, earliest) in zip(made, transfers, strict=True):
+        assert booking.start_ms >= earliest
+        length = booking.end_ms - booking.start_ms
+        assert length * booking.kb_per_s >= kb * 1_000
+        assert book.booked_kb_per_s(booking.start_ms) <= rate
+
+
+def test_a_stalled_link_is_avoided_and_tried_again_later():
+    """Guards against a second stall, and against avoiding it for good."""
+    rate = MeasuredRate()
+    rate.note_stall(0)
+    assert rate.share(100) < 0.1
+    assert rate.share(60_000) == 1.0
+    assert 50 < stall_timeout_ms(50) < 200
+
+
+def test_fallback_finishes_while_the_result_lives():
+    """Guards against a second transfer that the result does not outlive."""
+    req = request()
+    slow = agent("slow", link_kb_per_s=500_000)
+    decode = [agent("tried"), slow, agent("full", slots_used=20), agent("ok")]
+    found = choose_fallback(req, "z1", decode, ["tried"], 0, 300)
+    assert found is not None and found.name == "ok"
+    assert choose_fallback(req, "z1", decode, ["tried"], 0, 20) is None
+
+
+@given(
+    st.sets(st.integers(0, 200), min_size=1, max_size=60),
+    st.integers(0, 59),
+    st.sampled_from([1, 3, 12, 16]),
+)
+def test_subset_is_stable_under_churn(numbers, which, size):
+    """Guards against a fleet-wide reshuffle when one agent leaves."""
+    members = [agent(f"d{n}", zone=f"z{n % 3}") for n in sorted(numbers)]
+    gone = members[which % len(members)]
+    before = {m.name for m in choose_subset("e1", "z1", members, size)}
+    rest = [m for m in members if m is not gone]
+    after = {m.name for m in choose_subset("e1", "z1", rest, size)}
+    assert len(before) == min(size, len(members))
+    assert before - after <= {gone.name}
+    assert len(after - before) <= 1
+
+
+def test_subset_spreads_over_zones_and_entries():
+    """Guards against losing every agent of a subset with one zone."""
+    members = [agent(f"d{n}", zone=f"z{n % 3}") for n in range(48)]
+    chosen = [choose_subset(f"e{n}", "z1", members, 16) for n in range(30)]
+    assert all(len({m.zone for m in subset}) == 3 for subset in chosen)
+    assert len({m.name for subset in chosen for m in subset}) == 48
+
+
+@given(
+    st.integers(100, 20_000), st.integers(0, 9), st.integers(0, 9),
+    st.integers(0, 40_000),
+)  # fmt: skip
+def test_aged_requests_come_before_urgent_ones(wait, low, urgent, later):
+    """Guards against a summary that is overtaken for ever."""
+    summary = request("summary", priority=low, max_wait_ms=wait)
+    fresh = request("urgent", priority=urgent, arrived_ms=wait + later)
+    waiting = WaitingList()
+    waiting.add(fresh)
+    waiting.add(summary)
+    assert effective_priority(summary, wait) == 0
+    assert waiting.ordered(wait + later)[0].key == "summary"
+
+
+def test_headroom_is_left_for_urgent_requests_until_aged():
+    """Guards against summaries that fill the last slots."""
+    decode = [agent(slots_used=19)]
+    summary = request(priority=9, max_wait_ms=8_000)
+    policy = DeadlineAdmission()
+    assert policy.decide(summary, [agent("p")], decode, 0).is_err()
+    assert policy.decide(summary, [agent("p")], decode, 4_000).is_ok()
+    assert policy.decide(request(), [agent("p")], decode, 0).is_ok()
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 300), st.integers(0, 3), st.booleans()),
+        max_size=200,
+    )
+)
+def test_limits_are_never_exceeded(steps):
+    """Guards against more requests than the account or service allows."""
+    limiter = Limiter(ServiceRecord("s", max_in_flight=5))
+    held, taken, now = [], {n: [] for n in "0123"}, 0
+    for gap, number, release in steps:
+        now += gap
+        account = AccountRecord(
+            str(number), requests_per_s=10.0, burst=3, max_in_flight=2
+        )
+        if release and held:
+            limiter.release(held.pop(), now)
+        elif limiter.acquire(account, now).is_ok():
+            held.append(account.name)
+            taken[account.name].append(now)
+        assert limiter.in_flight == len(held) <= 5
+        assert held.count(account.name) <= 2
+        recent = [t for t in taken[account.name] if t > now - 1_000]
+        assert len(recent) <= 13
+
+
+def test_an_account_over_its_share_is_held_back_only_when_busy():
+    """Guards against one account that crowds out the others."""
+    limiter = Limiter(ServiceRecord("s"))
+    for step in range(200):
+        name = "hot" if step % 2 else f"quiet-{step % 20}"
+        assert limiter.acquire(AccountRecord(name), step * 50, 0.5).is_ok()
+    hot = limiter.acquire(AccountRecord("hot"), 10_000, 1.0)
+    assert isinstance(hot.unwrap_err(), AccountLimited)
+    assert limiter.acquire(AccountRecord("quiet-0"), 10_000, 1.0).is_ok()
+
+
+def test_a_refusal_by_the_service_gives_the_account_its_token_back():
+    """Guards against an account charged for requests that were refused."""
+    limiter = Limiter(ServiceRecord("s", requests_per_s=1.0))
+    account = AccountRecord("a", requests_per_s=1.0, burst=2)
+    assert limiter.acquire(account, 0).is_ok()
+    refused = limiter.acquire(account, 0).unwrap_err()
+    assert isinstance(refused, ServiceLimited)
+    limiter.reconfigure(ServiceRecord("s"))
+    assert limiter.acquire(account, 0).is_ok()
