--- a/src/gooseberrypost/bench/entry.py
+++ b/src/gooseberrypost/bench/entry.py
@@ -7,9 +7,11 @@
 
 from result import Err
 
+from gooseberrypost.bench.delivery import FULL_RETRY_MS
 from gooseberrypost.errors import NoCapacity
 from gooseberrypost.policy.admission import DeadlineAdmission
 from gooseberrypost.policy.aging import WaitingList
+from gooseberrypost.policy.demand import OutputEstimate
 from gooseberrypost.policy.limits import Limiter, service_pressure
 from gooseberrypost.policy.retry import RetryBudget
 from gooseberrypost.policy.subset import (
@@ -26,6 +28,7 @@
 if TYPE_CHECKING:
     import random
 
+    from gooseberrypost.bench.delivery import Delivery
     from gooseberrypost.bench.engines import FakeEngine
     from gooseberrypost.bench.flow import Flow
     from gooseberrypost.bench.system import System
@@ -36,19 +39,59 @@
 PROBES: Final = 2
 
 
+class ResultsWaiting:
+    """Prefill results that wait for a decode engine, the oldest first."""
+
+    __slots__ = ("_deliveries",)
+
+    def __init__(self) -> None:
+        self._deliveries: dict[Delivery, None] = {}
+
+    def __contains__(self, delivery: Delivery) -> bool:
+        return delivery in self._deliveries
+
+    def add(self, delivery: Delivery) -> None:
+        """Note a result that found no decode engine."""
+        self._deliveries[delivery] = None
+
+    def discard(self, delivery: Delivery) -> None:
+        """Forget a result that was placed or has expired."""
+        self._deliveries.pop(delivery, None)
+
+    def offer(self) -> bool:
+        """Let the results look again; returns whether any still waits."""
+        for delivery in list(self._deliveries):
+            if delivery.ended:
+                self.discard(delivery)
+            else:
+                delivery.look_again()
+        return bool(self._deliveries)
+
+
 class ServiceDesk:
     """What an entry keeps for one service."""
 
-    __slots__ = ("budget", "flows", "limiter", "pump_at", "pumping", "waiting")
+    __slots__ = (
+        "budget",
+        "flows",
+        "limiter",
+        "output",
+        "pump_at",
+        "pumping",
+        "results",
+        "waiting",
+    )
 
     def __init__(self, service: str) -> None:
         record = ServiceRecord(service)
         self.limiter = Limiter.from_config(record)
         self.budget = RetryBudget.from_config(record)
         self.waiting = WaitingList()
+        self.output = OutputEstimate()
         self.flows: dict[str, Flow] = {}
         self.pump_at = float("inf")
         self.pumping = False
+        self.results = ResultsWaiting()
 
 
 class Entry:
@@ -241,6 +284,10 @@
         desk.pumping = False
 
     def _pump_all(self, service: str, desk: ServiceDesk) -> None:
+        if desk.results.offer():
+            # New requests would take the slots that results are waiting for.
+            self._pump_later(service, desk, FULL_RETRY_MS)
+            return
         now = self.system.clock.now_ms
         for req in desk.waiting.ordered(now):
             flow = desk.flows[req.key]
@@ -258,6 +305,9 @@
                     flow.refuse(failure)
                     continue
                 self._pump_later(service, desk, failure.retry_after_ms or 20)
+                if req.max_wait_ms > 0:
+                    # It may only have left headroom for the ones behind it.
+                    continue
                 return
             self._forget(desk, req.key)
             flow.place(
--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -10,9 +10,8 @@
 from gooseberrypost.bench.engines import RESULT_LIFE_MS, FakeEngine
 from gooseberrypost.bench.parts import PrefillJob
 from gooseberrypost.errors import NoCapacity
-from gooseberrypost.policy.admission import first_token_due_ms
 from gooseberrypost.policy.aging import effective_priority
-from gooseberrypost.policy.forecast import pieces_needed
+from gooseberrypost.policy.forecast import first_token_due_ms, pieces_needed
 from gooseberrypost.policy.views import RequestView
 
 if TYPE_CHECKING:
@@ -77,6 +76,7 @@
             0 if resumed else kind.max_wait_ms,
             False,
             self.attempt,
+            self.entry.desk(kind.service).output.expected(kind.max_output),
         )
 
     # Placement ------------------------------------------------------------
@@ -170,6 +170,10 @@
 
     # Decode ---------------------------------------------------------------
 
+    def has_job(self, job: PrefillJob) -> bool:
+        """Whether a prefill belongs to the present attempt."""
+        return self._job is job
+
     def holds(self, decode: FakeEngine) -> bool:
         """Whether this attempt holds a slot at the engine."""
         return self.hold in decode.held
@@ -204,6 +208,7 @@
 
     def _complete(self) -> None:
         self.completed = self.system.clock.now
+        self.entry.desk(self.req.service).output.note(self.offered.output)
         self._finish("completed")
 
     # Failures -------------------------------------------------------------
