--- /dev/null
+++ b/src/gooseberrypost/configsync/controller.py
@@ -0,0 +1,224 @@
+"""Keeps the configuration of a process at the newest version it can learn."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from absl import logging
+from mode import Service
+from result import Err, Ok
+
+from gooseberrypost.configsync.members import (
+    PEER_SUBSET,
+    Members,
+    rendezvous_lowest,
+)
+from gooseberrypost.configsync.messages import (
+    delta_message,
+    parse_delta,
+    pull,
+)
+from gooseberrypost.errors import NotRun
+from gooseberrypost.state.configuration import HEAD_KEY, Configuration
+from gooseberrypost.state.document import parse_head
+from gooseberrypost.wire.listener import refused
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from gooseberrypost.blackboard import Blackboard
+    from gooseberrypost.platform.keyvalue import KeyValueStore, Versioned
+    from gooseberrypost.wire.channel import ChannelPool
+    from gooseberrypost.wire.dispatch import Dispatcher
+    from gooseberrypost.wire.listener import Session
+
+OWNER: Final = "ConfigurationController"
+PULL_INTERVAL_MS: Final = 2_000
+PEERS_PER_PULL: Final = 2
+PULL_TIMEOUT_MS: Final = 1_000
+START_TIMEOUT_MS: Final = 1_500
+WATCH_WAIT_MS: Final = 30_000
+RETRY_MS: Final = 1_000
+MEMBER_WINDOW_PULLS: Final = 15
+
+
+class DeltaRefused(NotRun):
+    """The delta starts after the version of this process."""
+
+    code = "delta_refused"
+    http_status = 409
+
+
+class ConfigurationController(Service):
+    """Pulls from peers, and watches the key-value service if chosen.
+
+    The controller owns the section ``Configuration``, which it adds to the
+    blackboard. ``store`` is ``None`` in processes that never ask the
+    key-value service.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        pool: ChannelPool,
+        peers: Sequence[str],
+        store: KeyValueStore | None,
+        *,
+        rng: random.Random | None = None,
+        clock: Callable[[], int] = lambda: time.monotonic_ns() // 1_000_000,
+        sleep: Callable[[float], Awaitable[None]] | None = None,
+        pull_interval_ms: int = PULL_INTERVAL_MS,
+        **options: Any,
+    ) -> None:
+        super().__init__(**options)
+        board.add(Configuration(), owner=OWNER)
+        self._section = board.write(Configuration, OWNER)
+        self._pool = pool
+        self._peers = list(dict.fromkeys(peers))
+        self._store = store
+        self._rng = rng or random.Random()
+        self._clock = clock
+        self._pause = sleep or self.sleep
+        self._pull_interval_ms = pull_interval_ms
+        hello = pool.hello
+        self._near = rendezvous_lowest(self._peers, hello.name, PEER_SUBSET)
+        self._members = Members(
+            hello.name, hello.zone, MEMBER_WINDOW_PULLS * pull_interval_ms
+        )
+        self._head_version = 0
+
+    def register(self, dispatcher: Dispatcher) -> None:
+        """Answer the peers' pulls and take their pushes."""
+        dispatcher.register(idl.ConfigPull, self._answer_pull)
+        dispatcher.register(idl.ConfigDelta, self._take_push)
+        dispatcher.on_connect(self._note_session)
+
+    async def on_start(self) -> None:
+        """Learn the highest version of the service and all peers."""
+        asks = [self._pull_from(p, START_TIMEOUT_MS) for p in self._peers]
+        if self._store is not None:
+            asks.append(self._read_head(self._store))
+        await asyncio.gather(*asks)
+        logging.info(
+            "event=configuration_started version=%d", self._section.version
+        )
+
+    @Service.task
+    async def _pull_periodically(self) -> None:
+        while not self.should_stop:
+            # Jitter keeps the processes from pulling in step.
+            jitter = self._rng.uniform(0.9, 1.1)
+            await self._pause(jitter * self._pull_interval_ms / 1_000)
+            await self.pull_once()
+
+    @Service.task
+    async def _watch_when_chosen(self) -> None:
+        store = self._store
+        if store is None or self._pool.hello.process_kind != "entry":
+            return
+        while not self.should_stop:
+            if not self._members.watches(self._clock()):
+                await self._pause(self._pull_interval_ms / 1_000)
+            elif not await self._watch(store):
+                delay_ms = self._rng.uniform(RETRY_MS / 2, RETRY_MS)
+                await self._pause(delay_ms / 1_000)
+
+    async def pull_once(self) -> None:
+        """Pull from two random peers; from any peer when none answers."""
+        if not await self._pull_from_some(self._near):
+            others = [p for p in self._peers if p not in self._near]
+            await self._pull_from_some(others)
+
+    async def _pull_from_some(self, peers: Sequence[str]) -> bool:
+        count = min(PEERS_PER_PULL, len(peers))
+        chosen = self._rng.sample(peers, count)
+        pulls = [self._pull_from(peer, PULL_TIMEOUT_MS) for peer in chosen]
+        return any(await asyncio.gather(*pulls))
+
+    async def _pull_from(self, peer: str, timeout_ms: float) -> bool:
+        since = self._section.version
+        answer = await pull(self._pool, peer, since, timeout_ms)
+        match answer.and_then(parse_delta):
+            case Ok(delta):
+                self._note_sender(answer.ok_value)
+                self._contacted()
+                if self._section.apply_delta(delta):
+                    self._log_change(f"peer {peer}")
+                return True
+            case Err(failure):
+                logging.debug("event=pull_failed peer=%s %s", peer, failure)
+        return False
+
+    async def _read_head(self, store: KeyValueStore) -> bool:
+        # The client bounds the call; this bounds a client that does not.
+        try:
+            async with asyncio.timeout(START_TIMEOUT_MS / 1_000):
+                read = await store.get(HEAD_KEY)
+        except TimeoutError:
+            return False
+        if isinstance(read, Ok):
+            self._take_head(read.ok_value)
+        return isinstance(read, Ok)
+
+    async def _watch(self, store: KeyValueStore) -> bool:
+        read = await store.watch(HEAD_KEY, self._head_version, WATCH_WAIT_MS)
+        if isinstance(read, Ok):
+            self._take_head(read.ok_value)
+        return isinstance(read, Ok)
+
+    def _take_head(self, head: Versioned) -> None:
+        self._contacted()
+        if head.version == self._head_version:
+            return
+        self._head_version = head.version
+        match parse_head(head.value):
+            case Ok(document):
+                if self._section.apply_document(document):
+                    self._log_change("key-value service")
+            case Err(failure):
+                logging.error("event=configuration_invalid %s", failure)
+
+    async def _answer_pull(
+        self, session: Session, correlation: int, message: Any
+    ) -> None:
+        self._note_session(session)
+        delta = self._section.delta_since(message.since_version or 0)
+        if delta.version == message.since_version:
+            delta = delta._replace(records={}, removed=[])
+        await session.send(correlation, delta_message(delta, self._pool.hello))
+
+    async def _take_push(
+        self, session: Session, correlation: int, message: Any
+    ) -> None:
+        match parse_delta(message):
+            case Ok(delta):
+                if self._section.apply_delta(delta):
+                    self._log_change("push")
+                reply = idl.Ok()
+                if self._section.version < delta.version:
+                    reply = refused(DeltaRefused(f"starts at {delta.since}"))
+            case Err(failure):
+                reply = refused(failure)
+        await session.send(correlation, reply)
+
+    def _note_session(self, session: Session) -> None:
+        self._note_sender(session.peer)
+
+    def _note_sender(self, peer: Any) -> None:
+        self._members.heard(
+            peer.process_kind, peer.name, peer.zone, self._clock()
+        )
+
+    def _contacted(self) -> None:
+        self._section.contact_ms = self._clock()
+
+    def _log_change(self, source: str) -> None:
+        logging.info(
+            "event=configuration_changed version=%d source=%r",
+            self._section.version,
+            source,
+        )
--- /dev/null
+++ b/src/gooseberrypost/configsync/messages.py
@@ -0,0 +1,68 @@
+"""Configuration deltas as messages of the internal protocol."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure, ProtocolFailure
+from gooseberrypost.state.configuration import Delta, Entry
+from gooseberrypost.wire.channel import refusal_of
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.wire.channel import ChannelPool
+
+
+def delta_message(delta: Delta, hello: Any) -> Any:
+    """``ConfigDelta`` with the identity of its sender."""
+    return idl.ConfigDelta(
+        version=delta.version,
+        records=[
+            idl.Record(key=k, value=e.text, version=e.version)
+            for k, e in delta.records.items()
+        ],
+        removed=delta.removed,
+        since_version=delta.since,
+        process_kind=hello.process_kind,
+        name=hello.name,
+        zone=hello.zone,
+    )
+
+
+def parse_delta(message: Any) -> Result[Delta, ProtocolFailure]:
+    """Delta of a ``ConfigDelta`` message."""
+    records = message.records or []
+    if message.version is None or message.since_version is None:
+        return Err(ProtocolFailure("ConfigDelta without versions"))
+    for record in records:
+        if None in (record.key, record.value, record.version):
+            return Err(ProtocolFailure("ConfigDelta with a partial record"))
+    return Ok(
+        Delta(
+            message.version,
+            message.since_version,
+            {r.key: Entry(r.value, r.version) for r in records},
+            list(message.removed or []),
+        )
+    )
+
+
+async def pull(
+    pool: ChannelPool, address: str, since: int, timeout_ms: float
+) -> Result[Any, Failure]:
+    """Ask a peer for what changed after a version."""
+    message = idl.ConfigPull(since_version=since)
+    answer = await pool.request(address, message, timeout_ms)
+    return answer.and_then(_config_delta)
+
+
+def _config_delta(message: Any) -> Result[Any, Failure]:
+    failure = refusal_of(message)
+    if failure is not None:
+        return Err(failure)
+    if not isinstance(message, idl.ConfigDelta):
+        name = type(message).__name__
+        return Err(ProtocolFailure(f"{name} in reply to ConfigPull"))
+    return Ok(message)
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -247,4 +247,12 @@
 
 struct ConfigPull { 1: i64 since_version }
 
-struct ConfigDelta { 1: i64 version, 2: list<Record> records, 3: list<string> removed }
+struct ConfigDelta {
+  1: i64 version,
+  2: list<Record> records,
+  3: list<string> removed,
+  4: optional i64 since_version,  // 0: whole configuration
+  5: optional string process_kind,
+  6: optional string name,     // of the sender
+  7: optional string zone,
+}
