Say on a grant whether an earlier attempt may have run

Attempt numbers start at 1024 times the epoch, so an entry cannot tell a first attempt by its number. It took each grant of a real owner for a resend and said unknown where not-run was proven: a call refused by a draining server, sent once under a caller's key, came back unknown. The owner knows, and the grant now carries it; a reply without the field counts as ran before.

--- a/src/gooseberrypost/claims/_messages.py
+++ b/src/gooseberrypost/claims/_messages.py
@@ -100,6 +100,7 @@
         content_type=stored.content_type if stored else "",
         owner_address=owner_address,
         retry_after_ms=judgement.retry_after_ms,
+        ran_before=judgement.ran_before,
     )
 
 
--- a/src/gooseberrypost/claims/client.py
+++ b/src/gooseberrypost/claims/client.py
@@ -53,6 +53,8 @@
     attempt: int
     suspect: bool
     """The content was running when a backend server crashed."""
+    ran_before: bool = False
+    """An earlier attempt, of another entry, may have run."""
 
 
 class ClaimClient(ABC):
--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -270,7 +270,10 @@
     def _granted(self, key: str, reply: Any) -> Result[Grant, Failure]:
         match reply.verdict:
             case Verdict.GRANTED:
-                return Ok(Grant(key, reply.attempt, bool(reply.suspect)))
+                # An owner of an older release does not say whether it ran.
+                ran_before = reply.ran_before is not False
+                suspect = bool(reply.suspect)
+                return Ok(Grant(key, reply.attempt, suspect, ran_before))
             case Verdict.RUNNING:
                 return Err(Duplicate("the request is running"))
             case Verdict.COMPLETED if reply.answer is None:
--- a/src/gooseberrypost/claims/shard.py
+++ b/src/gooseberrypost/claims/shard.py
@@ -51,6 +51,7 @@
     suspect: bool = False
     answer: StoredAnswer | None = None
     retry_after_ms: int = 0
+    ran_before: bool = False
 
 
 class HeldShard:
@@ -257,10 +258,12 @@
         if not self.claims.tell_grant(ask.key, decision.attempt):
             return Judgement(Verdict.UNKNOWN)
         suspicion = self._keeper.verdict(ask.digest)
+        claim = self.claims.claims.get(ask.key)
         return Judgement(
             Verdict.GRANTED,
             decision.attempt,
             suspicion is Suspicion.SUSPECT,
+            ran_before=claim is None or claim.ran_before,
         )
 
     def _unconfirmed(self, verdict: Verdict) -> Judgement:
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -222,6 +222,7 @@
   6: string content_type,
   7: string owner_address,     // with NOT_OWNER, where known
   8: i32 retry_after_ms,
+  9: optional bool ran_before, // an earlier attempt may have run
 }
 
 struct Renew { 1: string key, 2: i32 attempt }   // next attempt within the same claim
