Hold requests for room, and mend faults found under load

Requests for which no decode engine has room wait, most urgent first, until the first-token target cannot be met. A key from the caller is claimed before admission: its answer may be stored, and a refusal would prove nothing.

--- a/src/gooseberrypost/entry/agents.py
+++ b/src/gooseberrypost/entry/agents.py
@@ -40,11 +40,12 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run ``work`` to its end, whatever happens to the caller."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._finished)
+        return task
 
     def _finished(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -111,14 +112,15 @@
         message = idl.Cancel(key=key, attempt=attempt)
         self._background.spawn(self._insist(agent, message))
 
-    def release_reservation(
+    async def release_reservation(
         self, agent: AgentView, reservation: int, key: str, attempt: int
     ) -> None:
-        """Return a reservation in the background."""
+        """Return a reservation; goes on if the caller is cancelled."""
         message = idl.ReleaseReservation(
             reservation=reservation, key=key, attempt=attempt
         )
-        self._background.spawn(self._insist(agent, message))
+        released = self._background.spawn(self._insist(agent, message))
+        await asyncio.shield(released)
 
     def release_prefill(
         self, agent: AgentView, key: str, attempt: int, handle: str
--- a/src/gooseberrypost/entry/answer.py
+++ b/src/gooseberrypost/entry/answer.py
@@ -36,7 +36,9 @@
 
     __slots__ = ("_request", "_response", "_write_timeout_s")
 
-    def __init__(self, request: web.Request, write_timeout_ms: int) -> None:
+    def __init__(
+        self, request: web.BaseRequest, write_timeout_ms: int
+    ) -> None:
         self._request = request
         self._write_timeout_s = write_timeout_ms / 1_000
         self._response: web.StreamResponse | None = None
@@ -135,11 +137,13 @@
         headers = headers_of(live, outcome) | retry_after_headers(failure)
         body = encode_json(error_document(failure, live.key, outcome))
         await caller.send(failure.http_status, JSON_TYPE, headers, body)
-    elif isinstance(failure, Superseded):
+        return
+    content_type = caller.response.content_type
+    if isinstance(failure, Superseded) or content_type != EVENT_STREAM_TYPE:
         caller.abort()
-    else:
-        await caller.write(error_event(failure, live.key, outcome))
-        await caller.finish()
+        return
+    await caller.write(error_event(failure, live.key, outcome))
+    await caller.finish()
 
 
 async def send_stored(
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
 from gooseberrypost.entry.decoding import TokenReader
-from gooseberrypost.entry.placing import KV_KB_PER_TOKEN, Placer
+from gooseberrypost.entry.placing import NO_CAPACITY_RETRY_MS, Placer
 from gooseberrypost.entry.sections import Stage
 from gooseberrypost.errors import (
     Failure,
@@ -17,6 +17,8 @@
     NotRun,
     TransferStalled,
 )
+from gooseberrypost.policy.forecast import transfer_kb
+from gooseberrypost.policy.transfer import stall_timeout_ms
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
@@ -29,8 +31,6 @@
 """Prefill agents tried while they refuse definitely."""
 UNBOOKED_TRANSFER_MS: Final = 400
 """Time for a transfer over a link without a booked rate."""
-STALL_FACTOR: Final = 2
-"""A transfer this many times slower than booked is stalled."""
 MIN_TRANSFER_MS: Final = 50
 
 
@@ -41,6 +41,7 @@
     handle: str
     engine_address: str
     until_ms: int
+    computed_tokens: int
 
 
 class ModelAttempt:
@@ -52,6 +53,8 @@
         self._placer = Placer(ctx, work)
         self._prefilled_at: AgentView | None = None
         self._result: _Result | None = None
+        self.is_unused = True
+        """No prefill was started, so the attempt number can serve again."""
 
     async def run(self) -> Result[None, Failure]:
         """Run to a whole stream, or return why it is not whole."""
@@ -60,27 +63,36 @@
             done = await self._run()
             return done
         finally:
-            self._release_result()
+            self._discard_result()
             if not isinstance(done, Ok):
                 self._cancel()
 
     async def _run(self) -> Result[None, Failure]:
-        placed = await self._placer.reserve()
+        reserved = await self._placer.reserve()
+        if isinstance(reserved, Err):
+            return reserved
+        placed = reserved.ok_value
         for _ in range(MAX_PREFILLS):
-            if isinstance(placed, Err):
-                return placed
-            prefilled = await self._prefill(placed.ok_value.pair)
+            prefilled = await self._prefill(placed.pair)
             if isinstance(prefilled, Ok):
-                return await self._decode(placed.ok_value, prefilled.ok_value)
-            failure = prefilled.err_value
-            self._return_reservation(placed.ok_value)
+                return await self._decode(placed, prefilled.ok_value)
+            failure, source = prefilled.err_value, placed.pair.prefill
             if not isinstance(failure, NotRun):
-                self._work.avoided.add(placed.ok_value.pair.prefill.name)
+                self._work.avoided.add(source.name)
                 return prefilled
-            self._placer.refused.add(placed.ok_value.pair.prefill.name)
+            self._placer.refused.add(source.name)
             self._ctx.log_retry(self._work.live, failure, "next_prefill")
-            placed = await self._placer.reserve()
-        return placed.and_then(lambda _: Err(NoCapacity("no prefill engine")))
+            pair = self._placer.other_source(placed.pair)
+            if pair is None:
+                break
+            placed = replace(placed, pair=pair)
+        await self._return_reservation(placed)
+        return Err(
+            NoCapacity(
+                "no prefill engine has room",
+                retry_after_ms=NO_CAPACITY_RETRY_MS,
+            )
+        )
 
     async def _prefill(self, pair: Pair) -> Result[_Result, Failure]:
         live, view = self._work.live, self._work.view
@@ -98,6 +110,7 @@
             suspect=view.suspect,
             generated=self._work.stream.text or None,
         )
+        self.is_unused = False
         sent_before, live.sent = live.sent, True
         self._placer.touched[pair.prefill.name] = pair.prefill
         reply = await self._ctx.agents.request(
@@ -110,15 +123,17 @@
                     prefilled.handle,
                     prefilled.engine_address,
                     self._ctx.now_ms() + prefilled.lives_ms,
+                    prefilled.tokens - prefilled.cached_tokens,
                 )
                 self._ctx.metrics.count(
                     "prefill_tokens_total",
-                    prefilled.tokens - prefilled.cached_tokens,
+                    self._result.computed_tokens,
                     service=view.service,
                 )
                 return Ok(self._result)
             case Err(failure):
                 if isinstance(failure, NotRun):
+                    self.is_unused = True
                     live.sent = sent_before
                     self._placer.touched.pop(pair.prefill.name, None)
                 return Err(failure)
@@ -191,8 +206,8 @@
         rate = placed.reserved.link_kb_per_s or 0
         booked_ms = UNBOOKED_TRANSFER_MS
         if rate > 0:
-            kb = self._work.view.prompt_tokens * KV_KB_PER_TOKEN
-            booked_ms = STALL_FACTOR * kb * 1_000 // rate
+            kb = transfer_kb(self._work.view.prompt_tokens)
+            booked_ms = stall_timeout_ms(kb * 1_000 // rate)
         # Half of the remaining life is left to a fallback engine.
         lives_ms = result.until_ms - self._ctx.now_ms()
         return max(MIN_TRANSFER_MS, min(booked_ms, lives_ms // 2))
@@ -200,11 +215,11 @@
     def _remaining_ms(self) -> int:
         return max(1, self._work.live.deadline_ms - self._ctx.now_ms())
 
-    def _return_reservation(self, placed: Placed) -> None:
+    async def _return_reservation(self, placed: Placed) -> None:
         view = self._work.view
         decode = placed.pair.decode
         self._placer.touched.pop(decode.name, None)
-        self._ctx.agents.release_reservation(
+        await self._ctx.agents.release_reservation(
             decode, placed.reserved.reservation, view.key, view.attempt
         )
 
@@ -214,6 +229,16 @@
         self._placer.touched.pop(decode.name, None)
         self._ctx.agents.cancel(decode, view.key, view.attempt)
 
+    def _discard_result(self) -> None:
+        """Release a result of which no token was decoded."""
+        if self._result is not None:
+            self._ctx.metrics.count(
+                "prefill_tokens_wasted_total",
+                self._result.computed_tokens,
+                service=self._work.view.service,
+            )
+        self._release_result()
+
     def _release_result(self) -> None:
         result, self._result = self._result, None
         if result is not None and self._prefilled_at is not None:
--- a/src/gooseberrypost/entry/collaborators.py
+++ b/src/gooseberrypost/entry/collaborators.py
@@ -18,21 +18,14 @@
     from gooseberrypost.policy.admission import AdmissionPolicy
     from gooseberrypost.policy.placement import PlacementPolicy
     from gooseberrypost.policy.views import AgentView
+    from gooseberrypost.sheet.schedule import Assignment
     from gooseberrypost.state.records import Record
 
 SubsetChooser = Callable[[str, str, Sequence[Any], int], list[Any]]
 """Picks at most ``n`` members for an owner in a zone, stable over time."""
 
-ScheduleReader = Callable[[Mapping[str, Any]], Mapping[str, "Assignment"]]
-"""Assignments in force now, by name of engine, from all records."""
-
-
-@dataclass(slots=True, frozen=True)
-class Assignment:
-    """Role and model that the schedule gives to an engine."""
-
-    role: str
-    model: str
+ScheduleReader = Callable[[], "Mapping[str, Assignment]"]
+"""Roles and models that the schedule gives now, by name of engine."""
 
 
 def loop_clock_ms() -> int:
@@ -53,10 +46,12 @@
 class Catalog:
     """Services and accounts of the configuration in force."""
 
-    __slots__ = ("configuration",)
+    __slots__ = ("_models", "_models_version", "configuration")
 
     def __init__(self, configuration: ConfigurationView) -> None:
         self.configuration = configuration
+        self._models: dict[str, ServiceRecord] = {}
+        self._models_version = -1
 
     @property
     def records(self) -> Mapping[str, Record]:
@@ -75,10 +70,15 @@
 
     def service_of_model(self, model: str) -> ServiceRecord | None:
         """Return the first service, by name, that offers a model."""
-        for _, record in sorted(self.records.items()):
-            if isinstance(record, ServiceRecord) and model in record.models:
-                return record
-        return None
+        if self._models_version != self.configuration.version:
+            self._models_version = self.configuration.version
+            self._models = {
+                offered: record
+                for _, record in sorted(self.records.items(), reverse=True)
+                if isinstance(record, ServiceRecord)
+                for offered in record.models
+            }
+        return self._models.get(model)
 
 
 class Limiter(Protocol):
@@ -135,6 +135,5 @@
     pressure: Callable[[Sequence[AgentView]], float]
     """Occupancy of a service's decode engines, 0 to 1."""
     schedule: ScheduleReader | None = None
-    """Roles that the schedule gives to engines now."""
     clock: Callable[[], int] = loop_clock_ms
     rng: random.Random = field(default_factory=random.Random)
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
 from gooseberrypost.claims.client import ClaimRequest, Grant, StoredAnswer
 from gooseberrypost.entry.sections import LiveRequest, Stage
-from gooseberrypost.errors import Failure, Superseded, UnknownOutcome
+from gooseberrypost.errors import (
+    EngineCrashed,
+    Failure,
+    Superseded,
+    UnknownOutcome,
+)
 from gooseberrypost.logs import RefusalDecision, RetryDecision
+from gooseberrypost.policy.demand import OutputEstimate
 
 if TYPE_CHECKING:
     from gooseberrypost.entry.agents import AgentClient, Background
@@ -21,12 +27,16 @@
         RetryBudget,
     )
     from gooseberrypost.entry.fleet import FleetController
+    from gooseberrypost.entry.waiting import AdmissionQueue
     from gooseberrypost.logs import DecisionLog
     from gooseberrypost.metrics import Metrics
     from gooseberrypost.settings.entry import EntrySettings
 
 ATTACH_MARGIN_MS: Final = 200
 """An attached resend is told before its own deadline."""
+OWED_BACKOFF_MS: Final = 100
+MAX_CRASHES: Final = 3
+"""Crashes after which a request is still placed again regardless."""
 COMPLETE_TRIES: Final = 3
 COMPLETE_PAUSE_S: Final = 0.05
 
@@ -40,9 +50,16 @@
     catalog: Catalog
     fleet: FleetController
     agents: AgentClient
+    queue: AdmissionQueue
     background: Background
     decisions: DecisionLog
     metrics: Metrics
+    outputs: dict[str, OutputEstimate] = field(default_factory=dict)
+    """Length of answers by service."""
+
+    def outputs_of(self, service: str) -> OutputEstimate:
+        """Return the estimate of a service's answers."""
+        return self.outputs.setdefault(service, OutputEstimate())
 
     def now_ms(self) -> int:
         """Clock time in milliseconds."""
@@ -84,18 +101,31 @@
 
     Fails with the original failure when the retry budget or the deadline
     allows no retry.
+
+    The attempt after a crash draws on the budget too, but is made even when
+    the budget is spent: a crash ends every request on an engine at once, more
+    than a budget of 10% covers, and the innocent among them must be answered.
+    Content that keeps crashing engines is convicted after two.
     """
-    delay = budget.retry(
-        live.attempt, ctx.now_ms(), live.deadline_ms, ctx.parts.rng
-    )
-    if isinstance(delay, Err):
+    owed = _is_owed(live, failure)
+    rng = ctx.parts.rng
+    delay = budget.retry(live.attempt, ctx.now_ms(), live.deadline_ms, rng)
+    if isinstance(delay, Err) and not owed:
         ctx.log_retry(live, failure, "give_up")
         return Err(failure)
     ctx.log_retry(live, failure, "new_attempt")
-    await asyncio.sleep(delay.ok_value / 1_000)
+    delay_ms = delay.unwrap_or(rng.randint(0, OWED_BACKOFF_MS))
+    await asyncio.sleep(delay_ms / 1_000)
     return await hold.renew()
 
 
+def _is_owed(live: LiveRequest, failure: Failure) -> bool:
+    if not isinstance(failure, EngineCrashed):
+        return False
+    live.crashes += 1
+    return live.crashes <= MAX_CRASHES
+
+
 class ClaimHold:
     """Claim of one request; given up unless it is completed."""
 
@@ -133,7 +163,7 @@
         )
         live.claim_answered = True
         if isinstance(granted, Ok):
-            live.ran_before = granted.ok_value.attempt > 1
+            live.ran_before = granted.ok_value.ran_before
         return granted
 
     async def renew(self) -> Result[Grant, Failure]:
@@ -193,7 +223,7 @@
         granted = await asked
         if isinstance(granted, Ok):
             self.grant = granted.ok_value
-            if self.grant.attempt > 1:
+            if self.grant.ran_before:
                 self._live.ran_before = True
         self._completed = False
         self.release()
--- a/src/gooseberrypost/entry/daemon.py
+++ b/src/gooseberrypost/entry/daemon.py
@@ -19,6 +19,7 @@
 from gooseberrypost.entry.lifecycle import LifecycleController
 from gooseberrypost.entry.operators import OperatorMessages
 from gooseberrypost.entry.requests import RequestController
+from gooseberrypost.entry.waiting import AdmissionQueue
 from gooseberrypost.identity import new_incarnation
 from gooseberrypost.logs import DecisionLog
 from gooseberrypost.metrics import Metrics
@@ -68,6 +69,8 @@
     ) -> None:
         super().__init__()
         self.settings = cfg
+        self.shards = shards
+        """Returns the claim shards held."""
         self._background = Background()
         self.lifecycle = LifecycleController(board)
         self.fleet = FleetController(
@@ -79,6 +82,7 @@
             catalog=Catalog(parts.configuration),
             fleet=self.fleet,
             agents=AgentClient(wire.pool, self.fleet, self._background),
+            queue=AdmissionQueue(parts, self.fleet),
             background=self._background,
             decisions=DecisionLog(cfg.explanations),
             metrics=Metrics(),
--- a/src/gooseberrypost/entry/decoding.py
+++ b/src/gooseberrypost/entry/decoding.py
@@ -129,6 +129,7 @@
             live.stage = Stage.STREAM
             self._on_first_token()
         if first:
+            live.first_token_at_ms = self._ctx.now_ms()
             self._ctx.metrics.observe(
                 "first_token_ms",
                 self._ctx.now_ms() - live.arrived_ms,
--- a/src/gooseberrypost/entry/fleet.py
+++ b/src/gooseberrypost/entry/fleet.py
@@ -15,10 +15,11 @@
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from gooseberrypost.blackboard import Blackboard
     from gooseberrypost.entry.collaborators import Collaborators
+    from gooseberrypost.sheet.schedule import Assignment
     from gooseberrypost.wire.channel import ChannelPool
 
 OWNER: Final = "FleetController"
@@ -56,6 +57,9 @@
         self._pool = pool
         board.add(Fleet(), OWNER)
         self._section = board.write(Fleet, OWNER)
+        self._plan: tuple[int, Mapping[str, Assignment]] = (0, {})
+        self._membership: dict[str, tuple[str, str, str, str]] = {}
+        self._subsets: dict[tuple[str, str, str], list[str]] = {}
 
     async def on_start(self) -> None:
         """Read the configuration in force."""
@@ -68,35 +72,60 @@
             changed = asyncio.ensure_future(configuration.changed())
             await asyncio.wait([changed], timeout=SCHEDULE_INTERVAL_S)
             changed.cancel()
-            self.refresh()
+            plan = (configuration.version, self._assigned())
+            if plan != self._plan:
+                self.refresh()
 
     def refresh(self) -> None:
         """Take engines and their roles from configuration and schedule."""
-        records = self._parts.configuration.records
+        configuration = self._parts.configuration
+        assigned = self._assigned()
+        self._plan = (configuration.version, assigned)
         engines = {
             record.name: record
-            for record in records.values()
+            for record in configuration.records.values()
             if isinstance(record, EngineRecord)
         }
-        schedule = self._parts.schedule
-        assigned = schedule(records) if schedule is not None else {}
-        agents: dict[str, AgentView] = {}
-        for name, record in engines.items():
-            assignment = assigned.get(name)
-            agents[name] = dataclasses.replace(
-                self._seen(record),
-                zone=record.zone,
-                role=assignment.role if assignment else record.role,
-                model=assignment.model if assignment else record.model,
-                link=record.link,
-                link_kb_per_s=record.link_kb_per_s,
-            )
-        self._section.agents = agents
+        self._section.agents = {
+            name: self._view(record, assigned.get(name))
+            for name, record in engines.items()
+        }
         self._section.services = {
             name: record.service for name, record in engines.items()
         }
+        self._forget_subsets(engines)
         self._section.notify()
 
+    def _assigned(self) -> Mapping[str, Assignment]:
+        """Roles and models that the schedule gives to engines now."""
+        schedule = self._parts.schedule
+        return schedule() if schedule is not None else {}
+
+    def _view(
+        self, record: EngineRecord, assignment: Assignment | None
+    ) -> AgentView:
+        return dataclasses.replace(
+            self._seen(record),
+            zone=record.zone,
+            role=assignment.role if assignment else record.role,
+            model=assignment.model if assignment else record.model,
+            link=record.link,
+            link_kb_per_s=record.link_kb_per_s,
+        )
+
+    def _forget_subsets(self, engines: dict[str, EngineRecord]) -> None:
+        """Choose subsets anew only when the members of a pool changed.
+
+        A choice hashes every member of its pool, too much for each request.
+        """
+        membership = {
+            view.name: (engines[view.name].service, *_pool_of(view))
+            for view in self._section.agents.values()
+        }
+        if membership != self._membership:
+            self._membership = membership
+            self._subsets.clear()
+
     def _seen(self, record: EngineRecord) -> AgentView:
         seen = self._section.agents.get(record.name)
         if seen is None or seen.address != record.agent_address:
@@ -108,20 +137,29 @@
     ) -> list[AgentView]:
         """Return this entry's subset of the live agents of a pool."""
         now_ms = self._parts.clock()
-        services = self._section.services
-        members = [
-            view
-            for view in self._section.agents.values()
-            if services[view.name] == service
-            and view.role == role
-            and (not model or not view.model or view.model == model)
-        ]
-        chosen = self._parts.choose_subset(
-            self._name, self._zone, members, SUBSET_SIZES[EngineRole(role)]
-        )
         down = self._section.down_until_ms
+        names = self._subset(service, role, model)
+        chosen = [self._section.agents[name] for name in names]
         live = [v for v in chosen if down.get(v.name, now_ms) <= now_ms]
-        return live or list(chosen)
+        return live or chosen
+
+    def _subset(self, service: str, role: str, model: str) -> list[str]:
+        pool = (service, role, model)
+        names = self._subsets.get(pool)
+        if names is None:
+            members = [
+                view
+                for view in self._section.agents.values()
+                if self._section.services[view.name] == service
+                and view.role == role
+                and (not model or view.model == model)
+            ]
+            size = SUBSET_SIZES[EngineRole(role)]
+            chosen = self._parts.choose_subset(
+                self._name, self._zone, members, size
+            )
+            names = self._subsets[pool] = [view.name for view in chosen]
+        return names
 
     async def probe(self, service: str, views: Sequence[AgentView]) -> None:
         """Refresh the loads of two random agents whose loads are old."""
@@ -147,22 +185,28 @@
         if view is None or load is None:
             return
         self._section.down_until_ms.pop(name, None)
+        if load.incarnation:
+            self._section.incarnations[name] = load.incarnation
         self._section.agents[name] = dataclasses.replace(
             view,
-            slots=load.slots,
-            slots_used=load.slots_used,
-            pieces=load.pieces,
-            pieces_used=load.pieces_used,
-            queue_tokens=load.queue_tokens,
+            slots=_given(load.slots, view.slots),
+            slots_used=_given(load.slots_used, view.slots_used),
+            pieces=_given(load.pieces, view.pieces),
+            pieces_used=_given(load.pieces_used, view.pieces_used),
+            queue_tokens=_given(load.queue_tokens, view.queue_tokens),
             prefill_tokens_per_s=(
                 load.prefill_tokens_per_s or view.prefill_tokens_per_s
             ),
             token_gap_ms=load.token_gap_ms or view.token_gap_ms,
-            draining=load.draining,
+            draining=bool(load.draining),
             suspects=load.suspects or 0,
             observed_ms=self._parts.clock(),
         )
 
+    def incarnation(self, name: str) -> int:
+        """Agent process that was last heard of; 0 when it is unknown."""
+        return self._section.incarnations.get(name, 0)
+
     def mark_down(self, name: str) -> None:
         """Leave an unreachable agent out for ``DOWN_MS``."""
         until_ms = self._parts.clock() + DOWN_MS
@@ -194,3 +238,12 @@
         draining=False,
         observed_ms=UNSEEN_MS,
     )
+
+
+def _given(value: int | None, before: int) -> int:
+    """Value of a field, which a peer of another release may leave out."""
+    return before if value is None else value
+
+
+def _pool_of(view: AgentView) -> tuple[str, str, str]:
+    return (view.role, view.model, view.zone)
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
@@ -10,6 +10,12 @@
 from gooseberrypost.entry.sections import Stage
 from gooseberrypost.errors import Failure, NoCapacity, NotRun
 from gooseberrypost.logs import RoutingDecision
+from gooseberrypost.policy.aging import effective_priority
+from gooseberrypost.policy.forecast import (
+    pieces_needed,
+    prefill_ms,
+    transfer_kb,
+)
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.messages import idl
 
@@ -23,13 +29,12 @@
     from gooseberrypost.policy.views import AgentView, RequestView
     from gooseberrypost.state.streams import TokenStream
 
-PIECE_TOKENS: Final = 2_000
-KV_KB_PER_TOKEN: Final = 128
 RESERVE_TRIES: Final = 6
 RESERVE_TIMEOUT_MS: Final = 1_000
 RESERVATION_MARGIN_MS: Final = 2_000
 """Time for a late prefill before its reservation lapses."""
 NO_CAPACITY_RETRY_MS: Final = 500
+NEVER_MS: Final = 1 << 62
 
 
 @dataclass(slots=True)
@@ -103,13 +108,31 @@
             self.refused.add(pair.decode.name)
         return Err(last)
 
+    def other_source(self, pair: Pair) -> Pair | None:
+        """Return the pair with another prefill engine, if there is one.
+
+        The reservation stays: the agent grants a repeated ask only once, so
+        a late release of the first would end the second.
+        """
+        sources = [
+            view
+            for view in self._candidates(EngineRole.PREFILL)
+            if not view.draining
+        ]
+        if not sources:
+            return None
+        best = min(sources, key=lambda v: prefill_ms(self._work.view, v))
+        other = pair._replace(prefill=best, reason="other_source")
+        self._log_routing(other)
+        return other
+
     def _rank(self, source: AgentView | None) -> list[Pair]:
         work = self._work
         prefill = self._candidates(EngineRole.PREFILL)
         if source is not None:
             prefill = [source]
         return self._ctx.parts.placement.rank(
-            work.view,
+            _without_targets(work.view) if work.live.sent else work.view,
             prefill,
             self._candidates(EngineRole.DECODE),
             self._ctx.now_ms(),
@@ -128,19 +151,18 @@
     def _reserve_message(self, pair: Pair) -> Any:
         view = self._work.view
         starts_in = max(0, pair.transfer_start_ms - self._ctx.now_ms())
-        tokens = view.prompt_tokens + view.max_output_tokens
         return idl.Reserve(
             key=view.key,
             attempt=view.attempt,
             service_name=view.service,
             model=view.model,
-            pieces=max(1, -(-tokens // PIECE_TOKENS)),
+            pieces=pieces_needed(view.prompt_tokens, view.max_output_tokens),
             ttl_ms=starts_in + RESERVATION_MARGIN_MS,
             expected_start_ms=starts_in,
-            priority=view.priority,
+            priority=int(effective_priority(view, self._ctx.now_ms())),
             suspect=view.suspect,
             digest=self._work.digest,
-            transfer_kb=view.prompt_tokens * KV_KB_PER_TOKEN,
+            transfer_kb=transfer_kb(view.prompt_tokens),
         )
 
     def _log_routing(self, pair: Pair) -> None:
@@ -164,3 +186,12 @@
                 pair.reason,
             )
         )
+
+
+def _without_targets(view: RequestView) -> RequestView:
+    """View of a request that was begun, which late is better than never.
+
+    Placement leaves out what is predicted to miss a target; the deadline
+    still ends the request.
+    """
+    return replace(view, first_token_ms=NEVER_MS, answer_deadline_ms=NEVER_MS)
--- a/src/gooseberrypost/entry/plain_request.py
+++ b/src/gooseberrypost/entry/plain_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
@@ -44,6 +45,7 @@
 """Backend servers tried while they refuse definitely."""
 REVOKE_TIMEOUT_MS: Final = 1_000
 NO_CAPACITY_RETRY_MS: Final = 500
+TURN_PAUSE_S: Final = 0.1
 DEFAULT_CONTENT_TYPE: Final = "application/octet-stream"
 
 HOP_HEADERS: Final = frozenset(
@@ -151,11 +153,17 @@
     async def _run_attempts(self, grant: Grant) -> Result[Any, Failure]:
         while True:
             replied = await self._attempt(grant)
-            if isinstance(replied, Ok) or isinstance(
-                replied.err_value, NoCapacity | DeadlinePassed
-            ):
+            if isinstance(replied, Ok):
                 return replied
             failure = replied.err_value
+            if isinstance(failure, NoCapacity) and grant.suspect:
+                renewed = await self._after_turn()
+                if isinstance(renewed, Err):
+                    return renewed
+                grant = renewed.ok_value
+                continue
+            if isinstance(failure, NoCapacity | DeadlinePassed):
+                return replied
             if not self._call.idempotent and self._live.sent:
                 return Err(UnknownOutcome(str(failure)))
             renewed = await next_attempt(
@@ -165,6 +173,15 @@
                 return renewed
             grant = renewed.ok_value
 
+    async def _after_turn(self) -> Result[Grant, Failure]:
+        """Wait for servers that run one suspect at a time.
+
+        A refusal barred the attempt there, so the next try has a new number.
+        """
+        await asyncio.sleep(TURN_PAUSE_S)
+        self._refused.clear()
+        return await self._hold.renew()
+
     async def _attempt(self, grant: Grant) -> Result[Any, Failure]:
         """Try servers until one does not refuse definitely."""
         last: Failure = NoCapacity(
@@ -193,7 +210,8 @@
     async def _choose(self, grant: Grant) -> AgentView | None:
         """Pick the less occupied of two random servers."""
         fleet, name = self._ctx.fleet, self._service.name
-        await fleet.probe(name, self._candidates(grant))
+        # All are probed: a draining server is used again when it says so.
+        await fleet.probe(name, fleet.candidates(name, EngineRole.PLAIN))
         views = self._candidates(grant)
         if not views:
             return None
@@ -246,6 +264,7 @@
             digest=call.digest,
             suspect=grant.suspect,
         )
+        incarnation = self._ctx.fleet.incarnation(agent.name)
         sent_before, live.sent = live.sent, True
         self._sent_to = agent
         replied = await self._ctx.agents.request(agent, message, remaining_ms)
@@ -253,7 +272,7 @@
             self._sent_to = None
             return replied
         failure = replied.err_value
-        if await self._was_never_started(agent, grant, failure):
+        if await self._was_never_started(agent, grant, failure, incarnation):
             failure = PeerUnreachable(f"revoked before its start: {failure}")
         if isinstance(failure, NotRun):
             live.sent = sent_before
@@ -261,15 +280,24 @@
         return Err(failure)
 
     async def _was_never_started(
-        self, agent: AgentView, grant: Grant, failure: Failure
+        self,
+        agent: AgentView,
+        grant: Grant,
+        failure: Failure,
+        incarnation: int,
     ) -> bool:
         """Ask for proof that a call without a reply was not run.
 
         The agent bars a late arrival of the attempt when it gives the proof.
+        A successor of the agent that was asked to run the call has none.
         """
         if not isinstance(failure, UnknownOutcome):
             return False
-        message = idl.Revoke(key=self._live.key, attempt=grant.attempt)
+        message = idl.Revoke(
+            key=self._live.key,
+            attempt=grant.attempt,
+            incarnation=incarnation or None,
+        )
         replied = await self._ctx.agents.request(
             agent, message, REVOKE_TIMEOUT_MS
         )
--- a/src/gooseberrypost/entry/requests.py
+++ b/src/gooseberrypost/entry/requests.py
@@ -93,7 +93,7 @@
         )
         with self._tracked(live):
             done = await self._run_in_time(live, service, grace_ms, work)
-            await self._conclude(caller, live, done)
+            await self._conclude(caller, live, service, done)
 
     @contextmanager
     def _tracked(self, live: LiveRequest) -> Iterator[None]:
@@ -188,24 +188,37 @@
         self,
         caller: CallerConnection,
         live: LiveRequest,
+        service: ServiceRecord,
         done: Result[None, Failure],
     ) -> None:
         if isinstance(done, Ok):
             self._count(live, Outcome.COMPLETED)
+            self._count_in_time(live, service)
             return
         failure = done.err_value
         if isinstance(failure, CallerGone):
             raise failure
         outcome = outcome_of(failure, live)
-        self._count(live, outcome)
         if isinstance(failure, AnsweredBefore):
             await send_stored(caller, live, failure.answer)
-            return
-        self._ctx.metrics.count(
-            "failures_total", code=failure.code, service=live.service
-        )
-        self._ctx.log_refusal(live, failure)
-        await send_failure(caller, live, failure, outcome)
+        else:
+            self._ctx.metrics.count(
+                "failures_total", code=failure.code, service=live.service
+            )
+            self._ctx.log_refusal(live, failure)
+            await send_failure(caller, live, failure, outcome)
+        self._count(live, outcome)
+
+    def _count_in_time(
+        self, live: LiveRequest, service: ServiceRecord
+    ) -> None:
+        """Count towards goodput: first token and whole answer in time."""
+        first_due_ms = max(service.first_token_ms, service.max_wait_ms)
+        first_ms = live.first_token_at_ms - live.arrived_ms
+        if first_ms <= first_due_ms and self._ctx.now_ms() <= live.deadline_ms:
+            self._ctx.metrics.count(
+                "requests_in_time_total", service=live.service
+            )
 
     def _count(self, live: LiveRequest, outcome: str) -> None:
         self._ctx.metrics.count(
--- a/src/gooseberrypost/entry/sections.py
+++ b/src/gooseberrypost/entry/sections.py
@@ -42,6 +42,10 @@
     stage: Stage = Stage.PARSE
     attempt: int = 0
     next_sequence: int = 0
+    first_token_at_ms: int = 0
+    """Clock time in milliseconds; 0 before the first token."""
+    crashes: int = 0
+    """Backend server crashes that ended an attempt."""
     caller_gone: bool = False
     claim_answered: bool = False
     """The owner of the key has said whether the request ran before."""
@@ -65,12 +69,14 @@
 class Fleet(Section):
     """Agents as last seen; written by ``FleetController``."""
 
-    __slots__ = ("agents", "down_until_ms", "services")
+    __slots__ = ("agents", "down_until_ms", "incarnations", "services")
 
     def __init__(self) -> None:
         super().__init__()
         self.agents: dict[str, AgentView] = {}
         self.services: dict[str, str] = {}
         """Service by name of backend server."""
+        self.incarnations: dict[str, int] = {}
+        """Incarnation of each agent process, as last seen."""
         self.down_until_ms: dict[str, int] = {}
         """Clock time before which an unreachable agent is not tried."""
--- /dev/null
+++ b/tests/test_entry_waiting.py
@@ -0,0 +1,97 @@
+"""Requests that wait at an entry for room on a decode engine."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+from result import Err, Ok
+
+from gooseberrypost.errors import NoCapacity
+from gooseberrypost.policy.admission import AdmissionPolicy, Prediction
+from gooseberrypost.wire.messages import idl
+from tests.entry_fakes import refuse, run
+
+
+class FullUntilOpened(AdmissionPolicy):
+    """Says that no engine has room until ``room`` is raised."""
+
+    def __init__(self):
+        self.room = 0
+        self.asked = asyncio.Event()
+        self.admitted = []
+
+    def decide(self, req, prefill, decode, now_ms):
+        self.asked.set()
+        if self.room <= 0:
+            return Err(NoCapacity("", retry_after_ms=1))
+        return Ok(Prediction(now_ms, now_ms))
+
+
+def with_policy(rig, **changes):
+    policy = FullUntilOpened()
+    parts = rig.daemon.context.parts
+    parts.admission = policy
+    records = parts.configuration.records
+    records["service/llm"] = dataclasses.replace(
+        records["service/llm"], **changes
+    )
+    return policy
+
+
+def test_a_request_waits_for_room_and_is_then_served():
+    """Guards against refusing what its service allows to wait."""
+
+    async def scenario(rig):
+        policy = with_policy(rig, max_wait_ms=5_000)
+        asked = asyncio.create_task(rig.complete().__aenter__())
+        await policy.asked.wait()
+        assert len(rig.daemon.context.queue) == 1
+        assert rig.agents["d1"].of(idl.Reserve) == []
+        policy.room = 1
+        assert (await asked).status == 200
+        assert len(rig.daemon.context.queue) == 0
+
+    run(scenario)
+
+
+def test_waiting_ends_at_the_first_token_target():
+    """Guards against holding a request that can no longer be in time."""
+
+    async def scenario(rig):
+        with_policy(rig, first_token_ms=100)
+        async with rig.complete() as response:
+            error = (await response.json())["error"]
+        assert (error["code"], error["outcome"]) == ("no_capacity", "not-run")
+
+    run(scenario)
+
+
+def test_a_caller_that_leaves_does_not_wait_on():
+    """Guards against serving a queued request whose caller has gone (P1)."""
+
+    async def scenario(rig):
+        policy = with_policy(rig, max_wait_ms=5_000)
+        asked = asyncio.create_task(rig.complete(key="k1").__aenter__())
+        await policy.asked.wait()
+        assert len(rig.daemon.context.queue) == 1
+        asked.cancel()
+        await rig.daemon.requests.idle()
+        policy.room = 1
+        assert len(rig.daemon.context.queue) == 0
+        assert rig.agents["d1"].of(idl.Reserve) == []
+        assert rig.claims.abandoned == [("k1", 1, True)]
+
+    run(scenario)
+
+
+def test_refused_reservations_wait_for_room_again():
+    """Guards against a 503 when only the loads were out of date."""
+
+    async def scenario(rig):
+        for name in ("d1", "d2"):
+            rig.agents[name].script[idl.Reserve] = [refuse("no_capacity")]
+        async with rig.complete() as response:
+            assert response.status == 200
+
+    run(scenario)
