Wire the entry to claims and configuration, and add the demo

Tests with real claims, agents and stand-ins cover exact streams, callers that leave, resends, broken connections, stalled transfers and content that crashes engines.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,9 @@
 test: check
 	$(BIN)/python -m pytest
 
+demo: install
+	$(BIN)/python scripts/demo.py
+
 bench: install
 	$(BIN)/python -m gooseberrypost.bench $(BENCH_OPTIONS)
 
--- /dev/null
+++ b/src/gooseberrypost/entry/wiring.py
@@ -0,0 +1,128 @@
+"""Builds an entry with the collaborators that it has in production."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
+
+from mode import Service
+
+from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.claims.owner import (
+    ClaimOwnerController,
+    monotonic_ms,
+)
+from gooseberrypost.claims.remote import RemoteClaimClient
+from gooseberrypost.configsync.controller import ConfigurationController
+from gooseberrypost.entry.collaborators import Catalog, Collaborators
+from gooseberrypost.entry.daemon import EntryDaemon, open_wire
+from gooseberrypost.identity import new_incarnation
+from gooseberrypost.platform.http import HttpKeyValueStore
+from gooseberrypost.policy.admission import DeadlineAdmission
+from gooseberrypost.policy.limits import Limiter, service_pressure
+from gooseberrypost.policy.placement import ReservingPlacement
+from gooseberrypost.policy.retry import RetryBudget
+from gooseberrypost.policy.subset import choose_subset
+from gooseberrypost.state.configuration import Configuration
+
+if TYPE_CHECKING:
+    import random
+
+    from gooseberrypost.entry.collaborators import ConfigurationView
+    from gooseberrypost.entry.daemon import WireController
+    from gooseberrypost.platform.keyvalue import KeyValueStore
+    from gooseberrypost.settings.entry import EntrySettings
+
+MakeConfiguration = Callable[
+    ["Blackboard", "WireController"],
+    "tuple[ConfigurationView, list[Service]]",
+]
+
+DEFAULT_OUTAGE_POLICY: Final = "memory"
+
+
+class StoreController(Service):
+    """Closes the key-value client after everything that uses it."""
+
+    def __init__(self, store: KeyValueStore) -> None:
+        super().__init__()
+        self._store = store
+
+    async def on_stop(self) -> None:
+        """Release the connections."""
+        await self._store.close()
+
+
+async def build(cfg: EntrySettings, rng: random.Random) -> EntryDaemon:
+    """Build an entry on its key-value service and its peers."""
+    store = HttpKeyValueStore.from_addresses(cfg.key_value_addresses)
+
+    def make_configuration(
+        board: Blackboard, wire: WireController
+    ) -> tuple[ConfigurationView, list[Service]]:
+        controller = ConfigurationController(
+            board, wire.pool, cfg.peers, store, rng=rng
+        )
+        controller.register(wire.dispatcher)
+        return board.read(Configuration), [controller]
+
+    return await assemble(cfg, rng, store, make_configuration)
+
+
+async def assemble(
+    cfg: EntrySettings,
+    rng: random.Random,
+    store: KeyValueStore,
+    make_configuration: MakeConfiguration,
+) -> EntryDaemon:
+    """Build an entry; its internal listener is bound, nothing is started.
+
+    ``make_configuration`` is given the blackboard and the wire; it returns
+    the configuration section and the services that fill it.
+    """
+    incarnation = new_incarnation(rng)
+    wire = await open_wire(cfg, incarnation)
+    board = Blackboard()
+    configuration, services = make_configuration(board, wire)
+    catalog = Catalog(configuration)
+    owner = ClaimOwnerController.from_config(
+        cfg,
+        board,
+        store,
+        wire.dispatcher,
+        rng,
+        address=wire.pool.hello.address,
+        incarnation=incarnation,
+        outage_policy=lambda name: outage_policy(catalog, name),
+    )
+    claims = RemoteClaimClient.from_config(
+        cfg, store, wire.pool, rng, monotonic_ms, local=owner
+    )
+    parts = Collaborators(
+        configuration=configuration,
+        claims=claims,
+        admission=DeadlineAdmission(),
+        placement=ReservingPlacement(),
+        make_limiter=Limiter.from_config,
+        make_retries=RetryBudget.from_config,
+        choose_subset=choose_subset,
+        pressure=service_pressure,
+        rng=rng,
+    )
+    return await EntryDaemon.from_config(
+        cfg,
+        parts,
+        board=board,
+        wire=wire,
+        incarnation=incarnation,
+        services=[StoreController(store), *services, owner],
+        shards=lambda: sorted(owner.section.shards),
+    )
+
+
+def outage_policy(catalog: Catalog, service_name: str) -> str:
+    """Return what a service does with caller-made keys in an outage."""
+    service = catalog.service(service_name)
+    if service is None:
+        return DEFAULT_OUTAGE_POLICY
+    return service.claims_outage_policy
--- /dev/null
+++ b/tests/test_entry_whole.py
@@ -0,0 +1,276 @@
+"""Entries with real claims and agents, beside engine and plain stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack
+
+import aiohttp
+
+from gooseberrypost.agent.lifecycle import DrainReason
+from gooseberrypost.claims.owner import monotonic_ms
+from gooseberrypost.entry.wiring import assemble
+from gooseberrypost.platform.memory import InMemoryKeyValueStore
+from gooseberrypost.settings.entry import ClaimSettings, EntrySettings
+from gooseberrypost.state.records import EngineRecord, ServiceRecord
+from tests import agent_kit
+from tests.entry_fakes import FilledConfiguration
+from tests.standins.engine import Engine
+from tests.standins.generation import answer
+from tests.standins.plain import PlainService
+from tests.test_entry_model import text_of
+
+PROMPT = "tell me about the bow rig"
+
+
+class Site:
+    """Two entries, two engines of each role and a plain service."""
+
+    def __init__(self, stack):
+        self.enter = stack.enter_async_context
+        self.stack = stack
+        self.engines = {}
+        self.agents = {}
+        self.entries = []
+
+    async def start(self, **options):
+        records = {
+            "service/llm": ServiceRecord(
+                "llm", models=["m"], first_token_ms=5_000
+            ),
+            "service/desk": ServiceRecord(
+                "desk", kind="plain", non_idempotent=["POST /log"]
+            ),
+        }
+        store = InMemoryKeyValueStore(monotonic_ms)
+        wires = [await self.start_entry(n, store, records) for n in (1, 2)]
+        for name in ("p1", "p2", "d1", "d2", "s1"):
+            await self.start_agent(name, records, wires, options)
+        self.http = await self.enter(aiohttp.ClientSession())
+        for entry in self.entries:
+            entry.fleet.refresh()
+        await agent_kit.until(
+            lambda: sum(len(entry.shards()) for entry in self.entries) == 2
+        )
+
+    async def start_entry(self, number, store, records):
+        cfg = EntrySettings(
+            f"e{number}",
+            "z1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            claims=ClaimSettings(shards=2),
+        )
+        entry = await assemble(
+            cfg,
+            random.Random(number),
+            store,
+            lambda board, wire: (FilledConfiguration(records), []),
+        )
+        await entry.start()
+        self.stack.push_async_callback(entry.stop)
+        self.entries.append(entry)
+        return entry.context.agents.pool.hello.address
+
+    async def start_agent(self, name, records, owners, options):
+        plain = name[0] == "s"
+        kind = PlainService if plain else Engine
+        role = {"p": "prefill", "d": "decode", "s": "plain"}[name[0]]
+        server = await self.enter(
+            kind.serving() if plain else kind.serving(role=role, **options)
+        )
+        cfg = agent_kit.settings(
+            server,
+            "plain" if plain else "model",
+            name=name,
+            peers=owners,
+            reattach_ms=300,
+        )
+        agent = await self.enter(agent_kit.running(cfg))
+        self.engines[name], self.agents[name] = server, agent
+        records[f"engine/{name}"] = EngineRecord(
+            name,
+            "desk" if plain else "llm",
+            agent.address,
+            "z1",
+            role,
+            "" if plain else "m",
+        )
+
+    def post(self, path, entry=0, **kwargs):
+        address = self.entries[entry].http.address
+        return self.http.post(f"http://{address}{path}", **kwargs)
+
+    def complete(self, prompt=PROMPT, entry=0, max_tokens=20, **kwargs):
+        body = {
+            "model": "m",
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        return self.post("/v1/completions", entry, json=body, **kwargs)
+
+    def held(self):
+        return [
+            (name, agent.capacity.capacity.ledger.slots_used, server.works)
+            for (name, agent), server in zip(
+                self.agents.items(), self.engines.values(), strict=True
+            )
+            if name[0] != "s"
+            and (agent.capacity.capacity.ledger.slots_used or server.works)
+        ]
+
+    async def freed(self):
+        await agent_kit.until(lambda: not self.held())
+
+
+def run(scenario, **options):
+    async def main():
+        async with asyncio.timeout(30), AsyncExitStack() as stack:
+            site = Site(stack)
+            await site.start(**options)
+            await scenario(site)
+
+    asyncio.run(main())
+
+
+def test_streams_are_exact_and_free_the_engines():
+    """Guards against lost or crossed tokens and held memory (P1, P3)."""
+
+    async def one(site, number):
+        prompt = f"{PROMPT} {number}"
+        async with site.complete(prompt, entry=number % 2) as response:
+            body = await response.text()
+        assert text_of(body, "length") == answer(prompt, 20)
+
+    async def scenario(site):
+        await asyncio.gather(*(one(site, n) for n in range(10)))
+        await site.freed()
+
+    run(scenario)
+
+
+def test_a_caller_that_leaves_frees_the_engines():
+    """Guards against engine memory held for a caller that has gone (P1)."""
+
+    async def scenario(site):
+        response = await site.complete(max_tokens=1_000).__aenter__()
+        await response.content.readany()
+        assert site.held()
+        left_s = asyncio.get_running_loop().time()
+        response.close()
+        await site.freed()
+        assert asyncio.get_running_loop().time() - left_s < 1
+
+    run(scenario, token_ms=5.0)
+
+
+def test_a_resend_through_another_entry_runs_nothing_again():
+    """Guards against a second execution of one key (P2, P5)."""
+
+    async def send(site, entry):
+        headers = {"Idempotency-Key": "k1"}
+        async with site.post(
+            "/services/desk/log", entry, data=b"bag", headers=headers
+        ) as response:
+            outcome = response.headers["X-Gooseberrypost-Outcome"]
+            return outcome, await response.read()
+
+    async def scenario(site):
+        sent = await asyncio.gather(*(send(site, n % 2) for n in range(6)))
+        outcomes = sorted(outcome for outcome, _ in sent)
+        assert outcomes == ["completed"] + 5 * ["duplicate"]
+        assert len({body for _, body in sent}) == 1
+        assert site.engines["s1"].executions == {"k1": 1}
+
+    run(scenario)
+
+
+def test_a_call_that_no_server_takes_is_not_run_and_can_be_sent_again():
+    """Guards against an ``unknown`` where a proof exists (P4)."""
+
+    async def send(site):
+        headers = {"Idempotency-Key": "k1"}
+        async with site.post(
+            "/services/desk/log", data=b"bag", headers=headers
+        ) as response:
+            return response.headers["X-Gooseberrypost-Outcome"]
+
+    async def scenario(site):
+        lifecycle = site.agents["s1"].lifecycle
+        lifecycle.drain(DrainReason.OPERATOR, True)
+        assert await send(site) == "not-run"
+        lifecycle.drain(DrainReason.OPERATOR, False)
+        # The entry looks at a draining server again after 250 ms.
+        while (outcome := await send(site)) == "not-run":
+            pass
+        assert outcome == "completed"
+        assert site.engines["s1"].executions == {"k1": 1}
+
+    run(scenario)
+
+
+def test_content_that_crashes_engines_takes_down_two_at_most():
+    """Guards against retries that crash one engine after another (P9).
+
+    The innocent requests on the same engines are answered in full.
+    """
+
+    async def innocent(site, number):
+        prompt = f"{PROMPT} {number}"
+        async with site.complete(prompt, number % 2, 100) as response:
+            body = await response.text()
+        assert text_of(body, "length") == answer(prompt, 100)
+
+    async def scenario(site):
+        innocents = [asyncio.create_task(innocent(site, n)) for n in range(12)]
+        decoders = [site.agents[n].capacity.capacity for n in ("d1", "d2")]
+        await agent_kit.until(
+            lambda: sum(c.ledger.slots_used for c in decoders) == 12
+        )
+        codes = []
+        for entry in (0, 1, 0):
+            async with site.complete("CRASH-DECODE now", entry) as response:
+                codes.append((await response.json())["error"]["code"])
+        crashes = sum(site.engines[n].crashes for n in ("d1", "d2"))
+        assert crashes <= 2
+        assert codes[1:] == ["quarantined", "quarantined"]
+        await asyncio.gather(*innocents)
+        await site.freed()
+
+    run(scenario)
+
+
+def test_broken_connections_to_agents_lose_no_token():
+    """Guards against lost or repeated tokens at a reattachment (P3)."""
+
+    async def scenario(site):
+        async with site.complete(max_tokens=60) as response:
+            body = await response.content.readany()
+            for name in ("d1", "d2"):
+                for session in site.agents[name].listener.sessions:
+                    session.abort()
+            body += await response.content.read()
+        assert text_of(body.decode(), "length") == answer(PROMPT, 60)
+        await site.freed()
+
+    run(scenario)
+
+
+def test_a_stalled_transfer_is_moved_while_the_result_lives():
+    """Guards against a second prefill after a stalled transfer."""
+
+    async def scenario(site):
+        site.engines["d1"].flowing.clear()
+        for number in range(4):
+            prompt = f"{PROMPT} {number}"
+            async with site.complete(prompt) as response:
+                body = await response.text()
+            assert text_of(body, "length") == answer(prompt, 20)
+        computed = sum(site.engines[n].prefilled_tokens for n in ("p1", "p2"))
+        assert computed == 4 * len(f"{PROMPT} 0".split())
+        lines = site.entries[0].context.metrics.render()
+        assert 'action="fallback_decode",code="transfer_stalled"' in lines
+
+    run(scenario)
