Move a definitely refused decode without a retry

A decode refused definitely ran nothing, so a fallback adds no load, but each one drew on the retry budget. The demo stops at once when one of its processes ends on its own.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -66,6 +66,7 @@
     def __init__(self, directory: Path, stack: AsyncExitStack) -> None:
         self._directory = directory
         self._stack = stack
+        self._processes: dict[str, Any] = {}
         self.key_value = ""
         self.owners: list[str] = []
         """Internal addresses of the entries."""
@@ -78,9 +79,18 @@
 
     async def start(self, name: str, *arguments: str) -> Any:
         """Run a Python module until the demonstration ends."""
-        return await self._stack.enter_async_context(
+        process = await self._stack.enter_async_context(
             running(self._directory / f"{name}.log", *arguments)
         )
+        self._processes[name] = process
+        return process
+
+    def check(self) -> None:
+        """Stop the demonstration when a process ended on its own."""
+        for name, process in self._processes.items():
+            if process.returncode is not None:
+                print(self.log_of(name), file=sys.stderr)
+                raise SystemExit(f"{name} ended with {process.returncode}")
 
     async def start_standin(self, module: str, options: dict[str, Any]) -> str:
         """Run a stand-in and return the address that it prints."""
@@ -212,9 +222,12 @@
     print(f"== configuration version {accepted.unwrap().version} accepted")
 
 
-async def wait_until_ready(http: aiohttp.ClientSession, address: str) -> None:
+async def wait_until_ready(
+    demo: Demo, http: aiohttp.ClientSession, address: str
+) -> None:
     """Wait until an entry has its configuration and can mint keys."""
     while True:
+        demo.check()
         try:
             async with http.get(f"http://{address}/readyz") as ready:
                 pass
@@ -299,7 +312,7 @@
         await start_all(demo)
         await apply_configuration(demo)
         for address in demo.entries.values():
-            await wait_until_ready(http, address)
+            await wait_until_ready(demo, http, address)
         await send_all(demo, http)
 
 
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -167,7 +167,11 @@
         work, now_ms = self._work, self._ctx.now_ms()
         if work.stream.next_sequence != start or now_ms >= result.until_ms:
             return False
-        if not isinstance(failure, TransferStalled | NotRun):
+        if isinstance(failure, NotRun):
+            # Nothing was run, so another try adds no load; without it the
+            # prefill would be wasted.
+            return True
+        if not isinstance(failure, TransferStalled):
             return False
         spent = work.retries.retry(
             work.live.attempt,
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -198,7 +198,11 @@
 
 
 class FirstPair(PlacementPolicy):
+    def __init__(self):
+        self.views = []
+
     def rank(self, req, prefill, decode, now_ms, rng):
+        self.views.append(req)
         return [
             Pair(p, d, now_ms + 5, now_ms + 50, now_ms, "test")
             for p in sorted(prefill, key=lambda v: v.name)
@@ -245,6 +249,7 @@
     def __init__(self):
         self.claims = MemoryClaims()
         self.admission = AdmitAll()
+        self.placement = FirstPair()
         self.limiter = OpenLimiter()
         self.retries = EagerRetries()
         self.agents = {}
@@ -254,7 +259,7 @@
             configuration=FilledConfiguration(records),
             claims=self.claims,
             admission=self.admission,
-            placement=FirstPair(),
+            placement=self.placement,
             make_limiter=lambda service: self.limiter,
             make_retries=lambda service: self.retries,
             choose_subset=lambda owner, zone, members, size: members[:size],
--- a/tests/test_entry_model.py
+++ b/tests/test_entry_model.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from gooseberrypost.entry.placing import NEVER_MS
 from gooseberrypost.errors import AccountLimited, TargetUnreachable
 from gooseberrypost.wire.messages import idl
 from tests.entry_fakes import TOKENS, drop, hang, refuse, run
@@ -178,7 +179,10 @@
 
 
 def test_a_crash_in_decode_resumes_on_another_engine_as_suspect():
-    """Guards against lost tokens and against unmarked suspects (P3, P9)."""
+    """Guards against lost tokens and against unmarked suspects (P3, P9).
+
+    Targets that have passed must not keep a begun request from its engines.
+    """
 
     async def scenario(rig):
         rig.claims.suspect = True
@@ -191,6 +195,9 @@
         reserve = rig.agents["d2"].of(idl.Reserve)[0]
         assert reserve.suspect and reserve.attempt == 2
         assert rig.agents["d2"].of(idl.Decode)[0].first_sequence == 3
+        first, last = rig.placement.views[0], rig.placement.views[-1]
+        assert (first.first_token_ms, last.first_token_ms) == (480, NEVER_MS)
+        assert last.answer_deadline_ms == NEVER_MS
 
     run(scenario)
 
@@ -198,11 +205,15 @@
 def test_without_retry_budget_the_failure_is_told():
     """Guards against retries beyond the budget, and a false ``not-run``.
 
-    Only the victims of a crash are placed again regardless (P9).
+    Only the victims of a crash are placed again regardless (P9), and those
+    whose decode engine refused definitely.
     """
 
     async def scenario(rig):
         rig.retries.allowed = False
+        rig.agents["d1"].script[idl.Decode] = [refuse("no_capacity")]
+        async with rig.complete() as response:
+            assert response.status == 200
         rig.agents["d1"].script[idl.Decode] = [refuse("execution_failed")]
         async with rig.complete() as response:
             error = (await response.json())["error"]
