Wire the daemons together and add scripted scenarios over real processes

An entry was ready before any claim shard had an owner, so the first calls were refused with claims_unavailable; it now turns ready once it can mint a key. The retry backoff used the claim's attempt number, which starts at 1,025, and so always waited up to the maximum; it now counts failures. The loss of one engine spent the retry budget of a small service and cut off innocent requests; displaced requests now have a bound of their own.

--- a/src/gooseberrypost/agent/context.py
+++ b/src/gooseberrypost/agent/context.py
@@ -27,6 +27,7 @@
     from gooseberrypost.agent.lifecycle import LifecycleController
     from gooseberrypost.identity import Attempt, ProcessId
     from gooseberrypost.settings.agent import AgentSettings
+    from gooseberrypost.state.configuration import Configuration
 
 
 @dataclass(slots=True)
@@ -41,6 +42,7 @@
     cache_controller: CacheController
     attempts: Attempts
     crashes: CrashReporter
+    configuration: Configuration
     now_ms: Callable[[], int]
 
     @property
@@ -61,7 +63,7 @@
             self.capacity,
             self.now_ms(),
             bool(lifecycle.reasons),
-            lifecycle.configuration_version,
+            self.configuration.version,
             self.me.incarnation,
         )
 
--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -23,7 +23,9 @@
 from gooseberrypost.agent.plain import PlainClient
 from gooseberrypost.agent.reports import Reports
 from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.configsync.controller import ConfigurationController
 from gooseberrypost.identity import ProcessId, new_incarnation
+from gooseberrypost.state.configuration import Configuration
 from gooseberrypost.state.records import Kind
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.dispatch import Dispatcher
@@ -66,6 +68,9 @@
             cfg, self.board, self.backend, vm_list
         )
         self.cache = CacheController(self.board, self.backend)
+        self.configuration = ConfigurationController(
+            self.board, self.pool, cfg.peers, store, rng=rng
+        )
         self.context = self._make_context()
         self.execution = ExecutionController(self.board, self.context)
         self.lease = AgentLease(cfg, self.me, store, rng, lease_clock_ms)
@@ -91,8 +96,8 @@
 
     def on_init_dependencies(self) -> Iterable[Any]:
         """Return the controllers, in the order in which they start."""
-        # The controller that distributes the configuration is added here.
         return [
+            self.configuration,
             self.capacity,
             self.lifecycle,
             self.cache,
@@ -157,10 +162,12 @@
             cache_controller=self.cache,
             attempts=attempts,
             crashes=crashes,
+            configuration=self.board.read(Configuration),
             now_ms=monotonic_ms,
         )
 
     def _register(self) -> None:
+        self.configuration.register(self.dispatcher)
         self.execution.register(self.dispatcher)
         self.orders.register(self.dispatcher)
         Reports(self.context).register(self.dispatcher)
--- a/src/gooseberrypost/agent/reports.py
+++ b/src/gooseberrypost/agent/reports.py
@@ -64,7 +64,7 @@
             incarnation=context.me.incarnation,
             zone=context.cfg.zone,
             state=self._lifecycle.stage,
-            configuration_version=self._lifecycle.configuration_version,
+            configuration_version=context.configuration.version,
             in_flight=len(context.attempts.running),
             load=context.load(),
             service_name=context.cfg.service,
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -154,8 +154,9 @@
             return False
         if not isinstance(failure, TransferStalled | NotRun):
             return False
+        work.live.tries += 1
         spent = work.retries.retry(
-            work.live.attempt,
+            work.live.tries,
             now_ms,
             work.live.deadline_ms,
             self._ctx.parts.rng,
--- a/src/gooseberrypost/entry/collaborators.py
+++ b/src/gooseberrypost/entry/collaborators.py
@@ -111,6 +111,16 @@
     ) -> Result[int, Any]:
         """Return the delay in ms before the next attempt, or refuse it."""
 
+    def displace(
+        self,
+        displacements: int,
+        attempt: int,
+        now_ms: int,
+        deadline_ms: int,
+        rng: random.Random,
+    ) -> Result[int, Any]:
+        """Return the delay in ms before a displaced request is moved."""
+
 
 @dataclass(slots=True)
 class Guards:
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -10,7 +10,14 @@
 
 from gooseberrypost.claims.client import ClaimRequest, Grant, StoredAnswer
 from gooseberrypost.entry.sections import LiveRequest, Stage
-from gooseberrypost.errors import Failure, Superseded, UnknownOutcome
+from gooseberrypost.errors import (
+    ConnectionLost,
+    EngineCrashed,
+    Failure,
+    NoCapacity,
+    Superseded,
+    UnknownOutcome,
+)
 from gooseberrypost.logs import RefusalDecision, RetryDecision
 
 if TYPE_CHECKING:
@@ -85,9 +92,9 @@
     Fails with the original failure when the retry budget or the deadline
     allows no retry.
     """
-    delay = budget.retry(
-        live.attempt, ctx.now_ms(), live.deadline_ms, ctx.parts.rng
-    )
+    live.tries += 1
+    live.displacements += isinstance(failure, EngineCrashed | ConnectionLost)
+    delay = _retry_delay(ctx, live, budget, failure)
     if isinstance(delay, Err):
         ctx.log_retry(live, failure, "give_up")
         return Err(failure)
@@ -96,6 +103,22 @@
     return await hold.renew()
 
 
+def _retry_delay(
+    ctx: EntryContext,
+    live: LiveRequest,
+    budget: RetryBudget,
+    failure: Failure,
+) -> Result[int, Failure]:
+    now_ms, rng = ctx.now_ms(), ctx.parts.rng
+    if live.displacements and isinstance(
+        failure, EngineCrashed | ConnectionLost | NoCapacity
+    ):
+        return budget.displace(
+            live.displacements, live.tries, now_ms, live.deadline_ms, rng
+        )
+    return budget.retry(live.tries, now_ms, live.deadline_ms, rng)
+
+
 class ClaimHold:
     """Claim of one request; given up unless it is completed."""
 
--- a/src/gooseberrypost/entry/daemon.py
+++ b/src/gooseberrypost/entry/daemon.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 from mode import Service
+from result import Err
 
 from gooseberrypost.blackboard import Blackboard
 from gooseberrypost.entry.agents import AgentClient, Background
@@ -16,7 +17,7 @@
 from gooseberrypost.entry.context import EntryContext
 from gooseberrypost.entry.fleet import FleetController
 from gooseberrypost.entry.http import HttpController
-from gooseberrypost.entry.lifecycle import LifecycleController
+from gooseberrypost.entry.lifecycle import LifecycleController, State
 from gooseberrypost.entry.operators import OperatorMessages
 from gooseberrypost.entry.requests import RequestController
 from gooseberrypost.identity import new_incarnation
@@ -32,6 +33,7 @@
 
     from gooseberrypost.settings.entry import EntrySettings
 
+READINESS_INTERVAL_S: Final = 0.1
 SETTLE_S: Final = 2.0
 """Time for cancellations on their way when the entry stops."""
 
@@ -127,13 +129,33 @@
         )
 
     async def on_started(self) -> None:
-        """Take requests once every service runs."""
+        """Become ready once requests can be claimed and placed."""
+        if not await self._serve_if_able():
+            self.add_future(self._serve_when_able())
+
+    async def _serve_when_able(self) -> None:
+        # An entry that is ready before any claim shard has an owner, or
+        # without a configuration, refuses what the balancer sends it.
+        while not self.should_stop:
+            await self.sleep(READINESS_INTERVAL_S)
+            if self.lifecycle.state is not State.STARTING:
+                return
+            if await self._serve_if_able():
+                return
+
+    async def _serve_if_able(self) -> bool:
+        parts = self.context.parts
+        if parts.configuration.version == 0:
+            return False
+        if isinstance(await parts.claims.mint(""), Err):
+            return False
         self.lifecycle.serve()
         logging.info(
             "event=serving entry=%s http=%s",
             self.settings.name,
             self.http.address,
         )
+        return True
 
     async def drain(self) -> None:
         """Refuse new requests and wait for those in flight."""
--- a/src/gooseberrypost/entry/sections.py
+++ b/src/gooseberrypost/entry/sections.py
@@ -41,6 +41,11 @@
     """Clock time in milliseconds."""
     stage: Stage = Stage.PARSE
     attempt: int = 0
+    """Number granted by the claim owner; not a count."""
+    tries: int = 0
+    """Attempts that have failed."""
+    displacements: int = 0
+    """Engines lost while they ran the request."""
     next_sequence: int = 0
     caller_gone: bool = False
     claim_answered: bool = False
--- a/src/gooseberrypost/policy/retry.py
+++ b/src/gooseberrypost/policy/retry.py
@@ -20,6 +20,13 @@
 MIN_RETRIES: Final = 2
 """Retries allowed in a window of few requests."""
 
+MAX_DISPLACEMENTS: Final = 4
+"""Times a request is moved because an engine was lost under it.
+
+One request crashes at most two engines, so an innocent one needs more only
+when machines fail at the same time.
+"""
+
 
 class RetryRefused(Failure):
     """No retry is allowed; the caller is told the failure before it."""
@@ -71,12 +78,29 @@
         allowed = max(MIN_RETRIES, int(self._share * len(self._requests)))
         if len(self._retries) >= allowed:
             return Err(RetryRefused(f"{allowed} retries in 10 s are spent"))
-        bound = backoff_bound_ms(attempt)
-        delay = rng.randint(0, bound)
-        if now_ms + delay >= deadline_ms:
-            return Err(RetryRefused("the retry would start past its deadline"))
-        self._retries.append(now_ms)
-        return Ok(delay)
+        delay = _delay(attempt, now_ms, deadline_ms, rng)
+        if delay.is_ok():
+            self._retries.append(now_ms)
+        return delay
+
+    def displace(
+        self,
+        displacements: int,
+        attempt: int,
+        now_ms: int,
+        deadline_ms: int,
+        rng: random.Random,
+    ) -> Result[int, RetryRefused]:
+        """Return the delay in ms before a displaced request runs elsewhere.
+
+        The loss of one engine displaces up to twenty requests at once. They
+        do not count against the share, which would cut off the innocent among
+        them; their number is bounded by ``MAX_DISPLACEMENTS`` for each, and
+        their load by the reservations that agents grant.
+        """
+        if displacements > MAX_DISPLACEMENTS:
+            return Err(RetryRefused(f"displaced {displacements} times"))
+        return _delay(attempt, now_ms, deadline_ms, rng)
 
     def _expire(self, now_ms: int) -> None:
         for times in (self._requests, self._retries):
@@ -84,6 +108,15 @@
                 times.popleft()
 
 
+def _delay(
+    attempt: int, now_ms: int, deadline_ms: int, rng: random.Random
+) -> Result[int, RetryRefused]:
+    delay = rng.randint(0, backoff_bound_ms(attempt))
+    if now_ms + delay >= deadline_ms:
+        return Err(RetryRefused("the retry would start past its deadline"))
+    return Ok(delay)
+
+
 def backoff_bound_ms(attempt: int) -> int:
     """Longest delay after a failed attempt, in ms.
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -231,6 +231,9 @@
     def retry(self, attempt, now_ms, deadline_ms, rng):
         return Ok(0) if self.allowed and attempt < 6 else Err(None)
 
+    def displace(self, displacements, attempt, now_ms, deadline_ms, rng):
+        return self.retry(attempt, now_ms, deadline_ms, rng)
+
 
 class FilledConfiguration(Section):
     __slots__ = ("records", "version")
--- /dev/null
+++ b/tests/scenarios/cluster.py
@@ -0,0 +1,236 @@
+"""A small deployment: stand-ins in this process, daemons as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import signal
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+from result import Ok
+
+from gooseberrypost.configsync.apply import Applier
+from gooseberrypost.platform.memory import InMemoryKeyValueStore
+from gooseberrypost.state.records import EngineRecord, ServiceRecord
+from gooseberrypost.wire.channel import Channel
+from gooseberrypost.wire.messages import idl
+from tests.scenarios.processes import Process, free_address
+from tests.scenarios.relay import Relay
+from tests.standins.engine import Engine
+from tests.standins.keyvalue import KeyValueService, serving
+from tests.standins.plain import PlainService
+
+READY_S = 30
+ENTRY_SETTINGS = {"drain_timeout_ms", "seed", "write_timeout_ms"}
+PLAIN_OPTIONS = {"restart_ms"}
+HELLO = idl.Hello(
+    process_kind="operator", name="test", incarnation=1, zone="", address=""
+)
+
+
+class Cluster:
+    """Participants by name, and the means to disturb them."""
+
+    def __init__(self, folder: Path, stack: AsyncExitStack):
+        self.folder, self.stack = folder, stack
+        self.store = InMemoryKeyValueStore(
+            lambda: time.monotonic_ns() // 1_000_000
+        )
+        self.servers: dict[str, Engine | PlainService] = {}
+        self.processes: dict[str, Process] = {}
+        self.relays: dict[str, Relay] = {}
+        self.records: dict[str, ServiceRecord | EngineRecord] = {}
+
+    @classmethod
+    @asynccontextmanager
+    async def running(cls, folder: Path):
+        async with AsyncExitStack() as stack:
+            cluster = cls(folder, stack)
+            app = KeyValueService(cluster.store).application()
+            address = await stack.enter_async_context(serving(app))
+            await cluster._relay("store", address)
+            try:
+                yield cluster
+            finally:
+                for process in cluster.processes.values():
+                    process.kill()
+
+    async def _relay(self, name: str, target: str) -> str:
+        relay = await self.stack.enter_async_context(Relay.serving(target))
+        self.relays[name] = relay
+        return relay.address
+
+    async def add_engine(self, name: str, role: str, options: dict):
+        options = dict(options)
+        zone = options.pop("zone", "a")
+        service = options.pop("service", "manual-llm")
+        model = options.pop("model", "rig-7b")
+        engine = await self.stack.enter_async_context(
+            Engine.serving(role=role, model=model, **options)
+        )
+        self.servers[name] = engine
+        limits = engine.options
+        backend = {
+            "kind": "model",
+            "address": engine.address,
+            "checks_fencing": limits.checks_fencing,
+            "slots": limits.slots,
+            "pieces": limits.pieces,
+            "link_kb_per_s": int(limits.link_kb_per_s),
+        }
+        address = await self._add_agent(name, zone, service, backend)
+        self.records[f"engine/{name}"] = EngineRecord(
+            name,
+            service=service,
+            agent_address=address,
+            zone=zone,
+            role=role,
+            model=model,
+            slots=limits.slots,
+            pieces=limits.pieces,
+            prefill_tokens_per_s=limits.prefill_tokens_per_s,
+        )
+
+    async def add_plain(self, name: str, options: dict):
+        zone = options.get("zone", "a")
+        service = options.get("service", "booking")
+        server = await self.stack.enter_async_context(PlainService.serving())
+        self.servers[name] = server
+        backend = {"kind": "plain", "address": server.address}
+        address = await self._add_agent(name, zone, service, backend)
+        self.records[f"engine/{name}"] = EngineRecord(
+            name,
+            service=service,
+            agent_address=address,
+            zone=zone,
+            role="plain",
+        )
+
+    async def _add_agent(self, name, zone, service, backend) -> str:
+        address = free_address()
+        self.processes[name] = Process(
+            "agent",
+            {
+                "name": name,
+                "vm": f"vm-{name}",
+                "zone": zone,
+                "service": service,
+                "internal_address": address,
+                "backend": backend,
+                "key_value_addresses": [self.relays["store"].address],
+                "lease_ms": 6_000,
+                "lease_renewal_ms": 1_000,
+            },
+            self.folder,
+        )
+        return await self._relay(name, address)
+
+    def add_entry(self, name: str, options: dict):
+        self.processes[name] = Process(
+            "entry",
+            {
+                "name": name,
+                "zone": options.get("zone", "a"),
+                "http_address": free_address(),
+                "internal_address": free_address(),
+                "key_value_addresses": [self.relays["store"].address],
+                "claims": {
+                    "shards": options.get("shards", 4),
+                    "lease_ms": options.get("lease_ms", 3_000),
+                },
+                **{k: v for k, v in options.items() if k in ENTRY_SETTINGS},
+            },
+            self.folder,
+        )
+
+    def add_services(self):
+        """Describe the two services unless a statement did."""
+        self.records.setdefault(
+            "service/manual-llm",
+            ServiceRecord(
+                "manual-llm",
+                kind="model",
+                models=["rig-7b"],
+                first_token_ms=10_000,
+                token_gap_ms=1_000,
+            ),
+        )
+        self.records.setdefault(
+            "service/booking",
+            ServiceRecord(
+                "booking",
+                kind="plain",
+                non_idempotent=["POST /reserve"],
+            ),
+        )
+
+    async def begin(self):
+        """Store the configuration, start every daemon and await readiness."""
+        self.add_services()
+        self._connect_peers()
+        accepted = await Applier(self.store).apply(self.records, "initial")
+        assert isinstance(accepted, Ok), accepted
+        for process in self.processes.values():
+            process.start()
+        async with asyncio.timeout(READY_S):
+            for name, process in self.processes.items():
+                if process.kind == "entry":
+                    await self._until_ready(name)
+
+    async def configure(self, service: str, changes: dict):
+        """Change fields of a service's record, as an operator does."""
+        key = f"service/{service}"
+        self.records[key] = dataclasses.replace(self.records[key], **changes)
+        accepted = await Applier(self.store).apply(
+            {key: self.records[key]}, f"change-{time.monotonic_ns()}"
+        )
+        assert isinstance(accepted, Ok), accepted
+
+    def _connect_peers(self):
+        entries = [p for p in self.processes.values() if p.kind == "entry"]
+        addresses = [p.settings["internal_address"] for p in entries]
+        for process in self.processes.values():
+            own = process.settings["internal_address"]
+            process.settings["peers"] = [a for a in addresses if a != own]
+            process.write()
+
+    async def _until_ready(self, name: str):
+        while await self.ready(name) != 200:
+            process = self.processes[name]
+            assert process.running, "\n".join(process.lines()[-20:])
+            await asyncio.sleep(0.05)
+
+    async def ready(self, name: str) -> int:
+        """HTTP status of an entry's readiness; 0 when it does not answer."""
+        url = f"http://{self.http_address(name)}/readyz"
+        timeout = aiohttp.ClientTimeout(total=1)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url) as reply,
+            ):
+                return reply.status
+        except (aiohttp.ClientError, TimeoutError):
+            return 0
+
+    def http_address(self, name: str) -> str:
+        return self.processes[name].settings["http_address"]
+
+    async def status(self, name: str):
+        """``Status`` of a daemon, or ``None`` when it does not answer."""
+        address = self.processes[name].settings["internal_address"]
+        match await Channel.connect(address, HELLO, 500):
+            case Ok(channel):
+                reply = await channel.request(idl.StatusRequest(), 1_000)
+                await channel.close()
+                return reply.ok()
+        return None
+
+    def freeze(self, name: str):
+        self.processes[name].signal(signal.SIGSTOP)
+
+    def thaw(self, name: str):
+        self.processes[name].signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/scenarios/processes.py
@@ -0,0 +1,72 @@
+"""Processes of the product under test, addressed by name."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+SOURCE = Path(__file__).resolve().parents[2] / "src"
+
+
+def free_port() -> int:
+    """Find a port that is free now; a daemon binds it a moment later."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def free_address() -> str:
+    return f"127.0.0.1:{free_port()}"
+
+
+class Process:
+    """One daemon with its settings file and log file."""
+
+    def __init__(self, kind: str, settings: dict, folder: Path):
+        self.kind, self.settings = kind, settings
+        self.config = folder / f"{settings['name']}.{kind}.json"
+        self.log = folder / f"{settings['name']}.{kind}.log"
+        self.popen: subprocess.Popen | None = None
+
+    @property
+    def running(self) -> bool:
+        return self.popen is not None and self.popen.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        return None if self.popen is None else self.popen.poll()
+
+    def write(self):
+        """Write the settings file that the daemon reads at its start."""
+        self.config.write_text(json.dumps(self.settings, indent=1))
+
+    def start(self):
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [
+                    *(sys.executable, "-m", "gooseberrypost"),
+                    *(self.kind, "--config", str(self.config)),
+                ],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": str(SOURCE)},
+            )
+
+    def signal(self, number: signal.Signals):
+        if self.running:
+            self.popen.send_signal(number)
+
+    def kill(self):
+        if self.popen is None:
+            return
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def lines(self) -> list[str]:
+        return self.log.read_text().splitlines() if self.log.exists() else []
