--- /dev/null
+++ b/src/gooseberrypost/sheet/diff.py
@@ -0,0 +1,39 @@
+"""Differences between a sheet and the schedule in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from gooseberrypost.state.records import ScheduleRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from gooseberrypost.sheet.rows import SheetRow
+    from gooseberrypost.state.records import Record
+
+
+def diff_rows(
+    rows: Sequence[SheetRow], records: Mapping[str, Record]
+) -> dict[str, Record | None]:
+    """Return the changes that make the schedule equal to the sheet.
+
+    A sheet is the whole schedule of the services that it names; rows of
+    other services stay. A key with ``None`` is removed.
+    """
+    wanted: dict[str, Record] = {}
+    for row in rows:
+        record = row.to_record()
+        wanted[f"schedule/{record.name}"] = record
+    services = {row.service for row in rows}
+    changes: dict[str, Record | None] = {
+        key: record
+        for key, record in wanted.items()
+        if records.get(key) != record
+    }
+    for key, record in records.items():
+        if not isinstance(record, ScheduleRecord) or key in wanted:
+            continue
+        if record.service in services:
+            changes[key] = None
+    return dict(sorted(changes.items()))
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -123,6 +123,8 @@
             await everywhere(processes, document.version)
             took.append((clock() - started) * 1_000 / pull_ms)
             store.set_down(False)
+        # The watchers come back within their retry time of one second.
+        await asyncio.sleep(1.5 if down else 0)
         before, at = store.total_calls, clock()
         await asyncio.sleep(5 * pull_ms / 1_000)
         rate = (store.total_calls - before) / (clock() - at)
