--- /dev/null
+++ b/src/gooseberrypost/cli/changes.py
@@ -0,0 +1,142 @@
+"""Reads and changes the configuration on behalf of the commands."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import click
+from result import Err, Ok, Result
+
+from gooseberrypost.cli.common import (
+    emit,
+    opened_pool,
+    opened_store,
+    wall_clock_ms,
+)
+from gooseberrypost.cli.exit_codes import ExitCode
+from gooseberrypost.configsync.apply import Accepted, Applier
+from gooseberrypost.configsync.check import check_records
+from gooseberrypost.configsync.push import push_to_all
+from gooseberrypost.platform.keyvalue import KeyValueStore
+from gooseberrypost.settings.loader import read_file
+from gooseberrypost.settings.problems import SettingsInvalid, SettingsProblem
+from gooseberrypost.state.configuration import (
+    HEAD_KEY,
+    Document,
+    Entry,
+    parse_record,
+)
+from gooseberrypost.state.document import parse_head
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from pathlib import Path
+
+    from gooseberrypost.errors import Failure
+    from gooseberrypost.state.records import Record
+
+
+class Applied(NamedTuple):
+    """An accepted change and how many processes confirmed it."""
+
+    apply_id: str
+    version: int
+    confirmed: int
+    peers: int
+    changed: list[str]
+
+
+async def read_head(store: KeyValueStore) -> Result[Document, Failure]:
+    """Read the configuration from the key-value service."""
+    read = await store.get(HEAD_KEY)
+    return read.and_then(lambda head: parse_head(head.value))
+
+
+async def fetch_head(stores: tuple[str, ...]) -> Result[Document, Failure]:
+    """Read the configuration through a client of its own."""
+    async with opened_store(stores) as store:
+        return await read_head(store)
+
+
+async def apply_changes(
+    stores: tuple[str, ...],
+    peers: tuple[str, ...],
+    changes: Mapping[str, Record | None],
+    apply_id: str,
+    base: Document,
+) -> Result[Applied, Failure]:
+    """Write the changes and hand them over to the peers."""
+    apply_id = apply_id or secrets.token_hex(8)
+    async with opened_store(stores) as store:
+        applier = Applier(store, lambda r: check_records(r, wall_clock_ms()))
+        applied = await applier.apply(changes, apply_id, base)
+    if isinstance(applied, Err):
+        return applied
+    confirmed = await _confirm(peers, applied.ok_value)
+    version = applied.ok_value.version
+    changed = sorted(changes)
+    return Ok(Applied(apply_id, version, confirmed, len(peers), changed))
+
+
+async def _confirm(peers: tuple[str, ...], accepted: Accepted) -> int:
+    async with opened_pool() as pool:
+        return await push_to_all(pool, peers, accepted.document)
+
+
+def report(applied: Applied, as_json: bool) -> None:
+    """Print an accepted change; exit where no peer confirmed it."""
+    text = (
+        f"version {applied.version} accepted, {len(applied.changed)} records, "
+        f"confirmed by {applied.confirmed} of {applied.peers} processes"
+    )
+    emit(applied._asdict(), text, as_json)
+    if applied.peers and not applied.confirmed:
+        click.echo("no process confirmed the change", err=True)
+        raise SystemExit(ExitCode.UNCONFIRMED)
+
+
+def document_json(document: Document) -> dict[str, Any]:
+    """Return the data of ``config show --json``, read by ``load_base``."""
+    records = {
+        key: {"version": entry.version, "record": json.loads(entry.text)}
+        for key, entry in sorted(document.entries.items())
+    }
+    return {"version": document.version, "records": records}
+
+
+def load_base(path: Path) -> Result[Document, SettingsInvalid]:
+    """Document of a file that ``config show --json`` printed."""
+    return read_file(path).and_then(lambda text: _parse_base(text, str(path)))
+
+
+def _parse_base(text: str, file: str) -> Result[Document, SettingsInvalid]:
+    try:
+        found = json.loads(text)
+        entries = {
+            key: Entry(
+                json.dumps(item["record"], sort_keys=True),
+                int(item["version"]),
+            )
+            for key, item in found["records"].items()
+        }
+        document = Document(int(found["version"]), entries)
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        message = f"is not the output of 'config show --json': {exc!r}"
+        return Err(SettingsInvalid(file, [SettingsProblem("", 1, message)]))
+    for key, entry in entries.items():
+        parsed = parse_record(key, entry.text)
+        if isinstance(parsed, Err):
+            problem = SettingsProblem(key, 1, parsed.err_value.detail)
+            return Err(SettingsInvalid(file, [problem]))
+    return Ok(document)
+
+
+async def base_of(
+    base_file: Path | None, stores: tuple[str, ...]
+) -> Result[Document, Failure]:
+    """Return the base of an edit: a file, or the configuration now."""
+    if base_file is not None:
+        return load_base(base_file)
+    return await fetch_head(stores)
--- a/src/gooseberrypost/cli/exit_codes.py
+++ b/src/gooseberrypost/cli/exit_codes.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import NoReturn
+from typing import Final, NoReturn
 
 import click
 
-from gooseberrypost.errors import Failure, NotRun, PeerUnreachable
+from gooseberrypost.configsync.check import InconsistentRecords
+from gooseberrypost.errors import (
+    Failure,
+    NotRun,
+    PeerUnreachable,
+    UnknownOutcome,
+)
 from gooseberrypost.platform.keyvalue import KeyValueUnavailable
 from gooseberrypost.settings.problems import SettingsInvalid
+from gooseberrypost.sheet.rows import SheetInvalid
+from gooseberrypost.state.configuration import Collision
 
 
 class ExitCode(IntEnum):
@@ -28,21 +36,32 @@
     """The change may have taken effect; run again with its apply id."""
     REFUSED = 7
     """The process refused; nothing was changed."""
+    UNCONFIRMED = 8
+    """The change is accepted, but no process confirmed that it has it."""
+
+
+_CODES: Final[tuple[tuple[type[Failure], ExitCode], ...]] = (
+    (SettingsInvalid, ExitCode.INVALID),
+    (SheetInvalid, ExitCode.INVALID),
+    (InconsistentRecords, ExitCode.INVALID),
+    (Collision, ExitCode.COLLISION),
+    (KeyValueUnavailable, ExitCode.UNREACHABLE),
+    (PeerUnreachable, ExitCode.UNREACHABLE),
+    (UnknownOutcome, ExitCode.UNKNOWN),
+    (NotRun, ExitCode.REFUSED),
+)
 
 
 def exit_code_of(failure: Failure) -> ExitCode:
     """Exit code that a failure leads to."""
-    if isinstance(failure, SettingsInvalid):
-        return ExitCode.INVALID
-    if isinstance(failure, KeyValueUnavailable | PeerUnreachable):
-        return ExitCode.UNREACHABLE
-    if isinstance(failure, NotRun):
-        return ExitCode.REFUSED
+    for kind, code in _CODES:
+        if isinstance(failure, kind):
+            return code
     return ExitCode.FAILED
 
 
 def fail(failure: Failure) -> NoReturn:
     """Print a failure to standard error and end with its exit code."""
-    detail = failure.detail if isinstance(failure, SettingsInvalid) else None
-    click.echo(detail or str(failure), err=True)
+    listed = isinstance(failure, SettingsInvalid | SheetInvalid)
+    click.echo(failure.detail if listed else str(failure), err=True)
     raise SystemExit(exit_code_of(failure))
