--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -168,15 +168,19 @@
         return [one for one in self.operators if one.told is None]
 
     @rule(
-        wanted=st.lists(CHANGES, min_size=1, max_size=2), fresh=st.booleans()
+        wanted=st.lists(CHANGES, min_size=1, max_size=2),
+        fresh=st.booleans(),
+        fate=FATES,
     )
-    def begin(self, wanted, fresh):
+    def begin(self, wanted, fresh, fate):
         for one in wanted:
             self.start_operator(one, fresh)
+            self.operators[-1].store.fate = fate
 
-    @rule(wanted=CHANGES)
-    def apply_at_once(self, wanted):
+    @rule(wanted=CHANGES, fate=FATES)
+    def apply_at_once(self, wanted, fate):
         self.start_operator(wanted, True)
+        self.operators[-1].store.fate = fate
         self.finish(self.operators[-1])
 
     @precondition(lambda self: self.running())
