Report rows that contradict others' accepted rows as collisions

Two edits from one base with different start times do not share a key, so the second one passed the collision check and was then refused as an invalid file although it was valid on its base. It is now told the rows, as for a shared key.

--- a/src/gooseberrypost/configsync/apply.py
+++ b/src/gooseberrypost/configsync/apply.py
@@ -19,6 +19,7 @@
 from gooseberrypost.state.configuration import (
     HEAD_KEY,
     MAX_APPLIES,
+    Collision,
     Document,
 )
 from gooseberrypost.state.document import format_document, parse_head
@@ -26,9 +27,12 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
+    from gooseberrypost.configsync.check import InconsistentRecords
     from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.state.records import Record
 
+    Check = Callable[[Mapping[str, Record]], InconsistentRecords | None]
+
 TIMEOUT_MS: Final = 10_000
 RETRY_MS: Final = 50
 MAX_RETRY_MS: Final = 1_000
@@ -58,7 +62,7 @@
     def __init__(
         self,
         store: KeyValueStore,
-        check: Callable[[Mapping[str, Record]], Failure | None] | None = None,
+        check: Check | None = None,
         *,
         timeout_ms: int = TIMEOUT_MS,
         rng: random.Random | None = None,
@@ -158,7 +162,7 @@
     def propose(
         self,
         head: Versioned,
-        check: Callable[[Mapping[str, Record]], Failure | None] | None,
+        check: Check | None,
     ) -> Result[Document | Accepted, Failure]:
         """Next document, or ``Accepted`` when the head has the change."""
         parsed = parse_head(head.value)
@@ -185,7 +189,18 @@
         if document is current:
             return Ok(Accepted(current.version, current))
         failure = check(document.records()) if check else None
-        return Ok(document) if failure is None else Err(failure)
+        if failure is None:
+            return Ok(document)
+        return Err(self._blame(failure, self._base, check))
+
+    def _blame(
+        self, failure: InconsistentRecords, base: Document, check: Check
+    ) -> Failure:
+        """Collision, where the change would be consistent on its base."""
+        alone = base.propose(base, self._changes, self._apply_id)
+        if isinstance(alone, Ok) and not check(alone.ok_value.records()):
+            return Collision(failure.rows)
+        return failure
 
     def failure(self) -> Failure:
         """Failure that tells no more than is known."""
--- a/src/gooseberrypost/configsync/check.py
+++ b/src/gooseberrypost/configsync/check.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from gooseberrypost.errors import NotRun
 from gooseberrypost.sheet.check import check_rows
@@ -26,6 +26,20 @@
     code = "inconsistent_records"
     http_status = 400
 
+    def __init__(self, problems: list[RecordProblem]) -> None:
+        super().__init__("\n".join(str(one) for one in problems))
+        self.rows = sorted({key for one in problems for key in one.keys})
+
+
+class RecordProblem(NamedTuple):
+    """What is wrong, and the keys of the records concerned."""
+
+    keys: list[str]
+    message: str
+
+    def __str__(self) -> str:
+        return f"{' and '.join(self.keys)}: {self.message}"
+
 
 def check_records(
     records: Mapping[str, Record], now_ms: int
@@ -33,23 +47,32 @@
     """Return every contradiction in one failure; ``None``: there is none."""
     found = list(_engine_problems(records))
     rows = rows_of(records)
+    keys = [f"schedule/{row.to_record().name}" for row in rows]
     for problem in check_rows(rows, records, now_ms):
-        row = rows[problem.row - 1]
-        key = f"schedule/{row.to_record().name}"
-        found.append(f"{key}: {problem.column}: {problem.message}")
-    return InconsistentRecords("\n".join(found)) if found else None
+        numbers = [n for n in (problem.row, problem.other_row) if n]
+        message = f"{problem.column}: {problem.message}"
+        found.append(RecordProblem([keys[n - 1] for n in numbers], message))
+    return InconsistentRecords(found) if found else None
 
 
-def _engine_problems(records: Mapping[str, Record]) -> Iterator[str]:
+def _engine_problems(
+    records: Mapping[str, Record],
+) -> Iterator[RecordProblem]:
     for key, record in records.items():
-        if not isinstance(record, EngineRecord):
-            continue
-        service = records.get(f"service/{record.service}")
-        if not isinstance(service, ServiceRecord):
-            yield f"{key}: service: {record.service!r} does not exist"
-            continue
-        plain = record.role == EngineRole.PLAIN
-        if plain != (service.kind == Kind.PLAIN):
-            yield f"{key}: role: {record.role!r} in a {service.kind} service"
-        if record.model and record.model not in service.models:
-            yield f"{key}: model: {record.model!r} is not of the service"
+        if isinstance(record, EngineRecord):
+            for message in _engine_messages(record, records):
+                yield RecordProblem([key], message)
+
+
+def _engine_messages(
+    engine: EngineRecord, records: Mapping[str, Record]
+) -> Iterator[str]:
+    service = records.get(f"service/{engine.service}")
+    if not isinstance(service, ServiceRecord):
+        yield f"service: {engine.service!r} does not exist"
+        return
+    plain = engine.role == EngineRole.PLAIN
+    if plain != (service.kind == Kind.PLAIN):
+        yield f"role: {engine.role!r} in a {service.kind} service"
+    if engine.model and engine.model not in service.models:
+        yield f"model: {engine.model!r} is not of the service"
--- a/src/gooseberrypost/sheet/check.py
+++ b/src/gooseberrypost/sheet/check.py
@@ -78,11 +78,11 @@
             if first.time_zone != second.time_zone:
                 # Local hours of two zones cannot be compared week by week.
                 message = f"differs from row {first.row} of the same engine"
-                yield SheetProblem(second.row, "time zone", message)
+                yield SheetProblem(second.row, "time zone", message, first.row)
             elif _overlap(first, second):
                 hours = f"{format_minutes(first.starts)} on {first.day}"
                 message = f"overlaps row {first.row}, which starts {hours}"
-                yield SheetProblem(second.row, "from", message)
+                yield SheetProblem(second.row, "from", message, first.row)
 
 
 def _overlap(first: SheetRow, second: SheetRow) -> bool:
--- a/src/gooseberrypost/sheet/rows.py
+++ b/src/gooseberrypost/sheet/rows.py
@@ -31,6 +31,8 @@
     """Line in the file, from 1."""
     column: str
     message: str
+    other_row: int = 0
+    """Row that this one contradicts; 0: none."""
 
     def __str__(self) -> str:
         return f"row {self.row}, column {self.column!r}: {self.message}"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -86,6 +86,12 @@
             await everywhere(nodes, 2)
             row = nodes[0].section.records["schedule/monday/e3/08:00"]
             assert row.ends == "10:00"
+            # Other rows, whose hours overlap those accepted meanwhile.
+            later = files("later.csv", (SHEET % "11:00").replace("08:", "09:"))
+            lost = await invoke("sheet", "apply", later, *edit)
+            assert lost.exit_code == 4, lost.output
+            assert "schedule/monday/e3/08:00" in lost.output
+            assert "schedule/monday/e3/09:00" in lost.output
             diff = await invoke("sheet", "diff", second, *where, "--json")
             assert list(json.loads(diff.output)["changes"]) == [
                 "schedule/monday/e3/08:00"
