--- a/src/gooseberrypost/sheet/calendar.py
+++ b/src/gooseberrypost/sheet/calendar.py
@@ -22,7 +22,7 @@
 END: Final = 1
 
 
-@lru_cache(maxsize=65_536)
+@lru_cache(maxsize=4_096)
 def instant_ms(zone: str, day: date, minutes: int, edge: int) -> int:
     """Instant of a local time, in milliseconds since 1970 UTC.
 
--- a/src/gooseberrypost/sheet/check.py
+++ b/src/gooseberrypost/sheet/check.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import UTC, date, datetime
-from itertools import combinations
+from itertools import combinations, groupby
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.sheet.calendar import START, instant_ms
@@ -28,6 +29,8 @@
     from gooseberrypost.state.records import Record
 
 WEEK_MINUTES: Final = 7 * DAY_MINUTES
+HOUR_MS: Final = 3_600_000
+DAY_MS: Final = 24 * HOUR_MS
 WEEK_DAYS: Final = 8
 """One day more than a week, for rows that cross midnight."""
 
@@ -132,23 +135,48 @@
 ) -> Iterator[SheetProblem]:
     reported: set[tuple[int, str]] = set()
     for start_ms, days in _windows(rows, now_ms):
-        edges = {start_ms}
-        for engine in engines:
-            edges.update(schedule.edges(engine, start_ms, days))
-        for edge_ms in sorted(edges):
-            found = {schedule.at(engine, edge_ms) for engine in engines}
-            roles = {one.role for one in found if one is not None}
-            for role in (EngineRole.PREFILL, EngineRole.DECODE):
-                if role in roles:
-                    continue
-                row = _nearest(rows, edge_ms)
-                if (row.row, role) in reported:
-                    continue
-                reported.add((row.row, role))
-                message = (
-                    f"leaves {service!r} without {role} at {_utc(edge_ms)}"
-                )
-                yield SheetProblem(row.row, "role", message)
+        events = _events(engines, schedule, start_ms, days)
+        for edge_ms, missing in _missing_roles(events):
+            row = _nearest(rows, edge_ms)
+            if (row.row, missing) in reported:
+                continue
+            reported.add((row.row, missing))
+            when = _utc(edge_ms)
+            message = f"leaves {service!r} without {missing} at {when}"
+            yield SheetProblem(row.row, "role", message)
+
+
+def _events(
+    engines: list[str], schedule: Schedule, start_ms: int, days: int
+) -> list[tuple[int, str, str]]:
+    """Instant, engine and its role from then on, in order of time."""
+    # Rows of the day after the last one may start an hour before its nominal
+    # start when the clocks change.
+    end_ms = start_ms + days * DAY_MS - HOUR_MS
+    events = []
+    for engine in engines:
+        edges = schedule.edges(engine, start_ms, days)
+        inside = [e for e in edges if start_ms < e < end_ms]
+        for edge_ms in (start_ms, *inside):
+            assignment = schedule.at(engine, edge_ms)
+            role = "" if assignment is None else assignment.role
+            events.append((edge_ms, engine, role))
+    return sorted(events)
+
+
+def _missing_roles(
+    events: list[tuple[int, str, str]],
+) -> Iterator[tuple[int, EngineRole]]:
+    roles: dict[str, str] = {}
+    engines_in = Counter[str]()
+    for edge_ms, together in groupby(events, key=lambda event: event[0]):
+        for _, engine, role in together:
+            engines_in[roles.get(engine, "")] -= 1
+            engines_in[role] += 1
+            roles[engine] = role
+        for role in (EngineRole.PREFILL, EngineRole.DECODE):
+            if engines_in[role] <= 0:
+                yield edge_ms, role
 
 
 def _windows(rows: list[SheetRow], now_ms: int) -> Iterator[tuple[int, int]]:
@@ -156,8 +184,8 @@
     for day, zone in sorted(
         {(r.day, r.time_zone) for r in rows if r.is_dated}
     ):
-        noon_ms = instant_ms(zone, date.fromisoformat(day), 720, START)
-        yield noon_ms, 1
+        midnight_ms = instant_ms(zone, date.fromisoformat(day), 0, START)
+        yield midnight_ms, 2
 
 
 def _nearest(rows: list[SheetRow], edge_ms: int) -> SheetRow:
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -284,6 +284,18 @@
         for operator in self.operators:
             self.check_told(operator)
 
+    @invariant()
+    def no_edit_reverts_a_row_that_changed_after_its_base(self):
+        for operator in self.operators:
+            landed = self.written.get(operator.apply_id)
+            if landed is None or operator.base is None:
+                continue
+            since = range(operator.base.version, landed)
+            for key in operator.wanted:
+                if self.changed(operator, key):
+                    seen = {self.history[v].get(key) for v in since}
+                    assert len(seen) == 1
+
     @invariant()
     def versions_only_rise(self):
         for index, section in enumerate(self.sections):
--- a/tests/test_sheet.py
+++ b/tests/test_sheet.py
@@ -188,6 +188,15 @@
             [(2, "service"), (2, "engine")],
         ),
         ([row(), row("Friday").replace(ZONE, "UTC")], [(3, "time zone")]),
+        # The window of the check ends between the last two rows.
+        (
+            [
+                row("Wednesday", "e1", "decode", "22:00;02:00"),
+                row("Wednesday", "e3", "prefill", "22:00;24:00"),
+                row("Thursday", "e2", "prefill", "00:00;02:00"),
+            ],
+            [],
+        ),
         # The only prefill engine turns to decode.
         ([row(engine="e1", role="decode")], [(2, "role")]),
         ([row("2027-06-01", "e1", "decode")], [(2, "role")]),
