Count a lost request of a live engine as a crash only in company

A load report that fell on a connection kept alive was suspected first; a connection for each request and a second look at the load report are right in themselves, because a kept connection that the server has just closed also loses calls, but the failure came again. The cause: an engine frees a request when it has written the end of its stream, and a connection that breaks then loses that end. The agent found the request gone and took that for a restart.

Now a failed load report, or the loss of all of at least two running requests, counts as a crash. A single lost request ends with execution_failed, which the test allows and counts: the engine may forget a request whose end was lost.

--- a/src/gooseberrypost/agent/crash.py
+++ b/src/gooseberrypost/agent/crash.py
@@ -10,6 +10,7 @@
 from gooseberrypost.agent.engine import EngineClient
 from gooseberrypost.agent.jobs import Attempts
 from gooseberrypost.agent.log import decision
+from gooseberrypost.errors import ConnectionLost
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.messages import idl
 
@@ -21,6 +22,10 @@
     from gooseberrypost.errors import Failure
     from gooseberrypost.identity import Attempt, ProcessId
 
+CHECKS: Final = 3
+CHECK_INTERVAL_MS: Final = 50
+RESTART_EVIDENCE: Final = 2
+"""Requests that a live server must have lost together."""
 LOAD_TIMEOUT_MS: Final = 500
 REPORT_TIMEOUT_MS: Final = 300
 
@@ -69,7 +74,8 @@
     async def crashed(self, attempt: Attempt) -> bool:
         """Judge a broken connection to the backend server.
 
-        It crashed when its load report fails or it has lost the request.
+        It crashed when its load report fails, or when it reports again but
+        has lost every one of several requests.
         Returns after the evidence was reported, once for each crash.
         """
         async with self._lock:
@@ -79,21 +85,31 @@
             if attempt not in lost:
                 return False
             await self._report(lost)
-            self._reported = lost
+            jobs = self._attempts.jobs
+            self._reported = {a for a in self._reported if a in jobs} | lost
             return True
 
     async def _lost_attempts(self) -> set[Attempt]:
         running = {job.attempt for job in self._attempts.running}
+        for _ in range(CHECKS):
+            listed = await self._listed()
+            if isinstance(listed, Ok):
+                return _lost_by_live_server(running, listed.ok_value)
+            if not isinstance(listed.err_value, ConnectionLost):
+                break
+            # The check may have been cut by what broke the request.
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
+        return running
+
+    async def _listed(self) -> Result[set[Attempt], Failure]:
+        """List the attempts that a live server still has."""
         report = await self._backend.load(LOAD_TIMEOUT_MS)
         if isinstance(report, Err):
-            return running
+            return report
         if not isinstance(self._backend, EngineClient):
-            return set()
-        match await self._backend.requests():
-            case Ok(listed):
-                return running - {item.attempt for item in listed}
-            case _:
-                return running
+            return Ok({job.attempt for job in self._attempts.running})
+        requests = await self._backend.requests()
+        return requests.map(lambda items: {item.attempt for item in items})
 
     async def _report(self, lost: set[Attempt]) -> None:
         self._crashes += 1
@@ -135,3 +151,16 @@
             isinstance(reply, Ok) and isinstance(reply.ok_value, idl.Ok)
             for reply in replies
         )
+
+
+def _lost_by_live_server(
+    running: set[Attempt], listed: set[Attempt]
+) -> set[Attempt]:
+    """Tell a restart too quick to be seen from a lost connection.
+
+    A single lost request is no evidence: the server may have finished it and
+    the end of its stream was lost with the connection.
+    """
+    if len(running) < RESTART_EVIDENCE or running & listed:
+        return set()
+    return running
--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -16,6 +16,7 @@
     ProtocolFailure,
     TimedOut,
     TransferStalled,
+    UnknownOutcome,
 )
 from gooseberrypost.state.attempts import AttemptState, Phase
 
@@ -26,7 +27,7 @@
     from gooseberrypost.state.ledger import Booking
 
 MAX_RESUMES: Final = 3
-"""Times a stream is resumed after only its connection broke."""
+"""Times in a row that a stream is resumed without another token."""
 
 
 class Decoding:
@@ -56,6 +57,9 @@
                 await work
         except TimeoutError:
             failure = TimedOut("deadline passed while decoding")
+        except UnknownOutcome as exc:
+            # Nothing of it runs on once it is freed below.
+            failure = ExecutionFailed(str(exc))
         except Failure as exc:
             failure = exc
         if isinstance(failure, EngineCrashed) or failure is None:
@@ -149,11 +153,14 @@
         self, job: DecodeJob, resumes: int = MAX_RESUMES
     ) -> None:
         engine = self._context.engine
+        first = job.next_sequence
         try:
             async with engine.resume(job.attempt, job.next_sequence) as stream:
                 await self._copy(job, stream)
         except ConnectionLost as exc:
-            await self._after_break(job, exc, resumes)
+            progressed = job.next_sequence > first
+            left = MAX_RESUMES if progressed else resumes
+            await self._after_break(job, exc, left)
 
     async def _after_break(
         self, job: DecodeJob, failure: ConnectionLost, resumes: int
--- a/src/gooseberrypost/agent/http.py
+++ b/src/gooseberrypost/agent/http.py
@@ -31,10 +31,14 @@
 
 
 def open_session(address: str) -> aiohttp.ClientSession:
-    """Open a session whose paths are relative to ``host:port``."""
+    """Open a session whose paths are relative to ``host:port``.
+
+    Each request has its own connection: on a kept one that the server has
+    just closed, a request fails although it was never received.
+    """
     return aiohttp.ClientSession(
         base_url=f"http://{address}",
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000
         ),
--- a/src/gooseberrypost/agent/lifecycle.py
+++ b/src/gooseberrypost/agent/lifecycle.py
@@ -12,7 +12,7 @@
 from gooseberrypost.agent.log import decision
 from gooseberrypost.blackboard import Blackboard, Section
 from gooseberrypost.errors import Draining, NoCapacity, NotRun
-from gooseberrypost.state.records import EngineRole
+from gooseberrypost.state.records import EngineRole, Kind
 
 if TYPE_CHECKING:
     from gooseberrypost.agent.backend import Backend, LoadReport
@@ -102,6 +102,8 @@
     ) -> None:
         super().__init__()
         self.lifecycle = Lifecycle()
+        if cfg.backend.kind == Kind.PLAIN:
+            self.lifecycle.role = EngineRole.PLAIN
         board.add(self.lifecycle, OWNER)
         self._cfg = cfg
         self._backend = backend
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -19,6 +19,7 @@
     StaleOrder,
 )
 from gooseberrypost.state.fencing import Fence, Token
+from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.listener import refused
 from gooseberrypost.wire.messages import idl
 
@@ -30,6 +31,7 @@
     from gooseberrypost.wire.listener import Session
 
 ORDER_TIMEOUT_MS: Final = 10_000
+ENGINE_ROLES: Final = (EngineRole.PREFILL, EngineRole.DECODE)
 KINDS: Final = ("load_model", "load_adapter", "set_version", "set_role")
 
 
@@ -52,6 +54,8 @@
         fill_defaults(req)
         if req.kind not in KINDS:
             return Err(MalformedRequest(f"order {req.kind!r} is unknown"))
+        if req.kind == "set_role" and req.value not in ENGINE_ROLES:
+            return Err(MalformedRequest(f"role {req.value!r} is unknown"))
         async with self._lock:
             outcome = await self._execute(req)
         fields = {"kind": req.kind, "value": req.value, "fencing": req.fencing}
--- a/src/gooseberrypost/agent/reports.py
+++ b/src/gooseberrypost/agent/reports.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from gooseberrypost.agent.lifecycle import DrainReason, Lifecycle
-from gooseberrypost.state.records import EngineRole, Kind
+from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
@@ -80,9 +80,4 @@
         await session.send(correlation, idl.Ok())
 
     def _role(self) -> EngineRole:
-        role = self._lifecycle.role
-        if role is not None:
-            return role
-        if self._context.cfg.backend.kind == Kind.PLAIN:
-            return EngineRole.PLAIN
-        return EngineRole.DECODE
+        return self._lifecycle.role or EngineRole.DECODE
--- a/tests/test_agent_ownership.py
+++ b/tests/test_agent_ownership.py
@@ -160,6 +160,25 @@
     asyncio.run(run())
 
 
+def test_a_pause_of_the_agent_is_no_silence_of_its_entries():
+    """Guards against an agent that wakes up and cancels everything."""
+
+    async def run():
+        async with rigged(engine={"token_ms": 20}) as rig:
+            reserved, prefilled = await rig.prepare()
+            async with rig.far.stream(decode(reserved, prefilled)) as replies:
+                (await replies.next(1_000)).unwrap()
+                (job,) = rig.decoder.context.attempts.running
+                ownership = rig.decoder.execution._ownership
+                job.session.last_heard_s -= 60
+                ownership._enforced_ms -= 60_000
+                rig.decoder.execution.upkeep()
+                _, end = await collect(replies)
+            assert end.code == ""
+
+    asyncio.run(run())
+
+
 def test_a_broken_connection_is_reattached_without_loss():
     """Guards against tokens lost or repeated when a connection breaks."""
 
--- a/tests/test_agent_refusals.py
+++ b/tests/test_agent_refusals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 import pytest
 
@@ -155,6 +156,7 @@
                 (idl.Decode(key="k", attempt=1), "deadline_passed"),
                 (call(), "not_run"),
                 (idl.Order(), "malformed_request"),
+                (idl.Order(kind="set_role", value="x"), "malformed_request"),
                 (idl.ConfigDelta(), "protocol_failure"),
             ):
                 assert (await ask(rig.far, message)).code == code
@@ -163,6 +165,32 @@
     asyncio.run(run())
 
 
+def test_each_decision_is_one_log_line(caplog):
+    """Guards against refusals and cancels that leave no reason behind."""
+
+    async def run():
+        async with rigged(slots=1) as rig:
+            await ask(rig.far, reserve())
+            await ask(rig.far, reserve("b"))
+            await ask(rig.far, idl.Cancel(key="k", attempt=1))
+            await ask(rig.far, idl.Drain(draining=True))
+            order = idl.Order(kind="load_model", value="m", fencing=3)
+            await ask(rig.far, order)
+
+    with caplog.at_level(logging.INFO, logger="absl"):
+        asyncio.run(run())
+    for line in (
+        "event=admit key=k attempt=1 phase=reserve",
+        "event=refuse key=b attempt=1 reason=no_capacity "
+        'detail="all 1 slots are taken"',
+        "event=cancel key=k attempt=1 phase=none reason=cancel",
+        "event=drain draining=True wanted=True reason=operator",
+        "event=order kind=load_model value=m fencing=3 reason=stale_order "
+        'detail="the lease of this agent is not valid"',
+    ):
+        assert caplog.messages.count(line) == 1
+
+
 def test_a_higher_attempt_replaces_a_lower_one():
     """Guards against two attempts of a request that hold memory."""
 
