--- a/src/gooseberrypost/claims/_messages.py
+++ b/src/gooseberrypost/claims/_messages.py
@@ -149,4 +149,19 @@
             # A claim made now would have no session whose end orphans it.
             return
         reply = await answer(self._owner, message, holder_of(session))
+        if session.closed.is_set():
+            self._take_back(reply, message)
         await session.send(number, reply)
+
+    def _take_back(self, reply: Any, message: Any) -> None:
+        """Abandon a grant whose entry is gone before it could be told.
+
+        Its session ended before the grant, so nothing else would orphan it.
+        """
+        if not isinstance(message, idl.Claim):
+            return
+        if getattr(reply, "verdict", None) != Verdict.GRANTED:
+            return
+        shard = self._owner.shard_for(message.key)
+        if shard is not None:
+            shard.abandon(message.key, reply.attempt, not_run=True)
--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -295,6 +295,8 @@
                 if isinstance(taken.err_value, Conflict):
                     self._free_since_ms.pop(number, None)
                 return
+            # A first claim is judged by the evidence of the former owner.
+            await self._bounded(self.keeper.sync())
             self._hold(log)
 
     def _hold(self, log: ShardLog) -> None:
--- a/tests/test_claim_owner.py
+++ b/tests/test_claim_owner.py
@@ -3,20 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from contextlib import asynccontextmanager
 
 from result import Err, Ok
 
-from gooseberrypost.blackboard import Blackboard
 from gooseberrypost.claims._clocks import monotonic_ms
 from gooseberrypost.claims.client import (
     AnsweredBefore,
-    ClaimRequest,
     StoredAnswer,
 )
-from gooseberrypost.claims.owner import ClaimOwnerController
-from gooseberrypost.claims.remote import RemoteClaimClient
 from gooseberrypost.errors import (
     ClaimsUnavailable,
     Duplicate,
@@ -26,104 +20,13 @@
     Superseded,
     UnknownOutcome,
 )
-from gooseberrypost.identity import MintedKey, shard_of
-from gooseberrypost.settings.entry import ClaimSettings, EntrySettings
-from gooseberrypost.wire.channel import ChannelPool
-from gooseberrypost.wire.dispatch import Dispatcher
-from gooseberrypost.wire.listener import Listener
+from gooseberrypost.identity import MintedKey
 from gooseberrypost.wire.messages import idl
-from tests.fake_store import FakeStore, Shared
+from tests.claim_cluster import SHARDS, entries, key_owned_by, owned, until
 
-SHARDS = 4
 ANSWER = StoredAnswer(200, b"whole answer", "text/plain")
 
 
-class Entry:
-    """Owner, client and listener of one entry."""
-
-    def __init__(self, name, shared, rng):
-        self.name = name
-        self.rng = rng
-        self.store = FakeStore(shared)
-        self.dispatcher = Dispatcher()
-        self.listener = Listener(self.dispatcher)
-
-    async def start(self, entries, own=True, lease_ms=800):
-        peers = [e.listener.address for e in entries if e is not self]
-        address = self.listener.address
-        claims = ClaimSettings(SHARDS, own, lease_ms, linger_ms=2)
-        cfg = EntrySettings(self.name, "z1", "", address, peers, claims=claims)
-        self.owner = ClaimOwnerController.from_config(
-            cfg, Blackboard(), self.store, self.dispatcher, self.rng
-        )
-        hello = idl.Hello(
-            process_kind="entry",
-            name=self.name,
-            incarnation=self.owner.incarnation,
-            zone="z1",
-            address=address,
-        )
-        self.pool = ChannelPool(hello)
-        self.client = RemoteClaimClient.from_config(
-            cfg, self.store, self.pool, self.rng, monotonic_ms, self.owner
-        )
-        await self.owner.start()
-
-    async def die(self):
-        """Stop without a release, as a lost VM does."""
-        self.store.cut_off = True
-        for shard in list(self.owner.section.shards.values()):
-            shard.lose()
-        self.owner.section.shards.clear()
-        await self.listener.stop()
-        await self.pool.close()
-        await self.owner.stop()
-
-    async def claim(self, key, idempotent=True, digest=b"d", wait_ms=0):
-        req = ClaimRequest(key, digest, "s", idempotent, 8_000, wait_ms)
-        return await self.client.claim(req)
-
-
-@asynccontextmanager
-async def entries(count, owners=None, **settings):
-    """Entries of one cluster, once every shard has an owner."""
-    shared = Shared()
-    rng = random.Random(3)
-    made = [Entry(f"e{n}", shared, rng) for n in range(count)]
-    for entry in made:
-        await entry.listener.start("127.0.0.1:0")
-    for number, entry in enumerate(made):
-        own = owners is None or number in owners
-        await entry.start(made, own, **settings)
-    try:
-        await until(lambda: owned(made) == SHARDS)
-        yield made
-    finally:
-        shared.down = False
-        for entry in made:
-            await entry.pool.close()
-            await entry.owner.stop()
-            await entry.listener.stop()
-
-
-def owned(made):
-    return sum(len(entry.owner.section.shards) for entry in made)
-
-
-async def until(condition, seconds=8):
-    async with asyncio.timeout(seconds):
-        while not condition():  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-
-
-def key_owned_by(entry, name="k"):
-    """Caller-made key whose shard an entry holds."""
-    for number in range(1_000):
-        if shard_of(f"{name}{number}", SHARDS) in entry.owner.section.shards:
-            return f"{name}{number}"
-    raise AssertionError("the entry holds no shard")
-
-
 def test_a_fresh_cluster_spreads_its_shards_within_two_seconds():
     """Guards against unowned shards and against one owner of all."""
 
@@ -183,6 +86,28 @@
     asyncio.run(run())
 
 
+def test_a_grant_that_cannot_be_told_is_taken_back():
+    """Guards against a claim held until its deadline by a lost entry."""
+
+    async def run():
+        async with entries(3, owners=[0]) as (owner, first, second):
+            grant = (await first.claim("k", idempotent=False)).unwrap()
+            attached = asyncio.create_task(
+                second.claim("k", idempotent=False, wait_ms=5_000)
+            )
+            claims = owner.owner.shard_for("k").claims.claims
+            await until(lambda: len(owner.listener.sessions) == 2)
+            await second.pool.close()
+            assert (await attached).is_err()
+            await first.client.abandon("k", grant.attempt, not_run=True)
+            await until(lambda: claims["k"].attempt > grant.attempt)
+            await until(lambda: claims["k"].state == "abandoned")
+            again = await first.claim("k", idempotent=False)
+            assert again.is_ok()
+
+    asyncio.run(run())
+
+
 def test_a_successor_knows_the_claims_of_a_lost_owner():
     """Guards against a second run after the owner died (P5)."""
 
@@ -331,7 +256,6 @@
                 assert isinstance(done.unwrap(), idl.Ok)
             await first.die()
             await until(lambda: owned([second]) == SHARDS)
-            await second.owner.keeper.sync()
             refused = await third.claim("k", digest=b"p")
             assert isinstance(refused.unwrap_err(), Quarantined)
             grant = (await third.claim("j", digest=b"c1")).unwrap()
--- /dev/null
+++ b/tests/test_claim_state.py
@@ -0,0 +1,115 @@
+"""Memory of a shard, leases, segments and log trimming."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrypost.claims.client import StoredAnswer
+from gooseberrypost.policy.shards import fair_share, take_delay_ms
+from gooseberrypost.state.claim import ClaimAsk, ClaimState, Verdict
+from gooseberrypost.state.claims import ORPHAN_GRACE_MS, ShardClaims
+from gooseberrypost.state.heads import Head
+from gooseberrypost.state.leases import HeldLease
+from gooseberrypost.state.segments import LogRecord, Segment
+from tests.claim_model import DEADLINE_MS, Model
+
+
+def ask(key, idempotent=True):
+    return ClaimAsk(key, b"d", idempotent, DEADLINE_MS)
+
+
+@given(st.lists(st.tuples(st.integers(0, 60_000), st.integers(0, 20_000))))
+def test_a_holder_believes_less_than_the_grantor(renewals):
+    """Guards against relying on a lease that has lapsed (P8)."""
+    lease, ttl_ms, lapses_ms = HeldLease(15_000), 15_000, 0
+    for sent_ms, taken_ms in sorted(renewals):
+        granted_ms = sent_ms + taken_ms
+        lapses_ms = max(lapses_ms, granted_ms + ttl_ms)
+        lease.renewed(sent_ms)
+    assert not lease.is_held(max(lapses_ms, 1) - 1)
+
+
+def test_old_answers_are_evicted_and_old_claims_forgotten():
+    """Guards against memory that grows with every call."""
+    claims = ShardClaims(0, 1, answers_bytes=250, retention_ms=1_000)
+    answer = StoredAnswer(200, b"x" * 100, "")
+    for number in range(4):
+        granted = claims.claim(ask(f"k{number}"), "e", number)
+        claims.complete(f"k{number}", granted.attempt, answer, number)
+    assert claims.stored_bytes <= 250
+    assert claims.claim(ask("k0"), "e", 5).answer is None
+    assert claims.claim(ask("k3"), "e", 5).answer == answer
+    claims.tick(2_000)
+    assert not claims.claims
+    assert claims.stored_bytes == 0
+
+
+def test_a_new_connection_within_the_grace_keeps_the_claim():
+    """Guards against a broken connection that costs a running request."""
+    claims = ShardClaims(0, 1)
+    claims.claim(ask("k"), "e", 0)
+    claims.holder_lost("e", 0)
+    claims.holder_back("e")
+    claims.tick(ORPHAN_GRACE_MS)
+    assert claims.claims["k"].state is ClaimState.RUNNING
+    claims.holder_lost("e", 600)
+    claims.tick(600 + ORPHAN_GRACE_MS)
+    assert claims.claims["k"].state is ClaimState.ORPHANED
+
+
+def test_convicted_content_that_may_have_run_is_not_called_not_run():
+    """Guards against a quarantine that hides an earlier run (P4)."""
+    claims = ShardClaims(0, 1)
+    granted = claims.claim(ask("k"), "e", 0)
+    claims.confirm(len(claims.take_outbox()))
+    assert claims.tell_grant("k", granted.attempt)
+    claims.holder_lost("e", 0)
+    claims.tick(DEADLINE_MS)
+    again = claims.claim(ask("k"), "f", DEADLINE_MS, convicted=True)
+    assert again.verdict is Verdict.UNKNOWN
+    other = claims.claim(ask("j"), "f", DEADLINE_MS, convicted=True)
+    assert (other.verdict, other.needs_lease) == (Verdict.QUARANTINED, True)
+
+
+def test_trimmed_segments_are_not_replayed():
+    """Guards against a log that grows for ever or loses its open end."""
+    model = Model()
+    node = model.owner("A")
+    for number in range(30):
+        model.claim("A", "e1", ask(f"k{number}"))
+        model.settle("A")
+    last = node.log.number
+    model._start(node, "trim", node.log.trim(last))
+    model.settle("A")
+    kept = [key for key in model.store.values if "/log/" in key]
+    assert kept == [f"claims/0/log/{last}"]
+    model.kill("A")
+    assert 0 < len(model.owner("B").claims.claims) < 30
+
+
+@given(st.integers(1, 40), st.integers(1, 500))
+def test_shares_cover_all_shards(shards, entries):
+    """Guards against shards that every entry leaves to the others."""
+    share = fair_share(shards, entries)
+    assert share * entries >= shards
+    assert take_delay_ms(share, shards, entries) < 1_500 or share >= 15
+    assert take_delay_ms(share + 1, shards, entries) == 1_500
+
+
+@pytest.mark.parametrize("text", ["x", "[1]", "[1,0]\nx", '[1,0]\n["a",[[]]]'])
+def test_a_damaged_segment_is_a_typed_failure(text):
+    """Guards against a takeover that crashes or skips records."""
+    assert Segment.parse(text).is_err()
+    assert Head.parse(text).is_err()
+
+
+@given(st.lists(st.text(max_size=20), max_size=10))
+def test_segments_survive_a_round_trip(keys):
+    """Guards against records lost or split by their content."""
+    segment = Segment(1)
+    for number, key in enumerate(keys):
+        segment = segment.with_batch(f"1.{number}", [LogRecord("c", key, 1)])
+    parsed = Segment.parse(segment.text()).unwrap()
+    assert [record.key for record in parsed.records()] == keys
