--- a/src/gooseberrypost/claims/_messages.py
+++ b/src/gooseberrypost/claims/_messages.py
@@ -119,6 +119,12 @@
     def __init__(self, owner: ClaimOwnerController) -> None:
         self._owner = owner
         self._sessions: dict[str, int] = {}
+        self._entries: set[str] = set()
+
+    def entries(self) -> int:
+        """Return the number of other entries that are connected."""
+        own = self._owner.holder
+        return sum(holder != own for holder in self._entries)
 
     def register(self, dispatcher: Dispatcher) -> None:
         """Accept the claim messages and follow the sessions."""
@@ -129,6 +135,8 @@
 
     def _connected(self, session: Session) -> None:
         holder = holder_of(session)
+        if session.peer.process_kind == "entry":
+            self._entries.add(holder)
         self._sessions[holder] = self._sessions.get(holder, 0) + 1
         for shard in self._owner.section.shards.values():
             shard.claims.holder_back(holder)
@@ -139,6 +147,7 @@
         if self._sessions[holder]:
             return
         del self._sessions[holder]
+        self._entries.discard(holder)
         for shard in self._owner.section.shards.values():
             shard.holder_lost(holder)
 
--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -12,19 +12,21 @@
 from gooseberrypost.claims._clocks import monotonic_ms, wall_ms
 from gooseberrypost.claims._lease import OwnerLease
 from gooseberrypost.claims._messages import MessageHandlers
+from gooseberrypost.claims._serving import ClaimServing
 from gooseberrypost.claims._store import run_steps
+from gooseberrypost.claims._trim import TrimNotes
 from gooseberrypost.claims.evidence import EvidenceKeeper
 from gooseberrypost.claims.section import ClaimsSection
-from gooseberrypost.claims.shard import HeldShard, Judgement, NotOwner
+from gooseberrypost.claims.shard import HeldShard
 from gooseberrypost.errors import Failure
-from gooseberrypost.identity import new_incarnation, shard_of
+from gooseberrypost.identity import new_incarnation
 from gooseberrypost.platform.keyvalue import Conflict
 from gooseberrypost.policy.shards import (
     CANDIDATE_CHECK_MS,
     check_interval_ms,
+    fair_share,
     take_delay_ms,
 )
-from gooseberrypost.state.claim import ClaimAsk, Verdict
 from gooseberrypost.state.heads import Head, head_key, lease_key
 from gooseberrypost.state.shard_log import ShardLog
 
@@ -33,7 +35,6 @@
     from collections.abc import Callable
 
     from gooseberrypost.blackboard import Blackboard
-    from gooseberrypost.claims.client import StoredAnswer
     from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import EntrySettings
     from gooseberrypost.wire.dispatch import Dispatcher
@@ -42,12 +43,15 @@
 TICK_INTERVAL_MS: Final = 100
 EVIDENCE_INTERVAL_MS: Final = 5_000
 TRIM_INTERVAL_MS: Final = 60_000
+BALANCE_INTERVAL_MS: Final = 5_000
+YIELD_MS: Final = 10_000
+"""Time for others to take a shard that this entry gave up."""
 LEASE_RETRY_MS: Final = 500
 FLUSH_TIMEOUT_MS: Final = 2_000
 OWNER: Final = "ClaimOwnerController"
 
 
-class ClaimOwnerController(Service):
+class ClaimOwnerController(ClaimServing, Service):
     """Owns claim shards and answers the messages about their keys."""
 
     def __init__(
@@ -82,10 +86,11 @@
         self._clock_ms = clock_ms
         self._free_since_ms: dict[int, int] = {}
         self._check_at_ms: dict[int, int] = {}
-        self._trim_at: list[tuple[int, int, int, int]] = []
+        self._trim_notes = TrimNotes(cfg.claims.retention_ms)
         self._wants_lease = False
         self._heads_lock = asyncio.Lock()
-        MessageHandlers(self).register(dispatcher)
+        self._messages = MessageHandlers(self)
+        self._messages.register(dispatcher)
 
     @classmethod
     def from_config(
@@ -100,53 +105,6 @@
         """Build with the process's clocks."""
         return cls(cfg, board, store, dispatcher, rng, **overrides)
 
-    @property
-    def holder(self) -> str:
-        """This process as the holder of claims."""
-        return f"{self.cfg.name}/{self.incarnation}"
-
-    def shard_for(self, key: str) -> HeldShard | None:
-        """Shard that judges a key, if this entry holds it."""
-        return self.section.shards.get(shard_of(key, self.cfg.claims.shards))
-
-    def owner_address(self, key: str) -> str:
-        """Last known owner of a key's shard; empty if unknown."""
-        head = self.section.heads.get(shard_of(key, self.cfg.claims.shards))
-        return head.address if head is not None else ""
-
-    def mint(self) -> str | None:
-        """Make a key of a shard held here."""
-        shards = list(self.section.shards.values())
-        if not shards:
-            return None
-        return self.rng.choice(shards).claims.mint(self.rng)
-
-    async def claim(
-        self, ask: ClaimAsk, service: str, holder: str, wait_ms: int
-    ) -> Judgement:
-        """Judge a claim, here or ``NOT_OWNER``."""
-        shard = self.shard_for(ask.key)
-        if shard is None:
-            return Judgement(Verdict.NOT_OWNER)
-        memory = self.outage_policy(service) == "memory"
-        return await shard.claim(ask, holder, wait_ms, memory)
-
-    def renew(self, key: str, attempt: int) -> Judgement:
-        """Replace an attempt by the next one."""
-        shard = self.shard_for(key)
-        if shard is None:
-            return Judgement(Verdict.NOT_OWNER)
-        return shard.renew(key, attempt)
-
-    async def complete(
-        self, key: str, attempt: int, answer: StoredAnswer
-    ) -> Result[None, Failure]:
-        """Record an answer; ``NotOwner`` where another entry judges it."""
-        shard = self.shard_for(key)
-        if shard is None:
-            return Err(NotOwner(key))
-        return await shard.complete(key, attempt, answer)
-
     async def on_stop(self) -> None:
         """Flush and release every shard, then end the lease."""
         shards = list(self.section.shards.values())
@@ -202,32 +160,44 @@
 
     @Service.task
     async def _trim(self) -> None:
-        """Drop segments whose claims are all older than the retention."""
         while not self.should_stop:
             await self.sleep(TRIM_INTERVAL_MS / 1_000)
             await self.trim_once()
 
     async def trim_once(self) -> None:
-        """Note the current segments, and drop what was noted long ago.
-
-        A segment left behind a retention time ago holds only claims that
-        have ended by then: deadlines are far shorter than the retention.
-        """
+        """Drop what is due and note the segments written to now."""
         now_ms = self._clock_ms()
-        for number, shard in self.section.shards.items():
-            noted = (now_ms, number, shard.log.epoch, shard.log.number)
-            self._trim_at.append(noted)
-        old_ms = now_ms - 2 * self.cfg.claims.retention_ms
-        while self._trim_at and self._trim_at[0][0] <= old_ms:
-            _, number, epoch, segment = self._trim_at.pop(0)
-            shard = self.section.shards.get(number)
-            if shard is None or shard.log.epoch != epoch:
+        for shard in self.section.shards.values():
+            self._trim_notes.note(shard, now_ms)
+        for note in self._trim_notes.due(now_ms):
+            held = self.section.shards.get(note.shard)
+            if held is None or held.log.epoch != note.epoch:
                 continue
-            if segment > shard.log.head.segment:
+            if note.segment > held.log.head.segment:
                 async with self._heads_lock:
-                    steps = shard.log.trim(segment)
+                    steps = held.log.trim(note.segment)
                     await self._bounded(run_steps(steps, self._store))
 
+    @Service.task
+    async def _balance(self) -> None:
+        while not self.should_stop:
+            await self.sleep(BALANCE_INTERVAL_MS / 1_000)
+            await self.balance_once()
+
+    async def balance_once(self) -> None:
+        """Give up one shard beyond the fair share among connected entries."""
+        held = self.section.shards
+        shards, entries = self.cfg.claims.shards, self._messages.entries()
+        if len(held) <= fair_share(shards, 1 + entries) + 1:
+            return
+        shard = held[max(held)]
+        if shard.is_stalled:
+            return
+        await shard.flushed(FLUSH_TIMEOUT_MS)
+        self._check_at_ms[shard.log.shard] = self._clock_ms() + YIELD_MS
+        self._drop(shard)
+        await self._bounded(self._release([shard]))
+
     async def _scan_once(self) -> None:
         for number in range(self.cfg.claims.shards):
             now_ms = self._clock_ms()
--- a/tests/test_claim_owner.py
+++ b/tests/test_claim_owner.py
@@ -42,6 +42,21 @@
     asyncio.run(run())
 
 
+def test_an_entry_that_started_first_shares_its_shards_later():
+    """Guards against one owner of all shards after a staggered start."""
+
+    async def run():
+        async with entries(4, owners=[0]) as made:
+            for entry in made[1:]:
+                await entry.claim("k")
+            assert len(made[0].owner.section.shards) == SHARDS
+            for _ in range(3):
+                await made[0].owner.balance_once()
+            assert len(made[0].owner.section.shards) == 2
+
+    asyncio.run(run())
+
+
 def test_a_resend_through_another_entry_gets_the_stored_answer():
     """Guards against a second answer to the same id (P2)."""
 
