--- a/src/gooseberrypost/policy/admission.py
+++ b/src/gooseberrypost/policy/admission.py
@@ -16,6 +16,7 @@
     forecast,
     has_room,
     prefill_ms,
+    transfer_ms,
 )
 
 if TYPE_CHECKING:
@@ -26,7 +27,8 @@
 MIN_RETRY_MS: Final = 20
 MAX_RETRY_MS: Final = 5_000
 BEST_PREFILL: Final = 3
-"""Prefill engines compared with every decode engine that has room."""
+BEST_DECODE: Final = 4
+"""Engines of each pool that are compared as pairs."""
 
 
 class Prediction(NamedTuple):
@@ -140,12 +142,24 @@
 ) -> Forecast:
     """Best pair of the fastest sources: targets met, then first token."""
     fastest = sorted(sources, key=lambda a: prefill_ms(req, a))[:BEST_PREFILL]
+    earliest_ms = now_ms + prefill_ms(req, fastest[0])
+    quickest = sorted(
+        targets, key=lambda a: _import_end_ms(req, a, earliest_ms)
+    )[:BEST_DECODE]
     return min(
-        (forecast(req, p, d, now_ms) for p in fastest for d in targets),
+        (forecast(req, p, d, now_ms) for p in fastest for d in quickest),
         key=lambda f: (excess_ms(req, f), f.first_token_ms),
     )
 
 
+def _import_end_ms(
+    req: RequestView, target: AgentView, earliest_ms: int
+) -> float:
+    start = max(earliest_ms, target.link_free_ms)
+    moving = transfer_ms(req.prompt_tokens, target.link_kb_per_s, True)
+    return start + moving + target.token_gap_ms
+
+
 def next_slot_ms(req: RequestView, targets: Sequence[AgentView]) -> int:
     """Estimate the wait until one of the full engines ends a request.
 
--- a/src/gooseberrypost/policy/placement.py
+++ b/src/gooseberrypost/policy/placement.py
@@ -12,6 +12,7 @@
     forecast,
     has_room,
     prefill_ms,
+    transfer_ms,
 )
 from gooseberrypost.policy.views import AgentView, RequestView
 
@@ -21,6 +22,8 @@
 
 MAX_PAIRS: Final = 4
 BEST_PREFILL: Final = 4
+BEST_DECODE: Final = 6
+"""Engines of each pool that are compared as pairs."""
 MAX_STALE_MS: Final = 2_000
 """Age of a load report beyond which it spreads choices no further."""
 SPREAD_PER_STALE_MS: Final = 0.1
@@ -85,11 +88,21 @@
             (_spread_ms(a, now_ms, rng), a) for a in usable(req, prefill)
         ]
         sources.sort(key=lambda item: item[0] + prefill_ms(req, item[1]))
-        ranked = []
-        for target in targets:
-            extra = _spread_ms(target, now_ms, rng) + _decode_cost_ms(
-                req, target
+        if not sources:
+            return []
+        earliest_ms = now_ms + prefill_ms(req, sources[0][1])
+        candidates = [
+            (
+                _spread_ms(a, now_ms, rng) + _decode_cost_ms(req, a),
+                max(0, a.link_free_ms - earliest_ms)
+                + transfer_ms(req.prompt_tokens, a.link_kb_per_s, True),
+                a,
             )
+            for a in targets
+        ]
+        candidates.sort(key=lambda item: item[0] + item[1])
+        ranked = []
+        for extra, _, target in candidates[:BEST_DECODE]:
             best = _best_source(req, sources[:BEST_PREFILL], target, now_ms)
             if best is not None:
                 ranked.append((best[0] + extra, best[1]))
@@ -98,6 +111,7 @@
 
 
 def _decode_cost_ms(req: RequestView, target: AgentView) -> float:
+    """Cost of a decode engine's occupancy and speed."""
     occupancy = target.slots_used / max(1, target.slots)
     slow = max(0.0, target.token_gap_ms - req.token_gap_ms)
     return OCCUPANCY_COST_MS * occupancy + SLOW_COST_MS * slow
