--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
@@ -19,6 +19,7 @@
     UnknownOutcome,
 )
 from gooseberrypost.logs import RefusalDecision, RetryDecision
+from gooseberrypost.policy.demand import OutputEstimate
 
 if TYPE_CHECKING:
     from gooseberrypost.entry.agents import AgentClient, Background
@@ -28,6 +29,7 @@
         RetryBudget,
     )
     from gooseberrypost.entry.fleet import FleetController
+    from gooseberrypost.entry.waiting import AdmissionQueue
     from gooseberrypost.logs import DecisionLog
     from gooseberrypost.metrics import Metrics
     from gooseberrypost.settings.entry import EntrySettings
@@ -47,9 +49,16 @@
     catalog: Catalog
     fleet: FleetController
     agents: AgentClient
+    queue: AdmissionQueue
     background: Background
     decisions: DecisionLog
     metrics: Metrics
+    outputs: dict[str, OutputEstimate] = field(default_factory=dict)
+    """Length of answers by service."""
+
+    def outputs_of(self, service: str) -> OutputEstimate:
+        """Return the estimate of a service's answers."""
+        return self.outputs.setdefault(service, OutputEstimate())
 
     def now_ms(self) -> int:
         """Clock time in milliseconds."""
@@ -90,7 +99,8 @@
     """Wait for the backoff and renew the claim, or return ``failure``.
 
     Fails with the original failure when the retry budget or the deadline
-    allows no retry.
+    allows no retry. A request whose engine was lost is moved outside of the
+    budget, see ``RetryBudget.displace``.
     """
     live.tries += 1
     live.displacements += isinstance(failure, EngineCrashed | ConnectionLost)
@@ -156,7 +166,7 @@
         )
         live.claim_answered = True
         if isinstance(granted, Ok):
-            live.ran_before = granted.ok_value.attempt > 1
+            live.ran_before = granted.ok_value.ran_before
         return granted
 
     async def renew(self) -> Result[Grant, Failure]:
@@ -216,7 +226,7 @@
         granted = await asked
         if isinstance(granted, Ok):
             self.grant = granted.ok_value
-            if self.grant.attempt > 1:
+            if self.grant.ran_before:
                 self._live.ran_before = True
         self._completed = False
         self.release()
