--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -53,6 +53,7 @@
 """Wait for an owner while no other can take its shard."""
 COMPLETE_WAIT_MS: Final = 20_000
 ABANDON_WAIT_MS: Final = 3_000
+OWNER_CHECK_S: Final = 1.0
 RETRY_MIN_MS: Final = 50
 RETRY_MAX_MS: Final = 500
 RETRY_AFTER_MS: Final = 2_000
@@ -227,12 +228,43 @@
         address = await self._address(shard)
         if not address:
             return Err(NotOwner(f"shard {shard} has no owner"))
-        sent = await self._pool.request(address, message, reply_ms)
+        sent = await self._request(shard, address, message, reply_ms)
         if isinstance(sent, Err):
             self._addresses.pop(shard, None)
             return sent
         return self._checked(shard, sent.ok_value)
 
+    async def _request(
+        self, shard: int, address: str, message: Any, reply_ms: int
+    ) -> Result[Any, Failure]:
+        """Ask an owner until it answers or has lost the shard.
+
+        A paused owner keeps its connections, so only its lapsed lease shows
+        that it will not answer. Its successor may be asked: a grant that the
+        former owner made without telling is in the log or was never made.
+        """
+        asked = asyncio.create_task(
+            self._pool.request(address, message, reply_ms)
+        )
+        try:
+            while True:
+                await asyncio.wait([asked], timeout=OWNER_CHECK_S)
+                if asked.done():
+                    return asked.result()
+                if await self._has_moved(shard, address):
+                    return Err(NotOwner(f"shard {shard} left {address}"))
+        finally:
+            asked.cancel()
+
+    async def _has_moved(self, shard: int, address: str) -> bool:
+        if self._local is not None and shard in self._local.section.shards:
+            return True
+        read = await self._store.get(head_key(shard))
+        if isinstance(read, Err):
+            return False
+        head = Head.parse(read.ok_value.value).unwrap_or(Head())
+        return bool(head.address) and head.address != address
+
     def _checked(self, shard: int, reply: Any) -> Result[Any, Failure]:
         """Turn a refusal into a failure, and learn from ``NOT_OWNER``."""
         failure = refusal_of(reply)
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -173,8 +173,9 @@
             return True
         if not isinstance(failure, TransferStalled):
             return False
+        work.live.tries += 1
         spent = work.retries.retry(
-            work.live.attempt,
+            work.live.tries,
             now_ms,
             work.live.deadline_ms,
             self._ctx.parts.rng,
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -11,8 +11,10 @@
 from gooseberrypost.claims.client import ClaimRequest, Grant, StoredAnswer
 from gooseberrypost.entry.sections import LiveRequest, Stage
 from gooseberrypost.errors import (
+    ConnectionLost,
     EngineCrashed,
     Failure,
+    NoCapacity,
     Superseded,
     UnknownOutcome,
 )
@@ -34,9 +36,6 @@
 
 ATTACH_MARGIN_MS: Final = 200
 """An attached resend is told before its own deadline."""
-OWED_BACKOFF_MS: Final = 100
-MAX_CRASHES: Final = 3
-"""Crashes after which a request is still placed again regardless."""
 COMPLETE_TRIES: Final = 3
 COMPLETE_PAUSE_S: Final = 0.05
 
@@ -100,30 +99,34 @@
     """Wait for the backoff and renew the claim, or return ``failure``.
 
     Fails with the original failure when the retry budget or the deadline
-    allows no retry.
-
-    The attempt after a crash draws on the budget too, but is made even when
-    the budget is spent: a crash ends every request on an engine at once, more
-    than a budget of 10% covers, and the innocent among them must be answered.
-    Content that keeps crashing engines is convicted after two.
+    allows no retry. A request whose engine was lost is moved outside of the
+    budget, see ``RetryBudget.displace``.
     """
-    owed = _is_owed(live, failure)
-    rng = ctx.parts.rng
-    delay = budget.retry(live.attempt, ctx.now_ms(), live.deadline_ms, rng)
-    if isinstance(delay, Err) and not owed:
+    live.tries += 1
+    live.displacements += isinstance(failure, EngineCrashed | ConnectionLost)
+    delay = _retry_delay(ctx, live, budget, failure)
+    if isinstance(delay, Err):
         ctx.log_retry(live, failure, "give_up")
         return Err(failure)
     ctx.log_retry(live, failure, "new_attempt")
-    delay_ms = delay.unwrap_or(rng.randint(0, OWED_BACKOFF_MS))
-    await asyncio.sleep(delay_ms / 1_000)
+    await asyncio.sleep(delay.ok_value / 1_000)
     return await hold.renew()
 
 
-def _is_owed(live: LiveRequest, failure: Failure) -> bool:
-    if not isinstance(failure, EngineCrashed):
-        return False
-    live.crashes += 1
-    return live.crashes <= MAX_CRASHES
+def _retry_delay(
+    ctx: EntryContext,
+    live: LiveRequest,
+    budget: RetryBudget,
+    failure: Failure,
+) -> Result[int, Failure]:
+    now_ms, rng = ctx.now_ms(), ctx.parts.rng
+    if live.displacements and isinstance(
+        failure, EngineCrashed | ConnectionLost | NoCapacity
+    ):
+        return budget.displace(
+            live.displacements, live.tries, now_ms, live.deadline_ms, rng
+        )
+    return budget.retry(live.tries, now_ms, live.deadline_ms, rng)
 
 
 class ClaimHold:
--- a/src/gooseberrypost/entry/sections.py
+++ b/src/gooseberrypost/entry/sections.py
@@ -41,11 +41,14 @@
     """Clock time in milliseconds."""
     stage: Stage = Stage.PARSE
     attempt: int = 0
+    """Number granted by the claim owner; not a count."""
+    tries: int = 0
+    """Attempts that have failed."""
+    displacements: int = 0
+    """Engines lost while they ran the request."""
     next_sequence: int = 0
     first_token_at_ms: int = 0
     """Clock time in milliseconds; 0 before the first token."""
-    crashes: int = 0
-    """Backend server crashes that ended an attempt."""
     caller_gone: bool = False
     claim_answered: bool = False
     """The owner of the key has said whether the request ran before."""
