Renew an attempt that agents refuse for good

Cause, from the decision lines: a Reserve without a reply was cancelled, which bars the attempt number, and the entry waited for room and sent the same number until the deadline. Ruled out: the load of the machine, since the scenario failed alone as well.

--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -56,6 +56,11 @@
         self.is_unused = True
         """No prefill was started, so the attempt number can serve again."""
 
+    @property
+    def is_barred(self) -> bool:
+        """Whether the next try needs a new attempt number."""
+        return self._placer.is_barred
+
     async def run(self) -> Result[None, Failure]:
         """Run to a whole stream, or return why it is not whole."""
         done: Result[None, Failure] | None = None
@@ -256,4 +261,6 @@
     def _cancel(self) -> None:
         view = self._work.view
         for agent in self._placer.touched.values():
+            # A cancelled attempt is refused when it is sent again.
+            self._placer.is_barred = True
             self._ctx.agents.cancel(agent, view.key, view.attempt)
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -169,6 +169,11 @@
                 room = await self._wait_for_room(view)
                 if isinstance(room, Err):
                     return room
+                if attempt.is_barred:
+                    renewed = await self._hold.renew()
+                    if isinstance(renewed, Err):
+                        return renewed
+                    grant = renewed.ok_value
                 continue
             if isinstance(failure, FINAL_FAILURES):
                 return Err(failure)
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -8,7 +8,12 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.entry.sections import Stage
-from gooseberrypost.errors import Failure, NoCapacity, NotRun
+from gooseberrypost.errors import (
+    Failure,
+    NoCapacity,
+    NotRun,
+    StaleAttempt,
+)
 from gooseberrypost.logs import RoutingDecision
 from gooseberrypost.policy.aging import effective_priority
 from gooseberrypost.policy.forecast import (
@@ -69,6 +74,8 @@
         self.refused: set[str] = set()
         """Engines that this attempt does not try again."""
         self.touched: dict[str, AgentView] = {}
+        self.is_barred = False
+        """An agent refuses this attempt number for good."""
 
     async def reserve(
         self, source: AgentView | None = None
@@ -97,6 +104,7 @@
                 case Ok(reserved) if isinstance(reserved, idl.Reserved):
                     return Ok(Placed(pair, reserved))
                 case Err(failure):
+                    self.is_barred |= isinstance(failure, StaleAttempt)
                     if isinstance(failure, NotRun):
                         self.touched.pop(pair.decode.name, None)
                     last = NoCapacity(
--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -100,6 +100,20 @@
     run(scenario)
 
 
+def test_a_barred_attempt_is_renewed_before_it_waits_again():
+    """Guards against sending a number that its agents refuse for good."""
+
+    async def scenario(rig):
+        for name in ("d1", "d2"):
+            stale = refuse("stale_attempt")
+            rig.agents[name].script[idl.Reserve] = [stale]
+        async with rig.complete() as response:
+            assert response.status == 200
+        assert rig.agents["d1"].of(idl.Decode)[0].attempt == 2
+
+    run(scenario)
+
+
 def test_the_schedule_moves_engines_between_pools():
     """Guards against planned roles that come into force late or never."""
     records = {
