--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -16,6 +16,7 @@
 from gooseberrypost.errors import KeyReused, Superseded
 from gooseberrypost.policy.admission import AdmissionPolicy, Prediction
 from gooseberrypost.policy.placement import Pair, PlacementPolicy
+from gooseberrypost.policy.retry import MAX_DISPLACEMENTS
 from gooseberrypost.settings.entry import EntrySettings
 from gooseberrypost.state.records import EngineRecord, ServiceRecord
 from gooseberrypost.wire.dispatch import Dispatcher
@@ -230,7 +231,7 @@
         return Ok(0) if self.allowed and attempt < 6 else Err(None)
 
     def displace(self, displacements, attempt, now_ms, deadline_ms, rng):
-        return self.retry(attempt, now_ms, deadline_ms, rng)
+        return Ok(0) if displacements <= MAX_DISPLACEMENTS else Err(None)
 
 
 class FilledConfiguration(Section):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -20,6 +20,7 @@
 from gooseberrypost.policy.limits import Limiter
 from gooseberrypost.policy.placement import ReservingPlacement
 from gooseberrypost.policy.retry import (
+    MAX_DISPLACEMENTS,
     MIN_RETRIES,
     WINDOW_MS,
     RetryBudget,
@@ -295,3 +296,13 @@
     assert isinstance(refused, ServiceLimited)
     limiter.reconfigure(ServiceRecord("s"))
     assert limiter.acquire(account, 0).is_ok()
+
+
+def test_displaced_requests_do_not_spend_the_retry_budget():
+    """Guards against innocents of a crash being cut off by the budget (P9)."""
+    budget, rng = RetryBudget(share=0.1), random.Random(1)
+    for _ in range(20):
+        assert budget.displace(1, 1, 0, 30_000, rng).is_ok()
+    assert budget.retry(1, 0, 30_000, rng).is_ok()
+    assert budget.displace(MAX_DISPLACEMENTS + 1, 5, 0, 30_000, rng).is_err()
+    assert budget.displace(1, 1, 30_000, 30_000, rng).is_err()
