Free the slot of a finished prefill while its result waits

With 20 slots and results that live 800 ms, a prefill agent refused the 21st prompt although its engine was idle. A full queue was ruled out: the refusal reported no queued tokens. A result now holds its memory pieces only; drains and role changes wait for these too. A started holding cannot be started again, which a prefill result could have been.

--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -122,10 +122,10 @@
         capacity = self.capacity.capacity
         try:
             async with asyncio.timeout(self.cfg.drain_timeout_ms / 1_000):
-                while capacity.ledger.slots_used:
+                while not capacity.ledger.is_idle:
                     await capacity.changed()
         except TimeoutError:
-            decision("drain_timeout", running=capacity.ledger.slots_used)
+            decision("drain_timeout", running=len(capacity.ledger.holdings))
         # Slots are free before the last replies are on their way.
         await self.listener.finish(FINISH_TIMEOUT_MS)
 
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -104,7 +104,7 @@
         timeout_ms = self._context.cfg.drain_timeout_ms
         try:
             async with asyncio.timeout(timeout_ms / 1_000):
-                while capacity.ledger.slots_used:
+                while not capacity.ledger.is_idle:
                     await capacity.changed()
         except TimeoutError:
             return Err(Draining(f"requests still run after {timeout_ms} ms"))
--- a/src/gooseberrypost/state/ledger.py
+++ b/src/gooseberrypost/state/ledger.py
@@ -63,6 +63,8 @@
     digest: bytes
     booking: Booking | None
     running: bool = False
+    slot: bool = True
+    """Whether it counts as a slot; a finished prefill does not."""
     in_server: bool = False
     """The backend server may hold memory for it."""
 
@@ -88,7 +90,12 @@
     @property
     def slots_used(self) -> int:
         """Slots held and reserved."""
-        return len(self._holdings)
+        return sum(holding.slot for holding in self._holdings.values())
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing is held or reserved."""
+        return not self._holdings
 
     @property
     def pieces_used(self) -> int:
@@ -148,7 +155,7 @@
         holding = self._holdings.get(holder)
         if holding is None or holding.number != number:
             return Err(StaleAttempt(f"reservation {number} does not exist"))
-        if holding.running:
+        if holding.in_server:
             return Err(StaleAttempt(f"reservation {number} is in use"))
         if holding.expires_ms <= now_ms:
             del self._holdings[holder]
@@ -157,10 +164,14 @@
         return Ok(holding)
 
     def shrink(self, holder: Attempt, expires_ms: int) -> None:
-        """Limit a running holding to a time: a prefill result that lapses."""
+        """Keep the pieces of a finished prefill until its result lapses.
+
+        Its slot is free: results that wait for import would otherwise limit
+        a prefill engine to its slots in each life of a result.
+        """
         holding = self._holdings.get(holder)
         if holding is not None:
-            holding.running = False
+            holding.running = holding.slot = False
             holding.expires_ms = expires_ms
 
     def release(self, holder: Attempt) -> bool:
--- a/tests/agent_kit.py
+++ b/tests/agent_kit.py
@@ -155,14 +155,13 @@
     def is_decoder_free(self) -> bool:
         """Whether the decode engine and its ledger hold nothing."""
         ledger = self.decoder.capacity.capacity.ledger
-        return not (self.engine.works or ledger.slots_used)
+        return ledger.is_idle and not self.engine.works
 
     def is_free(self) -> bool:
         """Whether no engine and no ledger holds anything."""
         ledger = self.prefiller.capacity.capacity.ledger
-        return self.is_decoder_free() and not (
-            self.source.works or ledger.slots_used
-        )
+        idle = ledger.is_idle and not self.source.works
+        return idle and self.is_decoder_free()
 
 
 @asynccontextmanager
--- a/tests/test_agent_refusals.py
+++ b/tests/test_agent_refusals.py
@@ -41,6 +41,18 @@
     asyncio.run(run())
 
 
+def test_prefill_results_that_wait_take_no_slots():
+    """Guards against a prefill rate bounded by the life of its results."""
+
+    async def run():
+        async with rigged(slots=2) as rig:
+            for n in range(6):
+                assert (await ask(rig.near, prefill(f"k{n}"))).handle
+            assert len(rig.source.works) > 2
+
+    asyncio.run(run())
+
+
 def test_two_suspects_never_run_together():
     """Guards against a crash that convicts an innocent request."""
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -32,6 +32,10 @@
         self.ledger = Ledger(SLOTS, PIECES, RATE)
         self.now_ms = 0
         self.held = {}
+        self.slotless = set()
+
+    def slots(self):
+        return len(self.held.keys() - self.slotless)
 
     @rule(
         target=grants,
@@ -49,11 +53,12 @@
         granted = self.ledger.reserve(asked, self.now_ms)
         used = sum(pieces for pieces, _ in self.held.values())
         suspects = sum(suspect for _, suspect in self.held.values())
-        fits = len(self.held) < SLOTS and 0 <= ask["pieces"] <= PIECES - used
+        fits = self.slots() < SLOTS and 0 <= ask["pieces"] <= PIECES - used
         alone = not (ask["suspect"] and suspects)
         assert isinstance(granted, Ok) == (known or (fits and alone))
         if isinstance(granted, Ok):
             if not known:
+                self.slotless.discard(holder)
                 self.held[holder] = (ask["pieces"], ask["suspect"])
             return granted.ok_value
         return None
@@ -63,13 +68,21 @@
         if grant is None:
             return
         held = self.ledger.find(grant.holder)
-        current = held is grant and not grant.running
+        current = held is grant and not grant.in_server
         started = self.ledger.start(grant.number, grant.holder, self.now_ms)
         lapsed = grant.expires_ms <= self.now_ms
         assert isinstance(started, Ok) == (current and not lapsed)
         if current and lapsed:
             del self.held[grant.holder]
 
+    @rule(grant=grants, life_ms=st.integers(1, 50))
+    def finish_prefill(self, grant, life_ms):
+        if grant is None or self.ledger.find(grant.holder) is not grant:
+            return
+        if grant.running:
+            self.ledger.shrink(grant.holder, self.now_ms + life_ms)
+            self.slotless.add(grant.holder)
+
     @rule(holder=HOLDERS)
     def release(self, holder):
         assert self.ledger.release(holder) == (holder in self.held)
@@ -96,7 +109,7 @@
 
     @invariant()
     def never_oversold(self):
-        assert self.ledger.slots_used == len(self.held) <= SLOTS
+        assert self.ledger.slots_used == self.slots() <= SLOTS
         used = sum(pieces for pieces, _ in self.held.values())
         assert self.ledger.pieces_used == used <= PIECES
         assert self.ledger.suspects <= 1
