--- a/src/gooseberrypost/agent/ownership.py
+++ b/src/gooseberrypost/agent/ownership.py
@@ -96,7 +96,8 @@
         return now_ms - max(heard_ms, self._resumed_ms)
 
     def _forget(self, job: Job, now_ms: int, grace_ms: int) -> None:
-        if isinstance(job, DecodeJob) and now_ms - job.ended_ms >= grace_ms:
+        kept = isinstance(job, DecodeJob) and now_ms - job.ended_ms < grace_ms
+        if not kept:
             self._context.finished(job)
 
     def _end(self, job: Job, now_ms: int, reason: str) -> None:
--- a/tests/test_agent_failures.py
+++ b/tests/test_agent_failures.py
@@ -181,10 +181,8 @@
         async with (
             Listener.serving("127.0.0.1:0", owner.dispatcher) as listener,
             PlainService.serving() as service,
-            running(
-                settings(service, "plain", peers=[listener.address])
-            ) as agent,
-            entry(agent) as channel,
+            running(settings(service, "plain")) as agent,
+            entry(agent, address=listener.address) as channel,
         ):
             service.slow_ms = 5_000
             req = call(idempotent=idempotent)
