--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -9,14 +9,13 @@
 from result import Err, Ok
 
 from gooseberrypost.claims.client import StoredAnswer
-from gooseberrypost.errors import Failure
 from gooseberrypost.platform.keyvalue import (
     Conflict,
     KeyValueUnavailable,
     KeyValueUnknown,
     Versioned,
 )
-from gooseberrypost.state.claim import ClaimAsk, ClaimState, Decision, Verdict
+from gooseberrypost.state.claim import ClaimAsk, Decision, Verdict
 from gooseberrypost.state.claims import ShardClaims
 from gooseberrypost.state.heads import lease_key
 from gooseberrypost.state.shard_log import Get, Put, ShardLog
@@ -110,8 +109,6 @@
         """Writes on their way, reported as unknown to their sender."""
         self.nodes = {name: Node(name, n + 1) for n, name in enumerate("AB")}
         self.runs: list[Run] = []
-        self.messages: list[tuple[str, Run]] = []
-        """Completions on their way to a node."""
         self.checker = TraceChecker()
         self.rng = random.Random(5)
         self.now_ms = 0
@@ -343,6 +340,3 @@
         self.checker.add(
             Event(what, ask.key, ask.digest, attempt, ask.idempotent, body)
         )
-
-
-__all__ = ["ClaimState", "Failure", "Model", "Node", "Run", "Values"]
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -7,8 +7,14 @@
 from hypothesis import strategies as st
 
 from gooseberrypost.claims.client import StoredAnswer
+from gooseberrypost.identity import MintedKey
 from gooseberrypost.policy.shards import fair_share, take_delay_ms
-from gooseberrypost.state.claim import ClaimAsk, ClaimState, Verdict
+from gooseberrypost.state.claim import (
+    ATTEMPTS_PER_EPOCH,
+    ClaimAsk,
+    ClaimState,
+    Verdict,
+)
 from gooseberrypost.state.claims import ORPHAN_GRACE_MS, ShardClaims
 from gooseberrypost.state.heads import Head
 from gooseberrypost.state.leases import HeldLease
@@ -73,6 +79,19 @@
     assert (other.verdict, other.needs_lease) == (Verdict.QUARANTINED, True)
 
 
+def test_a_minted_key_is_completed_only_by_an_attempt_of_its_epoch():
+    """Guards against an answer to a key that its owner never granted."""
+    claims = ShardClaims(0, 3)
+    answer = StoredAnswer(200, b"x", "")
+    key = str(MintedKey(0, 1, "0" * 16))
+    verdicts = [
+        claims.complete(key, epoch * ATTEMPTS_PER_EPOCH + 1, answer, 0).verdict
+        for epoch in (2, 3, 1)
+    ]
+    refused = Verdict.SUPERSEDED
+    assert verdicts == [refused, refused, Verdict.GRANTED]
+
+
 def test_trimmed_segments_are_not_replayed():
     """Guards against a log that grows for ever or loses its open end."""
     model = Model()
