Keep one lease while its heads cannot be written

A second lease was granted for each failed try, and both were bound to one key. Where the service deletes the key when the first lapses, a successor could take a shard whose owner still believed in its lease. The lease is now kept for the next try.

--- a/src/gooseberrypost/claims/_lease.py
+++ b/src/gooseberrypost/claims/_lease.py
@@ -33,6 +33,8 @@
         self._store = store
         self._clock_ms = clock_ms
         self._lease = 0
+        self._is_affirmed = False
+        """The lease key and every head were written under this lease."""
 
     async def renew(
         self, reaffirm: Callable[[], Awaitable[Result[None, Failure]]]
@@ -44,16 +46,16 @@
         write the head.
         """
         sent_ms = self._clock_ms()
-        if self._lease:
-            renewed = await self._store.keep_alive(self._lease)
-            if isinstance(renewed, Ok):
-                self.held.renewed(sent_ms)
-                return renewed
-            if not isinstance(renewed.err_value, LeaseLost):
-                return renewed
-            self._lease = 0
-            self.held.lost()
-        return await self._regain(reaffirm, sent_ms)
+        alive = await self._keep_alive()
+        if isinstance(alive, Err):
+            return alive
+        if not self._is_affirmed:
+            affirmed = await self._affirm(reaffirm)
+            if isinstance(affirmed, Err):
+                return affirmed
+            self._is_affirmed = True
+        self.held.renewed(sent_ms)
+        return Ok(None)
 
     async def revoke(self) -> None:
         """End the lease, so that successors need not wait for its lapse."""
@@ -61,26 +63,35 @@
         if self._lease:
             await self._store.revoke_lease(self._lease)
             self._lease = 0
+            self._is_affirmed = False
 
-    async def _regain(
-        self,
-        reaffirm: Callable[[], Awaitable[Result[None, Failure]]],
-        sent_ms: int,
-    ) -> Result[None, Failure]:
+    async def _keep_alive(self) -> Result[None, Failure]:
+        """Renew the lease, or get a new one when there is none.
+
+        A lease whose heads could not be written is kept for the next try. A
+        second lease on the same key could delete it when the first lapses.
+        """
+        if self._lease:
+            renewed = await self._store.keep_alive(self._lease)
+            if not isinstance(renewed.err(), LeaseLost):
+                return renewed
+            self._lease = 0
+            self._is_affirmed = False
+            self.held.lost()
         granted = await self._store.grant_lease(self.held.ttl_ms)
         if isinstance(granted, Err):
             return granted
-        lease = granted.ok_value
-        written = await self._bind(lease)
-        if isinstance(written, Err):
-            return written
-        reaffirmed = await reaffirm()
-        if isinstance(reaffirmed, Err):
-            return reaffirmed
-        self._lease = lease
-        self.held.renewed(sent_ms)
+        self._lease = granted.ok_value
         return Ok(None)
 
+    async def _affirm(
+        self, reaffirm: Callable[[], Awaitable[Result[None, Failure]]]
+    ) -> Result[None, Failure]:
+        bound = await self._bind(self._lease)
+        if isinstance(bound, Err):
+            return bound
+        return await reaffirm()
+
     async def _bind(self, lease: int) -> Result[None, Failure]:
         """Write the key under the new lease over what a former try left."""
         found = await self._store.get(self._key)
--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -202,7 +202,8 @@
             if not self._may_retry(failure, repeat):
                 return reply
             limit_ms = owner_ms
-            if self._store_fails:
+            lost = isinstance(failure, PeerUnreachable | NotOwner)
+            if lost and self._store_fails:
                 limit_ms = min(owner_ms, OUTAGE_WAIT_MS)
             if self._clock_ms() - start_ms + pause_ms >= limit_ms:
                 return Err(self._no_owner(failure))
--- a/tests/test_claim_owner.py
+++ b/tests/test_claim_owner.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from gooseberrypost.claims._clocks import monotonic_ms
+from gooseberrypost.claims._lease import OwnerLease
 from gooseberrypost.claims.client import (
     AnsweredBefore,
     StoredAnswer,
@@ -21,8 +22,10 @@
     UnknownOutcome,
 )
 from gooseberrypost.identity import MintedKey
+from gooseberrypost.platform.keyvalue import KeyValueUnavailable
 from gooseberrypost.wire.messages import idl
 from tests.claim_cluster import SHARDS, entries, key_owned_by, owned, until
+from tests.fake_store import FakeStore, Shared
 
 ANSWER = StoredAnswer(200, b"whole answer", "text/plain")
 
@@ -277,3 +280,28 @@
             assert grant.suspect
 
     asyncio.run(run())
+
+
+def test_a_lease_counts_only_after_every_head_was_written():
+    """Guards against "not run" said beside a successor (P4)."""
+
+    async def run():
+        store = FakeStore(Shared())
+        lease = OwnerLease("e1", 1, 10_000, store, monotonic_ms)
+
+        async def fails():
+            return Err(KeyValueUnavailable("head"))
+
+        async def succeeds():
+            return Ok(None)
+
+        assert (await lease.renew(fails)).is_err()
+        assert not lease.held.is_held(monotonic_ms())
+        assert (await lease.renew(succeeds)).is_ok()
+        assert lease.held.is_held(monotonic_ms())
+        assert len(store.shared.leases) == 1
+        store.shared.end(1)
+        assert (await lease.renew(fails)).is_err()
+        assert not lease.held.is_held(monotonic_ms())
+
+    asyncio.run(run())
