--- a/src/gooseberrypost/bench/delivery.py
+++ b/src/gooseberrypost/bench/delivery.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.errors import NoCapacity
+from gooseberrypost.policy.forecast import transfer_ms
 from gooseberrypost.policy.transfer import choose_fallback, stall_timeout_ms
 from gooseberrypost.state.records import EngineRole
 
@@ -69,7 +70,7 @@
         flow = self._flow
         self._decode = decode
         tried = [*tried, decode.spec.name]
-        if self._system.clock.now >= self._expires:
+        if self._too_late():
             self._waiting.discard(self)
             flow.retry(NoCapacity("result expired"))
             return
@@ -81,6 +82,14 @@
             self._waiting.add(self)
             flow.later(FULL_RETRY_MS, self.look_again)
 
+    def _too_late(self) -> bool:
+        """Whether no transfer that starts now ends while the result lives."""
+        flow = self._flow
+        views = flow.entry.look(flow.req, EngineRole.DECODE, -1)
+        fastest = max((v.link_kb_per_s for v in views), default=0)
+        moving = transfer_ms(flow.req.prompt_tokens, fastest, True)
+        return self._system.clock.now + moving >= self._expires
+
     def look_again(self) -> None:
         """Look for a decode engine again if the result still waits."""
         if self in self._waiting and self._decode is not None:
--- a/src/gooseberrypost/bench/entry.py
+++ b/src/gooseberrypost/bench/entry.py
@@ -55,7 +55,7 @@
         self.alive = True
         self.views: dict[str, AgentView] = {}
         self.down: set[str] = set()
-        self.flows: set[Flow] = set()
+        self.flows: dict[Flow, None] = {}
         self._desks: dict[str, ServiceDesk] = {}
         self._members: dict[tuple[str, str], list[FakeEngine]] = {}
         self._members_epoch = -1
@@ -154,7 +154,7 @@
 
     def arrive(self, flow: Flow) -> None:
         """Apply the limits to a new request, then consider it."""
-        self.flows.add(flow)
+        self.flows[flow] = None
         desk = self.desk(flow.req.service)
         if self.system.strategy.admits:
             decode = self.look(flow.req, EngineRole.DECODE, -1)
--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -297,7 +297,7 @@
     def _finish(self, outcome: str, retry_after_ms: int | None = None) -> None:
         self.ended = True
         self.outcome = outcome
-        self.entry.flows.discard(self)
+        self.entry.flows.pop(self, None)
         service = self.req.service
         if self.counted:
             now = self.system.clock.now_ms
