Try a link that stalled again after seconds

Cause: after the repair of a lossy link the engine behind it held 5 requests instead of 13 for ten seconds, because each stall halved the link's share without a lower bound. Ruled out: the time of the fault itself, in which the bound misses as many. Conclusion: 3 s and 0.03.

--- a/src/gooseberrypost/policy/transfer.py
+++ b/src/gooseberrypost/policy/transfer.py
@@ -21,8 +21,10 @@
 """Allowance for messages and timers on top of the booked time."""
 STALLED_SHARE: Final = 0.05
 """Share of its rate that a link is assumed to have after a stall."""
-MIN_SHARE: Final = 0.001
-RECOVERY_MS: Final = 5_000
+MIN_SHARE: Final = 0.03
+RECOVERY_MS: Final = 3_000
+"""Time in which an unused link's share doubles. With 5 s and no lower bound
+a repaired link stayed unused for ten seconds."""
 
 
 class Booking(NamedTuple):
