--- /dev/null
+++ b/src/gooseberrypost/entry/fleet.py
@@ -0,0 +1,249 @@
+"""Partial view of the agents: loads from replies and from probes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Any, Final
+
+from mode import Service
+from result import Ok
+
+from gooseberrypost.entry.sections import Fleet
+from gooseberrypost.policy.views import AgentView
+from gooseberrypost.state.records import EngineRecord, EngineRole
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from gooseberrypost.blackboard import Blackboard
+    from gooseberrypost.entry.collaborators import Collaborators
+    from gooseberrypost.sheet.schedule import Assignment
+    from gooseberrypost.wire.channel import ChannelPool
+
+OWNER: Final = "FleetController"
+SUBSET_SIZES: Final = {
+    EngineRole.PREFILL: 12,
+    EngineRole.DECODE: 16,
+    EngineRole.PLAIN: 16,
+}
+FRESH_MS: Final = 250
+"""Older loads are probed before a placement."""
+PROBES: Final = 2
+PROBE_TIMEOUT_MS: Final = 100
+DOWN_MS: Final = 1_000
+"""Time for which an unreachable agent is left out."""
+SCHEDULE_INTERVAL_S: Final = 1.0
+UNSEEN_MS: Final = -3_600_000
+"""Observation time of a load that was never reported."""
+
+
+class FleetController(Service):
+    """Owner of the fleet section."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        parts: Collaborators,
+        board: Blackboard,
+        pool: ChannelPool,
+    ) -> None:
+        super().__init__()
+        self._name = name
+        self._zone = zone
+        self._parts = parts
+        self._pool = pool
+        board.add(Fleet(), OWNER)
+        self._section = board.write(Fleet, OWNER)
+        self._plan: tuple[int, Mapping[str, Assignment]] = (0, {})
+        self._membership: dict[str, tuple[str, str, str, str]] = {}
+        self._subsets: dict[tuple[str, str, str], list[str]] = {}
+
+    async def on_start(self) -> None:
+        """Read the configuration in force."""
+        self.refresh()
+
+    @Service.task
+    async def _follow_configuration(self) -> None:
+        configuration = self._parts.configuration
+        while not self.should_stop:
+            changed = asyncio.ensure_future(configuration.changed())
+            await asyncio.wait([changed], timeout=SCHEDULE_INTERVAL_S)
+            changed.cancel()
+            plan = (configuration.version, self._assigned())
+            if plan != self._plan:
+                self.refresh()
+
+    def refresh(self) -> None:
+        """Take engines and their roles from configuration and schedule."""
+        configuration = self._parts.configuration
+        assigned = self._assigned()
+        self._plan = (configuration.version, assigned)
+        engines = {
+            record.name: record
+            for record in configuration.records.values()
+            if isinstance(record, EngineRecord)
+        }
+        self._section.agents = {
+            name: self._view(record, assigned.get(name))
+            for name, record in engines.items()
+        }
+        self._section.services = {
+            name: record.service for name, record in engines.items()
+        }
+        self._forget_subsets(engines)
+        self._section.notify()
+
+    def _assigned(self) -> Mapping[str, Assignment]:
+        """Roles and models that the schedule gives to engines now."""
+        schedule = self._parts.schedule
+        return schedule() if schedule is not None else {}
+
+    def _view(
+        self, record: EngineRecord, assignment: Assignment | None
+    ) -> AgentView:
+        return dataclasses.replace(
+            self._seen(record),
+            zone=record.zone,
+            role=assignment.role if assignment else record.role,
+            model=assignment.model if assignment else record.model,
+            link=record.link,
+            link_kb_per_s=record.link_kb_per_s,
+        )
+
+    def _forget_subsets(self, engines: dict[str, EngineRecord]) -> None:
+        """Choose subsets anew only when the members of a pool changed.
+
+        A choice hashes every member of its pool, too much for each request.
+        """
+        membership = {
+            view.name: (engines[view.name].service, *_pool_of(view))
+            for view in self._section.agents.values()
+        }
+        if membership != self._membership:
+            self._membership = membership
+            self._subsets.clear()
+
+    def _seen(self, record: EngineRecord) -> AgentView:
+        seen = self._section.agents.get(record.name)
+        if seen is None or seen.address != record.agent_address:
+            return _unseen(record)
+        return seen
+
+    def candidates(
+        self, service: str, role: str, model: str = ""
+    ) -> list[AgentView]:
+        """Return this entry's subset of the live agents of a pool."""
+        now_ms = self._parts.clock()
+        down = self._section.down_until_ms
+        names = self._subset(service, role, model)
+        chosen = [self._section.agents[name] for name in names]
+        live = [v for v in chosen if down.get(v.name, now_ms) <= now_ms]
+        return live or chosen
+
+    def _subset(self, service: str, role: str, model: str) -> list[str]:
+        pool = (service, role, model)
+        names = self._subsets.get(pool)
+        if names is None:
+            members = [
+                view
+                for view in self._section.agents.values()
+                if self._section.services[view.name] == service
+                and view.role == role
+                and (not model or view.model == model)
+            ]
+            size = SUBSET_SIZES[EngineRole(role)]
+            chosen = self._parts.choose_subset(
+                self._name, self._zone, members, size
+            )
+            names = self._subsets[pool] = [view.name for view in chosen]
+        return names
+
+    async def probe(self, service: str, views: Sequence[AgentView]) -> None:
+        """Refresh the loads of two random agents whose loads are old."""
+        now_ms = self._parts.clock()
+        old = [v for v in views if now_ms - v.observed_ms > FRESH_MS]
+        picked = self._parts.rng.sample(old, min(PROBES, len(old)))
+        await asyncio.gather(*(self._probe(service, v) for v in picked))
+
+    async def _probe(self, service: str, view: AgentView) -> None:
+        probe = idl.Probe(service_name=service, prefix_hashes=[])
+        reply = await self._pool.request(view.address, probe, PROBE_TIMEOUT_MS)
+        match reply:
+            case Ok(message) if isinstance(message, idl.ProbeReply):
+                self.observe(view.name, message.load)
+            case Ok(message):
+                self.observe(view.name, getattr(message, "load", None))
+            case _:
+                self.mark_down(view.name)
+
+    def observe(self, name: str, load: Any) -> None:
+        """Take over a load that came with a reply; ``None`` is ignored."""
+        view = self._section.agents.get(name)
+        if view is None or load is None:
+            return
+        self._section.down_until_ms.pop(name, None)
+        if load.incarnation:
+            self._section.incarnations[name] = load.incarnation
+        self._section.agents[name] = dataclasses.replace(
+            view,
+            slots=_given(load.slots, view.slots),
+            slots_used=_given(load.slots_used, view.slots_used),
+            pieces=_given(load.pieces, view.pieces),
+            pieces_used=_given(load.pieces_used, view.pieces_used),
+            queue_tokens=_given(load.queue_tokens, view.queue_tokens),
+            prefill_tokens_per_s=(
+                load.prefill_tokens_per_s or view.prefill_tokens_per_s
+            ),
+            token_gap_ms=load.token_gap_ms or view.token_gap_ms,
+            draining=bool(load.draining),
+            suspects=load.suspects or 0,
+            observed_ms=self._parts.clock(),
+        )
+
+    def incarnation(self, name: str) -> int:
+        """Agent process that was last heard of; 0 when it is unknown."""
+        return self._section.incarnations.get(name, 0)
+
+    def mark_down(self, name: str) -> None:
+        """Leave an unreachable agent out for ``DOWN_MS``."""
+        until_ms = self._parts.clock() + DOWN_MS
+        self._section.down_until_ms[name] = until_ms
+
+    def mark_draining(self, name: str) -> None:
+        """Note that an agent refused work because it drains."""
+        view = self._section.agents.get(name)
+        if view is not None:
+            self._section.agents[name] = dataclasses.replace(
+                view, draining=True, observed_ms=self._parts.clock()
+            )
+
+
+def _unseen(record: EngineRecord) -> AgentView:
+    return AgentView(
+        name=record.name,
+        address=record.agent_address,
+        zone=record.zone,
+        role=record.role,
+        model=record.model,
+        slots=record.slots,
+        slots_used=0,
+        pieces=record.pieces,
+        pieces_used=0,
+        queue_tokens=0,
+        prefill_tokens_per_s=record.prefill_tokens_per_s,
+        token_gap_ms=0.0,
+        draining=False,
+        observed_ms=UNSEEN_MS,
+    )
+
+
+def _given(value: int | None, before: int) -> int:
+    """Value of a field, which a peer of another release may leave out."""
+    return before if value is None else value
+
+
+def _pool_of(view: AgentView) -> tuple[str, str, str]:
+    return (view.role, view.model, view.zone)
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -38,6 +38,7 @@
   9: i64 configuration_version,
   10: i32 suspects,            // running requests under suspicion of a crash
   11: i32 link_booked_kb_per_s,
+  12: optional i64 incarnation, // of the agent
 }
 
 struct Probe { 1: string service_name, 2: list<i64> prefix_hashes }
@@ -150,7 +151,11 @@
 
 struct Cancel { 1: string key, 2: i32 attempt }
 
-struct Revoke { 1: string key, 2: i32 attempt }
+struct Revoke {
+  1: string key,
+  2: i32 attempt,
+  3: optional i64 incarnation, // of the agent, as last seen before the attempt was sent
+}
 
 struct Revoked { 1: bool never_started }
 
@@ -217,6 +222,7 @@
   6: string content_type,
   7: string owner_address,     // with NOT_OWNER, where known
   8: i32 retry_after_ms,
+  9: optional bool ran_before, // an earlier attempt may have run
 }
 
 struct Renew { 1: string key, 2: i32 attempt }   // next attempt within the same claim
@@ -247,4 +253,12 @@
 
 struct ConfigPull { 1: i64 since_version }
 
-struct ConfigDelta { 1: i64 version, 2: list<Record> records, 3: list<string> removed }
+struct ConfigDelta {
+  1: i64 version,
+  2: list<Record> records,
+  3: list<string> removed,
+  4: optional i64 since_version,  // 0: whole configuration
+  5: optional string process_kind,
+  6: optional string name,     // of the sender
+  7: optional string zone,
+}
