Orphan the claims of entries that died before a takeover

When the killed entry was the claim owner too, its successor replayed a running claim whose holder never had a session with it, so nothing ended that claim before its deadline of 30 s. Ruled out: the takeover itself (3.5 s) and the resend's wait. The successor now probes holders that are not connected.

An attempt that was barred by a cancel was offered again every 100 ms until the deadline; it now gets a new number. A displaced request used up four moves in 0.3 s while an agent restarted, so it has eight. A port of the scenarios was taken by an outgoing connection; ports now come from below that range.

--- a/src/gooseberrypost/claims/_messages.py
+++ b/src/gooseberrypost/claims/_messages.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from gooseberrypost.claims.client import StoredAnswer
+from gooseberrypost.claims.holders import Holder
 from gooseberrypost.claims.shard import Judgement, NotOwner
 from gooseberrypost.errors import ClaimsUnavailable, Superseded
 from gooseberrypost.identity import check_key
@@ -27,7 +28,8 @@
 
 def holder_of(session: Session) -> str:
     """Process at the other end of a session."""
-    return f"{session.peer.name}/{session.peer.incarnation}"
+    peer = session.peer
+    return str(Holder(peer.name, peer.incarnation, peer.address or ""))
 
 
 async def answer(
@@ -127,6 +129,10 @@
         own = self._owner.holder
         return sum(holder != own for holder in self._entries)
 
+    def is_connected(self, holder: str) -> bool:
+        """Whether a holder has a session whose end would be noticed."""
+        return holder in self._sessions or holder == self._owner.holder
+
     def register(self, dispatcher: Dispatcher) -> None:
         """Accept the claim messages and follow the sessions."""
         for message_type in _ANSWERS:
--- a/src/gooseberrypost/claims/_serving.py
+++ b/src/gooseberrypost/claims/_serving.py
@@ -6,6 +6,7 @@
 
 from result import Err, Result
 
+from gooseberrypost.claims.holders import Holder
 from gooseberrypost.claims.shard import HeldShard, Judgement, NotOwner
 from gooseberrypost.identity import shard_of
 from gooseberrypost.state.claim import ClaimAsk, Verdict
@@ -25,6 +26,7 @@
 
     cfg: EntrySettings
     rng: random.Random
+    address: str
     incarnation: int
     section: ClaimsSection
     outage_policy: Callable[[str], str]
@@ -32,7 +34,7 @@
     @property
     def holder(self) -> str:
         """This process as the holder of claims."""
-        return f"{self.cfg.name}/{self.incarnation}"
+        return str(Holder(self.cfg.name, self.incarnation, self.address))
 
     def shard_for(self, key: str) -> HeldShard | None:
         """Shard that judges a key, if this entry holds it."""
--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -16,6 +16,7 @@
 from gooseberrypost.claims._store import run_steps
 from gooseberrypost.claims._trim import TrimNotes
 from gooseberrypost.claims.evidence import EvidenceKeeper
+from gooseberrypost.claims.holders import HolderProbes
 from gooseberrypost.claims.section import ClaimsSection
 from gooseberrypost.claims.shard import HeldShard
 from gooseberrypost.errors import Failure
@@ -37,6 +38,7 @@
     from gooseberrypost.blackboard import Blackboard
     from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import EntrySettings
+    from gooseberrypost.wire.channel import ChannelPool
     from gooseberrypost.wire.dispatch import Dispatcher
 
 SCAN_INTERVAL_MS: Final = 100
@@ -46,6 +48,7 @@
 BALANCE_INTERVAL_MS: Final = 5_000
 YIELD_MS: Final = 10_000
 """Time for others to take a shard that this entry gave up."""
+HOLDER_INTERVAL_MS: Final = 1_000
 LEASE_RETRY_MS: Final = 500
 FLUSH_TIMEOUT_MS: Final = 2_000
 OWNER: Final = "ClaimOwnerController"
@@ -67,6 +70,7 @@
         incarnation: int | None = None,
         outage_policy: Callable[[str], str] = lambda service: "memory",
         wall_clock_ms: Callable[[], int] = wall_ms,
+        pool: ChannelPool | None = None,
     ) -> None:
         super().__init__()
         self.cfg = cfg
@@ -89,6 +93,7 @@
         self._trim_notes = TrimNotes(cfg.claims.retention_ms)
         self._wants_lease = False
         self._heads_lock = asyncio.Lock()
+        self._probes = HolderProbes(pool) if pool is not None else None
         self._messages = MessageHandlers(self)
         self._messages.register(dispatcher)
 
@@ -151,6 +156,26 @@
                     self._drop(shard)
             await self.sleep(TICK_INTERVAL_MS / 1_000)
 
+    @Service.task
+    async def _probe(self) -> None:
+        while not self.should_stop:
+            await self.sleep(HOLDER_INTERVAL_MS / 1_000)
+            await self.probe_once()
+
+    async def probe_once(self) -> None:
+        """Orphan the claims of holders that are lost and not connected."""
+        if self._probes is None:
+            return
+        shards = list(self.section.shards.values())
+        holders = {h for shard in shards for h in shard.claims.holders}
+        for holder in holders:
+            if self._messages.is_connected(holder):
+                continue
+            if await self._probes.is_lost(holder):
+                logging.info("event=holder_lost holder=%s", holder)
+                for shard in shards:
+                    shard.holder_lost(holder)
+
     @Service.task
     async def _sync_evidence(self) -> None:
         while not self.should_stop:
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -65,6 +65,10 @@
         finally:
             self._discard_result()
             if not isinstance(done, Ok):
+                # A cancel bars the attempt at its agent, so another try
+                # needs a new one.
+                if self._placer.touched or self._placer.is_barred:
+                    self.is_unused = False
                 self._cancel()
 
     async def _run(self) -> Result[None, Failure]:
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.entry.sections import Stage
-from gooseberrypost.errors import Failure, NoCapacity, NotRun
+from gooseberrypost.errors import Failure, NoCapacity, NotRun, StaleAttempt
 from gooseberrypost.logs import RoutingDecision
 from gooseberrypost.policy.aging import effective_priority
 from gooseberrypost.policy.forecast import (
@@ -69,6 +69,8 @@
         self.refused: set[str] = set()
         """Engines that this attempt does not try again."""
         self.touched: dict[str, AgentView] = {}
+        self.is_barred = False
+        """An agent has seen this attempt revoked or a higher one."""
 
     async def reserve(
         self, source: AgentView | None = None
@@ -99,6 +101,7 @@
                 case Err(failure):
                     if isinstance(failure, NotRun):
                         self.touched.pop(pair.decode.name, None)
+                    self.is_barred |= isinstance(failure, StaleAttempt)
                     last = NoCapacity(
                         f"{pair.decode.name}: {failure}",
                         retry_after_ms=failure.retry_after_ms
--- a/src/gooseberrypost/entry/wiring.py
+++ b/src/gooseberrypost/entry/wiring.py
@@ -94,6 +94,7 @@
         address=wire.pool.hello.address,
         incarnation=incarnation,
         outage_policy=lambda name: outage_policy(catalog, name),
+        pool=wire.pool,
     )
     claims = RemoteClaimClient.from_config(
         cfg, store, wire.pool, rng, monotonic_ms, local=owner
--- a/src/gooseberrypost/policy/retry.py
+++ b/src/gooseberrypost/policy/retry.py
@@ -20,11 +20,11 @@
 MIN_RETRIES: Final = 2
 """Retries allowed in a window of few requests."""
 
-MAX_DISPLACEMENTS: Final = 4
+MAX_DISPLACEMENTS: Final = 8
 """Times a request is moved because an engine was lost under it.
 
-One request crashes at most two engines, so an innocent one needs more only
-when machines fail at the same time.
+The delays of eight moves add up to more than a second, in which an agent that
+was replaced listens again.
 """
 
 
--- a/src/gooseberrypost/state/_claim_memory.py
+++ b/src/gooseberrypost/state/_claim_memory.py
@@ -66,6 +66,11 @@
             return MintedKey.parse(ask.key).is_err()
         return claim.state is ClaimState.ABANDONED and not claim.ran
 
+    @property
+    def holders(self) -> list[str]:
+        """Processes that hold running claims."""
+        return list(self._held)
+
     def confirm(self, records: int) -> None:
         """Note that the next ``records`` records are in the log."""
         self.confirmed += records
--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -68,6 +68,7 @@
         zone = options.pop("zone", "a")
         service = options.pop("service", "manual-llm")
         model = options.pop("model", "rig-7b")
+        relayed = options.pop("relay", "no") == "yes"
         engine = await self.stack.enter_async_context(
             Engine.serving(role=role, model=model, **options)
         )
@@ -81,7 +82,7 @@
             "pieces": limits.pieces,
             "link_kb_per_s": int(limits.link_kb_per_s),
         }
-        address = await self._add_agent(name, zone, service, backend)
+        address = await self._add_agent(name, zone, service, backend, relayed)
         self.records[f"engine/{name}"] = EngineRecord(
             name,
             service=service,
@@ -100,7 +101,8 @@
         server = await self.stack.enter_async_context(PlainService.serving())
         self.servers[name] = server
         backend = {"kind": "plain", "address": server.address}
-        address = await self._add_agent(name, zone, service, backend)
+        relayed = options.get("relay", "no") == "yes"
+        address = await self._add_agent(name, zone, service, backend, relayed)
         self.records[f"engine/{name}"] = EngineRecord(
             name,
             service=service,
@@ -109,7 +111,14 @@
             role="plain",
         )
 
-    async def _add_agent(self, name, zone, service, backend) -> str:
+    async def _add_agent(
+        self, name: str, zone: str, service: str, backend: dict, relayed: bool
+    ) -> str:
+        """Describe an agent's process; returns the address for entries.
+
+        A relay accepts connections for an agent that does not listen, so only
+        scenarios that cut or stall have one.
+        """
         address = free_address()
         self.processes[name] = Process(
             "agent",
@@ -126,7 +135,7 @@
             },
             self.folder,
         )
-        return await self._relay(name, address)
+        return await self._relay(name, address) if relayed else address
 
     def add_entry(self, name: str, options: dict):
         self.processes[name] = Process(
@@ -176,9 +185,8 @@
         for process in self.processes.values():
             process.start()
         async with asyncio.timeout(READY_S):
-            for name, process in self.processes.items():
-                if process.kind == "entry":
-                    await self._until_ready(name)
+            for name in self.processes:
+                await self._until_ready(name)
 
     async def configure(self, service: str, changes: dict):
         """Change fields of a service's record, as an operator does."""
@@ -198,11 +206,17 @@
             process.write()
 
     async def _until_ready(self, name: str):
-        while await self.ready(name) != 200:
-            process = self.processes[name]
+        process = self.processes[name]
+        while not await self._is_ready(name):
             assert process.running, "\n".join(process.lines()[-20:])
             await asyncio.sleep(0.05)
 
+    async def _is_ready(self, name: str) -> bool:
+        if self.processes[name].kind == "entry":
+            return await self.ready(name) == 200
+        status = await self.status(name)
+        return status is not None and status.state == "serving"
+
     async def ready(self, name: str) -> int:
         """HTTP status of an entry's readiness; 0 when it does not answer."""
         url = f"http://{self.http_address(name)}/readyz"
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -4,20 +4,29 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
 
 
+# Below the range from which the kernel draws ports of outgoing connections:
+# one of those took the port of a daemon that was about to restart.
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+
+
 def free_port() -> int:
     """Find a port that is free now; a daemon binds it a moment later."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def free_address() -> str:
