--- a/src/gooseberrypost/bench/__main__.py
+++ b/src/gooseberrypost/bench/__main__.py
@@ -72,7 +72,7 @@
     "sizes",
     type=int,
     multiple=True,
-    help="Also run a fleet of this many engines; repeat.",
+    help="Run a fleet of this many engines; repeat.",
 )
 @click.option("--quick", is_flag=True, help="A few short scenarios.")
 @click.option("--workers", type=int, default=0, help="0: by CPU count.")
@@ -85,7 +85,9 @@
     workers: int,
 ) -> None:
     """Compare routing policies on the same seeds."""
-    names = list(scenarios) or list(QUICK_SCENARIOS if quick else SCENARIOS)
+    names = list(scenarios)
+    if not names and not sizes:
+        names = list(QUICK_SCENARIOS if quick else SCENARIOS)
     names += [f"fleet-{size}" for size in sizes]
     chosen = list(policies) or list(STRATEGIES)
     _check(names, chosen)
--- a/src/gooseberrypost/bench/engines.py
+++ b/src/gooseberrypost/bench/engines.py
@@ -8,6 +8,7 @@
 
 from gooseberrypost.bench.clock import SharedWork, VirtualClock
 from gooseberrypost.bench.parts import EngineSpec, PrefillJob, PrefixCache
+from gooseberrypost.identity import Attempt
 from gooseberrypost.policy.forecast import (
     CROSS_ZONE_RATE_SHARE,
     pieces_needed,
@@ -15,6 +16,7 @@
 )
 from gooseberrypost.policy.transfer import Booking, LinkBook, MeasuredRate
 from gooseberrypost.policy.views import AgentView
+from gooseberrypost.state.ledger import Ask, Ledger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,9 +27,14 @@
 GAP_PER_REQUEST_MS: Final = 0.4
 """Growth of that time with each request in the batch: 24 ms at twenty."""
 MIN_PREFILL_MS: Final = 4.0
+HOLD_TTL_MS: Final = 10_000
 MEASURE_WEIGHT: Final = 0.3
 
 
+def _holder(number: int) -> Attempt:
+    return Attempt(str(number), 1)
+
+
 class FakeEngine:
     """An engine that can be prefill or decode, with its agent."""
 
@@ -52,8 +59,7 @@
         self._rate = self.spec.tokens_per_s
         self.results: dict[int, PrefillJob] = {}
         self.queue_tokens = 0
-        self.held: dict[int, int] = {}
-        self.pieces_used = 0
+        self.ledger = Ledger(self.spec.slots, self.spec.pieces, 0)
         self.slots_peak = 0
         self.batch = SharedWork(self.clock, self._tokens_per_ms)
         self.flows = SharedWork(self.clock, self._kb_per_ms)
@@ -72,7 +78,7 @@
     def exact_view(self) -> AgentView:
         """Load with the true speeds, which no agent knows."""
         spec = self.spec
-        gap = GAP_ALONE_MS + GAP_PER_REQUEST_MS * (len(self.held) + 1)
+        gap = GAP_ALONE_MS + GAP_PER_REQUEST_MS * (self.ledger.slots_used + 1)
         return self._view(
             spec.tokens_per_s * self.speed,
             gap / max(self.speed, 1e-3),
@@ -91,9 +97,9 @@
             spec.role,
             spec.model,
             spec.slots,
-            len(self.held),
+            self.ledger.slots_used,
             spec.pieces,
-            self.pieces_used,
+            self.ledger.pieces_used,
             int(self._tokens_ahead(tokens_per_s)),
             tokens_per_s,
             gap_ms,
@@ -115,7 +121,9 @@
 
     def reported_gap_ms(self) -> float:
         """Gap for the next request, scaled by the measured slowness."""
-        nominal = GAP_ALONE_MS + GAP_PER_REQUEST_MS * (len(self.held) + 1)
+        nominal = GAP_ALONE_MS + GAP_PER_REQUEST_MS * (
+            self.ledger.slots_used + 1
+        )
         return nominal * self.gap_ms / GAP_ALONE_MS
 
     def _tokens_per_ms(self, batch: int) -> float:
@@ -214,23 +222,22 @@
 
     def reserve(self, number: int, prompt: int, output: int) -> bool:
         """Hold a slot and all pieces, or refuse; never oversold."""
-        pieces = pieces_needed(prompt, output)
-        if (
-            not self.alive
-            or self.draining
-            or number in self.held
-            or len(self.held) >= self.spec.slots
-            or self.pieces_used + pieces > self.spec.pieces
-        ):
+        if not self.alive or self.draining or self.holds(number):
             return False
-        self.held[number] = pieces
-        self.pieces_used += pieces
-        self.slots_peak = max(self.slots_peak, len(self.held))
-        return True
+        ask = Ask(
+            _holder(number), 0, pieces_needed(prompt, output), HOLD_TTL_MS
+        )
+        granted = self.ledger.reserve(ask, self.clock.now_ms).is_ok()
+        self.slots_peak = max(self.slots_peak, self.ledger.slots_used)
+        return granted
+
+    def holds(self, number: int) -> bool:
+        """Whether a request holds a slot here."""
+        return self.ledger.find(_holder(number)) is not None
 
     def release(self, number: int) -> None:
         """Free what a request holds and stop its work."""
-        self.pieces_used -= self.held.pop(number, 0)
+        self.ledger.release(_holder(number))
         self.batch.remove(number)
         self.flows.remove(number)
         self.on_lost.pop(number, None)
@@ -249,6 +256,12 @@
         self, number: int, prompt: int, zone: str, done: Callable[[], None]
     ) -> None:
         """Import a KV cache over the shared link."""
+        holding = self.ledger.find(_holder(number))
+        assert holding is not None
+        if not holding.running:
+            self.ledger.start(
+                holding.number, holding.holder, self.clock.now_ms
+            ).unwrap()
         share = 1.0 if zone == self.spec.zone else CROSS_ZONE_RATE_SHARE
         self.flows.add(number, transfer_kb(prompt) / share, done)
 
@@ -271,7 +284,8 @@
         return 1.0 / max(rate, 1e-6)
 
     def poll(self) -> None:
-        """Measure the token gap, as the agent's poll of the engine does."""
+        """Measure the token gap and expire holds, as the agent does."""
+        self.ledger.expire(self.clock.now_ms)
         if len(self.batch):
             self._measure_gap(self.token_gap())
 
@@ -300,7 +314,12 @@
 
     def is_idle(self) -> bool:
         """Whether nothing is held, queued or running."""
-        busy = self.held or self.results or self._queue or self._running
+        busy = (
+            self.ledger.slots_used
+            or self.results
+            or self._queue
+            or self._running
+        )
         return not busy
 
     def assign(self, role: str, model: str) -> None:
--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -183,7 +183,7 @@
 
     def holds(self, decode: FakeEngine) -> bool:
         """Whether this attempt holds a slot at the engine."""
-        return self.hold in decode.held
+        return decode.holds(self.hold)
 
     def hold_at(self, decode: FakeEngine) -> bool:
         """Reserve a slot and all pieces, if the agent has them."""
