Place displaced requests of the bench as the entry does

Cause: the entry no longer counts requests displaced by a lost engine against the retry budget, but the bench did, and refused most of them. Ruled out: none needed; the bench is brought in line with the entry.

--- a/src/gooseberrypost/bench/flow.py
+++ b/src/gooseberrypost/bench/flow.py
@@ -37,7 +37,6 @@
         self.measured = measured
         self.attempt = 1
         self.resend = 0
-        """Times that the caller sent the request before."""
         self.ended = False
         self.counted = False
         self.outcome = ""
@@ -51,6 +50,7 @@
         self._decode: FakeEngine | None = None
         self.hold = 0
         self._relaxed = False
+        self.displacements = 0
         self.req = self._request_view()
         self.system.clock.at(
             offered.arrived + offered.kind.answer_ms, self._deadline
@@ -229,18 +229,23 @@
                 self.offered.output - 1, self.generated + done
             )
         self.hold = 0
-        self.retry(NoCapacity("decode engine lost"))
+        self.displacements += 1
+        self.retry(NoCapacity("decode engine lost"), displaced=True)
 
-    def retry(self, failure: Failure) -> None:
+    def retry(self, failure: Failure, displaced: bool = False) -> None:
         """Try again within the budget, or end with the failure."""
         self._stop_work()
         self._step += 1
         now = self.system.clock.now_ms
         if self.system.strategy.guards:
             desk = self.entry.desk(self.req.service)
-            allowed = desk.budget.retry(
-                self.attempt, now, self.req.answer_deadline_ms, self.entry.rng
-            )
+            when = (self.attempt, now, self.req.answer_deadline_ms)
+            if displaced:
+                allowed = desk.budget.displace(
+                    self.displacements, *when, self.entry.rng
+                )
+            else:
+                allowed = desk.budget.retry(*when, self.entry.rng)
             if isinstance(allowed, Err):
                 self.refuse(failure)
                 return
