--- a/src/gooseberrypost/agent/lease.py
+++ b/src/gooseberrypost/agent/lease.py
@@ -66,6 +66,9 @@
         self._valid_until_ms = 0
         self.epoch = 0
         """Epoch of the lease that was last held."""
+        self.fencing = 0
+        """Highest fencing token that this server was ordered with."""
+        self._epoch_version = 0
 
     def remaining_ms(self) -> int:
         """Time for which orders may be given; 0 without a valid lease."""
@@ -85,6 +88,24 @@
             self._drop()
         return renewed
 
+    async def record_fencing(self, fencing: int) -> None:
+        """Keep a fencing token for the agents that follow this one.
+
+        Without it a new agent would obey orders of an old plan. A failure is
+        not fatal: the token is kept with the next order.
+        """
+        if self._store is None or fencing <= self.fencing:
+            return
+        self.fencing = fencing
+        written = await self._write(
+            self._store,
+            f"{self._key}/epoch",
+            self._holder(self.epoch),
+            self._epoch_version,
+        )
+        if isinstance(written, Ok):
+            self._epoch_version = written.ok_value
+
     async def on_stop(self) -> None:
         """Give the lease up, so that a successor need not wait."""
         if self._store is not None and self._lease:
@@ -127,10 +148,12 @@
         if isinstance(current, Err):
             return current
         found: Versioned = current.ok_value
-        epoch = (_epoch_of(found.value) if found.version else 0) + 1
+        epoch = _number_in(found.value, "epoch") + 1
+        self.fencing = max(self.fencing, _number_in(found.value, "fencing"))
         written = await self._write(
             store, key, self._holder(epoch), found.version
         )
+        self._epoch_version = written.unwrap_or(0)
         return written.map(lambda _: epoch)
 
     async def _write(
@@ -156,6 +179,7 @@
         document: dict[str, Any] = {
             "address": self._cfg.internal_address,
             "epoch": epoch,
+            "fencing": self.fencing,
             "incarnation": self._me.incarnation,
         }
         return json.dumps(document, sort_keys=True)
@@ -183,8 +207,8 @@
             await asyncio.sleep(interval_ms / 1_000)
 
 
-def _epoch_of(value: str) -> int:
+def _number_in(value: str, name: str) -> int:
     try:
-        return int(json.loads(value)["epoch"])
+        return int(json.loads(value)[name])
     except (ValueError, KeyError, TypeError):
         return 0
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -80,6 +80,7 @@
         if isinstance(permitted, Err):
             return permitted
         self._fence.passed(self._token(req))
+        await self._lease.record_fencing(req.fencing)
         if req.kind != "set_role":
             return await self._send(req)
         lifecycle = self._context.lifecycle_controller
@@ -97,6 +98,7 @@
         # Checked here on behalf of servers that ignore fencing tokens.
         if not self._lease.remaining_ms():
             return Err(StaleOrder("the lease of this agent is not valid"))
+        self._fence.passed(Token(self._lease.epoch, self._lease.fencing))
         return self._fence.check(self._token(req))
 
     async def _wait_idle(self) -> Result[None, Failure]:
--- a/tests/test_agent_orders.py
+++ b/tests/test_agent_orders.py
@@ -150,6 +150,22 @@
     asyncio.run(run())
 
 
+def test_a_successor_knows_the_orders_of_its_predecessor():
+    """Guards against a restart after which an old plan is obeyed again."""
+
+    async def run():
+        store = MemoryStore()
+        async with Engine.serving(checks_fencing=False) as engine:
+            for fencing, code in ((7, None), (6, "stale_order"), (7, None)):
+                async with ordered(engine, store) as (agent, channel):
+                    await until(agent.lease.remaining_ms)
+                    reply = await ask(channel, order(fencing))
+                    assert getattr(reply, "code", None) == code
+            assert [o["fencing"] for o in engine.orders] == [7, 7]
+
+    asyncio.run(run())
+
+
 def test_an_outage_shorter_than_the_lease_changes_nothing():
     """Guards against an agent that stops at the first failed renewal."""
 
