--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -78,7 +78,8 @@
         await entry.listener.start("127.0.0.1:0")
     for number, entry in enumerate(made):
         own = owners is None or number in owners
-        await entry.start(made, own, **settings)
+        others = made if owners is None else [made[n] for n in owners]
+        await entry.start(others, own, **settings)
     try:
         await until(lambda: owned(made) == SHARDS)
         yield made
