Follow the planners' schedule in agents and entries

An agent reads the schedule of its own engine from the configuration and brings the engine to the scheduled role and model through its order path: the fencing token is the configuration version, lease and epoch are checked before each order, and orders are given only when nothing runs. A change that is no longer due while it waits, or whose lease lapses, is withdrawn, so that the engine goes on in its old role.

Entries take the scheduled assignment for the pools, evaluated again only where it may change. Loads now carry role and model, and what an agent reports takes precedence for 10 s: in an outage of the key-value service at the instant of change the engines stay in their old roles, and entries that believed the schedule alone would be refused everywhere. An agent refuses a model that its engine does not serve.

An order whose answer was lost leaves the agent refusing new work until the order has been repeated with success.

--- a/src/gooseberrypost/agent/context.py
+++ b/src/gooseberrypost/agent/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err
 
@@ -16,7 +16,9 @@
 from gooseberrypost.agent.jobs import Attempts, Job
 from gooseberrypost.agent.log import refusal
 from gooseberrypost.errors import ConnectionLost, EngineCrashed, Failure
+from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.listener import Session, refused
+from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,6 +31,12 @@
     from gooseberrypost.settings.agent import AgentSettings
     from gooseberrypost.state.configuration import Configuration
 
+ROLE_NUMBERS: Final = {
+    EngineRole.PREFILL: idl.Role.PREFILL,
+    EngineRole.DECODE: idl.Role.DECODE,
+    EngineRole.PLAIN: idl.Role.PLAIN,
+}
+
 
 @dataclass(slots=True)
 class Context:
@@ -59,13 +67,17 @@
     def load(self) -> Any:
         """``Load`` message of this moment."""
         lifecycle = self.lifecycle_controller.lifecycle
-        return load_message(
+        load = load_message(
             self.capacity,
             self.now_ms(),
             bool(lifecycle.reasons),
             self.configuration.version,
             self.me.incarnation,
         )
+        if lifecycle.role is not None:
+            load.role = ROLE_NUMBERS[lifecycle.role]
+        load.model = lifecycle.model or None
+        return load
 
     async def refuse(
         self,
--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import time
 from typing import TYPE_CHECKING, Any, Final, Self
 
 from mode import Service
@@ -22,6 +23,7 @@
 from gooseberrypost.agent.orders import OrderController
 from gooseberrypost.agent.plain import PlainClient
 from gooseberrypost.agent.reports import Reports
+from gooseberrypost.agent.schedule import ScheduleController
 from gooseberrypost.blackboard import Blackboard
 from gooseberrypost.configsync.controller import ConfigurationController
 from gooseberrypost.identity import ProcessId, new_incarnation
@@ -54,6 +56,7 @@
         vm_list: Any,
         rng: random.Random,
         lease_clock_ms: Callable[[], int],
+        wall_clock_ms: Callable[[], int],
     ) -> None:
         super().__init__()
         self.cfg = cfg
@@ -75,6 +78,9 @@
         self.execution = ExecutionController(self.board, self.context)
         self.lease = AgentLease(cfg, self.me, store, rng, lease_clock_ms)
         self.orders = OrderController(self.context, self.lease)
+        self.schedule = ScheduleController(
+            self.context, self.lease, self.orders, wall_clock_ms
+        )
         self._register()
 
     @classmethod
@@ -84,10 +90,15 @@
         store: KeyValueStore | None = None,
         vm_list: Any = None,
         lease_clock_ms: Callable[[], int] = boot_time_ms,
+        wall_clock_ms: Callable[[], int] | None = None,
     ) -> Self:
-        """Build an agent; without a store it refuses every order."""
+        """Build an agent; without a store it refuses every order.
+
+        ``wall_clock_ms`` gives milliseconds since 1970 UTC.
+        """
         rng = random.Random(cfg.seed)
-        return cls(cfg, store, vm_list, rng, lease_clock_ms)
+        clock_ms = wall_clock_ms or unix_time_ms
+        return cls(cfg, store, vm_list, rng, lease_clock_ms, clock_ms)
 
     @property
     def address(self) -> str:
@@ -104,6 +115,7 @@
             self.execution,
             self.lease,
             self.orders,
+            self.schedule,
         ]
 
     async def on_started(self) -> None:
@@ -173,6 +185,11 @@
         Reports(self.context).register(self.dispatcher)
 
 
+def unix_time_ms() -> int:
+    """Wall-clock time in milliseconds since 1970 UTC."""
+    return time.time_ns() // 1_000_000
+
+
 def monotonic_ms() -> int:
     """Time of the event loop in whole milliseconds."""
     return int(asyncio.get_running_loop().time() * 1_000)
--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -105,7 +105,7 @@
         context = self._context
         lifecycle = context.lifecycle_controller.lifecycle
         table = context.attempts.table
-        refusal = lifecycle.refusal(EngineRole.DECODE) or error(
+        refusal = lifecycle.refusal(EngineRole.DECODE, req.model) or error(
             table.check(attempt, Phase.DECODE)
         )
         if refusal is not None:
--- a/src/gooseberrypost/agent/lifecycle.py
+++ b/src/gooseberrypost/agent/lifecycle.py
@@ -77,7 +77,7 @@
             return Stage.DRAINING
         return Stage.SERVING if self.reconciled else Stage.STARTING
 
-    def refusal(self, role: EngineRole) -> NotRun | None:
+    def refusal(self, role: EngineRole, model: str = "") -> NotRun | None:
         """Reason to refuse new work in a role, if there is one."""
         if self.stopped or self.reasons:
             return Draining(",".join(sorted(self.reasons)) or "stopped")
@@ -87,6 +87,8 @@
             return NoCapacity("backend server is down")
         if self.role not in (None, role):
             return NoCapacity(f"role is {self.role}")
+        if model and self.model not in ("", model):
+            return NoCapacity(f"model is {self.model}")
         return None
 
 
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -16,8 +16,10 @@
     Draining,
     Failure,
     MalformedRequest,
+    NotRun,
     StaleOrder,
 )
+from gooseberrypost.policy.rolechange import LOAD_MODEL, SET_ROLE
 from gooseberrypost.state.fencing import Fence, Token
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.listener import refused
@@ -27,12 +29,13 @@
     from gooseberrypost.agent.capacity import Capacity
     from gooseberrypost.agent.context import Context
     from gooseberrypost.agent.lease import AgentLease
+    from gooseberrypost.policy.rolechange import Change
     from gooseberrypost.wire.dispatch import Dispatcher
     from gooseberrypost.wire.listener import Session
 
 ORDER_TIMEOUT_MS: Final = 10_000
 ENGINE_ROLES: Final = (EngineRole.PREFILL, EngineRole.DECODE)
-KINDS: Final = ("load_model", "load_adapter", "set_version", "set_role")
+KINDS: Final = (LOAD_MODEL, "load_adapter", "set_version", SET_ROLE)
 
 
 class OrderController(Service):
@@ -44,6 +47,8 @@
         self._lease = lease
         self._fence = Fence()
         self._lock = asyncio.Lock()
+        self.uncertain: set[str] = set()
+        """Kinds of orders that were sent and whose effect is not known."""
 
     def register(self, dispatcher: Dispatcher) -> None:
         """Receive ``Order`` messages."""
@@ -54,16 +59,62 @@
         fill_defaults(req)
         if req.kind not in KINDS:
             return Err(MalformedRequest(f"order {req.kind!r} is unknown"))
-        if req.kind == "set_role" and req.value not in ENGINE_ROLES:
+        if req.kind == SET_ROLE and req.value not in ENGINE_ROLES:
             return Err(MalformedRequest(f"role {req.value!r} is unknown"))
         async with self._lock:
             outcome = await self._execute(req)
+        self._log(req, outcome)
+        return outcome
+
+    async def change(
+        self, change: Change, version: int
+    ) -> Result[None, Failure]:
+        """Give the orders of a planned change once nothing runs.
+
+        New work is refused until the change is over; where the effect of an
+        order is not known, until a later call succeeds. Cancelling the call
+        withdraws the change.
+        """
+        orders = [
+            idl.Order(kind=kind, value=value, fencing=version)
+            for kind, value in (
+                (LOAD_MODEL, change.model),
+                (SET_ROLE, change.role),
+            )
+            if value
+        ]
+        async with self._lock:
+            permitted = self._permit(orders[0])
+            if isinstance(permitted, Err):
+                return permitted
+            self._fence.passed(self._token(orders[0]))
+            try:
+                return await self._change_when_idle(orders)
+            finally:
+                self._context.lifecycle_controller.drain(
+                    DrainReason.ROLE_CHANGE, bool(self.uncertain)
+                )
+
+    async def _change_when_idle(
+        self, orders: list[Any]
+    ) -> Result[None, Failure]:
+        self._context.lifecycle_controller.drain(DrainReason.ROLE_CHANGE, True)
+        idle = await self._wait_idle()
+        if isinstance(idle, Err):
+            return idle
+        for req in orders:
+            outcome = await self._send(req)
+            self._log(req, outcome)
+            if isinstance(outcome, Err):
+                return outcome
+        return Ok(None)
+
+    def _log(self, req: Any, outcome: Result[None, Failure]) -> None:
         fields = {"kind": req.kind, "value": req.value, "fencing": req.fencing}
         if isinstance(outcome, Err):
             refusal("order", outcome.err_value, **fields)
         else:
             decision("order", **fields, epoch=self._lease.epoch, reason="sent")
-        return outcome
 
     async def _order(
         self, session: Session, correlation: int, req: Any
@@ -80,7 +131,7 @@
         if isinstance(permitted, Err):
             return permitted
         self._fence.passed(self._token(req))
-        if req.kind != "set_role":
+        if req.kind != SET_ROLE:
             return await self._send(req)
         lifecycle = self._context.lifecycle_controller
         lifecycle.drain(DrainReason.ROLE_CHANGE, True)
@@ -117,20 +168,34 @@
             return permitted
         backend = self._context.backend
         if isinstance(backend, EngineClient):
-            timeout_ms = min(ORDER_TIMEOUT_MS, self._lease.remaining_ms())
-            sent = await backend.order(self._body(req), timeout_ms)
+            sent = await self._send_to(backend, req)
             if isinstance(sent, Err):
                 return sent
         lifecycle = self._context.lifecycle_controller
         lifecycle.configured(req.fencing)
-        if req.kind == "set_role":
+        if req.kind == SET_ROLE:
             lifecycle.assigned(req.value, "")
-        elif req.kind == "load_model":
+        elif req.kind == LOAD_MODEL:
             lifecycle.assigned("", req.value)
         return Ok(None)
 
+    async def _send_to(
+        self, engine: EngineClient, req: Any
+    ) -> Result[Any, Failure]:
+        was_uncertain = req.kind in self.uncertain
+        # Also left so when the call is cancelled while the order travels.
+        self.uncertain.add(req.kind)
+        timeout_ms = min(ORDER_TIMEOUT_MS, self._lease.remaining_ms())
+        sent = await engine.order(self._body(req), timeout_ms)
+        refused_now = isinstance(sent, Err) and isinstance(
+            sent.err_value, NotRun
+        )
+        if isinstance(sent, Ok) or (refused_now and not was_uncertain):
+            self.uncertain.discard(req.kind)
+        return sent
+
     def _body(self, req: Any) -> dict[str, Any]:
-        role = req.value if req.kind == "set_role" else ""
+        role = req.value if req.kind == SET_ROLE else ""
         return {
             "kind": req.kind,
             "model": "" if role else req.value,
--- a/src/gooseberrypost/agent/prefilling.py
+++ b/src/gooseberrypost/agent/prefilling.py
@@ -97,7 +97,7 @@
         context = self._context
         table = context.attempts.table
         lifecycle = context.lifecycle_controller.lifecycle
-        refusal = lifecycle.refusal(EngineRole.PREFILL) or error(
+        refusal = lifecycle.refusal(EngineRole.PREFILL, req.model) or error(
             table.check(attempt, Phase.PREFILL)
         )
         if refusal is not None:
--- a/src/gooseberrypost/agent/reports.py
+++ b/src/gooseberrypost/agent/reports.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any
 
+from gooseberrypost.agent.context import ROLE_NUMBERS
 from gooseberrypost.agent.lifecycle import DrainReason, Lifecycle
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.wire.messages import idl
@@ -13,12 +14,6 @@
     from gooseberrypost.wire.dispatch import Dispatcher
     from gooseberrypost.wire.listener import Session
 
-ROLE_NUMBERS: Final = {
-    EngineRole.PREFILL: idl.Role.PREFILL,
-    EngineRole.DECODE: idl.Role.DECODE,
-    EngineRole.PLAIN: idl.Role.PLAIN,
-}
-
 
 class Reports:
     """Tells other processes and operators about this agent."""
--- a/src/gooseberrypost/entry/fleet.py
+++ b/src/gooseberrypost/entry/fleet.py
@@ -11,6 +11,7 @@
 
 from gooseberrypost.entry.sections import Fleet
 from gooseberrypost.policy.views import AgentView
+from gooseberrypost.sheet.schedule import Assignment
 from gooseberrypost.state.records import EngineRecord, EngineRole
 from gooseberrypost.wire.messages import idl
 
@@ -19,10 +20,13 @@
 
     from gooseberrypost.blackboard import Blackboard
     from gooseberrypost.entry.collaborators import Collaborators
-    from gooseberrypost.sheet.schedule import Assignment
     from gooseberrypost.wire.channel import ChannelPool
 
 OWNER: Final = "FleetController"
+ROLES_BY_NUMBER: Final = {
+    idl.Role.PREFILL: EngineRole.PREFILL,
+    idl.Role.DECODE: EngineRole.DECODE,
+}
 SUBSET_SIZES: Final = {
     EngineRole.PREFILL: 12,
     EngineRole.DECODE: 16,
@@ -35,6 +39,12 @@
 DOWN_MS: Final = 1_000
 """Time for which an unreachable agent is left out."""
 SCHEDULE_INTERVAL_S: Final = 1.0
+REPORT_VALID_MS: Final = 10_000
+"""Time for which a reported role stands against the schedule.
+
+Without a limit an engine outside this entry's subset of its reported pool
+would never be asked again, and its later change not noticed.
+"""
 UNSEEN_MS: Final = -3_600_000
 """Observation time of a load that was never reported."""
 
@@ -58,6 +68,8 @@
         board.add(Fleet(), OWNER)
         self._section = board.write(Fleet, OWNER)
         self._plan: tuple[int, Mapping[str, Assignment]] = (0, {})
+        self._reports: dict[str, tuple[Assignment, int]] = {}
+        """Reports that contradict the schedule, with their clock times."""
         self._membership: dict[str, tuple[str, str, str, str]] = {}
         self._subsets: dict[tuple[str, str, str], list[str]] = {}
 
@@ -97,9 +109,22 @@
         self._section.notify()
 
     def _assigned(self) -> Mapping[str, Assignment]:
-        """Roles and models that the schedule gives to engines now."""
+        """Roles and models that the schedule gives to engines now.
+
+        What an agent reported a short time ago takes precedence.
+        """
         schedule = self._parts.schedule
-        return schedule() if schedule is not None else {}
+        assigned = schedule() if schedule is not None else {}
+        valid_ms = self._parts.clock() - REPORT_VALID_MS
+        reports = self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if report[1] >= valid_ms
+        }
+        return {
+            **assigned,
+            **{name: one for name, (one, _) in reports.items()},
+        }
 
     def _view(
         self, record: EngineRecord, assignment: Assignment | None
@@ -202,6 +227,20 @@
             suspects=load.suspects or 0,
             observed_ms=self._parts.clock(),
         )
+        self._compare_role(view, load)
+
+    def _compare_role(self, view: AgentView, load: Any) -> None:
+        """Move an engine to the pool that its agent reports."""
+        role = ROLES_BY_NUMBER.get(load.role)
+        # A draining engine takes no work; the schedule says where it goes.
+        if role is None or load.draining:
+            return
+        reported = Assignment(role, load.model or view.model)
+        if view.name in self._reports:
+            self._reports[view.name] = (reported, self._parts.clock())
+        if reported != (view.role, view.model):
+            self._reports[view.name] = (reported, self._parts.clock())
+            self.refresh()
 
     def incarnation(self, name: str) -> int:
         """Agent process that was last heard of; 0 when it is unknown."""
--- a/src/gooseberrypost/entry/wiring.py
+++ b/src/gooseberrypost/entry/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Final
 
@@ -23,6 +24,7 @@
 from gooseberrypost.policy.placement import ReservingPlacement
 from gooseberrypost.policy.retry import RetryBudget
 from gooseberrypost.policy.subset import choose_subset
+from gooseberrypost.sheet.current import CurrentAssignments
 from gooseberrypost.state.configuration import Configuration
 
 if TYPE_CHECKING:
@@ -53,6 +55,11 @@
         await self._store.close()
 
 
+def unix_time_ms() -> int:
+    """Wall-clock time in milliseconds since 1970 UTC."""
+    return time.time_ns() // 1_000_000
+
+
 async def build(cfg: EntrySettings, rng: random.Random) -> EntryDaemon:
     """Build an entry on its key-value service and its peers."""
     store = HttpKeyValueStore.from_addresses(cfg.key_value_addresses)
@@ -107,6 +114,7 @@
         make_retries=RetryBudget.from_config,
         choose_subset=choose_subset,
         pressure=service_pressure,
+        schedule=CurrentAssignments(configuration, unix_time_ms),
         rng=rng,
     )
     return await EntryDaemon.from_config(
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -39,6 +39,8 @@
   10: i32 suspects,            // running requests under suspicion of a crash
   11: i32 link_booked_kb_per_s,
   12: optional i64 incarnation, // of the agent
+  13: optional Role role,       // absent while unknown
+  14: optional string model,    // absent while unknown
 }
 
 struct Probe { 1: string service_name, 2: list<i64> prefix_hashes }
--- /dev/null
+++ b/tests/test_schedule.py
@@ -0,0 +1,365 @@
+"""Planned role changes: pure decisions, the agent and the entry's pools."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrypost.blackboard import Blackboard
+from gooseberrypost.entry.fleet import REPORT_VALID_MS, FleetController
+from gooseberrypost.policy.rolechange import (
+    Change,
+    EngineState,
+    next_change,
+)
+from gooseberrypost.sheet.current import CurrentAssignments
+from gooseberrypost.sheet.schedule import Assignment, Schedule
+from gooseberrypost.state.configuration import Configuration
+from gooseberrypost.state.records import EngineRecord, ScheduleRecord
+from gooseberrypost.wire.messages import idl
+from tests.agent_kit import (
+    MemoryStore,
+    ask,
+    collect,
+    decode,
+    entry,
+    prefill,
+    reserve,
+    running,
+    settings,
+    until,
+)
+from tests.standins.engine import Engine
+from tests.test_agent_orders import LeaseClock
+
+ZONE = "Europe/Bratislava"
+ENGINE = EngineRecord("engine-1", "llm", "127.0.0.1:1", "z1", model="m")
+INSTANT_MS = 1_796_371_200_000
+"""2026-12-04 09:00 in Bratislava."""
+MINUTE = timedelta(minutes=1)
+
+
+def row(day, starts, ends, role="prefill", model="m", name="r"):
+    return ScheduleRecord(
+        name, day, "llm", ENGINE.name, role, model, starts, ends, ZONE
+    )
+
+
+def planned(configuration, *rows):
+    """Put the engine and a schedule of these rows only in force."""
+    records = {f"schedule/{one.name}": one for one in rows}
+    base = configuration.document
+    gone = {k: None for k in base.entries if k.startswith("schedule/")}
+    changes = {"engine/engine-1": ENGINE, **gone, **records}
+    apply_id = str(base.version)
+    document = base.propose(base, changes, apply_id).unwrap()
+    configuration.apply_document(document)
+
+
+@pytest.mark.parametrize(
+    ("day", "rows", "changes"),
+    [
+        ("2026-10-25", ["00:00-02:30"], ["22:00 prefill", "01:30 decode"]),
+        (
+            "2026-10-25",
+            ["00:00-02:30", "02:30-24:00 decode"],
+            ["22:00 prefill", "00:30 decode"],
+        ),
+        ("2026-10-25", ["02:15-02:45"], ["00:15 prefill", "01:45 decode"]),
+        ("2027-03-28", ["00:00-02:30"], ["23:00 prefill", "01:00 decode"]),
+        ("2027-03-28", ["02:30-04:00"], ["01:00 prefill", "02:00 decode"]),
+        ("2027-03-28", ["02:10-02:50"], []),
+    ],
+)
+def test_changes_follow_the_local_clock_when_clocks_change(day, rows, changes):
+    """Guards against a change that is an hour off, made twice or lost."""
+    clock = SimpleNamespace(at=datetime.fromisoformat(f"{day}T00:00+00:00"))
+    clock.at -= timedelta(hours=4)
+    configuration = Configuration()
+    records = []
+    for number, text in enumerate(rows):
+        hours, _, role = text.partition(" ")
+        one = row(day, *hours.split("-"), role or "prefill", name=str(number))
+        records.append(one)
+    planned(configuration, *records)
+    current = CurrentAssignments(
+        configuration, lambda: int(clock.at.timestamp() * 1_000)
+    )
+    engine, seen = EngineState("decode", "m", ready=True), []
+    for _ in range(30 * 60):
+        change = next_change(current()["engine-1"], engine, may_order=True)
+        if change is not None:
+            engine = engine._replace(role=change.role)
+            seen.append(f"{clock.at.astimezone(UTC):%H:%M} {change.role}")
+        clock.at += MINUTE
+    assert seen == changes
+
+
+def test_an_order_of_unknown_effect_is_given_again():
+    """Guards against an engine whose role its agent only believes in."""
+    engine = EngineState("prefill", "m", True, {"set_role", "load_model"})
+    wanted = Assignment("prefill", "m")
+    again = next_change(wanted, engine, may_order=True)
+    assert again == Change("prefill", "m")
+    for idle in (engine._replace(ready=False), engine._replace(uncertain=())):
+        assert next_change(wanted, idle, may_order=True) is None
+
+
+HOURS = st.integers(0, 23)
+ROWS = st.lists(st.tuples(HOURS, HOURS, st.booleans()), max_size=3)
+
+
+@given(st.lists(st.tuples(st.integers(0, 50 * 3_600), ROWS), max_size=8))
+def test_remembered_assignments_equal_a_whole_evaluation(steps):
+    """Guards against an assignment kept too long, also by a set clock."""
+    clock = SimpleNamespace(ms=0)
+    start_ms = 1_792_879_200_000  # 2026-10-25 00:00 in Bratislava.
+    configuration = Configuration()
+    current = CurrentAssignments(configuration, lambda: clock.ms)
+    for offset_s, rows in steps:
+        clock.ms = start_ms + offset_s * 1_000
+        planned(
+            configuration,
+            *(
+                row(
+                    "sunday" if weekly else "2026-10-26",
+                    f"{starts:02}:00",
+                    f"{(starts + 1 + length % 23) % 24:02}:00",
+                    name=f"r{starts}-{length}",
+                )
+                for starts, length, weekly in rows
+            ),
+        )
+        for shift_ms in (0, 1_800_000, -3_600_000, 90_000_000):
+            clock.ms += shift_ms
+            whole = Schedule.from_records(configuration.records)
+            wanted = whole.at("engine-1", clock.ms)
+            assert current()["engine-1"] == wanted
+
+
+class WallClock:
+    """Wall clock that a test sets; counts how often it is read."""
+
+    def __init__(self):
+        self.ms, self.reads = INSTANT_MS - 1, 0
+
+    def __call__(self):
+        self.reads += 1
+        return self.ms
+
+    async def read_again(self):
+        """Wait until the agent has looked at the schedule a few times."""
+        enough = self.reads + 3
+        await until(lambda: self.reads >= enough)
+
+
+class Rig:
+    """A prefill engine, and a decode engine that is due to change."""
+
+    async def start_stream(self):
+        """Start a long answer; returns its replies."""
+        reserved = await ask(self.far, reserve())
+        prefilled = await ask(self.near, prefill())
+        replies = await self.stack.enter_async_context(
+            self.far.stream(decode(reserved, prefilled))
+        )
+        (await replies.next(1_000)).unwrap()
+        return replies
+
+    @property
+    def reasons(self):
+        return self.agent.lifecycle.lifecycle.reasons
+
+
+@asynccontextmanager
+async def due(rows, kind=Engine):
+    """Run an agent with a valid lease and a schedule."""
+    rig = Rig()
+    rig.wall, rig.lease, rig.store = WallClock(), LeaseClock(), MemoryStore()
+    async with AsyncExitStack() as rig.stack:
+        enter = rig.stack.enter_async_context
+        source = await enter(Engine.serving())
+        rig.engine = await enter(
+            kind.serving(token_ms=100, role="decode", model="m")
+        )
+        prefiller = await enter(running(settings(source)))
+        rig.agent = await enter(
+            running(
+                settings(rig.engine, reattach_ms=0),
+                store=rig.store,
+                lease_clock_ms=rig.lease,
+                wall_clock_ms=rig.wall,
+            )
+        )
+        rig.near = await enter(entry(prefiller))
+        rig.far = await enter(entry(rig.agent))
+        rig.configuration = rig.agent.context.configuration
+        await until(rig.agent.lease.remaining_ms)
+        planned(rig.configuration, *rows)
+        yield rig
+
+
+CHANGE = row("friday", "09:00", "12:00", model="m2")
+
+
+def test_a_planned_change_waits_for_running_requests():
+    """Guards against a change that cuts a stream off or takes new work (P7).
+
+    The model is loaded only when nothing runs, and before the role is set.
+    """
+
+    async def run():
+        async with due([CHANGE]) as rig:
+            await rig.wall.read_again()
+            assert not rig.reasons
+            replies = await rig.start_stream()
+            rig.wall.ms += 1
+            await until(lambda: rig.reasons)
+            late = await ask(rig.far, reserve("late"))
+            assert late.code == "draining"
+            _, end = await collect(replies)
+            assert (end.code, end.tokens) == ("", 20)
+            await until(lambda: not rig.reasons)
+            orders = [
+                (o["kind"], o["model"], o["role"], o["running"], o["fencing"])
+                for o in rig.engine.orders
+            ]
+            assert orders == [
+                ("load_model", "m2", "", 0, 1),
+                ("set_role", "", "prefill", 0, 1),
+            ]
+            other = await ask(rig.far, prefill("other"))
+            assert other.code == "no_capacity"
+            assert (other.load.role, other.load.model) == (1, "m2")
+            done = await ask(rig.far, prefill("new", model="m2"))
+            assert isinstance(done, idl.Prefilled)
+
+    asyncio.run(run())
+
+
+def test_an_outage_at_the_instant_delays_the_change():
+    """Guards against an order on a lease that could not be renewed (P8).
+
+    Until the agent may order again its engine serves in the old role.
+    """
+
+    async def run():
+        async with due([CHANGE]) as rig:
+            rig.store.up = False
+            rig.lease.ms += rig.agent.cfg.lease_ms
+            rig.wall.ms += 1
+            await rig.wall.read_again()
+            assert not rig.reasons
+            assert not rig.engine.orders
+            granted = await ask(rig.far, reserve("late"))
+            release = idl.ReleaseReservation(
+                reservation=granted.reservation, key="late", attempt=1
+            )
+            await ask(rig.far, release)
+            rig.store.up = True
+            rig.store.lapse(1)
+            while (await rig.agent.lease.refresh()).is_err():
+                pass
+            await until(lambda: len(rig.engine.orders) == 2)
+            assert [o["epoch"] for o in rig.engine.orders] == [2, 2]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("cause", ["planners", "lease"])
+def test_a_waiting_change_is_withdrawn(cause):
+    """Guards against an engine that drains for a change not due any more."""
+
+    async def run():
+        async with due([CHANGE]) as rig:
+            replies = await rig.start_stream()
+            rig.wall.ms += 1
+            await until(lambda: rig.reasons)
+            if cause == "planners":
+                planned(rig.configuration)
+            else:
+                rig.store.up = False
+                rig.lease.ms += rig.agent.cfg.lease_ms
+            await until(lambda: not rig.reasons)
+            assert rig.engine.works
+            _, end = await collect(replies)
+            assert (end.code, end.tokens) == ("", 20)
+            assert not rig.engine.orders
+
+    asyncio.run(run())
+
+
+class LosesAnAnswer(Engine):
+    """Engine whose answer to the first order is lost."""
+
+    async def order(self, request):
+        reply = await super().order(request)
+        if len(self.orders) == 1:
+            request.transport.abort()
+        return reply
+
+
+def test_new_work_waits_until_the_effect_of_an_order_is_known():
+    """Guards against work for an engine whose role is not known."""
+
+    async def run():
+        change = row("friday", "09:00", "12:00")
+        async with due([change], kind=LosesAnAnswer) as rig:
+            rig.wall.ms += 1
+            await until(lambda: rig.engine.orders)
+            refused = await ask(rig.far, reserve("late"))
+            assert refused.code == "draining"
+            await until(lambda: not rig.reasons)
+            assert [o["role"] for o in rig.engine.orders] == ["prefill"] * 2
+
+    asyncio.run(run())
+
+
+def test_an_entry_prefers_reports_to_the_schedule():
+    """Guards against requests sent by the schedule to an unchanged engine."""
+
+    async def run():
+        configuration = Configuration()
+        planned(configuration)
+        clock = SimpleNamespace(ms=1_000)
+        assigned = {"engine-1": Assignment("prefill", "m")}
+        parts = SimpleNamespace(
+            configuration=configuration,
+            schedule=lambda: assigned,
+            clock=lambda: clock.ms,
+            choose_subset=lambda owner, zone, members, size: members,
+            rng=random.Random(1),
+        )
+        fleet = FleetController("e1", "z1", parts, Blackboard(), None)
+        fleet.refresh()
+
+        def pools():
+            return [
+                [view.name for view in fleet.candidates("llm", role, "m")]
+                for role in ("prefill", "decode")
+            ]
+
+        def load(**fields):
+            return idl.Load(slots=1, **{"role": 2, "model": "m", **fields})
+
+        assert pools() == [["engine-1"], []]
+        fleet.observe("engine-1", load(draining=True))
+        assert pools() == [["engine-1"], []]
+        fleet.observe("engine-1", load())
+        assert pools() == [[], ["engine-1"]]
+        fleet.observe("engine-1", load(role=None))
+        assert pools() == [[], ["engine-1"]]
+        fleet.observe("engine-1", load(model="m2"))
+        assert pools() == [[], []]
+        clock.ms += REPORT_VALID_MS + 1
+        fleet.refresh()
+        assert pools() == [["engine-1"], []]
+
+    asyncio.run(run())
