--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -56,11 +56,6 @@
         self.is_unused = True
         """No prefill was started, so the attempt number can serve again."""
 
-    @property
-    def is_barred(self) -> bool:
-        """Whether the next try needs a new attempt number."""
-        return self._placer.is_barred
-
     async def run(self) -> Result[None, Failure]:
         """Run to a whole stream, or return why it is not whole."""
         done: Result[None, Failure] | None = None
@@ -70,6 +65,10 @@
         finally:
             self._discard_result()
             if not isinstance(done, Ok):
+                # A cancel bars the attempt at its agent, so another try
+                # needs a new one.
+                if self._placer.touched or self._placer.is_barred:
+                    self.is_unused = False
                 self._cancel()
 
     async def _run(self) -> Result[None, Failure]:
@@ -261,6 +260,4 @@
     def _cancel(self) -> None:
         view = self._work.view
         for agent in self._placer.touched.values():
-            # A cancelled attempt is refused when it is sent again.
-            self._placer.is_barred = True
             self._ctx.agents.cancel(agent, view.key, view.attempt)
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -8,12 +8,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.entry.sections import Stage
-from gooseberrypost.errors import (
-    Failure,
-    NoCapacity,
-    NotRun,
-    StaleAttempt,
-)
+from gooseberrypost.errors import Failure, NoCapacity, NotRun, StaleAttempt
 from gooseberrypost.logs import RoutingDecision
 from gooseberrypost.policy.aging import effective_priority
 from gooseberrypost.policy.forecast import (
@@ -75,7 +70,7 @@
         """Engines that this attempt does not try again."""
         self.touched: dict[str, AgentView] = {}
         self.is_barred = False
-        """An agent refuses this attempt number for good."""
+        """An agent has seen this attempt revoked or a higher one."""
 
     async def reserve(
         self, source: AgentView | None = None
@@ -104,9 +99,9 @@
                 case Ok(reserved) if isinstance(reserved, idl.Reserved):
                     return Ok(Placed(pair, reserved))
                 case Err(failure):
-                    self.is_barred |= isinstance(failure, StaleAttempt)
                     if isinstance(failure, NotRun):
                         self.touched.pop(pair.decode.name, None)
+                    self.is_barred |= isinstance(failure, StaleAttempt)
                     last = NoCapacity(
                         f"{pair.decode.name}: {failure}",
                         retry_after_ms=failure.retry_after_ms
--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -8,9 +8,10 @@
 
 from result import Err, Ok
 
-from gooseberrypost.entry.planning import PlannedRoles
 from gooseberrypost.errors import NoCapacity
 from gooseberrypost.policy.admission import AdmissionPolicy, Prediction
+from gooseberrypost.sheet.current import CurrentAssignments
+from gooseberrypost.sheet.schedule import Assignment
 from gooseberrypost.state.records import EngineRecord, ScheduleRecord
 from gooseberrypost.wire.messages import idl
 from tests.entry_fakes import FilledConfiguration, refuse, run
@@ -131,11 +132,15 @@
             time_zone="Europe/Bratislava",
         ),
     }
-    planned = PlannedRoles(FilledConfiguration(records))
-    starts = datetime(2026, 7, 1, 6, tzinfo=UTC).timestamp() * 1_000
-    roles = [
-        planned.at(int(starts) + offset_ms)["e1"].role
-        for offset_ms in (-1, 0, 3_599_999, 3_600_000)
-    ]
+    starts_ms = int(datetime(2026, 7, 1, 6, tzinfo=UTC).timestamp()) * 1_000
+    now_ms = [0]
+    planned = CurrentAssignments(
+        FilledConfiguration(records), lambda: now_ms[0]
+    )
+    roles = []
+    for offset_ms in (-1, 0, 3_599_999, 3_600_000):
+        now_ms[0] = starts_ms + offset_ms
+        roles.append(planned()["e1"].role)
+        # Without rows the record's own role and model hold.
+        assert planned()["e2"] == Assignment("decode", "")
     assert roles == ["decode", "prefill", "prefill", "decode"]
-    assert "e2" not in planned.at(0)
