--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+from itertools import pairwise
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -34,6 +35,7 @@
     stall_timeout_ms,
 )
 from gooseberrypost.policy.views import AgentView, RequestView
+from gooseberrypost.policy.warmup import REPEAT_MS, ColdPrefixes
 from gooseberrypost.state.records import AccountRecord, ServiceRecord
 
 
@@ -306,3 +308,38 @@
     assert budget.retry(1, 0, 30_000, rng).is_ok()
     assert budget.displace(MAX_DISPLACEMENTS + 1, 5, 0, 30_000, rng).is_err()
     assert budget.displace(1, 1, 30_000, 30_000, rng).is_err()
+
+
+@given(st.lists(st.integers(0, 4_000), min_size=1, max_size=60))
+def test_a_prefix_is_warmed_rarely_and_not_on_a_full_service(gaps):
+    """Guards against late answers for every request with a cold prefix."""
+    cold, full, warmed, now = ColdPrefixes(), ColdPrefixes(), [], 0
+    for gap in gaps:
+        now += gap
+        if cold.wants(7, now, pressure=0.5):
+            warmed.append(now)
+        assert not full.wants(7, now, pressure=1.0)
+    assert all(b - a >= REPEAT_MS for a, b in pairwise(warmed))
+    assert len(warmed) <= len(gaps) // 2
+
+
+def test_a_slow_engine_is_used_only_for_answers_that_end_in_time():
+    """Guards against idle slots beside refusals, and against late answers."""
+    slow = agent("slow", token_gap_ms=80.0)
+    policy, rng = ReservingPlacement(), random.Random(1)
+    short = request(expected_output_tokens=300)
+    pairs = policy.rank(short, [agent("p")], [slow, agent("ok")], 0, rng)
+    assert [p.decode.name for p in pairs] == ["ok", "slow"]
+    long = request(expected_output_tokens=500)
+    pairs = policy.rank(long, [agent("p")], [slow, agent("ok")], 0, rng)
+    assert [p.decode.name for p in pairs] == ["ok"]
+
+
+def test_a_transfer_that_outlives_its_result_is_not_planned():
+    """Guards against a prefill whose result expires on a slow link."""
+    req = request(first_token_ms=5_000)
+    slow = agent("slow", link_kb_per_s=700_000)
+    pairs = ReservingPlacement().rank(
+        req, [agent("p")], [slow], 0, random.Random(1)
+    )
+    assert pairs == []
