Add a scenario of planned role changes over real processes

The statement "sheet ENGINE ROLE" puts schedule rows in force. Four answers of 3 s run while a decode engine is planned as prefill: all end whole, the engine changes after its last one, and once the former prefill engine decodes, new requests need both changed engines.

--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
 import aiohttp
@@ -14,7 +15,11 @@
 
 from gooseberrypost.configsync.apply import Applier
 from gooseberrypost.platform.memory import InMemoryKeyValueStore
-from gooseberrypost.state.records import EngineRecord, ServiceRecord
+from gooseberrypost.state.records import (
+    EngineRecord,
+    ScheduleRecord,
+    ServiceRecord,
+)
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.messages import idl
 from tests.scenarios.processes import Process, free_address
@@ -189,6 +194,27 @@
         )
         assert isinstance(accepted, Ok), accepted
 
+    async def schedule(self, engine: str, role: str, options: dict):
+        """Schedule an engine from now on, as the planners do."""
+        today = datetime.now(UTC).date()
+        changes = {}
+        for day in (today, today + timedelta(days=1)):
+            row = ScheduleRecord(
+                f"{engine}-{day}",
+                day=day.isoformat(),
+                service=self.records[f"engine/{engine}"].service,
+                engine=engine,
+                role=role,
+                model=options.get("model", "rig-7b"),
+                starts="00:00",
+                ends="24:00",
+                time_zone="UTC",
+            )
+            changes[f"schedule/{row.name}"] = row
+        apply_id = f"sheet-{time.monotonic_ns()}"
+        accepted = await Applier(self.store).apply(changes, apply_id)
+        assert isinstance(accepted, Ok), accepted
+
     def _connect_peers(self):
         entries = [p for p in self.processes.values() if p.kind == "entry"]
         addresses = [p.settings["internal_address"] for p in entries]
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -104,6 +104,9 @@
     async def do_configure(self, step: Step):
         await self.cluster.configure(step.names[0], step.options)
 
+    async def do_sheet(self, step: Step):
+        await self.cluster.schedule(*step.names, step.options)
+
     async def do_pause(self, step: Step):
         await asyncio.sleep(step.within_ms / 1_000)
 
@@ -186,11 +189,12 @@
     return lambda server: getattr(server, attribute)
 
 
-SERVER_PROPERTIES: dict[str, Callable[[Engine | PlainService], int]] = {
+SERVER_PROPERTIES: dict[str, Callable[[Engine | PlainService], Any]] = {
     "slots": _total("slots_used"),
     "pieces": _total("pieces_used"),
     "crashes": _total("crashes"),
     "oversold": _total("oversold"),
+    "role": lambda server: server.options.role,
     "works": lambda server: len(server.works),
     "executed": lambda server: sum(server.executions.values()),
     "running": _total("running"),
