Give the daemons one log line per event and a log level

The daemons never parse absl's flags, so its handler printed a warning before the first line, and services of mode logged each start at info level under the names of this package's modules. The flags are now marked as parsed, only absl's own logger logs below warning, records of libraries get the key=value form, and a trace stays on the line of its event.

--- a/src/gooseberrypost/cli/main.py
+++ b/src/gooseberrypost/cli/main.py
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING, Any
 
 import click
-from absl import logging
 from result import Err, Result
 
+from gooseberrypost import daemonlog
 from gooseberrypost.cli.common import FILE
 from gooseberrypost.cli.config import config
 from gooseberrypost.cli.exit_codes import fail
@@ -23,6 +23,14 @@
 
     from gooseberrypost.settings.problems import SettingsInvalid
 
+log_level_option = click.option(
+    "--log-level",
+    type=click.Choice(list(daemonlog.LEVELS)),
+    default=daemonlog.DEFAULT_LEVEL,
+    show_default=True,
+    help="Least level of the lines on standard error.",
+)
+
 
 @click.group()
 @click.version_option(package_name="gooseberrypost")
@@ -36,27 +44,29 @@
 
 @main.command()
 @click.option("--config", "file", type=FILE, required=True)
-def entry(file: Path) -> None:
+@log_level_option
+def entry(file: Path, log_level: str) -> None:
     """Run an entry with the settings of a file."""
-    _run_daemon("gooseberrypost.entry.daemon", file, load_entry)
+    _run_daemon("gooseberrypost.entry.daemon", file, load_entry, log_level)
 
 
 @main.command()
 @click.option("--config", "file", type=FILE, required=True)
-def agent(file: Path) -> None:
+@log_level_option
+def agent(file: Path, log_level: str) -> None:
     """Run an agent with the settings of a file."""
-    _run_daemon("gooseberrypost.agent.daemon", file, load_agent)
+    _run_daemon("gooseberrypost.agent.daemon", file, load_agent, log_level)
 
 
 def _run_daemon(
     module: str,
     file: Path,
     load: Callable[[str, str], Result[Any, SettingsInvalid]],
+    log_level: str,
 ) -> None:
     loaded = read_file(file).and_then(lambda text: load(text, str(file)))
     if isinstance(loaded, Err):
         fail(loaded.err_value)
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
+    daemonlog.set_up(log_level)
     # Each daemon imports only its own half of the package.
     asyncio.run(import_module(module).run(loaded.ok_value))
--- /dev/null
+++ b/tests/test_daemonlog.py
@@ -0,0 +1,67 @@
+"""Log lines of the daemons, in a process of their own."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+
+import pytest
+
+from tests.scenarios.processes import SOURCE
+
+PROGRAM = """
+import asyncio, logging as standard
+from absl import logging
+from mode import Service
+from gooseberrypost import daemonlog
+
+class Part(Service):
+    async def on_start(self):
+        logging.debug("event=detail")
+        logging.info("event=routed request=%s", "k")
+        logging.warning("event=late")
+        standard.getLogger("aiohttp.access").info("GET /")
+        standard.getLogger("asyncio").warning("slow task")
+        try:
+            raise OSError("two\\nlines")
+        except OSError:
+            logging.exception("event=failed")
+
+async def main():
+    part = Part()
+    await part.start()
+    await part.stop()
+
+daemonlog.set_up("LEVEL")
+asyncio.run(main())
+"""
+LINE = re.compile(r"[DIWE]\d{4} [\d:.]+ +\d+ \S+:\d+\] (.*)")
+EVENTS = [
+    "event=detail",
+    "event=routed request=k",
+    "event=late",
+    'event=library logger=asyncio message="slow task"',
+]
+
+
+@pytest.mark.parametrize(
+    ("level", "skipped"), [("debug", 0), ("info", 1), ("warning", 2)]
+)
+def test_a_daemon_logs_one_line_for_each_event(level, skipped):
+    """Guards against absl's warning, library chatter and split lines."""
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM.replace("LEVEL", level)],
+        env={"PYTHONPATH": str(SOURCE)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    lines = [LINE.fullmatch(line) for line in done.stderr.splitlines()]
+    assert all(lines), done.stderr
+    texts = [line[1] for line in lines]
+    assert texts[:-1] == EVENTS[skipped:]
+    assert texts[-1].startswith("event=failed\\nTraceback")
+    assert texts[-1].endswith("OSError: two\\nlines")
+    assert not done.stdout
