Measure what each role costs

The size to design for has budgets for each node and for the key-value service, and nothing measured them.

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,8 @@
 bench: install
 	$(BIN)/python -m gooseberrypost.bench $(BENCH_OPTIONS)
 
+capacity: install
+	$(BIN)/python -m scripts.capacity $(CAPACITY_OPTIONS)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/scripts/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what each role costs, for ``docs/CAPACITY.md``."""
