Place all copies of a suspect on one server

Cause: each entry placed a suspect on any engine without another suspect, so two keys with the same content could run on two engines and take down three servers in all; the rule in policy/quarantine.py was not used by entries. Every entry now picks the one server that isolation_order names in the whole pool, except those where the request failed before.

--- a/src/gooseberrypost/entry/fleet.py
+++ b/src/gooseberrypost/entry/fleet.py
@@ -10,13 +10,14 @@
 from result import Ok
 
 from gooseberrypost.entry.sections import Fleet
+from gooseberrypost.policy.quarantine import isolation_order
 from gooseberrypost.policy.views import AgentView
 from gooseberrypost.sheet.schedule import Assignment
 from gooseberrypost.state.records import EngineRecord, EngineRole
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from gooseberrypost.blackboard import Blackboard
     from gooseberrypost.entry.collaborators import Collaborators
@@ -161,24 +162,50 @@
         self, service: str, role: str, model: str = ""
     ) -> list[AgentView]:
         """Return this entry's subset of the live agents of a pool."""
+        names = self._subset(service, role, model)
+        return self._live([self._section.agents[name] for name in names])
+
+    def isolated(
+        self,
+        service: str,
+        role: str,
+        model: str,
+        digest: bytes,
+        avoided: Collection[str] = (),
+    ) -> list[AgentView]:
+        """Return the one agent of a pool that runs this suspect content.
+
+        Every entry chooses it from the whole pool, so that copies of the
+        content under several keys cannot crash several servers at once. An
+        avoided server, which the content may have crashed before, is chosen
+        only when there is no other.
+        """
+        live = self._live(self._members(service, role, model))
+        by_name = {view.name: view for view in live if not view.draining}
+        order = isolation_order(digest.hex(), by_name)
+        order.sort(key=lambda name: name in avoided)
+        return [by_name[name] for name in order[:1]]
+
+    def _live(self, views: list[AgentView]) -> list[AgentView]:
         now_ms = self._parts.clock()
         down = self._section.down_until_ms
-        names = self._subset(service, role, model)
-        chosen = [self._section.agents[name] for name in names]
-        live = [v for v in chosen if down.get(v.name, now_ms) <= now_ms]
-        return live or chosen
+        live = [v for v in views if down.get(v.name, now_ms) <= now_ms]
+        return live or views
+
+    def _members(self, service: str, role: str, model: str) -> list[AgentView]:
+        return [
+            view
+            for view in self._section.agents.values()
+            if self._section.services[view.name] == service
+            and view.role == role
+            and (not model or view.model == model)
+        ]
 
     def _subset(self, service: str, role: str, model: str) -> list[str]:
         pool = (service, role, model)
         names = self._subsets.get(pool)
         if names is None:
-            members = [
-                view
-                for view in self._section.agents.values()
-                if self._section.services[view.name] == service
-                and view.role == role
-                and (not model or view.model == model)
-            ]
+            members = self._members(service, role, model)
             size = SUBSET_SIZES[EngineRole(role)]
             chosen = self._parts.choose_subset(
                 self._name, self._zone, members, size
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -144,6 +144,15 @@
 
     def _candidates(self, role: str) -> list[AgentView]:
         work = self._work
+        if work.view.suspect:
+            isolated = self._ctx.fleet.isolated(
+                work.live.service,
+                role,
+                work.view.model,
+                work.digest,
+                work.avoided,
+            )
+            return [v for v in isolated if v.name not in self.refused]
         views = self._ctx.fleet.candidates(
             work.live.service, role, work.view.model
         )
--- a/src/gooseberrypost/entry/plain_request.py
+++ b/src/gooseberrypost/entry/plain_request.py
@@ -234,9 +234,11 @@
         return chosen
 
     def _candidates(self, grant: Grant) -> list[AgentView]:
-        views = self._ctx.fleet.candidates(
-            self._service.name, EngineRole.PLAIN
-        )
+        fleet, name = self._ctx.fleet, self._service.name
+        views = fleet.candidates(name, EngineRole.PLAIN)
+        if grant.suspect:
+            digest = self._call.digest
+            views = fleet.isolated(name, EngineRole.PLAIN, "", digest)
         return [
             v
             for v in views
--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -144,3 +144,27 @@
         # Without rows the record's own role and model hold.
         assert planned()["e2"] == Assignment("decode", "")
     assert roles == ["decode", "prefill", "prefill", "decode"]
+
+
+def test_a_suspect_has_one_server_for_all_entries():
+    """Guards against copies of a suspect on two servers at once (P9)."""
+
+    async def scenario(rig):
+        fleet = rig.daemon.context.fleet
+        digests = [bytes([number] * 16) for number in range(32)]
+        chosen = [
+            [v.name for v in fleet.isolated("llm", "decode", "m", digest)]
+            for digest in digests
+        ]
+        assert {len(names) for names in chosen} == {1}
+        assert {names[0] for names in chosen} == {"d1", "d2"}
+        name = chosen[0][0]
+        others = fleet.isolated("llm", "decode", "m", digests[0], {name})
+        assert [v.name for v in others] == [{"d1": "d2", "d2": "d1"}[name]]
+        fleet.mark_draining("d1")
+        assert {
+            fleet.isolated("llm", "decode", "m", digest)[0].name
+            for digest in digests
+        } == {"d2"}
+
+    run(scenario)
