--- a/src/gooseberrypost/bench/system.py
+++ b/src/gooseberrypost/bench/system.py
@@ -11,6 +11,7 @@
 from gooseberrypost.bench.entry import Entry
 from gooseberrypost.bench.flow import Flow
 from gooseberrypost.bench.parts import EngineSpec, PrefillJob
+from gooseberrypost.state.records import EngineRole
 
 if TYPE_CHECKING:
     from gooseberrypost.bench.strategy import Strategy
@@ -231,6 +232,16 @@
 
         self.clock.after(self.rng.uniform(*HINT_LAG_MS), deliver)
 
+    def warm(self, prefixes: list[tuple[str, int, int]]) -> None:
+        """Cache each prefix on one prefill engine of each region."""
+        regions = sorted(set(self._region_of.values()))
+        for number, (model, prefix, tokens) in enumerate(prefixes):
+            for region in regions:
+                pool = self.pool(model, EngineRole.PREFILL, region)
+                engine = pool[number % len(pool)]
+                engine.cache.touch(prefix, tokens)
+                self._hints[engine.spec.name, prefix] = tokens
+
     def cached_hint(self, engine: FakeEngine, prefix: int) -> int:
         """Tokens of a prefix believed to be cached; exact for the bound."""
         if self.strategy.omniscient:
--- a/src/gooseberrypost/bench/workload.py
+++ b/src/gooseberrypost/bench/workload.py
@@ -190,9 +190,24 @@
         # Zipf-like popularity: rank r is asked about 1/r as often.
         rank = int(math.exp(self._rng.random() * math.log(kind.prefixes + 1)))
         prefix = min(kind.prefixes, rank) - 1
-        name = crc32(f"{kind.model}:{index}:{prefix}".encode())
+        name = _prefix_name(kind, index, prefix)
         return name, self._sizes[index, prefix]
 
+    def prefixes(self) -> list[tuple[str, int, int]]:
+        """Model, name and tokens of every shared prefix."""
+        return [
+            (
+                self._kinds[index].model,
+                _prefix_name(self._kinds[index], index, prefix),
+                tokens,
+            )
+            for (index, prefix), tokens in self._sizes.items()
+        ]
+
+
+def _prefix_name(kind: RequestClass, index: int, prefix: int) -> int:
+    return crc32(f"{kind.model}:{index}:{prefix}".encode())
+
 
 def _log_uniform(bounds: tuple[int, int], rng: random.Random) -> int:
     low, high = bounds
