Plan longer transfers where wasted prefill weighs less

Cause: a planned transfer ended at 600 ms for every service, so a lossy link that could still carry short prompts stood idle, and the weight of wasted prefill was not used by any decision.

--- a/src/gooseberrypost/policy/forecast.py
+++ b/src/gooseberrypost/policy/forecast.py
@@ -11,8 +11,11 @@
 """Tokens whose KV cache fills one memory piece."""
 KV_KB_PER_TOKEN: Final = 128
 """KV cache of one prompt token: 610 GB/s at 930 requests/s of 5,000 tokens."""
-MAX_TRANSFER_MS: Final = 600
-"""Longest transfer that a placement may plan: the result lives under 1 s."""
+MAX_TRANSFER_MS: Final = 750
+"""Longest transfer that is planned where wasted prefill weighs nothing; the
+result lives under a second."""
+WEIGHED_TRANSFER_MS: Final = 250
+"""What is left of the result's life for a fallback, at full weight."""
 HOP_MS: Final = 2
 """Messages between entry and agents before a stage starts."""
 CROSS_ZONE_RATE_SHARE: Final = 0.6
@@ -83,11 +86,16 @@
     return req.arrived_ms + max(req.first_token_ms, req.max_wait_ms)
 
 
+def longest_transfer_ms(req: RequestView) -> int:
+    """Longest transfer to plan; shorter where waste weighs more."""
+    return int(MAX_TRANSFER_MS - WEIGHED_TRANSFER_MS * req.waste_weight)
+
+
 def excess_ms(req: RequestView, predicted: Forecast) -> int:
     """Time by which a forecast misses the targets; 0 when it meets them."""
     late = predicted.first_token_ms - first_token_due_ms(req)
     overdue = predicted.complete_ms - req.answer_deadline_ms
-    moving = predicted.transfer_ms - MAX_TRANSFER_MS
+    moving = predicted.transfer_ms - longest_transfer_ms(req)
     return max(0, late, overdue, moving)
 
 
