--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import dataclasses
+from datetime import UTC, datetime
 
 from result import Err, Ok
 
 from gooseberrypost.errors import NoCapacity
 from gooseberrypost.policy.admission import AdmissionPolicy, Prediction
+from gooseberrypost.sheet.current import CurrentAssignments
+from gooseberrypost.sheet.schedule import Assignment
+from gooseberrypost.state.records import EngineRecord, ScheduleRecord
 from gooseberrypost.wire.messages import idl
-from tests.entry_fakes import refuse, run
+from tests.entry_fakes import FilledConfiguration, refuse, run
 
 
 class FullUntilOpened(AdmissionPolicy):
@@ -95,3 +99,48 @@
             assert response.status == 200
 
     run(scenario)
+
+
+def test_a_barred_attempt_is_renewed_before_it_waits_again():
+    """Guards against sending a number that its agents refuse for good."""
+
+    async def scenario(rig):
+        for name in ("d1", "d2"):
+            stale = refuse("stale_attempt")
+            rig.agents[name].script[idl.Reserve] = [stale]
+        async with rig.complete() as response:
+            assert response.status == 200
+        assert rig.agents["d1"].of(idl.Decode)[0].attempt == 2
+
+    run(scenario)
+
+
+def test_the_schedule_moves_engines_between_pools():
+    """Guards against planned roles that come into force late or never."""
+    records = {
+        "engine/e1": EngineRecord("e1", "llm", "127.0.0.1:1", "z", "decode"),
+        "engine/e2": EngineRecord("e2", "llm", "127.0.0.1:2", "z", "decode"),
+        "schedule/1": ScheduleRecord(
+            "1",
+            day="2026-07-01",
+            service="llm",
+            engine="e1",
+            role="prefill",
+            model="m",
+            starts="08:00",
+            ends="09:00",
+            time_zone="Europe/Bratislava",
+        ),
+    }
+    starts_ms = int(datetime(2026, 7, 1, 6, tzinfo=UTC).timestamp()) * 1_000
+    now_ms = [0]
+    planned = CurrentAssignments(
+        FilledConfiguration(records), lambda: now_ms[0]
+    )
+    roles = []
+    for offset_ms in (-1, 0, 3_599_999, 3_600_000):
+        now_ms[0] = starts_ms + offset_ms
+        roles.append(planned()["e1"].role)
+        # Without rows the record's own role and model hold.
+        assert planned()["e2"] == Assignment("decode", "")
+    assert roles == ["decode", "prefill", "prefill", "decode"]
