--- a/tests/scenarios/caller.py
+++ b/tests/scenarios/caller.py
@@ -97,6 +97,7 @@
                 self._note_document(json.loads(self.body))
                 return
             async for line in reply.content:
+                self.body += line
                 self._note_event(line.decode().strip())
 
     def _note_document(self, document):
--- a/tests/standins/plain.py
+++ b/tests/standins/plain.py
@@ -17,6 +17,8 @@
         super().__init__()
         self.restart_ms = restart_ms
         self.executions: Counter[str] = Counter()
+        self.runs: list[tuple[str, float]] = []
+        """Key and time of the event loop of each execution."""
         self.slow_ms, self.fail, self.drop = 0, False, False
         self.leaving = False
         self.running = 0
@@ -28,6 +30,7 @@
         body = await request.read()
         key = request.headers.get("Idempotency-Key", "")
         self.executions[key] += 1
+        self.runs.append((key, asyncio.get_running_loop().time()))
         count = self.executions[key]
         self.running += 1
         try:
