Ask draining servers again while a suspect waits

Ruled out: a mutual wait of suspects for prefill and decode servers. Where all servers of a pool drain, one is named all the same, and a waiting suspect probes the entry's other candidates too.

--- a/src/gooseberrypost/entry/fleet.py
+++ b/src/gooseberrypost/entry/fleet.py
@@ -181,7 +181,9 @@
         only when there is no other.
         """
         live = self._live(self._members(service, role, model))
-        by_name = {view.name: view for view in live if not view.draining}
+        # Where all drain, one is returned to be asked again.
+        usable = [view for view in live if not view.draining] or live
+        by_name = {view.name: view for view in usable}
         order = isolation_order(digest.hex(), by_name)
         order.sort(key=lambda name: name in avoided)
         return [by_name[name] for name in order[:1]]
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -145,9 +145,10 @@
 
     def _pool(self, view: RequestView, role: str) -> list[AgentView]:
         fleet, service, model = self._ctx.fleet, view.service, view.model
+        views = fleet.candidates(service, role, model)
         if view.suspect:
-            return fleet.isolated(service, role, model, self._digest)
-        return fleet.candidates(service, role, model)
+            views += fleet.isolated(service, role, model, self._digest)
+        return views
 
     async def _run_attempts(
         self, view: RequestView, grant: Grant
--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -14,7 +14,7 @@
 from gooseberrypost.sheet.schedule import Assignment
 from gooseberrypost.state.records import EngineRecord, ScheduleRecord
 from gooseberrypost.wire.messages import idl
-from tests.entry_fakes import FilledConfiguration, refuse, run
+from tests.entry_fakes import LOAD, FilledConfiguration, refuse, run
 
 
 class FullUntilOpened(AdmissionPolicy):
@@ -162,6 +162,9 @@
         others = fleet.isolated("llm", "decode", "m", digests[0], {name})
         assert [v.name for v in others] == [{"d1": "d2", "d2": "d1"}[name]]
         fleet.mark_draining("d1")
+        fleet.mark_draining("d2")
+        assert len(fleet.isolated("llm", "decode", "m", digests[0])) == 1
+        fleet.observe("d2", idl.Load(**LOAD))
         assert {
             fleet.isolated("llm", "decode", "m", digest)[0].name
             for digest in digests
