Keep a pool served while its engines change roles

Agents followed the schedule without regard to each other, so that the last two engines of a role could leave it at the same instant. An agent now probes the agents that could take its place before it leaves: one that stays or joins, or one that leaves after it in the order of names. The order keeps two engines from counting on each other, also when what they know is as old as their last look; a property over up to seven engines fails without it. A lone exchange, which cannot avoid the gap, follows after 60 s.

--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -20,6 +20,7 @@
 from gooseberrypost.agent.lease import AgentLease, boot_time_ms
 from gooseberrypost.agent.lifecycle import DrainReason, LifecycleController
 from gooseberrypost.agent.log import decision
+from gooseberrypost.agent.neighbours import Neighbours
 from gooseberrypost.agent.orders import OrderController
 from gooseberrypost.agent.plain import PlainClient
 from gooseberrypost.agent.reports import Reports
@@ -78,8 +79,11 @@
         self.execution = ExecutionController(self.board, self.context)
         self.lease = AgentLease(cfg, self.me, store, rng, lease_clock_ms)
         self.orders = OrderController(self.context, self.lease)
+        neighbours = Neighbours(
+            cfg, self.context.configuration, self.pool, wall_clock_ms
+        )
         self.schedule = ScheduleController(
-            self.context, self.lease, self.orders, wall_clock_ms
+            self.context, self.lease, self.orders, neighbours, wall_clock_ms
         )
         self._register()
 
--- a/src/gooseberrypost/agent/schedule.py
+++ b/src/gooseberrypost/agent/schedule.py
@@ -9,8 +9,10 @@
 from result import Err
 
 from gooseberrypost.agent.log import decision, refusal
+from gooseberrypost.policy.handover import may_leave
 from gooseberrypost.policy.rolechange import EngineState, next_change
 from gooseberrypost.sheet.current import CurrentAssignments
+from gooseberrypost.sheet.schedule import Assignment
 from gooseberrypost.state.records import Kind
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
 
     from gooseberrypost.agent.context import Context
     from gooseberrypost.agent.lease import AgentLease
+    from gooseberrypost.agent.neighbours import Neighbours
     from gooseberrypost.agent.orders import OrderController
     from gooseberrypost.policy.rolechange import Change
 
@@ -39,12 +42,15 @@
         context: Context,
         lease: AgentLease,
         orders: OrderController,
+        neighbours: Neighbours,
         wall_clock_ms: Callable[[], int],
     ) -> None:
         super().__init__()
         self._context = context
         self._lease = lease
         self._orders = orders
+        self._neighbours = neighbours
+        self._due_since_ms: int | None = None
         self._assignments = CurrentAssignments(
             context.configuration, wall_clock_ms, only=context.cfg.name
         )
@@ -71,10 +77,26 @@
         while not self.should_stop:
             change = self.next()
             if change is None:
+                self._due_since_ms = None
+                await self._pause()
+            elif not await self._may_leave() or self.next() != change:
                 await self._pause()
             elif not await self._carry_out(change):
                 await asyncio.sleep(RETRY_MS / 1_000)
 
+    async def _may_leave(self) -> bool:
+        """Whether the pool that the engine serves can do without it."""
+        lifecycle = self._context.lifecycle_controller.lifecycle
+        if not lifecycle.role or self._orders.uncertain:
+            return True
+        now_ms = self._context.now_ms()
+        if self._due_since_ms is None:
+            self._due_since_ms = now_ms
+        pool = Assignment(lifecycle.role, lifecycle.model)
+        able = await self._neighbours.able_to_cover(pool)
+        waited_ms = now_ms - self._due_since_ms
+        return may_leave(self._context.cfg.name, pool, able, waited_ms)
+
     async def _pause(self, *work: asyncio.Task[object]) -> None:
         configuration = self._context.configuration
         changed = asyncio.ensure_future(configuration.changed())
--- a/src/gooseberrypost/sheet/current.py
+++ b/src/gooseberrypost/sheet/current.py
@@ -46,7 +46,8 @@
 class CurrentAssignments:
     """Role and model of each engine now, by name.
 
-    ``only`` limits the answer to one engine. A wall clock that is set back
+    ``only`` and ``service`` limit the answer to one engine, or to those of
+    one service. A wall clock that is set back
     or forward is followed at the next call.
     """
 
@@ -57,6 +58,7 @@
         "_now",
         "_only",
         "_records",
+        "_service",
         "_until_ms",
         "_valid",
         "_version",
@@ -67,10 +69,12 @@
         configuration: ConfigurationView,
         clock_ms: Callable[[], int],
         only: str = "",
+        service: str = "",
     ) -> None:
         self._configuration = configuration
         self._clock_ms = clock_ms
         self._only = only
+        self._service = service
         self._version = -1
         self._records: dict[str, list[Record]] = {}
         self._valid: dict[str, _Valid] = {}
@@ -98,7 +102,8 @@
                 name = record.engine
             else:
                 continue
-            if self._only in ("", name):
+            in_service = self._service in ("", record.service)
+            if in_service and self._only in ("", name):
                 grouped.setdefault(name, []).append(record)
         self._valid = {
             name: valid
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -52,12 +52,14 @@
     )
 
 
-def planned(configuration, *rows):
+def planned(configuration, *rows, neighbour=None):
     """Put the engine and a schedule of these rows only in force."""
     records = {f"schedule/{one.name}": one for one in rows}
     base = configuration.document
     gone = {k: None for k in base.entries if k.startswith("schedule/")}
     changes = {"engine/engine-1": ENGINE, **gone, **records}
+    if neighbour is not None:
+        changes[f"engine/{neighbour.name}"] = neighbour
     apply_id = str(base.version)
     document = base.propose(base, changes, apply_id).unwrap()
     configuration.apply_document(document)
