Hear the watchers of the own zone

Cause: an entry that does not hear two entries of its zone with a lower hash takes itself for a watcher. It pulled from 16 random peers, so with 420 entries in 8 zones it heard about five of its zone's 52. Ruled out: the length of the window; the peers heard are limited by the subset, not by the time. Three entries of each zone answer more pulls in return.

--- a/scripts/capacity/spread.py
+++ b/scripts/capacity/spread.py
@@ -9,10 +9,14 @@
 from scripts.capacity.fit import report
 from scripts.capacity.records import ZONES, document
 
-from gooseberrypost.configsync.controller import PEERS_PER_PULL
+from gooseberrypost.configsync.controller import (
+    MEMBER_WINDOW_PULLS,
+    PULL_INTERVAL_MS,
+)
 from gooseberrypost.configsync.members import (
     PEER_SUBSET,
     Members,
+    choose_peers,
     rendezvous_lowest,
 )
 from gooseberrypost.configsync.messages import delta_message
@@ -25,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-WINDOW_PULLS: Final = 15
+WINDOW_MS: Final = MEMBER_WINDOW_PULLS * PULL_INTERVAL_MS
 HELLO: Final = idl.Hello(
     process_kind="entry", name="e", incarnation=1, zone="a", address=""
 )
@@ -104,22 +108,25 @@
 
 
 def _watchers(count: int) -> int:
-    """Entries that take themselves for a watcher after one window.
+    """Entries that take themselves for a watcher after two windows.
 
-    Each entry hears the peers that it draws and those that draw it.
+    Every entry asks all others at its start, and later pulls as the
+    configuration controller does.
     """
     rng = random.Random(7)
     names = [f"10.{n % ZONES}.0.{n}:7400" for n in range(count)]
-    members = {
-        name: Members(name, f"zone-{n % ZONES}", 1)
-        for n, name in enumerate(names)
-    }
     zones = {name: f"zone-{n % ZONES}" for n, name in enumerate(names)}
+    members = {name: Members(name, zones[name], WINDOW_MS) for name in names}
+    near = {}
     for name in names:
         others = [n for n in names if n != name]
-        near = rendezvous_lowest(others, name, PEER_SUBSET)
-        for _ in range(WINDOW_PULLS):
-            for peer in rng.sample(near, min(PEERS_PER_PULL, len(near))):
-                members[name].heard("entry", peer, zones[peer], 0)
-                members[peer].heard("entry", name, zones[name], 0)
-    return sum(member.watches(0) for member in members.values())
+        near[name] = rendezvous_lowest(others, name, PEER_SUBSET)
+        for peer in others:
+            members[name].heard("entry", peer, zones[peer], 0, peer)
+    for now_ms in range(0, 2 * WINDOW_MS + 1, PULL_INTERVAL_MS):
+        for name in names:
+            likely = members[name].candidates(now_ms)
+            for peer in choose_peers(rng, near[name], likely):
+                members[name].heard("entry", peer, zones[peer], now_ms, peer)
+                members[peer].heard("entry", name, zones[name], now_ms)
+    return sum(m.watches(2 * WINDOW_MS) for m in members.values())
--- a/src/gooseberrypost/configsync/controller.py
+++ b/src/gooseberrypost/configsync/controller.py
@@ -14,6 +14,7 @@
 from gooseberrypost.configsync.members import (
     PEER_SUBSET,
     Members,
+    choose_peers,
     rendezvous_lowest,
 )
 from gooseberrypost.configsync.messages import (
@@ -38,7 +39,6 @@
 
 OWNER: Final = "ConfigurationController"
 PULL_INTERVAL_MS: Final = 2_000
-PEERS_PER_PULL: Final = 2
 PULL_TIMEOUT_MS: Final = 1_000
 START_TIMEOUT_MS: Final = 1_500
 START_LIMIT_MS: Final = 5_000
@@ -150,14 +150,23 @@
                 await self._pause(delay_ms / 1_000)
 
     async def pull_once(self) -> None:
-        """Pull from two random peers; from any peer when none answers."""
-        if not await self._pull_from_some(self._near):
+        """Pull from two random peers; from any peer when none answers.
+
+        An entry takes one of them from the likely watchers of its zone.
+        """
+        if not await self._pull_from_some(self._near, self._candidates()):
             others = [p for p in self._peers if p not in self._near]
             await self._pull_from_some(others)
 
-    async def _pull_from_some(self, peers: Sequence[str]) -> bool:
-        count = min(PEERS_PER_PULL, len(peers))
-        chosen = self._rng.sample(peers, count)
+    def _candidates(self) -> list[str]:
+        if self._pool.hello.process_kind != "entry":
+            return []
+        return self._members.candidates(self._clock())
+
+    async def _pull_from_some(
+        self, peers: Sequence[str], preferred: Sequence[str] = ()
+    ) -> bool:
+        chosen = choose_peers(self._rng, peers, preferred)
         pulls = [self._pull_from(peer, PULL_TIMEOUT_MS) for peer in chosen]
         return any(await asyncio.gather(*pulls))
 
@@ -168,7 +177,7 @@
         answer = await pull(pool or self._pool, peer, since, timeout_ms)
         match answer.and_then(parse_delta):
             case Ok(delta):
-                self._note_sender(answer.ok_value)
+                self._note_sender(answer.ok_value, peer)
                 self._contacted()
                 if self._section.apply_delta(delta):
                     self._log_change(f"peer {peer}")
@@ -244,9 +253,10 @@
     def _note_session(self, session: Session) -> None:
         self._note_sender(session.peer)
 
-    def _note_sender(self, peer: Any) -> None:
+    def _note_sender(self, peer: Any, address: str = "") -> None:
+        now_ms = self._clock()
         self._members.heard(
-            peer.process_kind, peer.name, peer.zone, self._clock()
+            peer.process_kind, peer.name, peer.zone, now_ms, address
         )
 
     def _contacted(self) -> None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,9 +8,11 @@
 import pytest
 from scripts.capacity import held, spread
 from scripts.capacity.fit import Fit
-from scripts.capacity.records import ALL_RECORDS, records
+from scripts.capacity.records import ALL_RECORDS, ZONES, records
 from scripts.capacity.usage import Usage
 
+from gooseberrypost.configsync.members import WATCHERS_PER_ZONE
+
 LINE = re.compile(r"^(\S+) \[[^]]+\] fixed=\S+ slope=(\S+) ")
 
 
@@ -46,8 +48,15 @@
     spread.measure(quick=True)
     lines = [LINE.match(x) for x in capsys.readouterr().out.splitlines()]
     found = {m[1]: float(m[2]) for m in lines if m}
-    assert {name for name in found if found[name] <= 0} == {
-        "config.one_change_bytes"
-    } & found.keys()
+    flat = {name for name in found if found[name] <= 0}
+    assert flat <= {
+        "config.one_change_bytes",
+        "config.watchers",
+    }
     assert found["held.configuration_record"] > 100
     assert "config.watchers" in found
+
+
+def test_two_entries_of_each_zone_watch_at_full_size():
+    """Guards against watchers that grow with the number of entries."""
+    assert spread._watchers(420) == WATCHERS_PER_ZONE * ZONES
