--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -153,6 +153,14 @@
                 for exchange in self.exchanges.values()
                 if isinstance(exchange, Completion)
             )
+        if wanted == "false_refusals":
+            # Callers told not-run of a key that a server has executed.
+            return sum(
+                exchange.outcome == "not-run"
+                and self._measure_exchange(exchange, "executions") > 0
+                for exchange in self.exchanges.values()
+                if isinstance(exchange, Call)
+            )
         return sum(
             SERVER_PROPERTIES[wanted](server)
             for server in self.cluster.servers.values()
