--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install format check test demo bench capacity clean
+.PHONY: install format check test demo bench capacity path clean
 
 install: $(STAMP)
 
@@ -32,5 +32,8 @@
 capacity: install
 	$(BIN)/python -m scripts.capacity $(CAPACITY_OPTIONS)
 
+path: install
+	$(BIN)/python -m scripts.path_latency $(PATH_OPTIONS)
+
 clean:
 	rm -rf $(VENV) build src/*.egg-info
