Draw incarnations from the system although a seed is set

Equal seeds gave equal incarnations, and an entry takes a head of its own incarnation without looking at the owner's lease, so the entries took each shard from one another several times a second. A restarted agent with a seed had the incarnation of its predecessor, whose calls it could then prove never started. Before: both new tests fail. After: they pass. Conclusion: a seed decides placement and backoff, never identity.

--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -60,7 +60,7 @@
     ) -> None:
         super().__init__()
         self.cfg = cfg
-        self.me = ProcessId(cfg.name, new_incarnation(rng))
+        self.me = ProcessId(cfg.name, new_incarnation())
         self.board = Blackboard()
         self.dispatcher = Dispatcher()
         self.listener = Listener(self.dispatcher)
--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -77,7 +77,7 @@
         self.rng = rng
         self.address = address or cfg.internal_address
         """Bound ``host:port``, where the configured port is 0."""
-        self.incarnation = incarnation or new_incarnation(rng)
+        self.incarnation = incarnation or new_incarnation()
         self.outage_policy = outage_policy
         """``memory`` or ``refuse`` for a service name."""
         self.keeper = EvidenceKeeper(store, wall_clock_ms)
--- a/src/gooseberrypost/entry/daemon.py
+++ b/src/gooseberrypost/entry/daemon.py
@@ -119,7 +119,7 @@
     ) -> EntryDaemon:
         """Build an entry; ``services`` start before its own controllers."""
         if incarnation is None:
-            incarnation = new_incarnation(parts.rng)
+            incarnation = new_incarnation()
         if wire is None:
             wire = await open_wire(cfg, incarnation)
         return cls(
--- a/src/gooseberrypost/entry/wiring.py
+++ b/src/gooseberrypost/entry/wiring.py
@@ -87,7 +87,7 @@
     ``make_configuration`` is given the blackboard and the wire; it returns
     the configuration section and the services that fill it.
     """
-    incarnation = new_incarnation(rng)
+    incarnation = new_incarnation()
     wire = await open_wire(cfg, incarnation)
     board = Blackboard()
     configuration, services = make_configuration(board, wire)
--- a/src/gooseberrypost/identity.py
+++ b/src/gooseberrypost/identity.py
@@ -8,16 +8,14 @@
 from __future__ import annotations
 
 import hashlib
+import random
 import re
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import MalformedRequest
 
-if TYPE_CHECKING:
-    import random
-
 MAX_KEY_CHARS: Final = 128
 DIGEST_BYTES: Final = 16
 MINTED_PREFIX: Final = "gbp1-"
@@ -83,9 +81,13 @@
     return Ok(text)
 
 
-def new_incarnation(rng: random.Random) -> int:
-    """Draw a random positive 63-bit number for a process start."""
-    return rng.getrandbits(63) | 1
+def new_incarnation(rng: random.Random | None = None) -> int:
+    """Draw a random positive 63-bit number for a process start.
+
+    Daemons leave ``rng`` out: with a configured seed each start would draw
+    the number of the start before, and so would other processes.
+    """
+    return (rng or random.SystemRandom()).getrandbits(63) | 1
 
 
 def content_digest(service: str, body: bytes) -> bytes:
--- a/tests/scenarios/chaos.py
+++ b/tests/scenarios/chaos.py
@@ -83,7 +83,7 @@
             options |= {"token_ms": 15.0, "pieces": 60}
             await self.cluster.add_engine(name, role, options)
         for zone, name in zip(ZONES, GROUPS["entry"], strict=True):
-            self.cluster.add_entry(name, {"zone": zone, "seed": self.seed})
+            self.cluster.add_entry(name, {"zone": zone})
         for name in PROCESSES:
             address = await self.cluster._relay(f"store-{name}", store)
             settings = self.cluster.processes[name].settings
--- /dev/null
+++ b/tests/test_incarnation.py
@@ -0,0 +1,57 @@
+"""Incarnations of processes whose settings have a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from gooseberrypost.agent.daemon import Agent
+from gooseberrypost.entry.wiring import assemble
+from gooseberrypost.platform.memory import InMemoryKeyValueStore
+from gooseberrypost.settings.entry import EntrySettings
+from tests import agent_kit
+from tests.entry_fakes import FilledConfiguration
+from tests.standins.keyvalue import monotonic_ms
+from tests.standins.plain import PlainService
+
+
+async def entry_incarnations():
+    store = InMemoryKeyValueStore(monotonic_ms)
+    found = []
+    for _ in range(2):
+        cfg = EntrySettings("e1", "z1", "127.0.0.1:0", "127.0.0.1:0", seed=1)
+        entry = await assemble(
+            cfg,
+            random.Random(cfg.seed),
+            store,
+            lambda board, wire: (FilledConfiguration({}), []),
+        )
+        hello = entry.context.agents.pool.hello
+        found.append(hello.incarnation)
+        await entry.start()
+        await entry.stop()
+    return found
+
+
+async def agent_incarnations():
+    cfg = agent_kit.settings(PlainService(), "plain", seed=1)
+    return [Agent.from_config(cfg).me.incarnation for _ in range(2)]
+
+
+def test_a_seed_does_not_repeat_the_incarnation_of_an_entry():
+    """Guards against entries with one seed that each take the other's shards.
+
+    An entry takes a head of its own incarnation without looking at a lease.
+    """
+    first, second = asyncio.run(entry_incarnations())
+    assert first != second
+
+
+def test_a_seed_does_not_repeat_the_incarnation_of_an_agent():
+    """Guards against a restarted agent that proves what it cannot know.
+
+    ``Revoke`` names the incarnation that was asked to run a call, so that
+    its successor does not say that the call never started.
+    """
+    first, second = asyncio.run(agent_incarnations())
+    assert first != second
