--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install format check test demo bench capacity clean
+.PHONY: install format check test chaos demo bench capacity clean
+
+SEED ?= 1
+CHAOS_SECONDS ?= 20
 
 install: $(STAMP)
 
@@ -23,6 +26,9 @@
 test: check
 	$(BIN)/python -m pytest
 
+chaos: install
+	$(BIN)/python -m tests.scenarios.chaos --seed $(SEED) --seconds $(CHAOS_SECONDS)
+
 demo: install
 	$(BIN)/python scripts/demo.py
 
