Renew a minted key of a lost owner as unknown, not superseded

The successor does not know the key and said superseded, so the entry closed the stream without an error event and the caller had no outcome. Ruled out: adopting the claim as for a completion. The successor lacks the digest, so it could not refuse content that crashed two servers. Before: the new test fails with superseded.

--- a/src/gooseberrypost/state/claims.py
+++ b/src/gooseberrypost/state/claims.py
@@ -109,9 +109,16 @@
         return True
 
     def renew(self, key: str, attempt: int, now_ms: int) -> Decision:
-        """Replace an attempt by the next one of the same holder."""
+        """Replace an attempt by the next one of the same holder.
+
+        A minted key of a lost owner is not known here. Nobody replaced its
+        attempt, but its digest is lost too, and without it content that
+        crashed two servers would be granted a third.
+        """
         claim = self.claims.get(key)
-        if claim is None or not self._is_current(claim, attempt):
+        if claim is None:
+            return Decision(Verdict.UNKNOWN)
+        if not self._is_current(claim, attempt):
             return Decision(Verdict.SUPERSEDED)
         if claim.state not in (ClaimState.RUNNING, ClaimState.ORPHANED):
             return Decision(Verdict.SUPERSEDED)
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -92,6 +92,17 @@
     assert verdicts == [refused, refused, Verdict.GRANTED]
 
 
+def test_a_minted_key_of_a_lost_owner_is_renewed_as_unknown():
+    """Guards against a stream that breaks off without a typed outcome.
+
+    A superseded stream is closed without an error event.
+    """
+    claims = ShardClaims(0, 3)
+    key = str(MintedKey(0, 1, "0" * 16))
+    decision = claims.renew(key, ATTEMPTS_PER_EPOCH + 1, 0)
+    assert decision.verdict is Verdict.UNKNOWN
+
+
 def test_trimmed_segments_are_not_replayed():
     """Guards against a log that grows for ever or loses its open end."""
     model = Model()
