Place prompts where their prefix is cached

Cause: entries sent no prefix hashes with their probes, so every prefill engine counted as uncached. An entry now keeps hints from its own prefills and from probes.

--- a/src/gooseberrypost/agent/capacity.py
+++ b/src/gooseberrypost/agent/capacity.py
@@ -21,6 +21,7 @@
 INITIAL_PREFILL_TOKENS_PER_S: Final = 20_000.0
 INITIAL_TOKEN_GAP_MS: Final = 26.0
 SMOOTHING: Final = 0.2
+MIN_MEASURED_TOKENS: Final = 1_000
 """Weight of a new measurement in the running mean."""
 
 
@@ -94,8 +95,12 @@
         self.capacity.queue_tokens += tokens
 
     def measure_prefill(self, tokens: int, elapsed_ms: float) -> None:
-        """Update the measured prefill rate."""
-        if tokens > 0 and elapsed_ms > 0:
+        """Update the measured prefill rate, in tokens computed.
+
+        A prefill of few tokens, as where the prompt is cached, takes mostly
+        fixed time and would make the engine look slow.
+        """
+        if tokens >= MIN_MEASURED_TOKENS and elapsed_ms > 0:
             rate = tokens * 1_000 / elapsed_ms
             old = self.capacity.prefill_tokens_per_s
             self.capacity.prefill_tokens_per_s = old + SMOOTHING * (rate - old)
--- a/src/gooseberrypost/agent/prefilling.py
+++ b/src/gooseberrypost/agent/prefilling.py
@@ -144,9 +144,9 @@
         context.capacity_controller.measure_prefill(
             found.tokens - found.cached_tokens, (clock() - started_s) * 1_000
         )
-        context.cache_controller.correct(
-            prefix_hashes(prompt), found.cached_tokens
-        )
+        # Whatever was cached before, the whole prompt is cached now; the
+        # engine's events say so late, and some of them are lost.
+        context.cache_controller.correct(prefix_hashes(prompt), found.tokens)
         life_ms = min(found.lives_ms, MAX_RESULT_LIFE_MS)
         context.capacity_controller.limit(attempt, context.now_ms() + life_ms)
         return outcome
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -123,6 +123,9 @@
         match reply:
             case Ok(prefilled):
                 self._prefilled_at = pair.prefill
+                self._ctx.fleet.hints.computed(
+                    pair.prefill.name, view.prefix_hashes
+                )
                 self._result = _Result(
                     prefilled.handle,
                     prefilled.engine_address,
--- a/src/gooseberrypost/entry/fleet.py
+++ b/src/gooseberrypost/entry/fleet.py
@@ -13,6 +13,7 @@
 from gooseberrypost.policy.quarantine import isolation_order
 from gooseberrypost.policy.views import AgentView
 from gooseberrypost.sheet.schedule import Assignment
+from gooseberrypost.state.prefix_hints import PrefixHints
 from gooseberrypost.state.records import EngineRecord, EngineRole
 from gooseberrypost.wire.messages import idl
 
@@ -72,6 +73,7 @@
         self._reports: dict[str, tuple[Assignment, int]] = {}
         """Reports that contradict the schedule, with their clock times."""
         self._membership: dict[str, tuple[str, str, str, str]] = {}
+        self.hints = PrefixHints()
         self._subsets: dict[tuple[str, str, str], list[str]] = {}
 
     async def on_start(self) -> None:
@@ -215,23 +217,52 @@
             names = self._subsets[pool] = [view.name for view in chosen]
         return names
 
-    async def probe(self, service: str, views: Sequence[AgentView]) -> None:
-        """Refresh the loads of two random agents whose loads are old."""
+    def hinted(
+        self, views: list[AgentView], hashes: Sequence[int]
+    ) -> list[AgentView]:
+        """Fill in what each prefill engine is believed to have cached."""
+        if not hashes:
+            return views
+        cached = self.hints.cached_tokens
+        return [
+            dataclasses.replace(v, cached_tokens=cached(v.name, hashes))
+            for v in views
+        ]
+
+    async def probe(
+        self,
+        service: str,
+        views: Sequence[AgentView],
+        hashes: Sequence[int] = (),
+    ) -> None:
+        """Refresh two random agents whose loads are old.
+
+        ``hashes`` ask prefill engines how much of a prompt they have cached.
+        """
         now_ms = self._parts.clock()
         old = [v for v in views if now_ms - v.observed_ms > FRESH_MS]
         picked = self._parts.rng.sample(old, min(PROBES, len(old)))
-        await asyncio.gather(*(self._probe(service, v) for v in picked))
+        await asyncio.gather(
+            *(self._probe(service, v, hashes) for v in picked)
+        )
 
-    async def _probe(self, service: str, view: AgentView) -> None:
-        probe = idl.Probe(service_name=service, prefix_hashes=[])
+    async def _probe(
+        self, service: str, view: AgentView, hashes: Sequence[int]
+    ) -> None:
+        asked = hashes if view.role == EngineRole.PREFILL else ()
+        probe = idl.Probe(service_name=service, prefix_hashes=list(asked))
         reply = await self._pool.request(view.address, probe, PROBE_TIMEOUT_MS)
         match reply:
             case Ok(message) if isinstance(message, idl.ProbeReply):
                 self.observe(view.name, message.load)
+                if asked:
+                    cached = message.cached_tokens or 0
+                    self.hints.reported(view.name, asked, cached)
             case Ok(message):
                 self.observe(view.name, getattr(message, "load", None))
             case _:
                 self.mark_down(view.name)
+                self.hints.forget(view.name)
 
     def observe(self, name: str, load: Any) -> None:
         """Take over a load that came with a reply; ``None`` is ignored."""
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -21,6 +21,7 @@
     Superseded,
 )
 from gooseberrypost.policy.views import AgentView, RequestView
+from gooseberrypost.state.prefix import prefix_hashes
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.state.streams import TokenStream
 
@@ -34,6 +35,8 @@
     from gooseberrypost.policy.admission import Prediction
     from gooseberrypost.state.records import ServiceRecord
 
+MAX_HINT_BLOCKS: Final = 512
+"""Blocks of a prompt that are compared, about 32,000 tokens."""
 FINAL_FAILURES: Final = (CallerGone, Quarantined, Superseded)
 """Failures after which another attempt cannot help."""
 ROOM_PAUSE_S: Final = 0.1
@@ -129,6 +132,9 @@
             token_gap_ms=service.token_gap_ms,
             answer_deadline_ms=live.deadline_ms,
             max_wait_ms=service.max_wait_ms,
+            prefix_hashes=tuple(
+                prefix_hashes(completion.prompt)[:MAX_HINT_BLOCKS]
+            ),
             expected_output_tokens=self._ctx.outputs_of(service.name).expected(
                 output_tokens
             ),
@@ -138,7 +144,9 @@
         roles = (EngineRole.PREFILL, EngineRole.DECODE)
         await asyncio.gather(
             *(
-                self._ctx.fleet.probe(view.service, self._pool(view, role))
+                self._ctx.fleet.probe(
+                    view.service, self._pool(view, role), view.prefix_hashes
+                )
                 for role in roles
             )
         )
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -158,7 +158,10 @@
         )
         fresh = [v for v in views if v.name not in self.refused]
         preferred = [v for v in fresh if v.name not in work.avoided]
-        return preferred or fresh
+        chosen = preferred or fresh
+        if role == EngineRole.PREFILL:
+            return self._ctx.fleet.hinted(chosen, work.view.prefix_hashes)
+        return chosen
 
     def _reserve_message(self, pair: Pair) -> Any:
         view = self._work.view
--- a/src/gooseberrypost/entry/waiting.py
+++ b/src/gooseberrypost/entry/waiting.py
@@ -78,9 +78,10 @@
 
     def _decide(self, view: RequestView) -> Result[Prediction, NotRun]:
         candidates = self._fleet.candidates
+        prefill = candidates(view.service, EngineRole.PREFILL, view.model)
         return self._parts.admission.decide(
             view,
-            candidates(view.service, EngineRole.PREFILL, view.model),
+            self._fleet.hinted(prefill, view.prefix_hashes),
             candidates(view.service, EngineRole.DECODE, view.model),
             self._parts.clock(),
         )
@@ -100,7 +101,7 @@
         await asyncio.sleep(pause_ms / 1_000)
         for role in (EngineRole.PREFILL, EngineRole.DECODE):
             views = self._fleet.candidates(view.service, role, view.model)
-            await self._fleet.probe(view.service, views)
+            await self._fleet.probe(view.service, views, view.prefix_hashes)
 
 
 def _is_first(waiting: WaitingList, ticket: RequestView, now_ms: int) -> bool:
--- a/src/gooseberrypost/policy/views.py
+++ b/src/gooseberrypost/policy/views.py
@@ -65,3 +65,5 @@
     attempt: int = 1
     expected_output_tokens: int = 0
     """Mean answer of the service lately; 0: not known."""
+    prefix_hashes: tuple[int, ...] = ()
+    """Hashes of the prompt's prefixes, see ``state.prefix``."""
--- a/src/gooseberrypost/state/cache.py
+++ b/src/gooseberrypost/state/cache.py
@@ -34,9 +34,10 @@
 class CacheView:
     """A hint only: events arrive late and some never arrive."""
 
-    __slots__ = ("_hashes", "gaps", "last_number")
+    __slots__ = ("_hashes", "_max_hashes", "gaps", "last_number")
 
-    def __init__(self) -> None:
+    def __init__(self, max_hashes: int = MAX_HASHES) -> None:
+        self._max_hashes = max_hashes
         self._hashes: OrderedDict[int, None] = OrderedDict()
         self.last_number = 0
         self.gaps = 0
@@ -82,5 +83,5 @@
     def _store(self, value: int) -> None:
         self._hashes[value] = None
         self._hashes.move_to_end(value)
-        if len(self._hashes) > MAX_HASHES:
+        if len(self._hashes) > self._max_hashes:
             self._hashes.popitem(last=False)
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -279,3 +279,38 @@
         assert 'action="fallback_decode",code="transfer_stalled"' in lines
 
     run(scenario)
+
+
+def test_shared_prefixes_are_prefilled_where_they_are_cached():
+    """Guards against computing a long shared prefix on each engine anew.
+
+    Without hints the manuals cached by one of the engines are computed again
+    by the other.
+    """
+    manuals, words = 8, 4_096
+
+    async def ask(site, number, question):
+        text = " ".join(f"m{number}w{n}" for n in range(words))
+        async with site.complete(f"{text} {question}", 0, 5) as response:
+            assert response.status == 200
+            await response.read()
+
+    async def scenario(site):
+        for number in range(manuals):
+            away, used = ("p1", "p2") if number % 2 else ("p2", "p1")
+            operator = DrainReason.OPERATOR
+            site.agents[away].lifecycle.drain(operator, True)
+            site.agents[used].lifecycle.drain(operator, False)
+            await ask(site, number, "first")
+        site.agents[away].lifecycle.drain(operator, False)
+        fleet = site.entries[0].fleet
+        while any(v.draining for v in fleet.candidates("llm", "prefill", "m")):
+            await fleet.probe("llm", fleet.candidates("llm", "prefill", "m"))
+            await asyncio.sleep(0.01)
+        for question in ("second", "third"):
+            for number in range(manuals):
+                await ask(site, number, question)
+        computed = sum(site.engines[n].prefilled_tokens for n in ("p1", "p2"))
+        assert computed < (manuals + 2) * words
+
+    run(scenario, prefill_tokens_per_s=50_000.0)
