Check the lengths of received structs before decoding them

Cause: the decoder trusts the lengths in its input, and the pure Python class that the codec meant to use is the compiled one under the same name. A body of 12 bytes decoded to a string of 100 MB in 2.4 s, one of 3 MB to a million structs. A walk over the bytes now bounds lengths, elements and depth, refuses trailing bytes, and text that is no UTF-8 is refused after decoding. The earlier property test missed this, since its random bodies rarely hold a valid field header.

--- a/src/gooseberrypost/wire/codec.py
+++ b/src/gooseberrypost/wire/codec.py
@@ -12,11 +12,12 @@
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 from result import Err, Ok, Result
-from thriftpy2.protocol import TBinaryProtocol
 from thriftpy2.protocol.cybin import TCyBinaryProtocol
-from thriftpy2.transport import TCyMemoryBuffer, TMemoryBuffer
+from thriftpy2.thrift import TType
+from thriftpy2.transport import TCyMemoryBuffer
 
 from gooseberrypost.errors import ProtocolFailure
+from gooseberrypost.wire.bounds import check_struct
 from gooseberrypost.wire.messages import TYPE_NUMBERS, TYPES_BY_NUMBER
 
 if TYPE_CHECKING:
@@ -67,20 +68,47 @@
     message_type = TYPES_BY_NUMBER.get(number)
     if message_type is None:
         return Err(ProtocolFailure(f"message type {number} is unknown"))
+    checked = check_struct(data, _HEADER.size)
+    if isinstance(checked, Err):
+        return checked
+    if checked.ok_value != len(data):
+        return Err(ProtocolFailure("bytes follow the struct"))
     message = message_type()
-    # The pure Python reader bounds every length by the bytes at hand; any
-    # exception it raises on hostile bytes means that the body is invalid.
+    # Lengths are sound, but a field may have another type than declared, for
+    # which the library raises various exceptions.
     try:
-        TBinaryProtocol(TMemoryBuffer(data[_HEADER.size :])).read_struct(
-            message
-        )
+        buffer = TCyMemoryBuffer(data[_HEADER.size :])
+        TCyBinaryProtocol(buffer).read_struct(message)
     except Exception as exc:
         return Err(
             ProtocolFailure(f"invalid {message_type.__name__}: {exc!r}")
         )
+    name = _undecoded_text(message)
+    if name:
+        return Err(
+            ProtocolFailure(f"{message_type.__name__}.{name} is not UTF-8")
+        )
     return Ok(Frame(correlation, message))
 
 
+def _undecoded_text(message: Any) -> str:
+    """Name of a text field that the library left as bytes; empty if none."""
+    for kind, name, *rest in message.thrift_spec.values():
+        value = getattr(message, name)
+        if kind == TType.LIST and value:
+            element = rest[0][0] if isinstance(rest[0], tuple) else rest[0]
+            if element == TType.STRUCT:
+                if any(_undecoded_text(item) for item in value):
+                    return name
+            elif element == TType.STRING and any(
+                isinstance(item, bytes) for item in value
+            ):
+                return name
+        elif kind == TType.STRING and isinstance(value, bytes):
+            return name
+    return ""
+
+
 async def read_frame(
     reader: asyncio.StreamReader,
 ) -> Result[Frame, ProtocolFailure]:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import struct
+import tracemalloc
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -147,3 +150,48 @@
             assert len(handler.rejections) == 1
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\x0b\x00\x01" + struct.pack("!i", 100_000_000) + b"abc\x00",
+        b"\x0b\x00\x01" + struct.pack("!i", 2**31 - 1),
+        b"\x0b\x00\x01" + struct.pack("!i", -5) + b"abc\x00",
+        b"\x0f\x00\x02\x0c" + struct.pack("!i", 3_000_000) + bytes(3_000_001),
+        b"\x0f\x00\x02\x0a" + struct.pack("!i", -1) + b"\x00",
+        b"\x0c\x00\x01" * 1_000 + bytes(1_001),
+        b"\x00\x00",
+        b"\x0b\x00\x01" + struct.pack("!i", 2) + b"\xff\xfe\x00",
+    ],
+    ids=[
+        "string-100-mb",
+        "string-2-gb",
+        "negative-string",
+        "many-elements",
+        "negative-list",
+        "deep",
+        "trailing-bytes",
+        "not-utf-8",
+    ],
+)
+def test_lengths_are_checked_before_decoding(body):
+    """Guards against a few bytes that make the decoder use gigabytes."""
+    tracemalloc.start()
+    failure = codec.decode(bytes([codec.VERSION, 19]) + b"\0\0\0\1" + body)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert isinstance(failure.unwrap_err(), ProtocolFailure)
+    assert peak < 16 * 1024 * 1024
+
+
+def test_the_largest_configuration_is_within_the_bounds():
+    """Guards against a bound that refuses what the processes send."""
+    records = [
+        idl.Record(key=f"account/{n}", value='{"burst": 10}', version=n)
+        for n in range(9_600)
+    ]
+    message = idl.ConfigDelta(version=9_600, records=records, removed=[])
+    data = codec.encode(codec.Frame(1, message))
+    found = codec.decode(data[codec.LENGTH_BYTES :]).unwrap().message
+    assert found.records == records
