--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from itertools import groupby
 from types import SimpleNamespace
@@ -10,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.scenarios.chaos import run_chaos
 from tests.scenarios.chaos_checks import _check_not_run, _check_trace
 from tests.scenarios.chaos_faults import GROUPS, KINDS, MAX_AT_ONCE, draw
 from tests.scenarios.chaos_traffic import Sending
@@ -71,3 +73,8 @@
     ]
     names = [broken.rule for broken in found]
     assert [rule for rule, _ in groupby(names)] == rules
+
+
+def test_a_short_run_of_random_faults_breaks_no_rule(tmp_path):
+    """Guards against faults whose combination no scenario tries."""
+    assert asyncio.run(run_chaos(7, 15.0, tmp_path)) == []
