--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -101,6 +101,21 @@
     run(scenario)
 
 
+def test_a_barred_attempt_is_renewed_before_it_is_tried_again():
+    """Guards against an attempt that every agent refuses as stale (P3)."""
+
+    async def scenario(rig):
+        decoders = [rig.agents[name] for name in ("d1", "d2")]
+        for agent in decoders:
+            agent.script[idl.Reserve] = [refuse("stale_attempt")]
+        async with rig.complete() as response:
+            assert response.status == 200
+        asked = [m.attempt for a in decoders for m in a.of(idl.Reserve)]
+        assert sorted(asked) == [1, 1, 2]
+
+    run(scenario)
+
+
 def test_the_schedule_moves_engines_between_pools():
     """Guards against planned roles that come into force late or never."""
     records = {
