Keep the ports of scenario daemons reserved

Seen: in three runs of the scenarios under load, server_leaves failed once and agent_restarted_stream_resumes failed once. Cause, by their logs: an entry found its port in use when it bound it (errno 98), and an entry had drawn the same port for both of its addresses. A port was probed, released and bound by the daemon up to seconds later. Ruled out: a fault of the daemons, which had not served yet.

A socket now stays bound to each drawn port until the scenario ends. Other draws fail on it; the daemon, which sets SO_REUSEADDR, may bind it.

--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -17,7 +17,7 @@
 from gooseberrypost.state.records import EngineRecord, ServiceRecord
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.messages import idl
-from tests.scenarios.processes import Process, free_address
+from tests.scenarios.processes import Process, reserve_address
 from tests.scenarios.relay import Relay
 from tests.standins.engine import Engine
 from tests.standins.keyvalue import KeyValueService, serving
@@ -119,7 +119,7 @@
         A relay accepts connections for an agent that does not listen, so only
         scenarios that cut or stall have one.
         """
-        address = free_address()
+        address = reserve_address(self.stack)
         self.processes[name] = Process(
             "agent",
             {
@@ -143,8 +143,8 @@
             {
                 "name": name,
                 "zone": options.get("zone", "a"),
-                "http_address": free_address(),
-                "internal_address": free_address(),
+                "http_address": reserve_address(self.stack),
+                "internal_address": reserve_address(self.stack),
                 "key_value_addresses": [self.relays["store"].address],
                 "claims": {
                     "shards": options.get("shards", 4),
--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -9,7 +9,7 @@
 import socket
 import subprocess
 import sys
-from contextlib import suppress
+from contextlib import AsyncExitStack, ExitStack
 from pathlib import Path
 
 SOURCE = Path(__file__).resolve().parents[2] / "src"
@@ -20,17 +20,25 @@
 FIRST_PORT, LAST_PORT = 10_000, 32_000
 
 
-def free_port() -> int:
-    """Find a port that is free now; a daemon binds it a moment later."""
+def reserve_address(stack: ExitStack | AsyncExitStack) -> str:
+    """Reserve a loopback address for a daemon until the stack is closed.
+
+    A socket that stays bound keeps other test processes from drawing the
+    port before the daemon binds it. It does not listen, and the daemon sets
+    ``SO_REUSEADDR``, so the kernel lets the daemon bind the same port.
+    """
     while True:
         port = random.SystemRandom().randint(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
-def free_address() -> str:
-    return f"127.0.0.1:{free_port()}"
+        holder = socket.socket()
+        try:
+            holder.bind(("127.0.0.1", port))
+        except OSError:
+            holder.close()
+            continue
+        # Set after the bind, so that the bind above finds other holders.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        stack.callback(holder.close)
+        return f"127.0.0.1:{port}"
 
 
 class Process:
