Move a displaced request again when its transfer stalls

An innocent request of a crash was told transfer_stalled once the retry budget was spent; seen twice in test_content_that_crashes_engines under load. The failures that follow a lost engine now count as moves too.

--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -14,8 +14,10 @@
     ConnectionLost,
     EngineCrashed,
     Failure,
+    HandleExpired,
     NoCapacity,
     Superseded,
+    TransferStalled,
     UnknownOutcome,
 )
 from gooseberrypost.logs import RefusalDecision, RetryDecision
@@ -36,6 +38,14 @@
 
 ATTACH_MARGIN_MS: Final = 200
 """An attached resend is told before its own deadline."""
+MOVED_ON: Final = (
+    ConnectionLost,
+    EngineCrashed,
+    HandleExpired,
+    NoCapacity,
+    TransferStalled,
+)
+"""Failures after which a request whose engine was lost is moved again."""
 COMPLETE_TRIES: Final = 3
 COMPLETE_PAUSE_S: Final = 0.05
 
@@ -120,9 +130,7 @@
     failure: Failure,
 ) -> Result[int, Failure]:
     now_ms, rng = ctx.now_ms(), ctx.parts.rng
-    if live.displacements and isinstance(
-        failure, EngineCrashed | ConnectionLost | NoCapacity
-    ):
+    if live.displacements and isinstance(failure, MOVED_ON):
         return budget.displace(
             live.displacements, live.tries, now_ms, live.deadline_ms, rng
         )
