Serve a long cold prefix late so that it gets cached

Cause: admission refused every request whose long prompt misses the first-token target on an engine that has not cached it, so the prefix was never computed. Test with a prompt of 8,192 tokens and a target of 300 ms: 503 four times before, 503 and three times 200 after, and the prompt is computed once.

--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -22,6 +22,7 @@
 )
 from gooseberrypost.logs import RefusalDecision, RetryDecision
 from gooseberrypost.policy.demand import OutputEstimate
+from gooseberrypost.policy.warmup import ColdPrefixes
 
 if TYPE_CHECKING:
     from gooseberrypost.entry.agents import AgentClient, Background
@@ -66,6 +67,13 @@
     outputs: dict[str, OutputEstimate] = field(default_factory=dict)
     """Length of answers by service."""
 
+    cold: dict[str, ColdPrefixes] = field(default_factory=dict)
+    """Long prefixes that were refused for time, by service."""
+
+    def cold_of(self, service: str) -> ColdPrefixes:
+        """Return the refused prefixes of a service."""
+        return self.cold.setdefault(service, ColdPrefixes())
+
     def outputs_of(self, service: str) -> OutputEstimate:
         """Return the estimate of a service's answers."""
         return self.outputs.setdefault(service, OutputEstimate())
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -19,9 +19,10 @@
     NoCapacity,
     Quarantined,
     Superseded,
+    TargetUnreachable,
 )
 from gooseberrypost.policy.views import AgentView, RequestView
-from gooseberrypost.state.prefix import prefix_hashes
+from gooseberrypost.state.prefix import prefix_hashes, shared_prefix
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.state.streams import TokenStream
 
@@ -63,6 +64,8 @@
         self._answer = answer
         self._retries = retries
         self._hold = ClaimHold(ctx, live)
+        self._relaxed: RequestView | None = None
+        """View without first-token target of a request that warms a cache."""
 
     async def run(self) -> Result[None, Failure]:
         """Answer the caller, or return the failure it is to be told."""
@@ -71,7 +74,9 @@
             granted = await self._admitted(view)
             if isinstance(granted, Err):
                 return granted
-            return await self._run_attempts(view, granted.ok_value)
+            return await self._run_attempts(
+                self._relaxed or view, granted.ok_value
+            )
         finally:
             self._live.stage = Stage.RELEASE
             self._hold.release()
@@ -105,7 +110,12 @@
         self, view: RequestView
     ) -> Result[Prediction, Failure]:
         self._live.stage = Stage.ADMISSION
-        admitted = await self._ctx.queue.admit(view)
+        admitted = await self._ctx.queue.admit(self._relaxed or view)
+        if isinstance(admitted, Err) and self._warms(view, admitted.err_value):
+            self._relaxed = replace(
+                view, first_token_ms=view.answer_deadline_ms - view.arrived_ms
+            )
+            admitted = await self._ctx.queue.admit(self._relaxed)
         self._ctx.metrics.observe(
             "admission_wait_ms",
             self._ctx.now_ms() - view.arrived_ms,
@@ -113,6 +123,19 @@
         )
         return admitted
 
+    def _warms(self, view: RequestView, failure: Failure) -> bool:
+        """Whether to serve a late request because it warms a shared prefix."""
+        prefix = shared_prefix(view.prefix_hashes)
+        if prefix is None or not isinstance(failure, TargetUnreachable):
+            return False
+        if self._relaxed is not None:
+            return False
+        ctx, service = self._ctx, view.service
+        pressure = ctx.parts.pressure(
+            ctx.fleet.candidates(service, EngineRole.DECODE, view.model)
+        )
+        return ctx.cold_of(service).wants(prefix, ctx.now_ms(), pressure)
+
     def _view(self) -> RequestView:
         live, service = self._live, self._service
         completion = self._completion
--- a/src/gooseberrypost/state/prefix.py
+++ b/src/gooseberrypost/state/prefix.py
@@ -9,12 +9,29 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 BLOCK_TOKENS: Final = 64
 """Tokens in one block of a prefix cache."""
 
 
+def shared_prefix(hashes: Sequence[int]) -> int | None:
+    """Hash by which prompts with the same long beginning are recognised.
+
+    It is the prefix of the largest power of two of blocks, so that prompts
+    of somewhat different lengths agree on it; ``None`` for a short prompt.
+
+    >>> shared_prefix([11, 12, 13]), shared_prefix([11, 12])
+    (12, 12)
+    """
+    if not hashes:
+        return None
+    return hashes[(1 << (len(hashes).bit_length() - 1)) - 1]
+
+
 def prefix_hashes(prompt: str, block_tokens: int = BLOCK_TOKENS) -> list[int]:
     """Signed 64-bit hash of each prefix that is a whole number of blocks."""
     words = prompt.split()
