--- a/src/gooseberrypost/cli/main.py
+++ b/src/gooseberrypost/cli/main.py
@@ -15,6 +15,7 @@
 from gooseberrypost.cli.exit_codes import fail
 from gooseberrypost.cli.remote import drain, request, status
 from gooseberrypost.cli.sheet import sheet
+from gooseberrypost.errors import Failure
 from gooseberrypost.settings.loader import load_agent, load_entry, read_file
 
 if TYPE_CHECKING:
@@ -32,6 +33,12 @@
 )
 
 
+class StartFailed(Failure):
+    """The daemon could not start, as where its port is taken."""
+
+    code = "start_failed"
+
+
 @click.group()
 @click.version_option(package_name="gooseberrypost")
 def main() -> None:
@@ -69,4 +76,8 @@
         fail(loaded.err_value)
     daemonlog.set_up(log_level)
     # Each daemon imports only its own half of the package.
-    asyncio.run(import_module(module).run(loaded.ok_value))
+    daemon = import_module(module)
+    try:
+        asyncio.run(daemon.run(loaded.ok_value))
+    except OSError as exc:
+        fail(StartFailed(f"{file}: {exc}"))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import subprocess
 import sys
 
@@ -212,3 +213,31 @@
     )
     assert done.returncode == 3
     assert "zone: is required" in done.stderr
+
+
+@pytest.mark.parametrize("kind", ["entry", "agent"])
+def test_a_taken_port_is_a_typed_failure(files, kind):
+    """Guards against a traceback in place of a message for the operator."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        cfg = {"name": "n1", "zone": "z1", "internal_address": address}
+        if kind == "entry":
+            cfg["http_address"] = "127.0.0.1:0"
+        else:
+            backend = {"kind": "plain", "address": "127.0.0.1:9"}
+            cfg |= {"vm": "v1", "service": "s1", "backend": backend}
+        path = files(f"{kind}.json", json.dumps(cfg))
+        done = subprocess.run(
+            [sys.executable, "-m", "gooseberrypost", kind, "--config", path],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            env={"PYTHONPATH": "src"},
+            check=False,
+        )
+    assert done.returncode == 1
+    lines = done.stderr.splitlines()
+    told = [line for line in lines if line.startswith("start_failed: ")]
+    assert len(told) == 1
+    assert str(path) in told[0] and "address already in use" in told[0]
+    assert not any(line.startswith("Traceback") for line in lines)
