--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -8,15 +8,13 @@
 
 import asyncio
 import itertools
-import json
 from collections import OrderedDict
 from dataclasses import dataclass
 
-import click
 from aiohttp import web
 
 from tests.standins.phases import DecodeSide, PrefillSide, Work
-from tests.standins.server import refuse
+from tests.standins.server import refuse, run_from_command_line
 
 
 @dataclass
@@ -196,19 +194,5 @@
                 raise web.HTTPNotFound
 
 
-@click.command()
-@click.option("--address", required=True)
-@click.option("--options", default="{}")
-def main(address: str, options: str):
-    async def serve():
-        async with Engine.serving(
-            address=address, **json.loads(options)
-        ) as engine:
-            click.echo(engine.address)
-            await asyncio.Event().wait()
-
-    asyncio.run(serve())
-
-
 if __name__ == "__main__":
-    main()
+    run_from_command_line(Engine)
--- a/tests/standins/plain.py
+++ b/tests/standins/plain.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from collections import Counter
 
-import click
 from aiohttp import web
 
-from tests.standins.server import StandIn
+from tests.standins.server import StandIn, run_from_command_line
 
 
 class PlainService(StandIn):
@@ -66,19 +64,5 @@
                 raise web.HTTPNotFound
 
 
-@click.command()
-@click.option("--address", required=True)
-@click.option("--options", default="{}")
-def main(address: str, options: str):
-    async def serve():
-        async with PlainService.serving(
-            address=address, **json.loads(options)
-        ) as service:
-            click.echo(service.address)
-            await asyncio.Event().wait()
-
-    asyncio.run(serve())
-
-
 if __name__ == "__main__":
-    main()
+    run_from_command_line(PlainService)
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from contextlib import asynccontextmanager
 
+import click
 from aiohttp import web
 
 
@@ -84,3 +86,22 @@
 
 def refuse(status: int, code: str) -> web.Response:
     return web.json_response({"error": code}, status=status)
+
+
+def run_from_command_line(kind: type[StandIn]):
+    """Serve a stand-in until the process ends; prints its address."""
+
+    @click.command()
+    @click.option("--address", required=True)
+    @click.option("--options", default="{}")
+    def main(address: str, options: str):
+        async def serve():
+            async with kind.serving(
+                address=address, **json.loads(options)
+            ) as standin:
+                click.echo(standin.address)
+                await asyncio.Event().wait()
+
+        asyncio.run(serve())
+
+    main()
