Move the clients of the outside stores to their own package

The name platform is needed for the adapter of the users' platform, which has one client of its own for its store. The clients of the product's own key-value service, weight store and VM list move to gooseberrypost.stores; no behaviour changes.

--- a/scripts/capacity/start.py
+++ b/scripts/capacity/start.py
@@ -18,9 +18,9 @@
 
 from gooseberrypost.blackboard import Blackboard
 from gooseberrypost.configsync.controller import ConfigurationController
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.state.configuration import Configuration
 from gooseberrypost.state.document import format_document
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -20,7 +20,6 @@
 import aiohttp
 
 from gooseberrypost.configsync.apply import Applier
-from gooseberrypost.platform.http import HttpKeyValueStore
 from gooseberrypost.state.records import (
     EngineRecord,
     EngineRole,
@@ -28,6 +27,7 @@
     Record,
     ServiceRecord,
 )
+from gooseberrypost.stores.http import HttpKeyValueStore
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/gooseberrypost/agent/daemon.py
+++ b/src/gooseberrypost/agent/daemon.py
@@ -39,8 +39,8 @@
     from collections.abc import Callable, Iterable
 
     from gooseberrypost.agent.backend import Backend
-    from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.agent import AgentSettings
+    from gooseberrypost.stores.keyvalue import KeyValueStore
 
 SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 FINISH_TIMEOUT_MS: Final = 2_000
@@ -229,7 +229,7 @@
     """Client of the key-value service, if one is configured."""
     if not cfg.key_value_addresses:
         return None
-    from gooseberrypost.platform.http import HttpKeyValueStore
+    from gooseberrypost.stores.http import HttpKeyValueStore
 
     return HttpKeyValueStore.from_addresses(cfg.key_value_addresses)
 
@@ -238,6 +238,6 @@
     """Client of the platform's VM list, if one is configured."""
     if not cfg.vm_list_address:
         return None
-    from gooseberrypost.platform.vms import HttpVmList
+    from gooseberrypost.stores.vms import HttpVmList
 
     return HttpVmList.from_address(cfg.vm_list_address)
--- a/src/gooseberrypost/agent/lease.py
+++ b/src/gooseberrypost/agent/lease.py
@@ -13,7 +13,7 @@
 
 from gooseberrypost.agent.log import decision
 from gooseberrypost.errors import Failure
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueStore,
     KeyValueUnknown,
--- a/src/gooseberrypost/claims/_lease.py
+++ b/src/gooseberrypost/claims/_lease.py
@@ -6,15 +6,15 @@
 
 from result import Err, Ok, Result
 
-from gooseberrypost.platform.keyvalue import KeyValueUnknown, LeaseLost
 from gooseberrypost.state.heads import lease_key
 from gooseberrypost.state.leases import HeldLease
+from gooseberrypost.stores.keyvalue import KeyValueUnknown, LeaseLost
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from gooseberrypost.errors import Failure
-    from gooseberrypost.platform.keyvalue import KeyValueStore
+    from gooseberrypost.stores.keyvalue import KeyValueStore
 
 
 class OwnerLease:
--- a/src/gooseberrypost/claims/_store.py
+++ b/src/gooseberrypost/claims/_store.py
@@ -8,8 +8,8 @@
 from result import Err, Result
 
 from gooseberrypost.errors import Failure
-from gooseberrypost.platform.keyvalue import Conflict, KeyValueStore
 from gooseberrypost.state.shard_log import Delete, Get, Put, StoreCall
+from gooseberrypost.stores.keyvalue import Conflict, KeyValueStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/gooseberrypost/claims/evidence.py
+++ b/src/gooseberrypost/claims/evidence.py
@@ -8,14 +8,14 @@
 from absl import logging
 from result import Err, Ok, Result
 
-from gooseberrypost.platform.keyvalue import Conflict, KeyValueUnknown
 from gooseberrypost.policy.quarantine import Evidence, Suspicion
+from gooseberrypost.stores.keyvalue import Conflict, KeyValueUnknown
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from gooseberrypost.errors import Failure
-    from gooseberrypost.platform.keyvalue import KeyValueStore
+    from gooseberrypost.stores.keyvalue import KeyValueStore
 
 EVIDENCE_KEY: Final = "claims/evidence"
 
--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -21,7 +21,6 @@
 from gooseberrypost.claims.shard import HeldShard
 from gooseberrypost.errors import Failure
 from gooseberrypost.identity import new_incarnation
-from gooseberrypost.platform.keyvalue import Conflict
 from gooseberrypost.policy.shards import (
     CANDIDATE_CHECK_MS,
     check_interval_ms,
@@ -30,14 +29,15 @@
 )
 from gooseberrypost.state.heads import Head, head_key, lease_key
 from gooseberrypost.state.shard_log import ShardLog
+from gooseberrypost.stores.keyvalue import Conflict
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
     from gooseberrypost.blackboard import Blackboard
-    from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import EntrySettings
+    from gooseberrypost.stores.keyvalue import KeyValueStore
     from gooseberrypost.wire.channel import ChannelPool
     from gooseberrypost.wire.dispatch import Dispatcher
 
--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -39,8 +39,8 @@
     from collections.abc import Callable
 
     from gooseberrypost.claims.owner import ClaimOwnerController
-    from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import EntrySettings
+    from gooseberrypost.stores.keyvalue import KeyValueStore
     from gooseberrypost.wire.channel import ChannelPool
 
 REPLY_MS: Final = 3_000
--- a/src/gooseberrypost/claims/shard.py
+++ b/src/gooseberrypost/claims/shard.py
@@ -20,10 +20,10 @@
 
     from gooseberrypost.claims.client import StoredAnswer
     from gooseberrypost.claims.evidence import EvidenceKeeper
-    from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import ClaimSettings
     from gooseberrypost.state.leases import HeldLease
     from gooseberrypost.state.shard_log import ShardLog
+    from gooseberrypost.stores.keyvalue import KeyValueStore
 
 CONFIRM_WAIT_MS: Final = 1_000
 COMPLETE_WAIT_MS: Final = 2_000
--- a/src/gooseberrypost/cli/changes.py
+++ b/src/gooseberrypost/cli/changes.py
@@ -19,7 +19,6 @@
 from gooseberrypost.configsync.apply import Accepted, Applier
 from gooseberrypost.configsync.check import check_records
 from gooseberrypost.configsync.push import push_to_all
-from gooseberrypost.platform.keyvalue import KeyValueStore
 from gooseberrypost.settings.loader import read_file
 from gooseberrypost.settings.problems import SettingsInvalid, SettingsProblem
 from gooseberrypost.state.configuration import (
@@ -29,6 +28,7 @@
     parse_record,
 )
 from gooseberrypost.state.document import parse_head
+from gooseberrypost.stores.keyvalue import KeyValueStore
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/gooseberrypost/cli/common.py
+++ b/src/gooseberrypost/cli/common.py
@@ -17,7 +17,7 @@
 from gooseberrypost.cli.exit_codes import fail
 from gooseberrypost.errors import Failure
 from gooseberrypost.identity import new_incarnation
-from gooseberrypost.platform.http import HttpKeyValueStore
+from gooseberrypost.stores.http import HttpKeyValueStore
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.messages import idl
 
--- a/src/gooseberrypost/cli/exit_codes.py
+++ b/src/gooseberrypost/cli/exit_codes.py
@@ -14,10 +14,10 @@
     PeerUnreachable,
     UnknownOutcome,
 )
-from gooseberrypost.platform.keyvalue import KeyValueUnavailable
 from gooseberrypost.settings.problems import SettingsInvalid
 from gooseberrypost.sheet.rows import SheetInvalid
 from gooseberrypost.state.configuration import Collision
+from gooseberrypost.stores.keyvalue import KeyValueUnavailable
 
 
 class ExitCode(IntEnum):
--- a/src/gooseberrypost/configsync/apply.py
+++ b/src/gooseberrypost/configsync/apply.py
@@ -10,12 +10,6 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import Failure, UnknownOutcome
-from gooseberrypost.platform.keyvalue import (
-    Conflict,
-    KeyValueUnavailable,
-    KeyValueUnknown,
-    Versioned,
-)
 from gooseberrypost.state.configuration import (
     HEAD_KEY,
     MAX_APPLIES,
@@ -23,13 +17,19 @@
     Document,
 )
 from gooseberrypost.state.document import format_document, parse_head
+from gooseberrypost.stores.keyvalue import (
+    Conflict,
+    KeyValueUnavailable,
+    KeyValueUnknown,
+    Versioned,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
     from gooseberrypost.configsync.check import InconsistentRecords
-    from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.state.records import Record
+    from gooseberrypost.stores.keyvalue import KeyValueStore
 
     Check = Callable[[Mapping[str, Record]], InconsistentRecords | None]
 
--- a/src/gooseberrypost/configsync/controller.py
+++ b/src/gooseberrypost/configsync/controller.py
@@ -33,7 +33,7 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from gooseberrypost.blackboard import Blackboard
-    from gooseberrypost.platform.keyvalue import KeyValueStore, Versioned
+    from gooseberrypost.stores.keyvalue import KeyValueStore, Versioned
     from gooseberrypost.wire.dispatch import Dispatcher
     from gooseberrypost.wire.listener import Session
 
--- a/src/gooseberrypost/entry/wiring.py
+++ b/src/gooseberrypost/entry/wiring.py
@@ -18,7 +18,6 @@
 from gooseberrypost.entry.collaborators import Catalog, Collaborators
 from gooseberrypost.entry.daemon import EntryDaemon, open_wire
 from gooseberrypost.identity import new_incarnation
-from gooseberrypost.platform.http import HttpKeyValueStore
 from gooseberrypost.policy.admission import DeadlineAdmission
 from gooseberrypost.policy.limits import Limiter, service_pressure
 from gooseberrypost.policy.placement import ReservingPlacement
@@ -26,14 +25,15 @@
 from gooseberrypost.policy.subset import choose_subset
 from gooseberrypost.sheet.current import CurrentAssignments
 from gooseberrypost.state.configuration import Configuration
+from gooseberrypost.stores.http import HttpKeyValueStore
 
 if TYPE_CHECKING:
     import random
 
     from gooseberrypost.entry.collaborators import ConfigurationView
     from gooseberrypost.entry.daemon import WireController
-    from gooseberrypost.platform.keyvalue import KeyValueStore
     from gooseberrypost.settings.entry import EntrySettings
+    from gooseberrypost.stores.keyvalue import KeyValueStore
 
 MakeConfiguration = Callable[
     ["Blackboard", "WireController"],
--- a/src/gooseberrypost/state/shard_log.py
+++ b/src/gooseberrypost/state/shard_log.py
@@ -14,13 +14,13 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import Failure
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.state.heads import Head, head_key, lease_key, segment_key
+from gooseberrypost.state.segments import InvalidSegment, LogRecord, Segment
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueUnavailable,
     Versioned,
 )
-from gooseberrypost.state.heads import Head, head_key, lease_key, segment_key
-from gooseberrypost.state.segments import InvalidSegment, LogRecord, Segment
 
 
 class Deposed(Failure):
--- a/src/gooseberrypost/platform/http.py
+++ b/src/gooseberrypost/stores/http.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import Failure
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueStore,
     KeyValueUnavailable,
--- a/src/gooseberrypost/platform/memory.py
+++ b/src/gooseberrypost/stores/memory.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueStore,
     KeyValueUnavailable,
--- a/src/gooseberrypost/platform/weights.py
+++ b/src/gooseberrypost/stores/weights.py
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import ExecutionFailed, Failure, NotRun
-from gooseberrypost.platform._bucket import TokenBucket
+from gooseberrypost.stores._bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/tests/agent_kit.py
+++ b/tests/agent_kit.py
@@ -10,14 +10,14 @@
 from result import Err, Ok
 
 from gooseberrypost.agent.daemon import Agent
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.settings.agent import AgentSettings, BackendSettings
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueStore,
     KeyValueUnavailable,
     LeaseLost,
     Versioned,
 )
-from gooseberrypost.settings.agent import AgentSettings, BackendSettings
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.messages import idl
 from tests.standins.engine import Engine
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -9,17 +9,17 @@
 from result import Err, Ok
 
 from gooseberrypost.claims.client import StoredAnswer
-from gooseberrypost.platform.keyvalue import (
-    Conflict,
-    KeyValueUnavailable,
-    KeyValueUnknown,
-    Versioned,
-)
 from gooseberrypost.state.claim import ClaimAsk, Decision, Verdict
 from gooseberrypost.state.claims import ShardClaims
 from gooseberrypost.state.heads import lease_key
 from gooseberrypost.state.shard_log import Get, Put, ShardLog
 from gooseberrypost.state.trace import Event, TraceChecker, What
+from gooseberrypost.stores.keyvalue import (
+    Conflict,
+    KeyValueUnavailable,
+    KeyValueUnknown,
+    Versioned,
+)
 
 SEGMENT_BYTES = 600
 DEADLINE_MS = 1_000
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok
 
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueStore,
     KeyValueUnavailable,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,9 +15,9 @@
 from gooseberrypost.configsync.apply import Applier
 from gooseberrypost.configsync.controller import ConfigurationController
 from gooseberrypost.configsync.push import push_to_all
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.state.configuration import Configuration
 from gooseberrypost.state.records import AccountRecord
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
--- a/tests/scenarios/cluster.py
+++ b/tests/scenarios/cluster.py
@@ -14,12 +14,12 @@
 from result import Ok
 
 from gooseberrypost.configsync.apply import Applier
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.state.records import (
     EngineRecord,
     ScheduleRecord,
     ServiceRecord,
 )
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.messages import idl
 from tests.scenarios.processes import Process, reserve_address
--- a/tests/standins/keyvalue.py
+++ b/tests/standins/keyvalue.py
@@ -16,8 +16,8 @@
 from result import Err, Ok
 
 from gooseberrypost.address import Address, split_address
-from gooseberrypost.platform.keyvalue import KeyValueUnknown
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
+from gooseberrypost.stores.keyvalue import KeyValueUnknown
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 
 STATUS = {
     "conflict": 409,
--- a/tests/test_claim_mechanisms.py
+++ b/tests/test_claim_mechanisms.py
@@ -9,11 +9,11 @@
 import pytest
 from result import Ok
 
-from gooseberrypost.platform.keyvalue import KeyValueUnavailable
 from gooseberrypost.state.claim import ClaimAsk
 from gooseberrypost.state.claims import ShardClaims
 from gooseberrypost.state.segments import Segment
 from gooseberrypost.state.shard_log import Get, ShardLog, segment_key
+from gooseberrypost.stores.keyvalue import KeyValueUnavailable
 from tests.claim_model import DEADLINE_MS, Model
 
 ONCE = ClaimAsk("booking-1", b"a", False, DEADLINE_MS)
--- a/tests/test_claim_owner.py
+++ b/tests/test_claim_owner.py
@@ -22,7 +22,7 @@
     UnknownOutcome,
 )
 from gooseberrypost.identity import MintedKey
-from gooseberrypost.platform.keyvalue import KeyValueUnavailable
+from gooseberrypost.stores.keyvalue import KeyValueUnavailable
 from gooseberrypost.wire.messages import idl
 from tests.claim_cluster import SHARDS, entries, key_owned_by, owned, until
 from tests.fake_store import FakeStore, Shared
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,7 +12,7 @@
 from click.testing import CliRunner
 
 from gooseberrypost.cli.main import main
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
 from gooseberrypost.wire.messages import idl
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -6,7 +6,6 @@
 
 from gooseberrypost.configsync.apply import Applier, ApplyUnknown
 from gooseberrypost.configsync.members import PEER_SUBSET, Members
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.state.configuration import (
     MAX_TOMBSTONES,
     Collision,
@@ -19,6 +18,7 @@
     parse_head,
 )
 from gooseberrypost.state.records import AccountRecord, EngineRecord
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from tests.fleet import change, everywhere, fleet, spread
 from tests.standins.keyvalue import monotonic_ms
 
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -22,14 +22,14 @@
 from result import Err, Ok
 
 from gooseberrypost.configsync.apply import Applier, ApplyUnknown
-from gooseberrypost.platform.keyvalue import (
-    KeyValueUnavailable,
-    KeyValueUnknown,
-)
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.state.configuration import HEAD_KEY, Configuration
 from gooseberrypost.state.document import parse_head
 from gooseberrypost.state.records import AccountRecord
+from gooseberrypost.stores.keyvalue import (
+    KeyValueUnavailable,
+    KeyValueUnknown,
+)
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 
 KEYS = ["account/a", "account/b"]
 PROCESSES = 3
--- a/tests/test_entry_whole.py
+++ b/tests/test_entry_whole.py
@@ -11,9 +11,9 @@
 from gooseberrypost.agent.lifecycle import DrainReason
 from gooseberrypost.claims.owner import monotonic_ms
 from gooseberrypost.entry.wiring import assemble
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.settings.entry import ClaimSettings, EntrySettings
 from gooseberrypost.state.records import EngineRecord, ServiceRecord
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from tests import agent_kit
 from tests.entry_fakes import FilledConfiguration
 from tests.standins.engine import Engine
--- a/tests/test_incarnation.py
+++ b/tests/test_incarnation.py
@@ -7,8 +7,8 @@
 
 from gooseberrypost.agent.daemon import Agent
 from gooseberrypost.entry.wiring import assemble
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
 from gooseberrypost.settings.entry import EntrySettings
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from tests import agent_kit
 from tests.entry_fakes import FilledConfiguration
 from tests.standins.keyvalue import monotonic_ms
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from gooseberrypost.platform.http import HttpKeyValueStore
-from gooseberrypost.platform.keyvalue import (
+from gooseberrypost.stores.http import HttpKeyValueStore
+from gooseberrypost.stores.keyvalue import (
     Conflict,
     KeyValueUnavailable,
     KeyValueUnknown,
@@ -15,7 +15,7 @@
     ValueTooLarge,
     Versioned,
 )
-from gooseberrypost.platform.memory import InMemoryKeyValueStore
+from gooseberrypost.stores.memory import InMemoryKeyValueStore
 from tests.standins.keyvalue import KeyValueService, serving
 
 
--- a/tests/test_platform_lists.py
+++ b/tests/test_platform_lists.py
@@ -5,12 +5,12 @@
 import asyncio
 import hashlib
 
-from gooseberrypost.platform.vms import (
+from gooseberrypost.stores.vms import (
     HttpVmList,
     VmListUnavailable,
     VmRecord,
 )
-from gooseberrypost.platform.weights import (
+from gooseberrypost.stores.weights import (
     DigestMismatch,
     HttpWeightStore,
     UnknownWeights,
