Add a gateway that forwards straight to backend servers, and its platform adapter

The gateway follows the configuration and the servers in the platform's store, forwards plain calls to the least loaded server and splits generations into a prefill and a decode call.

--- a/src/gooseberrypost/cli/main.py
+++ b/src/gooseberrypost/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
@@ -16,6 +17,7 @@
 from gooseberrypost.cli.remote import drain, request, status
 from gooseberrypost.cli.sheet import sheet
 from gooseberrypost.errors import Failure
+from gooseberrypost.platform.settings import PATH_VARIABLE, decode_settings
 from gooseberrypost.settings.loader import load_agent, load_entry, read_file
 
 if TYPE_CHECKING:
@@ -65,6 +67,35 @@
     _run_daemon("gooseberrypost.agent.daemon", file, load_agent, log_level)
 
 
+@main.command()
+@click.option(
+    "--config",
+    "file",
+    type=FILE,
+    envvar=PATH_VARIABLE,
+    required=True,
+    help="Settings file that the platform wrote.",
+)
+@click.option("--check", is_flag=True, help="Only check the settings.")
+@log_level_option
+def gateway(file: Path, check: bool, log_level: str) -> None:
+    """Run a gateway in front of servers that need no agent."""
+    loaded = read_file(file).and_then(
+        lambda text: decode_settings(text, str(file))
+    )
+    if isinstance(loaded, Err):
+        fail(loaded.err_value)
+    if check:
+        click.echo(f"{file}: valid")
+        return
+    daemonlog.set_up(log_level, sys.stdout.fileno())
+    run = import_module("gooseberrypost.platform.gateway").run
+    try:
+        asyncio.run(run(loaded.ok_value, file))
+    except OSError as exc:
+        fail(StartFailed(f"{file}: {exc}"))
+
+
 def _run_daemon(
     module: str,
     file: Path,
--- a/src/gooseberrypost/daemonlog.py
+++ b/src/gooseberrypost/daemonlog.py
@@ -9,6 +9,8 @@
 
 import copy
 import logging as standard_logging
+import os
+import time
 from typing import Final
 
 from absl import flags, logging
@@ -22,6 +24,8 @@
     "error": logging.ERROR,
 }
 DEFAULT_LEVEL: Final = "info"
+MAX_LINES_PER_S: Final = 2_000.0
+"""Four lines for each of 500 requests a second."""
 
 
 class LineFormatter(logging.PythonFormatter):
@@ -34,8 +38,58 @@
         return super().format(record).replace("\n", "\\n")
 
 
-def set_up(level: str = DEFAULT_LEVEL) -> None:
-    """Log to standard error from ``level``, a key of ``LEVELS``, on."""
+class BoundedStream:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines beyond the rate, and lines that the reader is too slow to take, are
+    dropped and counted; the count is written with the next line.
+    """
+
+    __slots__ = ("_allowance", "_descriptor", "_dropped", "_filled_s", "_rate")
+
+    def __init__(
+        self, descriptor: int, lines_per_s: float = MAX_LINES_PER_S
+    ) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rate = lines_per_s
+        self._allowance = lines_per_s
+        self._filled_s = time.monotonic()
+        self._dropped = 0
+
+    def write(self, text: str) -> int:
+        """Write a line or drop it."""
+        now_s = time.monotonic()
+        self._allowance = min(
+            self._rate,
+            self._allowance + (now_s - self._filled_s) * self._rate,
+        )
+        self._filled_s = now_s
+        if self._allowance < 1:
+            self._dropped += 1
+            return len(text)
+        self._allowance -= 1
+        if self._dropped:
+            text = f"event=log_dropped lines={self._dropped}\n{text}"
+        try:
+            os.write(self._descriptor, text.encode("utf-8", "replace"))
+            self._dropped = 0
+        except OSError:
+            # A log that cannot be written has nowhere to say so but in the
+            # count of the next line.
+            self._dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing; every line is written at once."""
+
+
+def set_up(level: str = DEFAULT_LEVEL, descriptor: int | None = None) -> None:
+    """Log from ``level``, a key of ``LEVELS``, on.
+
+    The lines go to standard error, or to a descriptor that is never waited
+    for.
+    """
     # Flags that were never parsed make absl print a warning; the daemons
     # take their options from click.
     if not flags.FLAGS.is_parsed():
@@ -43,6 +97,9 @@
     logging.use_absl_handler()
     logging.set_verbosity(LEVELS[level])
     logging.get_absl_handler().setFormatter(LineFormatter())
+    if descriptor is not None:
+        handler = logging.get_absl_handler().python_handler
+        handler.stream = BoundedStream(descriptor)
     least = standard_logging.getLevelNamesMapping()[level.upper()]
     logging.get_absl_logger().setLevel(least)
     # Services of mode log under the names of this package's modules, so the
--- a/src/gooseberrypost/entry/daemon.py
+++ b/src/gooseberrypost/entry/daemon.py
@@ -17,11 +17,11 @@
 from gooseberrypost.entry.context import EntryContext
 from gooseberrypost.entry.fleet import FleetController
 from gooseberrypost.entry.http import HttpController
-from gooseberrypost.entry.lifecycle import LifecycleController, State
 from gooseberrypost.entry.operators import OperatorMessages
 from gooseberrypost.entry.requests import RequestController
 from gooseberrypost.entry.waiting import AdmissionQueue
 from gooseberrypost.identity import new_incarnation
+from gooseberrypost.lifecycle import LifecycleController, State
 from gooseberrypost.logs import DecisionLog
 from gooseberrypost.metrics import Metrics
 from gooseberrypost.wire.channel import ChannelPool
--- a/src/gooseberrypost/entry/http.py
+++ b/src/gooseberrypost/entry/http.py
@@ -60,8 +60,8 @@
 
     from gooseberrypost.entry.collaborators import Guards
     from gooseberrypost.entry.context import EntryContext
-    from gooseberrypost.entry.lifecycle import LifecycleController
     from gooseberrypost.entry.requests import RequestController
+    from gooseberrypost.lifecycle import LifecycleController
     from gooseberrypost.state.records import ServiceRecord
 
 SERVICES_PREFIX: Final = "/services/"
--- a/src/gooseberrypost/entry/operators.py
+++ b/src/gooseberrypost/entry/operators.py
@@ -10,8 +10,8 @@
     from collections.abc import Callable
 
     from gooseberrypost.entry.context import EntryContext
-    from gooseberrypost.entry.lifecycle import LifecycleController
     from gooseberrypost.entry.requests import RequestController
+    from gooseberrypost.lifecycle import LifecycleController
     from gooseberrypost.wire.dispatch import Dispatcher
     from gooseberrypost.wire.listener import Session
 
--- a/src/gooseberrypost/entry/requests.py
+++ b/src/gooseberrypost/entry/requests.py
@@ -31,8 +31,8 @@
     from gooseberrypost.blackboard import Blackboard
     from gooseberrypost.entry.answer import CallerConnection
     from gooseberrypost.entry.context import EntryContext
-    from gooseberrypost.entry.lifecycle import LifecycleController
     from gooseberrypost.entry.parse import CallHeaders
+    from gooseberrypost.lifecycle import LifecycleController
     from gooseberrypost.state.records import ServiceRecord
 
 OWNER: Final = "RequestController"
--- /dev/null
+++ b/src/gooseberrypost/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway: forwards requests straight to backend servers without agents."""
--- /dev/null
+++ b/src/gooseberrypost/gateway/context.py
@@ -0,0 +1,72 @@
+"""What the requests of one gateway share."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from gooseberrypost.logs import format_fields
+from gooseberrypost.metrics import Metrics
+from gooseberrypost.policy.repeatbudget import SAFETY, RepeatBudget
+from gooseberrypost.policy.serverload import ServerLoads
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Coroutine
+    from typing import Any
+
+    from gooseberrypost.gateway.directory import Directory
+    from gooseberrypost.gateway.request import ClientRequest
+    from gooseberrypost.gateway.transport import Transport
+    from gooseberrypost.settings.gateway import GatewaySettings
+
+
+@dataclass(slots=True)
+class GatewayContext:
+    """Collaborators of a request."""
+
+    settings: GatewaySettings
+    directory: Directory
+    transport: Transport
+    rng: random.Random
+    peers: Callable[[], int] = lambda: 1
+    """Number of gateways that share the budget of repeats."""
+    loads: ServerLoads = field(default_factory=ServerLoads)
+    metrics: Metrics = field(default_factory=Metrics)
+    now_s: Callable[[], float] = time.monotonic
+    _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
+    _background: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return the budget of repeated sends to a service."""
+        budget = self._budgets.get(service)
+        cfg = self.settings
+        if budget is None:
+            budget = RepeatBudget(
+                SAFETY * cfg.repeat_ratio, 0.0, cfg.repeat_window_ms / 1_000
+            )
+            self._budgets[service] = budget
+        budget.allowance = SAFETY * cfg.repeat_allowance / max(self.peers(), 1)
+        return budget
+
+    def log(self, event: str, req: ClientRequest, **fields: object) -> None:
+        """Log one decision on a request, with the version it rests on."""
+        version = self.directory.configuration.version
+        pairs = [
+            ("event", event),
+            ("request", req.id),
+            ("after_ms", round(1_000 * (self.now_s() - req.arrived_s))),
+            *fields.items(),
+            ("configuration", version),
+        ]
+        logging.info("%s", format_fields(pairs))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work that outlives its request."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- /dev/null
+++ b/src/gooseberrypost/gateway/generation.py
@@ -0,0 +1,259 @@
+"""Generations: a prompt is read at one engine and decoded at another."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Any, Final
+
+from gooseberrypost.gateway.events import EventSplitter
+from gooseberrypost.gateway.exchange import CONNECT_S, Exchange, NoServer
+from gooseberrypost.gateway.request import Prompt
+from gooseberrypost.gateway.transport import (
+    AnswerLost,
+    Send,
+    ServerRefused,
+    ServerUnreachable,
+)
+from gooseberrypost.policy.serverchoice import (
+    plan_generation,
+    prefill_time_ms,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from gooseberrypost.gateway.model import Server
+    from gooseberrypost.gateway.transport import Answer, KvHandle
+    from gooseberrypost.policy.serverchoice import GenerationPlan
+    from gooseberrypost.policy.serverload import ServerLoad
+
+PREFILL_PATIENCE: Final = 6.0
+"""Multiple of the predicted time after which a prefill counts as lost."""
+MIN_PREFILL_S: Final = 1.0
+KV_MARGIN: Final = 0.7
+"""Share of its retention in which a KV cache is still offered."""
+OK: Final = 200
+
+
+class Generation(Exchange):
+    """Plans, reads the prompt and streams the answer."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._prompt = self.req.prompt or Prompt(1, 1)
+        self._events = EventSplitter()
+        self._events.last_id = self.req.resume_after
+        self._kv: KvHandle | None = None
+        """Prefilled and not used yet."""
+        self._kv_made_s = 0.0
+        self._kv_refusals = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether another engine may go on with the stream."""
+        return self.route.resumable
+
+    @property
+    def is_abandoned_with_client(self) -> bool:
+        """Nobody else reads a stream."""
+        return True
+
+    async def serve(self) -> None:
+        """Answer the client."""
+        try:
+            while True:
+                self.check_time()
+                if await self._attempt(self._plan()):
+                    return
+        finally:
+            if self._kv is not None:
+                self.ctx.spawn(self.ctx.transport.release(self._kv))
+                self._kv = None
+
+    def _plan(self) -> GenerationPlan:
+        cfg = self.ctx.settings
+        plan = plan_generation(
+            self.servers(),
+            self.ctx.loads,
+            self._prompt.tokens,
+            cfg.zone,
+            self.ctx.rng,
+        )
+        if plan is None:
+            raise NoServer(f"{self.service} has no decode engine")
+        return plan
+
+    async def _attempt(self, plan: GenerationPlan) -> bool:
+        """Try a plan; returns whether the client has its answer."""
+        self.log(
+            "planned",
+            prefill=plan.prefill.instance if plan.prefill else "",
+            decode=plan.decode.instance,
+            tokens=self._prompt.tokens,
+            first_token_ms=round(plan.first_token_ms),
+            left_ms=round(1_000 * self.left_s),
+        )
+        if plan.prefill is not None and self._kv is None:
+            self._kv = await self._prefill(plan.prefill)
+            if self._kv is None:
+                return False
+        return await self._decode(plan.decode)
+
+    async def _prefill(self, server: Server) -> KvHandle | None:
+        load = self.ctx.loads.of(server.identity)
+        tokens = self._prompt.tokens
+        predicted_s = prefill_time_ms(load, tokens) / 1_000
+        limit_s = max(PREFILL_PATIENCE * predicted_s, MIN_PREFILL_S)
+        send = Send(
+            timeout_s=min(self.left_s, limit_s),
+            connect_s=min(CONNECT_S, self.left_s),
+        )
+        was_alone = not load.prefill_tokens
+        try:
+            with _reading(load, tokens):
+                started_s = self.ctx.now_s()
+                kv = await self.ctx.transport.prefill(server, self.req, send)
+                took_ms = 1_000 * (self.ctx.now_s() - started_s)
+        except ServerUnreachable as failure:
+            self.note_unreachable(server, failure)
+            return None
+        except ServerRefused as failure:
+            self.note_refused(server, failure)
+            return None
+        except AnswerLost as failure:
+            # Reading a prompt executes nothing and may be repeated.
+            self.note_lost(server, failure, repeatable=True)
+            return None
+        load.prefilled(tokens, took_ms, was_alone)
+        self._kv_made_s, self._kv_refusals = self.ctx.now_s(), 0
+        self.log(
+            "prefilled",
+            server=server.instance,
+            tokens=kv.tokens,
+            server_ms=round(took_ms),
+            alone=was_alone,
+        )
+        return kv
+
+    async def _decode(self, server: Server) -> bool:
+        left_s = self.left_s
+        kv, self._kv = self._kv, None
+        send = Send(
+            timeout_s=left_s,
+            connect_s=min(CONNECT_S, left_s),
+            kv=kv,
+            resume_after=self._events.last_id,
+        )
+        self.attempts += 1
+        try:
+            with _decoding(
+                self.ctx.loads.of(server.identity),
+                self._prompt,
+                reads=kv is None,
+            ) as read:
+                async with self.ctx.transport.open(
+                    server, self.req, send
+                ) as answer:
+                    read()
+                    await self._forward(server, answer)
+            return True
+        except ServerUnreachable as failure:
+            self.attempts -= 1
+            self._kv = kv
+            self.note_unreachable(server, failure)
+        except ServerRefused as failure:
+            self.attempts -= 1
+            self.note_refused(server, failure)
+            self._keep(kv)
+        except AnswerLost as failure:
+            self._events.restart()
+            self.note_lost(
+                server,
+                failure,
+                repeatable=self.is_repeatable
+                and self.attempts < self.route.max_attempts,
+            )
+        return False
+
+    def _keep(self, kv: KvHandle | None) -> None:
+        """Offer a KV cache to another engine while it lasts, else free it.
+
+        The refusal of an engine does not say whether the cache is gone or
+        the engine had no room; a second refusal makes the former likely.
+        """
+        if kv is None:
+            return
+        self._kv_refusals += 1
+        spec = self.ctx.directory.configuration.services[self.service].engine
+        lasts_s = KV_MARGIN * (spec.handle_ms if spec else 0) / 1_000
+        age_s = self.ctx.now_s() - self._kv_made_s
+        if self._kv_refusals <= 1 and age_s < lasts_s:
+            self._kv = kv
+        else:
+            self.ctx.spawn(self.ctx.transport.release(kv))
+
+    async def _forward(self, server: Server, answer: Answer) -> None:
+        if not answer.is_signed:
+            raise AnswerLost(f"status {answer.status} without a signature")
+        if answer.status != OK or not answer.is_event_stream:
+            body = b"".join([chunk async for chunk in answer.chunks])
+            if self.reply.is_started:
+                raise AnswerLost(f"resumed stream answered {answer.status}")
+            self._log_answer(server, answer)
+            await self.reply.send(answer.status, answer.headers, body)
+            return
+        if not self.reply.is_started:
+            await self.reply.start(answer.status, answer.headers)
+        async for chunk in answer.chunks:
+            whole = self._events.feed(chunk)
+            if whole:
+                await self.reply.write(whole)
+        if self._events.rest:
+            await self.reply.write(self._events.rest)
+        await self.reply.finish()
+        self.ctx.loads.of(server.identity).succeeded(0.0)
+        self._log_answer(server, answer)
+
+    def _log_answer(self, server: Server, answer: Answer) -> None:
+        self.log(
+            "answered",
+            server=server.instance,
+            status=answer.status,
+            attempts=self.attempts,
+            events=self._events.count,
+        )
+
+
+@contextmanager
+def _reading(load: ServerLoad, tokens: int) -> Iterator[None]:
+    load.outstanding += 1
+    load.prefill_tokens += tokens
+    try:
+        yield
+    finally:
+        load.outstanding -= 1
+        load.prefill_tokens -= tokens
+
+
+@contextmanager
+def _decoding(
+    load: ServerLoad, prompt: Prompt, *, reads: bool
+) -> Iterator[Callable[[], None]]:
+    """Count a generation; the yielded function notes its first token."""
+    tokens = prompt.tokens + prompt.expected_output
+    reading = prompt.tokens if reads else 0
+    load.outstanding += 1
+    load.kv_tokens += tokens
+    load.prefill_tokens += reading
+
+    def read() -> None:
+        nonlocal reading
+        load.prefill_tokens -= reading
+        reading = 0
+
+    try:
+        yield read
+    finally:
+        read()
+        load.kv_tokens -= tokens
+        load.outstanding -= 1
--- /dev/null
+++ b/src/gooseberrypost/gateway/reply.py
@@ -0,0 +1,124 @@
+"""Answer to a client, sent whole or as a stream."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from gooseberrypost.errors import CallerGone, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+Headers = "Sequence[tuple[str, str]]"
+
+
+class DeadlineExceeded(Failure):
+    """The time of the request is over; its execution is unknown."""
+
+    code = "deadline_exceeded"
+    http_status = 504
+
+
+class Reply(ABC):
+    """Connection to the client of one request."""
+
+    @property
+    @abstractmethod
+    def is_started(self) -> bool:
+        """Whether the client has seen a status."""
+
+    @abstractmethod
+    async def send(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole answer; raises ``CallerGone``."""
+
+    @abstractmethod
+    async def start(
+        self, status: int, headers: Sequence[tuple[str, str]]
+    ) -> None:
+        """Begin a streamed answer; raises ``CallerGone``."""
+
+    @abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Send a part of a streamed answer; raises ``CallerGone``."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """End a streamed answer as complete."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Close the connection, so that the answer looks incomplete."""
+
+
+class HttpReply(Reply):
+    """Answer on an HTTP connection."""
+
+    def __init__(self, request: web.BaseRequest, *, close: bool) -> None:
+        self._request = request
+        self._close = close
+        """Whether the connection is closed after the answer."""
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the client has seen a status."""
+        return self.response is not None
+
+    async def send(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        response = web.Response(status=status, body=body)
+        await self._prepare(response, headers)
+        await self.finish()
+
+    async def start(
+        self, status: int, headers: Sequence[tuple[str, str]]
+    ) -> None:
+        """Begin a streamed answer."""
+        response = web.StreamResponse(status=status)
+        response.enable_chunked_encoding()
+        await self._prepare(response, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a streamed answer."""
+        assert self.response is not None
+        try:
+            await self.response.write(data)
+        except OSError as exc:
+            raise CallerGone(repr(exc)) from exc
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        assert self.response is not None
+        try:
+            await self.response.write_eof()
+        except OSError as exc:
+            raise CallerGone(repr(exc)) from exc
+
+    def abort(self) -> None:
+        """Close the connection without ending the answer."""
+        protocol = self._request.protocol
+        if protocol is not None:
+            protocol.force_close()
+
+    async def _prepare(
+        self,
+        response: web.StreamResponse,
+        headers: Sequence[tuple[str, str]],
+    ) -> None:
+        if self._close:
+            response.force_close()
+        response.headers.popall("Content-Type", None)
+        for name, value in headers:
+            response.headers.add(name, value)
+        self.response = response
+        try:
+            await response.prepare(self._request)
+        except OSError as exc:
+            raise CallerGone(repr(exc)) from exc
--- a/src/gooseberrypost/entry/lifecycle.py
+++ b/src/gooseberrypost/lifecycle.py
@@ -1,4 +1,4 @@
-"""Lifecycle of the entry: starting, serving, draining, stopped."""
+"""Lifecycle of a daemon: starting, serving, draining, stopped."""
 
 from __future__ import annotations
 
@@ -42,6 +42,11 @@
         board.add(Lifecycle(), OWNER)
         self._section = board.write(Lifecycle, OWNER)
 
+    @property
+    def section(self) -> Lifecycle:
+        """Section that this controller owns, for readers."""
+        return self._section
+
     @property
     def state(self) -> State:
         """Current state."""
--- /dev/null
+++ b/src/gooseberrypost/platform/documents.py
@@ -0,0 +1,151 @@
+"""Decodes what the operator and the servers write into the store.
+
+A document of the operator is valid as a whole or not used. An entry that
+names no server to use gives an error, and the others hold.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.model import (
+    ClientLimits,
+    Configuration,
+    EngineSpec,
+    RequestKind,
+    Route,
+    Server,
+    Service,
+    Stage,
+    Target,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class InvalidDocument(Failure):
+    """A value in the store cannot be decoded."""
+
+    code = "invalid_document"
+
+
+def decode_configuration(
+    content: bytes,
+) -> Result[Configuration, InvalidDocument]:
+    """Decode a configuration in full."""
+    try:
+        found = json.loads(content)
+        return Ok(
+            Configuration(
+                version=int(found["version"]),
+                routes=tuple(_route(one) for one in found["routes"]),
+                services={
+                    service.name: service
+                    for service in map(_service, found["services"])
+                },
+                limits=_limits(found.get("limits") or {}),
+            )
+        )
+    except (ValueError, TypeError, LookupError, AttributeError) as exc:
+        return Err(InvalidDocument(f"configuration: {exc!r}"))
+
+
+def decode_server(
+    instance: str, content: bytes, revision: int
+) -> Result[Server, InvalidDocument]:
+    """Decode the registration of a server.
+
+    ``sequence`` there counts orders that changed the engine, and does not
+    order registrations; the store's revision does.
+    """
+    try:
+        found = json.loads(content)
+        state = found["state"]
+        if state not in ("ready", "draining"):
+            return Err(InvalidDocument(f"server {instance}: state {state!r}"))
+        service, address = found["service"], found["address"]
+        if not (isinstance(service, str) and isinstance(address, str)):
+            return Err(InvalidDocument(f"server {instance}: field types"))
+        return Ok(
+            Server(
+                instance=instance,
+                service=service,
+                address=address,
+                zone=str(found.get("zone", "")),
+                slots=int(found["slots"]),
+                draining=state == "draining",
+                stage=Stage(found.get("stage") or ""),
+                cold_ms=int(found.get("cold_remaining_ms") or 0),
+                born_ms=int(found.get("born") or 0),
+                revision=revision,
+            )
+        )
+    except (ValueError, TypeError, LookupError, AttributeError) as exc:
+        return Err(InvalidDocument(f"server {instance}: {exc!r}"))
+
+
+def _route(found: Mapping[str, Any]) -> Route:
+    split = found.get("traffic_split")
+    if split:
+        targets = tuple(
+            Target(one["service"], float(one["weight"])) for one in split
+        )
+    else:
+        targets = (Target(found["service"], 1.0),)
+    return Route(
+        name=str(found["name"]),
+        host=str(found["host"]),
+        prefix=str(found["path_prefix"]),
+        kind=RequestKind(found["kind"]),
+        targets=targets,
+        timeout_ms=int(found["timeout_ms"]),
+        # Up to the whole answer, or to the first event of a stream.
+        latency_ms=int(found.get("target_latency_ms") or 0),
+        gap_ms=int(found.get("target_gap_ms") or 0),
+        priority=int(found.get("priority") or 0),
+        max_attempts=int(found.get("max_attempts") or 1),
+        resumable=bool(found.get("resumable")),
+    )
+
+
+def _service(found: Mapping[str, Any]) -> Service:
+    engine = found.get("engine")
+    return Service(
+        name=str(found["name"]),
+        health_path=str(found.get("health_path") or ""),
+        max_connections=int(found.get("max_connections") or 0),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(found: Mapping[str, Any]) -> EngineSpec:
+    return EngineSpec(
+        slots=int(found.get("slots") or 0),
+        kv_tokens=int(found.get("kv_capacity_tokens") or 0),
+        kv_token_bytes=int(found.get("kv_token_bytes") or 0),
+        # In seconds on the wire.
+        handle_ms=int(float(found.get("kv_retention_s") or 0) * 1_000),
+    )
+
+
+def _limits(found: Mapping[str, Any]) -> ClientLimits:
+    known = ClientLimits()
+    return ClientLimits(
+        max_header_bytes=int(
+            found.get("max_header_bytes") or known.max_header_bytes
+        ),
+        max_body_bytes=int(
+            found.get("max_body_bytes") or known.max_body_bytes
+        ),
+        header_timeout_ms=int(
+            found.get("header_timeout_ms") or known.header_timeout_ms
+        ),
+        idle_timeout_ms=int(
+            found.get("idle_timeout_ms") or known.idle_timeout_ms
+        ),
+    )
--- /dev/null
+++ b/src/gooseberrypost/platform/engines.py
@@ -0,0 +1,238 @@
+"""Calls to backend servers over HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import json
+import socket
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any, Final
+
+import aiohttp
+from absl import logging
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from gooseberrypost.gateway.transport import (
+    Answer,
+    AnswerLost,
+    ForeignAnswer,
+    KvHandle,
+    Send,
+    ServerRefused,
+    ServerUnreachable,
+    Transport,
+    WrongInstance,
+)
+from gooseberrypost.platform import names
+from gooseberrypost.platform.requests import encode_headers
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from gooseberrypost.gateway.model import Server
+    from gooseberrypost.gateway.request import ClientRequest
+
+MISDIRECTED: Final = 421
+RELEASE_TIMEOUT_S: Final = 0.5
+"""Time to free a KV cache; it expires by itself about as soon."""
+READ_BYTES: Final = 64 * 1024
+"""Bytes read ahead of a slow client, per request."""
+SKIPPED_HEADERS: Final = frozenset(
+    ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+)
+"""Headers that aiohttp would add to a forwarded request."""
+STAGE_PREFILL: Final = "prefill"
+EVENT_STREAM: Final = "text/event-stream"
+
+
+class EngineProtocol(ResponseHandler):
+    """Protocol that does not take a reset for the end of a body.
+
+    aiohttp ends a body without a length at any loss of its connection; the
+    body is complete only if the server closed the connection in order.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an unfinished body when the connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f"connection reset: {exc!r}")
+            )
+        super().connection_lost(exc)
+
+
+def tcp_socket(info: tuple[Any, ...]) -> socket.socket:
+    """Make a socket that notices a silent peer."""
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in KEEPALIVE_OPTIONS:
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    return sock
+
+
+KEEPALIVE_OPTIONS: Final = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+    (socket.TCP_USER_TIMEOUT, 3_000),
+)
+"""Probes in s and count, timeout in ms: a silent peer is noticed in 3 s."""
+
+
+class HttpTransport(Transport):
+    """Sends each request on a connection of its own.
+
+    A connection that was idle may be closed, silent or hold bytes of an
+    earlier answer when it is used; a non-idempotent request lost on it could
+    not be sent again.
+    """
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=tcp_socket
+        )
+        connector._factory = functools.partial(
+            EngineProtocol, loop=asyncio.get_running_loop()
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=SKIPPED_HEADERS,
+            read_bufsize=READ_BYTES,
+        )
+
+    @asynccontextmanager
+    async def open(
+        self, server: Server, req: ClientRequest, send: Send
+    ) -> AsyncIterator[Answer]:
+        """Send a request and yield the answer once its head has arrived."""
+        headers = encode_headers(server, req, send)
+        response = await self._send(server, req, headers, send)
+        try:
+            self._check(server, req, response)
+            yield _answer(response)
+        finally:
+            response.close()
+
+    async def prefill(
+        self, server: Server, req: ClientRequest, send: Send
+    ) -> KvHandle:
+        """Have an engine read the prompt."""
+        headers = encode_headers(server, req, send)
+        headers[names.STAGE] = STAGE_PREFILL
+        response = await self._send(server, req, headers, send)
+        try:
+            self._check(server, req, response)
+            content = await _whole(response)
+        finally:
+            response.close()
+        if response.status != 200:
+            raise AnswerLost(f"prefill answered {response.status}")
+        return _kv_handle(server, content)
+
+    async def release(self, kv: KvHandle) -> None:
+        """Free a KV cache that will not be used."""
+        url = URL(
+            f"http://{kv.server.address}{names.KV_HANDLE_PATH}{kv.handle}",
+            encoded=True,
+        )
+        timeout = aiohttp.ClientTimeout(total=RELEASE_TIMEOUT_S)
+        try:
+            async with self._session.delete(url, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            logging.warning(
+                "event=kv_release_failed server=%s handle=%s detail=%r",
+                kv.server.instance,
+                kv.handle,
+                exc,
+            )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _send(
+        self,
+        server: Server,
+        req: ClientRequest,
+        headers: Any,
+        send: Send,
+    ) -> aiohttp.ClientResponse:
+        url = URL(f"http://{server.address}{req.target}", encoded=True)
+        timeout = aiohttp.ClientTimeout(
+            total=send.timeout_s, sock_connect=send.connect_s
+        )
+        try:
+            return await self._session.request(
+                req.method,
+                url,
+                headers=headers,
+                data=req.body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise AnswerLost(f"{server.address}: {exc!r}") from exc
+
+    def _check(
+        self,
+        server: Server,
+        req: ClientRequest,
+        response: aiohttp.ClientResponse,
+    ) -> None:
+        """Raise unless the answer belongs to this request."""
+        headers = response.headers
+        echoed = headers.get(names.REQUEST_ID)
+        if echoed is not None and echoed != req.id:
+            raise ForeignAnswer(f"{server.address} answered {echoed}")
+        if response.status == MISDIRECTED:
+            raise WrongInstance(server.address, status=MISDIRECTED)
+        if names.NOT_EXECUTED in headers:
+            raise ServerRefused(server.address, status=response.status)
+
+
+def _answer(response: aiohttp.ClientResponse) -> Answer:
+    headers = [
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in names.CONNECTION_HEADERS
+    ]
+    return Answer(
+        status=response.status,
+        headers=headers,
+        is_signed=names.SIGNATURE in response.headers,
+        chunks=_chunks(response),
+        is_event_stream=response.content_type == EVENT_STREAM,
+    )
+
+
+async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        while chunk := await response.content.readany():
+            yield chunk
+    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        raise AnswerLost(f"body: {exc!r}") from exc
+
+
+async def _whole(response: aiohttp.ClientResponse) -> bytes:
+    return b"".join([chunk async for chunk in _chunks(response)])
+
+
+def _kv_handle(server: Server, content: bytes) -> KvHandle:
+    try:
+        found = json.loads(content)
+        return KvHandle(server, str(found["kv_handle"]), int(found["tokens"]))
+    except (ValueError, TypeError, LookupError) as exc:
+        raise AnswerLost(f"prefill result: {exc!r}") from exc
--- /dev/null
+++ b/src/gooseberrypost/platform/requests.py
@@ -0,0 +1,116 @@
+"""Decodes clients' requests and encodes the headers sent to servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import MalformedRequest
+from gooseberrypost.gateway.request import ClientRequest, Prompt
+from gooseberrypost.platform import names
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from gooseberrypost.gateway.model import Server
+    from gooseberrypost.gateway.transport import Send
+
+MAX_DEADLINE_MS: Final = 3_600_000
+"""Longest deadline taken from a client; keeps arithmetic finite."""
+
+
+def decode_request(
+    request: web.BaseRequest, arrived_s: float
+) -> Result[ClientRequest, MalformedRequest]:
+    """Decode everything but the body.
+
+    A request without a deadline gets the longest one; the route's timeout
+    bounds it further.
+    """
+    headers = request.headers
+    request_id = headers.get(names.REQUEST_ID, "")
+    if not request_id:
+        return Err(MalformedRequest(f"{names.REQUEST_ID} is missing"))
+    deadline = _milliseconds(headers.get(names.DEADLINE_MS))
+    if deadline is None:
+        return Err(MalformedRequest(f"{names.DEADLINE_MS} is not a number"))
+    prompt = _prompt(headers)
+    if isinstance(prompt, Err):
+        return prompt
+    return Ok(
+        ClientRequest(
+            id=request_id,
+            method=request.method,
+            target=request.raw_path,
+            host=headers.get("Host", ""),
+            headers=_forwarded(headers),
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + deadline / 1_000,
+            prompt=prompt.ok_value,
+            resume_after=headers.get(names.LAST_EVENT_ID, ""),
+        )
+    )
+
+
+def encode_headers(
+    server: Server, req: ClientRequest, send: Send
+) -> CIMultiDict[str]:
+    """Headers of one copy of a request."""
+    headers = req.headers.copy()
+    headers[names.DEADLINE_MS] = str(max(1, int(send.timeout_s * 1_000)))
+    headers[names.EXPECT_INSTANCE] = server.instance
+    if send.urgency is not None:
+        headers[names.PRIORITY] = str(send.urgency)
+    if send.kv is not None:
+        headers[names.KV_SOURCE] = f"{send.kv.server.address}/{send.kv.handle}"
+    if send.resume_after:
+        headers[names.LAST_EVENT_ID] = send.resume_after
+    return headers
+
+
+def _forwarded(headers: CIMultiDict[str]) -> CIMultiDict[str]:
+    named = {
+        name.strip().lower()
+        for value in headers.getall("Connection", ())
+        for name in value.split(",")
+    }
+    dropped = names.CONNECTION_HEADERS | names.SYSTEM_HEADERS | named
+    return CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def _milliseconds(text: str | None) -> float | None:
+    if text is None:
+        return MAX_DEADLINE_MS
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    # The comparison also refuses NaN.
+    return min(value, MAX_DEADLINE_MS) if value >= 0 else None
+
+
+def _prompt(
+    headers: CIMultiDict[str],
+) -> Result[Prompt | None, MalformedRequest]:
+    usage = headers.get(names.TOKEN_USAGE)
+    if usage is None:
+        return Ok(None)
+    try:
+        tokens, output = (int(part) for part in usage.split(","))
+        hint = int(float(headers.get(names.LENGTH_HINT, "0")))
+        parts = []
+        listed = headers.get(names.PROMPT_PREFIX, "").split(",")
+        for entry in filter(None, listed):
+            part, _, size = entry.strip().partition(":")
+            parts.append((part, int(size)))
+    except (ValueError, OverflowError) as exc:
+        return Err(MalformedRequest(f"sizes of the prompt: {exc}"))
+    if tokens < 0 or output < 0:
+        return Err(MalformedRequest("a negative number of tokens"))
+    return Ok(Prompt(tokens, output, max(hint, 0), tuple(parts)))
--- /dev/null
+++ b/src/gooseberrypost/platform/settings.py
@@ -0,0 +1,108 @@
+"""Decodes the settings file that the platform gives to each process."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+from result import Err, Ok, Result
+
+from gooseberrypost.address import parse_address
+from gooseberrypost.settings.gateway import GatewaySettings
+from gooseberrypost.settings.problems import SettingsInvalid, SettingsProblem
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+PATH_VARIABLE: Final = "GOOSEBERRYPOST_BOOT"
+"""Environment variable with the path of the file."""
+METRICS_PORT: Final = 9_464
+"""Port of the metrics, named in ``deploy/system.toml`` as well."""
+
+_MISSING: Final = object()
+
+
+class _Reader:
+    """Reads fields and collects the problems."""
+
+    def __init__(self, found: Mapping[str, Any]) -> None:
+        self._found = found
+        self.problems: list[SettingsProblem] = []
+
+    def value(self, path: str) -> Any:
+        value: Any = self._found
+        for name in path.split("."):
+            value = (
+                value.get(name, _MISSING)
+                if isinstance(value, dict)
+                else _MISSING
+            )
+        return value
+
+    def text(self, path: str) -> str:
+        value = self.value(path)
+        if isinstance(value, str) and value:
+            return value
+        self._problem(path, value, "a text")
+        return ""
+
+    def address(self, path: str) -> str:
+        value = self.value(path)
+        if isinstance(value, str) and parse_address(value).is_ok():
+            return value
+        self._problem(path, value, "IP:PORT")
+        return ""
+
+    def number(self, path: str, default: float) -> float:
+        value = self.value(path)
+        if value is _MISSING:
+            return default
+        is_number = isinstance(value, int | float)
+        if is_number and not isinstance(value, bool) and value >= 0:
+            return value
+        self._problem(path, value, "a number of 0 or more")
+        return default
+
+    def _problem(self, path: str, value: Any, allowed: str) -> None:
+        message = "is missing" if value is _MISSING else f"is {value!r}"
+        shown = None if value is _MISSING else value
+        self.problems.append(
+            SettingsProblem(path, 1, message, shown, allowed=allowed)
+        )
+
+
+def decode_settings(
+    text: str, file: str
+) -> Result[GatewaySettings, SettingsInvalid]:
+    """Decode the settings; unknown fields are ignored, as new ones come."""
+    try:
+        found = json.loads(text)
+    except ValueError as exc:
+        problem = SettingsProblem("", 1, str(exc))
+        return Err(SettingsInvalid(file, [problem]))
+    if not isinstance(found, dict):
+        problem = SettingsProblem("", 1, "is not an object")
+        return Err(SettingsInvalid(file, [problem]))
+    reader = _Reader(found)
+    # The machine's own address; ``listen`` has one for each interface.
+    ip = reader.text("ip")
+    settings = GatewaySettings(
+        name=reader.text("node_name"),
+        zone=reader.text("zone"),
+        client_address=reader.address("listen.frontend"),
+        readiness_address=reader.address("listen.readiness"),
+        store_address=reader.address("platform.address"),
+        metrics_address=f"{ip}:{METRICS_PORT}",
+        # In seconds on the wire.
+        grace_ms=round(1_000 * reader.number("bounds.grace_s", 8)),
+        repeat_ratio=reader.number("bounds.retry_budget_ratio", 0.1),
+        repeat_window_ms=round(
+            1_000 * reader.number("bounds.budget_window_s", 10)
+        ),
+        # A number of sends in one window, not a time.
+        repeat_allowance=reader.number("bounds.budget_slack", 0),
+        change_apply_ms=round(reader.number("bounds.config_apply_ms", 2_000)),
+    )
+    if reader.problems:
+        return Err(SettingsInvalid(file, reader.problems))
+    return Ok(settings)
--- /dev/null
+++ b/src/gooseberrypost/platform/store.py
@@ -0,0 +1,168 @@
+"""Client of the platform's store: ranges, watches, transactions, leases."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import aiohttp
+from yarl import URL
+
+from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.directory import FeedLost, HistoryLost
+from gooseberrypost.platform import names
+from gooseberrypost.platform.engines import tcp_socket
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CALL_TIMEOUT_S: Final = 2.0
+"""Answers take some ms; a slow store answers within half a second."""
+CONNECT_TIMEOUT_S: Final = 1.0
+MAX_PAGES: Final = 1_000
+"""Pages of 500 items; a range that is longer than this is not a range."""
+
+
+class StoreUnavailable(FeedLost):
+    """The store did not answer, or did nothing."""
+
+    code = "store_unavailable"
+
+
+class LeaseEnded(Failure):
+    """The lease has ended and its keys are removed."""
+
+    code = "lease_ended"
+
+
+@dataclass(slots=True, frozen=True)
+class Item:
+    """A key and its value; ``value`` is None where it was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Items:
+    """Items and the store's revision at which they were read."""
+
+    items: tuple[Item, ...]
+    at: int
+
+
+class PlatformStore:
+    """Calls to the store; every failure is a ``StoreUnavailable``."""
+
+    __slots__ = ("_session", "address")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=tcp_socket)
+        self._session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def range(self, prefix: str) -> Items:
+        """Read all items under a prefix, page by page.
+
+        The pages are no snapshot: the revision is that of the first page, so
+        that a watch from there repeats what changed in between.
+        """
+        items: list[Item] = []
+        at, after = 0, ""
+        for _ in range(MAX_PAGES):
+            query = {"path_prefix": prefix}
+            if after:
+                query["after"] = after
+            found = await self._call("GET", names.RANGE_PATH, query)
+            page = _items(found, "items")
+            items += page
+            at = at or _whole_number(found, "at")
+            if not found.get("has_more") or not page:
+                break
+            after = page[-1].key
+        return Items(tuple(items), at)
+
+    async def watch(self, prefix: str, after: int, wait_ms: int) -> Items:
+        """Wait for changes after a revision; none when the time is over."""
+        query = {
+            "path_prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(wait_ms),
+        }
+        found = await self._call(
+            "GET", names.WATCH_PATH, query, wait_s=wait_ms / 1_000
+        )
+        return Items(
+            tuple(_items(found, "events")), _whole_number(found, "at")
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._session.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str] | None = None,
+        body: Any = None,
+        wait_s: float = 0.0,
+    ) -> dict[str, Any]:
+        url = URL(f"http://{self.address}{path}")
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method, url, params=query, json=body, timeout=timeout
+            ) as response:
+                content = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise StoreUnavailable(f"{path}: {exc!r}") from exc
+        return _decoded(path, status, content)
+
+
+def _decoded(path: str, status: int, content: bytes) -> dict[str, Any]:
+    if status == 410:
+        raise HistoryLost(path)
+    if status != 200:
+        raise StoreUnavailable(f"{path}: status {status}")
+    try:
+        found = json.loads(content)
+    except ValueError as exc:
+        raise StoreUnavailable(f"{path}: {exc!r}") from exc
+    if not isinstance(found, dict):
+        raise StoreUnavailable(f"{path}: not an object")
+    return found
+
+
+def _items(found: Mapping[str, Any], field: str) -> list[Item]:
+    try:
+        return [_item(one) for one in found[field]]
+    except (ValueError, TypeError, LookupError) as exc:
+        raise StoreUnavailable(f"{field}: {exc!r}") from exc
+
+
+def _item(found: Mapping[str, Any]) -> Item:
+    value = None
+    if not found.get("deleted"):
+        try:
+            value = base64.b64decode(found["value"], validate=True)
+        except binascii.Error:
+            # An entry of another writer; its decoder reports it as invalid.
+            value = b""
+    return Item(str(found["key"]), value, int(found["revision"]))
+
+
+def _whole_number(found: Mapping[str, Any], field: str) -> int:
+    value = found.get(field)
+    if isinstance(value, int):
+        return value
+    raise StoreUnavailable(f"answer without {field}")
--- /dev/null
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -0,0 +1,171 @@
+"""Chooses the backend server of a request, or of a stage of a generation.
+
+Pure functions: servers, loads, time and randomness are arguments.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from gooseberrypost.gateway.model import Server, Stage
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Iterable, Sequence
+
+    from gooseberrypost.policy.serverload import ServerLoad, ServerLoads
+
+DEFAULT_SERVICE_MS: Final = 50.0
+"""Time of one request at a server that has not answered yet."""
+DEFAULT_PREFILL_MS_PER_TOKEN: Final = 0.02
+"""Time for a prompt token at an engine that has not read any yet."""
+DIRECT_SLOWDOWN: Final = 2.0
+"""A decode engine reads a prompt at half the speed of a prefill engine."""
+OTHER_ZONE_MS: Final = 2.0
+"""Handicap of a server in another zone: the round trip."""
+
+
+@dataclass(slots=True, frozen=True)
+class GenerationPlan:
+    """Where a prompt is read and where its answer is generated."""
+
+    prefill: Server | None
+    """None where the decode engine reads the prompt itself."""
+    decode: Server
+    first_token_ms: float
+    """Predicted time until the prompt is read."""
+
+
+def usable(
+    servers: Iterable[Server],
+    loads: ServerLoads,
+    now_s: float,
+    excluded: Collection[str] = (),
+) -> list[Server]:
+    """Servers to choose from, the better class of them where it is not empty.
+
+    Leaving and excluded servers are never used. Suspects are used only when
+    nothing else is left, and so are servers that refused a moment ago.
+    """
+    present = [
+        server
+        for server in servers
+        if not server.draining and server.identity not in excluded
+    ]
+    sound = [
+        server
+        for server in present
+        if not loads.of(server.identity).is_suspect(now_s)
+    ]
+    free = [
+        server
+        for server in sound
+        if not loads.of(server.identity).is_full(now_s)
+    ]
+    return free or sound or present
+
+
+def choose_plain(
+    servers: Sequence[Server],
+    loads: ServerLoads,
+    zone: str,
+    rng: random.Random,
+) -> Server | None:
+    """Return the server with the shortest expected time, None without any."""
+
+    def expected_ms(server: Server) -> tuple[float, float]:
+        load = loads.of(server.identity)
+        service_ms = load.service_ms or DEFAULT_SERVICE_MS
+        queued = load.outstanding / max(server.slots, 1)
+        other = OTHER_ZONE_MS if server.zone != zone else 0.0
+        return service_ms * (1 + queued) + other, rng.random()
+
+    return min(servers, key=expected_ms, default=None)
+
+
+def plan_generation(
+    servers: Sequence[Server],
+    loads: ServerLoads,
+    tokens: int,
+    zone: str,
+    rng: random.Random,
+) -> GenerationPlan | None:
+    """Choose the way to the earliest first token, None without an engine."""
+    decode = choose_decode(servers, loads, zone, rng)
+    if decode is None:
+        return None
+    prefill = choose_prefill(servers, loads, tokens, rng)
+    direct, direct_ms = _choose_direct(servers, loads, tokens, rng)
+    if prefill is not None:
+        prefill_ms = prefill_time_ms(loads.of(prefill.identity), tokens)
+        if prefill_ms <= direct_ms:
+            return GenerationPlan(prefill, decode, prefill_ms)
+    return GenerationPlan(None, direct or decode, direct_ms)
+
+
+def choose_prefill(
+    servers: Iterable[Server],
+    loads: ServerLoads,
+    tokens: int,
+    rng: random.Random,
+) -> Server | None:
+    """Return the prefill engine that reads a prompt first."""
+    return min(
+        (server for server in servers if server.stage is Stage.PREFILL),
+        key=lambda server: (
+            prefill_time_ms(loads.of(server.identity), tokens),
+            rng.random(),
+        ),
+        default=None,
+    )
+
+
+def choose_decode(
+    servers: Iterable[Server],
+    loads: ServerLoads,
+    zone: str,
+    rng: random.Random,
+) -> Server | None:
+    """Return the decode engine with the smallest share of slots in use."""
+
+    def order(server: Server) -> tuple[float, bool, float]:
+        load = loads.of(server.identity)
+        busy = load.outstanding / max(server.slots, 1)
+        # A prompt read between tokens slows every stream of the engine.
+        reading = load.prefill_tokens * prefill_rate(load) / 1_000
+        return busy + reading, server.zone != zone, rng.random()
+
+    return min(
+        (server for server in servers if server.stage is not Stage.PREFILL),
+        key=order,
+        default=None,
+    )
+
+
+def prefill_rate(load: ServerLoad) -> float:
+    """Time of a prompt token in ms."""
+    return load.prefill_ms_per_token or DEFAULT_PREFILL_MS_PER_TOKEN
+
+
+def prefill_time_ms(load: ServerLoad, tokens: int) -> float:
+    """Time until an engine has read a prompt behind those sent before."""
+    return (load.prefill_tokens + tokens) * prefill_rate(load)
+
+
+def _choose_direct(
+    servers: Iterable[Server],
+    loads: ServerLoads,
+    tokens: int,
+    rng: random.Random,
+) -> tuple[Server | None, float]:
+    best, best_ms = None, float("inf")
+    for server in servers:
+        if server.stage is Stage.PREFILL:
+            continue
+        load = loads.of(server.identity)
+        waiting = load.prefill_tokens + tokens
+        took_ms = DIRECT_SLOWDOWN * waiting * prefill_rate(load)
+        if took_ms < best_ms or (took_ms == best_ms and rng.random() < 0.5):
+            best, best_ms = server, took_ms
+    return best, best_ms
