--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -11,11 +11,7 @@
 
 from gooseberrypost.blackboard import Blackboard
 from gooseberrypost.gateway.context import GatewayContext
-from gooseberrypost.gateway.directory import (
-    ConfigurationFollower,
-    ServerFollower,
-    register,
-)
+from gooseberrypost.gateway.directory import Follower, register
 from gooseberrypost.gateway.frontend import Frontend, Probes
 from gooseberrypost.lifecycle import LifecycleController, State
 
@@ -25,7 +21,6 @@
 
     from gooseberrypost.gateway.directory import Feed
     from gooseberrypost.gateway.frontend import Decoder
-    from gooseberrypost.gateway.model import Configuration, Server
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
 
@@ -45,8 +40,7 @@
         self,
         cfg: GatewaySettings,
         transport: Transport,
-        configuration: Feed[Configuration],
-        servers: Feed[Server],
+        feed: Feed,
         decode: Decoder,
         rng: random.Random,
     ) -> None:
@@ -62,8 +56,7 @@
             self.lifecycle,
             Probes(self.context, section),
             self.frontend,
-            ConfigurationFollower(configuration, directory),
-            ServerFollower(servers, directory),
+            Follower(feed, directory),
         ):
             self.add_dependency(service)
 
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -9,10 +9,10 @@
 import time
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, Generic, TypeVar
+from typing import TYPE_CHECKING, Final
 
 from absl import logging
-from mode import Service as ModeService
+from mode import Service
 
 from gooseberrypost.blackboard import Section
 from gooseberrypost.errors import Failure
@@ -44,29 +44,33 @@
     code = "history_lost"
 
 
-T = TypeVar("T")
-
-
 @dataclass(slots=True, frozen=True)
-class Batch(Generic[T]):
-    """Items that are new or changed, keys that are gone, and the revision."""
+class Batch:
+    """What is new, changed or gone, and the revision of the source."""
 
-    items: tuple[T, ...]
+    configurations: tuple[Configuration, ...]
+    servers: tuple[Server, ...]
     removed: tuple[str, ...]
+    """Instances whose registrations are gone."""
     at: int
     is_whole: bool
-    """Whether everything that exists is among the items."""
+    """Whether everything that exists is in the batch."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing changed."""
+        return not (self.configurations or self.servers or self.removed)
 
 
-class Feed(ABC, Generic[T]):
-    """Source of items with a history."""
+class Feed(ABC):
+    """Source of the configuration and the servers, with a history."""
 
     @abstractmethod
-    async def read(self) -> Batch[T]:
+    async def read(self) -> Batch:
         """Return everything; raises ``FeedLost``."""
 
     @abstractmethod
-    async def wait(self, after: int) -> Batch[T]:
+    async def wait(self, after: int) -> Batch:
         """Return the changes after a revision, perhaps none.
 
         Raises ``FeedLost`` or ``HistoryLost``.
@@ -74,15 +78,15 @@
 
 
 class Directory(Section):
-    """What is known of routes and servers; written by the followers."""
+    """What is known of routes and servers; written by the follower."""
 
-    __slots__ = ("configuration", "configuration_read_s", "servers")
+    __slots__ = ("configuration", "read_s", "servers")
 
     def __init__(self) -> None:
         super().__init__()
         self.configuration = Configuration()
-        self.configuration_read_s = 0.0
-        """Monotonic time of the last answer; 0 before the first."""
+        self.read_s = 0.0
+        """Monotonic time of the source's last answer; 0 before the first."""
         self.servers = ServerList()
 
     @property
@@ -91,22 +95,18 @@
         return self.configuration.version > 0 and self.servers.is_known
 
 
-class Follower(ModeService, ABC, Generic[T]):
-    """Follows one feed."""
+class Follower(Service):
+    """Follows the feed and owns the directory."""
 
-    name: str = "feed"
-
-    def __init__(self, feed: Feed[T]) -> None:
+    def __init__(self, feed: Feed, directory: Directory) -> None:
         super().__init__()
         self._feed = feed
+        self._directory = directory
         self._at = 0
+        """Revision to continue from; 0: everything is read."""
         self._is_lost = False
         self._backoff_s = MIN_BACKOFF_S
 
-    @abstractmethod
-    def apply(self, batch: Batch[T], now_s: float) -> None:
-        """Take a batch into the blackboard."""
-
     async def on_started(self) -> None:
         """Follow until the service stops."""
         self.add_future(self._follow())
@@ -114,17 +114,10 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             try:
-                batch = await (
-                    self._feed.wait(self._at)
-                    if self._at
-                    else self._feed.read()
-                )
+                batch = await self._next()
             except HistoryLost as lost:
                 logging.info(
-                    "event=history_lost feed=%s at=%d detail=%r",
-                    self.name,
-                    self._at,
-                    lost.detail,
+                    "event=history_lost at=%d detail=%r", self._at, lost.detail
                 )
                 self._at = 0
                 continue
@@ -132,89 +125,61 @@
                 await self._note_lost(lost)
                 continue
             self._note_answer()
-            self._at = batch.at
             self.apply(batch, time.monotonic())
-            if batch.items or batch.removed:
+            if not batch.is_empty:
+                # After an answer without changes the same revision is asked
+                # for again: a watch that was deaf while something changed
+                # has answered with a revision behind the change.
+                self._at = batch.at
                 await self.sleep(BATCH_S)
 
+    async def _next(self) -> Batch:
+        if self._at:
+            return await self._feed.wait(self._at)
+        return await self._feed.read()
+
     async def _note_lost(self, lost: FeedLost) -> None:
         if not self._is_lost:
             logging.warning(
-                "event=dependency_lost feed=%s at=%d detail=%r",
-                self.name,
+                "event=dependency_lost dependency=store at=%d detail=%r",
                 self._at,
                 lost.detail,
             )
-            self._is_lost = True
-            self.on_lost(time.monotonic())
+        self._is_lost = True
+        # Read everything next: the answer comes at once and tells what
+        # lapsed meanwhile.
+        self._at = 0
         await self.sleep(self._backoff_s)
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
 
     def _note_answer(self) -> None:
         if self._is_lost:
-            logging.info("event=dependency_regained feed=%s", self.name)
-            self.on_regained(time.monotonic())
+            logging.info("event=dependency_regained dependency=store")
+            self._directory.servers.note_regained(time.monotonic())
         self._is_lost = False
         self._backoff_s = MIN_BACKOFF_S
 
-    def on_lost(self, now_s: float) -> None:
-        """React to the loss of the feed."""
-
-    def on_regained(self, now_s: float) -> None:
-        """React to the first answer after a loss."""
-
-
-class ConfigurationFollower(Follower[Configuration]):
-    """Keeps the newest configuration."""
-
-    name = "configuration"
-
-    def __init__(
-        self, feed: Feed[Configuration], directory: Directory
-    ) -> None:
-        super().__init__(feed)
-        self._directory = directory
-
-    def apply(self, batch: Batch[Configuration], now_s: float) -> None:
-        """Take a newer version; an older one never replaces it."""
+    def apply(self, batch: Batch, now_s: float) -> None:
+        """Take a batch into the directory and log each change."""
         directory = self._directory
-        directory.configuration_read_s = now_s
-        for cfg in batch.items:
-            if cfg.version <= directory.configuration.version:
-                continue
-            logging.info(
-                "event=configuration version=%d before=%d routes=%d",
-                cfg.version,
-                directory.configuration.version,
-                len(cfg.routes),
-            )
-            directory.configuration = cfg
-            directory.notify()
-
-
-class ServerFollower(Follower[Server]):
-    """Keeps the list of servers."""
-
-    name = "servers"
-
-    def __init__(self, feed: Feed[Server], directory: Directory) -> None:
-        super().__init__(feed)
-        self._directory = directory
-
-    def apply(self, batch: Batch[Server], now_s: float) -> None:
-        """Take changes into the list and log each of them."""
-        servers = self._directory.servers
-        changes = servers.apply(
-            batch.items, batch.removed, batch.is_whole, now_s
-        )
-        for change in changes:
+        directory.read_s = now_s
+        for cfg in batch.configurations:
+            # An older version never replaces a newer one.
+            if cfg.version > directory.configuration.version:
+                logging.info(
+                    "event=configuration version=%d before=%d routes=%d at=%d",
+                    cfg.version,
+                    directory.configuration.version,
+                    len(cfg.routes),
+                    batch.at,
+                )
+                directory.configuration = cfg
+        for change in directory.servers.apply(
+            batch.servers, batch.removed, batch.is_whole, now_s
+        ):
             logging.info("%s", change.line(batch.at))
-        if changes:
-            self._directory.notify()
-
-    def on_regained(self, now_s: float) -> None:
-        """Registrations that lapsed meanwhile may come back."""
-        self._directory.servers.note_regained(now_s)
+        if not batch.is_empty:
+            directory.notify()
 
 
 def register(board: Blackboard, owner: str) -> Directory:
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -90,6 +90,8 @@
             prefill=plan.prefill.instance if plan.prefill else "",
             decode=plan.decode.instance,
             tokens=self._prompt.tokens,
+            output=self._prompt.max_output,
+            hint=self._prompt.output_hint,
             first_token_ms=round(plan.first_token_ms),
             left_ms=round(1_000 * self.left_s),
         )
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -1,14 +1,13 @@
-"""Feeds of the configuration and of the servers from the store."""
+"""Feed of the configuration and the servers from the store."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
 
 from absl import logging
-from result import Err
+from result import Err, Result
 
 from gooseberrypost.gateway.directory import Batch, Feed
-from gooseberrypost.gateway.model import Configuration, Server
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import (
     decode_configuration,
@@ -16,80 +15,68 @@
 )
 
 if TYPE_CHECKING:
-    from gooseberrypost.platform.store import Item, Items, PlatformStore
-
-WAIT_MS: Final = 20_000
-"""Wait of a watch; each costs a call, and probes notice a silent one."""
-
-
-class ConfigurationFeed(Feed[Configuration]):
-    """The operator's newest configuration."""
-
-    def __init__(self, store: PlatformStore) -> None:
-        self._store = store
+    from typing import Any
 
-    async def read(self) -> Batch[Configuration]:
-        """Return the configuration, if there is one."""
-        found = await self._store.range(names.CONFIGURATION_PREFIX)
-        return self._batch(found, is_whole=True)
+    from gooseberrypost.gateway.model import Configuration, Server
+    from gooseberrypost.platform.store import Item, Items, PlatformStore
 
-    async def wait(self, after: int) -> Batch[Configuration]:
-        """Return later versions."""
-        found = await self._store.watch(
-            names.CONFIGURATION_PREFIX, after, WAIT_MS
-        )
-        return self._batch(found, is_whole=False)
+WAIT_MS: Final = 1_200
+"""Wait of a watch.
 
-    def _batch(self, found: Items, is_whole: bool) -> Batch[Configuration]:
-        versions = []
-        for item in found.items:
-            if item.key != names.CONFIGURATION_KEY or item.value is None:
-                continue
-            decoded = decode_configuration(item.value)
-            if isinstance(decoded, Err):
-                _log_invalid(item, decoded.err_value)
-                continue
-            versions.append(decoded.ok_value)
-        return Batch(tuple(versions), (), found.at, is_whole)
+A watch can be deaf while changes are made; asking again this often finds them
+within the 2 s in which a change must be in force.
+"""
+ALL_KEYS: Final = ""
+"""Prefix of one watch for the configuration and the servers together."""
 
 
-class ServerFeed(Feed[Server]):
-    """Registrations of the backend servers."""
+class StoreFeed(Feed):
+    """Everything that the operator and the servers write."""
 
     def __init__(self, store: PlatformStore) -> None:
         self._store = store
 
-    async def read(self) -> Batch[Server]:
-        """Return all registrations."""
-        found = await self._store.range(names.SERVERS_PREFIX)
-        return self._batch(found, is_whole=True)
-
-    async def wait(self, after: int) -> Batch[Server]:
-        """Return later registrations and removals."""
-        found = await self._store.watch(names.SERVERS_PREFIX, after, WAIT_MS)
-        return self._batch(found, is_whole=False)
-
-    def _batch(self, found: Items, is_whole: bool) -> Batch[Server]:
-        # The last change of a key in the batch decides.
-        last = {item.key: item for item in found.items}
-        written, removed = [], []
-        for key, item in last.items():
+    async def read(self) -> Batch:
+        """Return everything."""
+        found = await self._store.range(names.CONFIGURATION_PREFIX)
+        servers = await self._store.range(names.SERVERS_PREFIX)
+        # Changes between the two reads are repeated by the first watch.
+        return _batch((*found.items, *servers.items), found.at, is_whole=True)
+
+    async def wait(self, after: int) -> Batch:
+        """Return later changes."""
+        found: Items = await self._store.watch(ALL_KEYS, after, WAIT_MS)
+        return _batch(found.items, found.at, is_whole=False)
+
+
+def _batch(items: tuple[Item, ...], at: int, *, is_whole: bool) -> Batch:
+    # The last change of a key in the batch decides.
+    last = {item.key: item for item in items}
+    configurations: list[Configuration] = []
+    servers: list[Server] = []
+    removed = []
+    for key, item in last.items():
+        if key == names.CONFIGURATION_KEY and item.value is not None:
+            configurations += _valid(item, decode_configuration(item.value))
+        elif key.startswith(names.SERVERS_PREFIX):
             instance = key.removeprefix(names.SERVERS_PREFIX)
             if item.value is None:
                 removed.append(instance)
-                continue
-            decoded = decode_server(instance, item.value, item.revision)
-            if isinstance(decoded, Err):
-                _log_invalid(item, decoded.err_value)
-                continue
-            written.append(decoded.ok_value)
-        return Batch(tuple(written), tuple(removed), found.at, is_whole)
-
-
-def _log_invalid(item: Item, failure: Exception) -> None:
-    logging.warning(
-        "event=invalid_entry key=%r revision=%d detail=%r",
-        item.key,
-        item.revision,
-        str(failure),
+            else:
+                decoded = decode_server(instance, item.value, item.revision)
+                servers += _valid(item, decoded)
+    return Batch(
+        tuple(configurations), tuple(servers), tuple(removed), at, is_whole
     )
+
+
+def _valid(item: Item, decoded: Result[Any, Exception]) -> list[Any]:
+    if isinstance(decoded, Err):
+        logging.warning(
+            "event=invalid_entry key=%r revision=%d detail=%r",
+            item.key,
+            item.revision,
+            str(decoded.err_value),
+        )
+        return []
+    return [decoded.ok_value]
--- a/src/gooseberrypost/platform/gateway.py
+++ b/src/gooseberrypost/platform/gateway.py
@@ -10,7 +10,7 @@
 
 from gooseberrypost.gateway.daemon import GatewayDaemon, serve_until_signal
 from gooseberrypost.platform.engines import HttpTransport
-from gooseberrypost.platform.feeds import ConfigurationFeed, ServerFeed
+from gooseberrypost.platform.feeds import StoreFeed
 from gooseberrypost.platform.requests import decode_request
 from gooseberrypost.platform.settings import decode_settings
 from gooseberrypost.platform.store import PlatformStore
@@ -27,8 +27,7 @@
     daemon = GatewayDaemon(
         cfg,
         HttpTransport(),
-        ConfigurationFeed(store),
-        ServerFeed(store),
+        StoreFeed(store),
         decode_request,
         random.Random(),
     )
--- a/src/gooseberrypost/policy/membership.py
+++ b/src/gooseberrypost/policy/membership.py
@@ -25,10 +25,12 @@
 
 LAPSE_GRACE_S: Final = 2.3
 """Registrations are back 2 s after the store's return; and some delay."""
-REGAINED_S: Final = 1.0
-"""Removals this soon after the store's return may be lapses."""
-LAPSE_SHARE: Final = 0.5
-"""Servers of a service that do not leave in one batch of changes."""
+REGAINED_S: Final = 0.3
+"""Removals seen this soon after the store's return may be lapses."""
+LAPSE_COUNT: Final = 3
+"""Least servers that disappear together without the loss of the store."""
+LAPSE_SHARE: Final = 0.6
+"""Share of a service's servers that does not leave at the same moment."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -150,14 +152,13 @@
     ) -> bool:
         if now_s - self._regained_s <= REGAINED_S:
             return True
-        # One of one or two servers can leave alone; that is no sign of lapses.
         ours = [
             key
             for key, other in self._servers.items()
             if other.service == server.service
         ]
         leaving = sum(key in gone for key in ours)
-        return leaving > 1 and leaving > LAPSE_SHARE * len(ours)
+        return leaving >= LAPSE_COUNT and leaving >= LAPSE_SHARE * len(ours)
 
     def _expire(self, now_s: float) -> None:
         if not self._lapsed_s:
