--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from gooseberrypost.gateway.room import DecodeRoom
 from gooseberrypost.logs import format_fields
 from gooseberrypost.metrics import Metrics
 from gooseberrypost.policy.repeatbudget import SAFETY, RepeatBudget
@@ -38,9 +39,13 @@
     loads: ServerLoads = field(default_factory=ServerLoads)
     metrics: Metrics = field(default_factory=Metrics)
     now_s: Callable[[], float] = time.monotonic
+    room: DecodeRoom = field(init=False)
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _background: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        self.room = DecodeRoom(self)
+
     def budget(self, service: str) -> RepeatBudget:
         """Return the budget of repeated sends to a service."""
         budget = self._budgets.get(service)
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -55,6 +55,7 @@
         for service in (
             self.lifecycle,
             Probes(self.context, section),
+            self.context.room,
             self.frontend,
             Follower(feed, directory),
         ):
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from gooseberrypost.gateway.events import EventSplitter
-from gooseberrypost.gateway.exchange import CONNECT_S, Exchange, NoServer
+from gooseberrypost.gateway.exchange import CONNECT_S, Exchange
 from gooseberrypost.gateway.request import Prompt
+from gooseberrypost.gateway.room import Ticket
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     Send,
@@ -15,16 +16,21 @@
     ServerUnreachable,
 )
 from gooseberrypost.policy.serverchoice import (
-    plan_generation,
+    choose_prefill,
     prefill_time_ms,
+    reads_itself,
 )
+from gooseberrypost.policy.waitingorder import reserved_output
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from gooseberrypost.gateway.model import Server
-    from gooseberrypost.gateway.transport import Answer, KvHandle
-    from gooseberrypost.policy.serverchoice import GenerationPlan
+    from gooseberrypost.gateway.transport import (
+        Answer,
+        KvHandle,
+        Reservation,
+    )
     from gooseberrypost.policy.serverload import ServerLoad
 
 PREFILL_PATIENCE: Final = 6.0
@@ -32,6 +38,11 @@
 MIN_PREFILL_S: Final = 1.0
 KV_MARGIN: Final = 0.7
 """Share of its retention in which a KV cache is still offered."""
+CLIENT_PATIENCE_MS: Final = 2_000
+OBJECTIVE_PATIENCE: Final = 4
+GAP_PATIENCE: Final = 8
+"""A client leaves after a pause of the longest of 2 s, four times the
+objective of the first event and eight times that of a pause."""
 OK: Final = 200
 
 
@@ -45,6 +56,8 @@
         self._events.last_id = self.req.resume_after
         self._kv: KvHandle | None = None
         """Prefilled and not used yet."""
+        self._room: Reservation | None = None
+        """Reserved and not used yet."""
         self._kv_made_s = 0.0
         self._kv_refusals = 0
 
@@ -63,43 +76,76 @@
         try:
             while True:
                 self.check_time()
-                if await self._attempt(self._plan()):
+                if await self._attempt():
                     return
         finally:
-            if self._kv is not None:
-                self.ctx.spawn(self.ctx.transport.release(self._kv))
-                self._kv = None
+            self._give_back()
 
-    def _plan(self) -> GenerationPlan:
-        cfg = self.ctx.settings
-        plan = plan_generation(
-            self.servers(),
-            self.ctx.loads,
-            self._prompt.tokens,
-            cfg.zone,
-            self.ctx.rng,
-        )
-        if plan is None:
-            raise NoServer(f"{self.service} has no decode engine")
-        return plan
+    async def _attempt(self) -> bool:
+        """Try once; returns whether the client has its answer."""
+        if self._room is None:
+            self._room = await self._reserve()
+        if self._kv is None:
+            reader = self._reader(self._room.server)
+            if reader is not None:
+                self._kv = await self._prefill(reader)
+                if self._kv is None:
+                    return False
+        return await self._decode(self._room)
 
-    async def _attempt(self, plan: GenerationPlan) -> bool:
-        """Try a plan; returns whether the client has its answer."""
+    async def _reserve(self) -> Reservation:
+        prompt = self._prompt
+        arrived_s, route = self.req.arrived_s, self.route
+        ticket = Ticket(
+            objective_s=arrived_s + route.latency_ms / 1_000,
+            give_up_s=min(self.end_s, arrived_s + self._patience_s()),
+            tokens=prompt.tokens + reserved_output(prompt.expected_output),
+            priority=route.priority,
+            service=self.service,
+            request=self.req.id,
+            excluded=self.excluded,
+        )
+        room = await self.ctx.room.acquire(ticket)
         self.log(
-            "planned",
-            prefill=plan.prefill.instance if plan.prefill else "",
-            decode=plan.decode.instance,
-            tokens=self._prompt.tokens,
-            output=self._prompt.max_output,
-            hint=self._prompt.output_hint,
-            first_token_ms=round(plan.first_token_ms),
+            "reserved",
+            server=room.server.instance,
+            tokens=room.tokens,
+            prompt=prompt.tokens,
+            output=prompt.max_output,
+            hint=prompt.output_hint,
             left_ms=round(1_000 * self.left_s),
         )
-        if plan.prefill is not None and self._kv is None:
-            self._kv = await self._prefill(plan.prefill)
-            if self._kv is None:
-                return False
-        return await self._decode(plan.decode)
+        return room
+
+    def _patience_s(self) -> float:
+        """Time for which a client waits for its first event."""
+        return (
+            max(
+                CLIENT_PATIENCE_MS,
+                OBJECTIVE_PATIENCE * self.route.latency_ms,
+                GAP_PATIENCE * self.route.gap_ms,
+            )
+            / 1_000
+        )
+
+    def _reader(self, decode: Server) -> Server | None:
+        """Engine that reads the prompt; None for the decode engine itself."""
+        tokens = self._prompt.tokens
+        loads = self.ctx.loads
+        prefill = choose_prefill(self.servers(), loads, tokens, self.ctx.rng)
+        if reads_itself(prefill, decode, loads, tokens):
+            return None
+        return prefill
+
+    def _give_back(self) -> None:
+        """Free what was reserved or read and not used."""
+        transport = self.ctx.transport
+        if self._kv is not None:
+            self.ctx.spawn(transport.release(self._kv))
+            self._kv = None
+        if self._room is not None:
+            self.ctx.spawn(transport.cancel(self._room))
+            self._room = None
 
     async def _prefill(self, server: Server) -> KvHandle | None:
         load = self.ctx.loads.of(server.identity)
@@ -137,12 +183,13 @@
         )
         return kv
 
-    async def _decode(self, server: Server) -> bool:
-        left_s = self.left_s
-        kv, self._kv = self._kv, None
+    async def _decode(self, room: Reservation) -> bool:
+        server, left_s = room.server, self.left_s
+        kv, self._kv, self._room = self._kv, None, None
         send = Send(
             timeout_s=left_s,
             connect_s=min(CONNECT_S, left_s),
+            reservation=room,
             kv=kv,
             resume_after=self._events.last_id,
         )
@@ -175,6 +222,8 @@
                 repeatable=self.is_repeatable
                 and self.attempts < self.route.max_attempts,
             )
+        finally:
+            self.ctx.room.note_freed()
         return False
 
     def _keep(self, kv: KvHandle | None) -> None:
--- /dev/null
+++ b/src/gooseberrypost/gateway/room.py
@@ -0,0 +1,156 @@
+"""Room at decode engines: reserved before a prompt is read.
+
+A prompt that no decode engine has room for would be read in vain. Engines
+decide about their memory themselves, so that gateways need not agree.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from absl import logging
+from mode import Service
+
+from gooseberrypost.errors import NotRun
+from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
+from gooseberrypost.policy.serverchoice import decode_order, usable
+from gooseberrypost.policy.waitingorder import Waiting, is_hopeless, order
+
+if TYPE_CHECKING:
+    from gooseberrypost.gateway.context import GatewayContext
+    from gooseberrypost.gateway.model import Server
+    from gooseberrypost.gateway.transport import Reservation
+
+RETRY_S: Final = 0.04
+"""Pause before engines that were full are asked again."""
+RESERVATION_MS: Final = 2_000
+"""Time in which the prompt is read; engines hold no longer."""
+LEAD_S: Final = 0.2
+"""Time from the reservation to the first event: the prompt is read."""
+
+
+class NoRoom(NotRun):
+    """No decode engine had room before the client would have left."""
+
+    code = "no_room"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket(Waiting):
+    """A waiting generation and its reservation to come."""
+
+    service: str = ""
+    request: str = ""
+    excluded: set[str] = field(default_factory=set)
+    granted: asyncio.Future[Reservation] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+
+class DecodeRoom(Service):
+    """Reserves room for the waiting generations of one gateway in order."""
+
+    def __init__(self, ctx: GatewayContext) -> None:
+        super().__init__()
+        self._ctx = ctx
+        self._waiting: list[Ticket] = []
+        self._changed = asyncio.Event()
+
+    async def on_started(self) -> None:
+        """Serve the waiting until the service stops."""
+        self.add_future(self._serve())
+
+    async def acquire(self, ticket: Ticket) -> Reservation:
+        """Wait for room; raises ``NoRoom``."""
+        self._waiting.append(ticket)
+        self._changed.set()
+        try:
+            return await ticket.granted
+        except asyncio.CancelledError:
+            self._drop(ticket)
+            raise
+        finally:
+            with suppress(ValueError):
+                self._waiting.remove(ticket)
+
+    def note_freed(self) -> None:
+        """Look again, as a generation has ended."""
+        self._changed.set()
+
+    def _drop(self, ticket: Ticket) -> None:
+        """Free a reservation that came while its client left."""
+        granted = ticket.granted
+        if not granted.done() or granted.cancelled() or granted.exception():
+            return
+        self._ctx.spawn(self._ctx.transport.cancel(granted.result()))
+
+    async def _serve(self) -> None:
+        while not self.should_stop:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RETRY_S if self._waiting else None):
+                    await self._changed.wait()
+            self._changed.clear()
+            await self._round()
+
+    async def _round(self) -> None:
+        """Offer each waiting generation what room there is."""
+        now_s = self._ctx.now_s()
+        for ticket in order(self._waiting, now_s, LEAD_S):
+            if is_hopeless(ticket, self._ctx.now_s(), LEAD_S):
+                self._waiting.remove(ticket)
+                if not ticket.granted.done():
+                    ticket.granted.set_exception(
+                        NoRoom(f"no room in {ticket.service}")
+                    )
+                continue
+            if not await self._reserve(ticket):
+                # Those behind it wait as well, or large ones never get room.
+                break
+
+    async def _reserve(self, ticket: Ticket) -> bool:
+        ctx = self._ctx
+        now_s = ctx.now_s()
+        servers = usable(
+            ctx.directory.servers.of(ticket.service, now_s),
+            ctx.loads,
+            now_s,
+            ticket.excluded,
+        )
+        for server in decode_order(
+            servers, ctx.loads, ctx.settings.zone, ctx.rng
+        ):
+            if ctx.loads.of(server.identity).is_full(ctx.now_s()):
+                continue
+            reservation = await self._try(server, ticket)
+            if reservation is None:
+                continue
+            if ticket in self._waiting and not ticket.granted.done():
+                self._waiting.remove(ticket)
+                ticket.granted.set_result(reservation)
+            else:
+                ctx.spawn(ctx.transport.cancel(reservation))
+            return True
+        return False
+
+    async def _try(self, server: Server, ticket: Ticket) -> Reservation | None:
+        ctx = self._ctx
+        load = ctx.loads.of(server.identity)
+        try:
+            return await ctx.transport.reserve(
+                server, ticket.tokens, RESERVATION_MS
+            )
+        except ServerRefused:
+            load.refused(ctx.now_s())
+            ctx.metrics.count("reservations_refused_total")
+        except ServerUnreachable as failure:
+            load.failed(ctx.now_s())
+            logging.info(
+                "event=reservation_failed request=%s server=%s detail=%r",
+                ticket.request,
+                server.instance,
+                failure.detail,
+            )
+        return None
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
@@ -70,6 +70,15 @@
     tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """A slot and memory that an engine holds for one request."""
+
+    server: Server
+    id: str
+    tokens: int
+
+
 @dataclass(slots=True)
 class Answer:
     """Head of a server's answer, and its body as it arrives."""
@@ -92,12 +101,12 @@
     """Time for the whole answer; the server is told the same."""
     connect_s: float
     """Time to establish the connection."""
+    reservation: Reservation | None = None
     kv: KvHandle | None = None
     """Prefilled KV cache to fetch before decoding."""
     resume_after: str = ""
     urgency: int | None = None
     """Priority at the engine, 0 first; None leaves it at the default."""
-    notes: dict[str, str] = field(default_factory=dict)
 
 
 class Transport(ABC):
@@ -120,6 +129,19 @@
     ) -> KvHandle:
         """Have an engine read the prompt; failures as for ``open``."""
 
+    @abstractmethod
+    async def reserve(
+        self, server: Server, tokens: int, ttl_ms: int
+    ) -> Reservation:
+        """Hold a slot and memory; ``ServerRefused`` without room.
+
+        Raises ``ServerUnreachable`` where the engine does not answer.
+        """
+
+    @abstractmethod
+    async def cancel(self, reservation: Reservation) -> None:
+        """Give up an unused reservation; failures are logged."""
+
     @abstractmethod
     async def release(self, kv: KvHandle) -> None:
         """Free a KV cache that will not be used; failures are logged."""
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -19,6 +19,7 @@
     AnswerLost,
     ForeignAnswer,
     KvHandle,
+    Reservation,
     Send,
     ServerRefused,
     ServerUnreachable,
@@ -35,8 +36,8 @@
     from gooseberrypost.gateway.request import ClientRequest
 
 MISDIRECTED: Final = 421
-RELEASE_TIMEOUT_S: Final = 0.5
-"""Time to free a KV cache; it expires by itself about as soon."""
+CONTROL_TIMEOUT_S: Final = 0.25
+"""Time for a small call, which takes a round trip of some ms."""
 READ_BYTES: Final = 64 * 1024
 """Bytes read ahead of a slow client, per request."""
 SKIPPED_HEADERS: Final = frozenset(
@@ -136,24 +137,54 @@
             raise AnswerLost(f"prefill answered {response.status}")
         return _kv_handle(server, content)
 
+    async def reserve(
+        self, server: Server, tokens: int, ttl_ms: int
+    ) -> Reservation:
+        """Hold a slot and memory at an engine."""
+        status, content = await self._control(
+            "POST",
+            server,
+            names.HOLD_TAKE_PATH,
+            {"tokens": tokens, "ttl_ms": ttl_ms},
+        )
+        if status != 200:
+            raise ServerRefused(server.address, status=status)
+        return _reservation(server, content, tokens)
+
+    async def cancel(self, reservation: Reservation) -> None:
+        """Give up an unused reservation."""
+        path = f"{names.HOLD_DROP_PATH}{reservation.id}"
+        await self._free(reservation.server, path)
+
     async def release(self, kv: KvHandle) -> None:
         """Free a KV cache that will not be used."""
-        url = URL(
-            f"http://{kv.server.address}{names.KV_HANDLE_PATH}{kv.handle}",
-            encoded=True,
-        )
-        timeout = aiohttp.ClientTimeout(total=RELEASE_TIMEOUT_S)
+        await self._free(kv.server, f"{names.KV_HANDLE_PATH}{kv.handle}")
+
+    async def _free(self, server: Server, path: str) -> None:
         try:
-            async with self._session.delete(url, timeout=timeout) as response:
-                await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            await self._control("DELETE", server, path)
+        except ServerUnreachable as failure:
             logging.warning(
-                "event=kv_release_failed server=%s handle=%s detail=%r",
-                kv.server.instance,
-                kv.handle,
-                exc,
+                "event=release_failed server=%s path=%s detail=%r",
+                server.instance,
+                path,
+                failure.detail,
             )
 
+    async def _control(
+        self, method: str, server: Server, path: str, body: Any = None
+    ) -> tuple[int, bytes]:
+        """Make a small call that executes nothing."""
+        url = URL(f"http://{server.address}{path}", encoded=True)
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, url, json=body, timeout=timeout
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
@@ -236,3 +267,10 @@
         return KvHandle(server, str(found["kv_handle"]), int(found["tokens"]))
     except (ValueError, TypeError, LookupError) as exc:
         raise AnswerLost(f"prefill result: {exc!r}") from exc
+
+
+def _reservation(server: Server, content: bytes, tokens: int) -> Reservation:
+    try:
+        return Reservation(server, str(json.loads(content)["hold"]), tokens)
+    except (ValueError, TypeError, LookupError) as exc:
+        raise ServerUnreachable(f"reservation: {exc!r}") from exc
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -62,6 +62,8 @@
 """Headers that concern a single connection."""
 
 READY_PATH: Final = "/-/readyz"
+HOLD_TAKE_PATH: Final = "/-/hold-take"
+HOLD_DROP_PATH: Final = "/-/hold-drop/"
 KV_HANDLE_PATH: Final = "/-/kv-handle/"
 
 KEY_PATH: Final = "/-/kv-key"
--- a/src/gooseberrypost/platform/requests.py
+++ b/src/gooseberrypost/platform/requests.py
@@ -63,6 +63,8 @@
     headers[names.EXPECT_INSTANCE] = server.instance
     if send.urgency is not None:
         headers[names.PRIORITY] = str(send.urgency)
+    if send.reservation is not None:
+        headers[names.KV_HOLD] = send.reservation.id
     if send.kv is not None:
         headers[names.KV_SOURCE] = f"{send.kv.server.address}/{send.kv.handle}"
     if send.resume_after:
--- a/src/gooseberrypost/policy/serverchoice.py
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.gateway.model import Server, Stage
@@ -22,21 +21,12 @@
 """Time for a prompt token at an engine that has not read any yet."""
 DIRECT_SLOWDOWN: Final = 2.0
 """A decode engine reads a prompt at half the speed of a prefill engine."""
+MAX_PREFILL_WAIT_MS: Final = 1_000.0
+"""Wait at the prefill engines for which a prompt stays off decode engines."""
 OTHER_ZONE_MS: Final = 2.0
 """Handicap of a server in another zone: the round trip."""
 
 
-@dataclass(slots=True, frozen=True)
-class GenerationPlan:
-    """Where a prompt is read and where its answer is generated."""
-
-    prefill: Server | None
-    """None where the decode engine reads the prompt itself."""
-    decode: Server
-    first_token_ms: float
-    """Predicted time until the prompt is read."""
-
-
 def usable(
     servers: Iterable[Server],
     loads: ServerLoads,
@@ -84,26 +74,6 @@
     return min(servers, key=expected_ms, default=None)
 
 
-def plan_generation(
-    servers: Sequence[Server],
-    loads: ServerLoads,
-    tokens: int,
-    zone: str,
-    rng: random.Random,
-) -> GenerationPlan | None:
-    """Choose the way to the earliest first token, None without an engine."""
-    decode = choose_decode(servers, loads, zone, rng)
-    if decode is None:
-        return None
-    prefill = choose_prefill(servers, loads, tokens, rng)
-    direct, direct_ms = _choose_direct(servers, loads, tokens, rng)
-    if prefill is not None:
-        prefill_ms = prefill_time_ms(loads.of(prefill.identity), tokens)
-        if prefill_ms <= direct_ms:
-            return GenerationPlan(prefill, decode, prefill_ms)
-    return GenerationPlan(None, direct or decode, direct_ms)
-
-
 def choose_prefill(
     servers: Iterable[Server],
     loads: ServerLoads,
@@ -121,28 +91,43 @@
     )
 
 
-def choose_decode(
+def decode_order(
     servers: Iterable[Server],
     loads: ServerLoads,
     zone: str,
     rng: random.Random,
-) -> Server | None:
-    """Return the decode engine with the smallest share of slots in use."""
+) -> list[Server]:
+    """Decode engines, the one with the least memory in use here first."""
 
-    def order(server: Server) -> tuple[float, bool, float]:
+    def key(server: Server) -> tuple[float, bool, float]:
         load = loads.of(server.identity)
-        busy = load.outstanding / max(server.slots, 1)
         # A prompt read between tokens slows every stream of the engine.
-        reading = load.prefill_tokens * prefill_rate(load) / 1_000
-        return busy + reading, server.zone != zone, rng.random()
+        in_use = load.kv_tokens + load.prefill_tokens
+        return in_use, server.zone != zone, rng.random()
 
-    return min(
+    return sorted(
         (server for server in servers if server.stage is not Stage.PREFILL),
-        key=order,
-        default=None,
+        key=key,
     )
 
 
+def reads_itself(
+    prefill: Server | None, decode: Server, loads: ServerLoads, tokens: int
+) -> bool:
+    """Whether the decode engine should read a prompt.
+
+    That makes pauses in all of its streams, so a wait at the prefill engines
+    is the lesser evil up to ``MAX_PREFILL_WAIT_MS``.
+    """
+    if prefill is None:
+        return True
+    apart_ms = prefill_time_ms(loads.of(prefill.identity), tokens)
+    if apart_ms <= MAX_PREFILL_WAIT_MS:
+        return False
+    load = loads.of(decode.identity)
+    return DIRECT_SLOWDOWN * prefill_time_ms(load, tokens) < apart_ms
+
+
 def prefill_rate(load: ServerLoad) -> float:
     """Time of a prompt token in ms."""
     return load.prefill_ms_per_token or DEFAULT_PREFILL_MS_PER_TOKEN
@@ -151,21 +136,3 @@
 def prefill_time_ms(load: ServerLoad, tokens: int) -> float:
     """Time until an engine has read a prompt behind those sent before."""
     return (load.prefill_tokens + tokens) * prefill_rate(load)
-
-
-def _choose_direct(
-    servers: Iterable[Server],
-    loads: ServerLoads,
-    tokens: int,
-    rng: random.Random,
-) -> tuple[Server | None, float]:
-    best, best_ms = None, float("inf")
-    for server in servers:
-        if server.stage is Stage.PREFILL:
-            continue
-        load = loads.of(server.identity)
-        waiting = load.prefill_tokens + tokens
-        took_ms = DIRECT_SLOWDOWN * waiting * prefill_rate(load)
-        if took_ms < best_ms or (took_ms == best_ms and rng.random() < 0.5):
-            best, best_ms = server, took_ms
-    return best, best_ms
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -19,7 +19,7 @@
 """An engine that crashed is back after some seconds."""
 SMOOTHING: Final = 0.2
 """Weight of the newest observation in a moving average."""
-FULL_S: Final = 0.1
+FULL_S: Final = 0.04
 """Time for which a server that refused for lack of room is avoided."""
 
 
--- /dev/null
+++ b/src/gooseberrypost/policy/waitingorder.py
@@ -0,0 +1,63 @@
+"""Order in which generations that wait for engine memory get it.
+
+>>> waiting = [Waiting(objective_s=1.0, give_up_s=3.0, tokens=9_000),
+...            Waiting(objective_s=0.2, give_up_s=2.0, tokens=5_000)]
+>>> [one.tokens for one in order(waiting, now_s=0.5, lead_s=0.1)]
+[9000, 5000]
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+OUTPUT_SHARE: Final = 1.0
+"""Share of the expected output that is reserved beside the prompt.
+
+Generations of one engine end at different times, so that they do not need
+their final memory at the same moment.
+"""
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A generation that waits for room at a decode engine."""
+
+    objective_s: float
+    """Time by which the first event is due."""
+    give_up_s: float
+    """Time after which its client no longer waits."""
+    tokens: int
+    """Memory that it needs."""
+    priority: int = 0
+
+
+W = TypeVar("W", bound=Waiting)
+
+
+def order(waiting: Iterable[W], now_s: float, lead_s: float) -> list[W]:
+    """Sort by who is served next.
+
+    Those that can still be in time go first, by their objectives; a burst
+    then costs the requests that are late already, and not each one after
+    them as well. ``lead_s`` is the time from the room to the first event.
+    """
+
+    def key(one: Waiting) -> tuple[int, bool, float]:
+        is_late = now_s + lead_s > one.objective_s
+        return one.priority, is_late, one.objective_s
+
+    return sorted(waiting, key=key)
+
+
+def is_hopeless(one: Waiting, now_s: float, lead_s: float) -> bool:
+    """Whether the first event would come after the client has left."""
+    return now_s + lead_s > one.give_up_s
+
+
+def reserved_output(expected_output: int) -> int:
+    """Output tokens to reserve memory for."""
+    return round(OUTPUT_SHARE * expected_output)
