--- a/src/gooseberrypost/daemonlog.py
+++ b/src/gooseberrypost/daemonlog.py
@@ -83,6 +83,9 @@
     def flush(self) -> None:
         """Do nothing; every line is written at once."""
 
+    def close(self) -> None:
+        """Leave the descriptor open, as it is the process's own."""
+
 
 def set_up(level: str = DEFAULT_LEVEL, descriptor: int | None = None) -> None:
     """Log from ``level``, a key of ``LEVELS``, on.
--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -5,10 +5,11 @@
 import asyncio
 import time
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from absl import logging
 
+from gooseberrypost.gateway.model import EngineSpec
 from gooseberrypost.gateway.room import DecodeRoom
 from gooseberrypost.logs import format_fields
 from gooseberrypost.metrics import Metrics
@@ -25,6 +26,9 @@
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
 
+OUTPUT_SMOOTHING: Final = 0.05
+"""Weight of the newest output in the mean of a service."""
+
 
 @dataclass(slots=True)
 class GatewayContext:
@@ -34,12 +38,13 @@
     directory: Directory
     transport: Transport
     rng: random.Random
-    peers: Callable[[], int] = lambda: 1
-    """Number of gateways that share the budget of repeats."""
     loads: ServerLoads = field(default_factory=ServerLoads)
     metrics: Metrics = field(default_factory=Metrics)
     now_s: Callable[[], float] = time.monotonic
     room: DecodeRoom = field(init=False)
+    loads_changed: Callable[[], None] = lambda: None
+    """Called when this gateway's load on the engines has changed."""
+    _outputs: dict[str, float] = field(default_factory=dict)
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _background: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -55,9 +60,24 @@
                 SAFETY * cfg.repeat_ratio, 0.0, cfg.repeat_window_ms / 1_000
             )
             self._budgets[service] = budget
-        budget.allowance = SAFETY * cfg.repeat_allowance / max(self.peers(), 1)
+        gateways = 1 + self.loads.peers(self.now_s())
+        budget.allowance = SAFETY * cfg.repeat_allowance / gateways
         return budget
 
+    def engine_spec(self, service: str) -> EngineSpec:
+        """Return the properties of a model service's engines."""
+        known = self.directory.configuration.services.get(service)
+        return (known.engine if known else None) or EngineSpec()
+
+    def mean_output(self, service: str) -> float:
+        """Return the mean output of late in tokens; 0: not known."""
+        return self._outputs.get(service, 0.0)
+
+    def note_output(self, service: str, tokens: int) -> None:
+        """Note the output of a generation that ran to its end."""
+        mean = self._outputs.get(service, float(tokens))
+        self._outputs[service] = mean + OUTPUT_SMOOTHING * (tokens - mean)
+
     def log(self, event: str, req: ClientRequest, **fields: object) -> None:
         """Log one decision on a request, with the version it rests on."""
         version = self.directory.configuration.version
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -13,6 +13,7 @@
 from gooseberrypost.gateway.context import GatewayContext
 from gooseberrypost.gateway.directory import Follower, register
 from gooseberrypost.gateway.frontend import Frontend, Probes
+from gooseberrypost.gateway.peers import Peers
 from gooseberrypost.lifecycle import LifecycleController, State
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
 
     from gooseberrypost.gateway.directory import Feed
     from gooseberrypost.gateway.frontend import Decoder
+    from gooseberrypost.gateway.peers import Registry
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
 
@@ -41,6 +43,7 @@
         cfg: GatewaySettings,
         transport: Transport,
         feed: Feed,
+        registry: Registry,
         decode: Decoder,
         rng: random.Random,
     ) -> None:
@@ -58,6 +61,7 @@
             self.context.room,
             self.frontend,
             Follower(feed, directory),
+            Peers(self.context, registry),
         ):
             self.add_dependency(service)
 
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -8,7 +8,7 @@
 
 import time
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from absl import logging
@@ -20,6 +20,8 @@
 from gooseberrypost.policy.membership import ServerList
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from gooseberrypost.blackboard import Blackboard
 
 BATCH_S: Final = 0.15
@@ -53,13 +55,21 @@
     removed: tuple[str, ...]
     """Instances whose registrations are gone."""
     at: int
-    is_whole: bool
+    is_whole: bool = False
     """Whether everything that exists is in the batch."""
 
+    gateways: Mapping[str, str | None] = field(default_factory=dict)
+    """Addresses of gateways by name; None where the registration is gone."""
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing changed."""
-        return not (self.configurations or self.servers or self.removed)
+        return not (
+            self.configurations
+            or self.servers
+            or self.removed
+            or self.gateways
+        )
 
 
 class Feed(ABC):
@@ -80,7 +90,7 @@
 class Directory(Section):
     """What is known of routes and servers; written by the follower."""
 
-    __slots__ = ("configuration", "read_s", "servers")
+    __slots__ = ("configuration", "gateways", "read_s", "servers")
 
     def __init__(self) -> None:
         super().__init__()
@@ -88,6 +98,8 @@
         self.read_s = 0.0
         """Monotonic time of the source's last answer; 0 before the first."""
         self.servers = ServerList()
+        self.gateways: dict[str, str] = {}
+        """Internal addresses of the registered gateways, by name."""
 
     @property
     def is_known(self) -> bool:
@@ -178,6 +190,11 @@
             batch.servers, batch.removed, batch.is_whole, now_s
         ):
             logging.info("%s", change.line(batch.at))
+        for name, address in batch.gateways.items():
+            if address is None:
+                directory.gateways.pop(name, None)
+            else:
+                directory.gateways[name] = address
         if not batch.is_empty:
             directory.notify()
 
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -15,15 +15,15 @@
     ServerRefused,
     ServerUnreachable,
 )
+from gooseberrypost.policy.enginememory import Run, expected_output
 from gooseberrypost.policy.serverchoice import (
     choose_prefill,
     prefill_time_ms,
     reads_itself,
 )
-from gooseberrypost.policy.waitingorder import reserved_output
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Iterator
 
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.transport import (
@@ -56,6 +56,7 @@
         self._events.last_id = self.req.resume_after
         self._kv: KvHandle | None = None
         """Prefilled and not used yet."""
+        self._run = Run(0, 0)
         self._room: Reservation | None = None
         """Reserved and not used yet."""
         self._kv_made_s = 0.0
@@ -96,23 +97,32 @@
     async def _reserve(self) -> Reservation:
         prompt = self._prompt
         arrived_s, route = self.req.arrived_s, self.route
+        output = expected_output(
+            prompt.output_hint,
+            self.ctx.mean_output(self.service),
+            prompt.max_output,
+        )
+        self._run = Run(prompt.tokens, output, prompt.max_output)
         ticket = Ticket(
             objective_s=arrived_s + route.latency_ms / 1_000,
             give_up_s=min(self.end_s, arrived_s + self._patience_s()),
-            tokens=prompt.tokens + reserved_output(prompt.expected_output),
+            tokens=prompt.tokens,
+            output=output,
             priority=route.priority,
             service=self.service,
             request=self.req.id,
             excluded=self.excluded,
+            run=self._run,
         )
         room = await self.ctx.room.acquire(ticket)
         self.log(
             "reserved",
             server=room.server.instance,
-            tokens=room.tokens,
             prompt=prompt.tokens,
-            output=prompt.max_output,
+            output=output,
             hint=prompt.output_hint,
+            runs=self.ctx.loads.run_count(room.server.identity),
+            peak=self.ctx.loads.peak_with(room.server.identity),
             left_ms=round(1_000 * self.left_s),
         )
         return room
@@ -144,21 +154,23 @@
             self.ctx.spawn(transport.release(self._kv))
             self._kv = None
         if self._room is not None:
+            self._end_run(self._room.server)
             self.ctx.spawn(transport.cancel(self._room))
             self._room = None
 
     async def _prefill(self, server: Server) -> KvHandle | None:
         load = self.ctx.loads.of(server.identity)
         tokens = self._prompt.tokens
-        predicted_s = prefill_time_ms(load, tokens) / 1_000
+        loads = self.ctx.loads
+        predicted_s = prefill_time_ms(server, loads, tokens) / 1_000
         limit_s = max(PREFILL_PATIENCE * predicted_s, MIN_PREFILL_S)
         send = Send(
             timeout_s=min(self.left_s, limit_s),
             connect_s=min(CONNECT_S, self.left_s),
         )
-        was_alone = not load.prefill_tokens
+        was_alone = not loads.prefill_tokens(server.identity)
         try:
-            with _reading(load, tokens):
+            with self._reading(load, tokens):
                 started_s = self.ctx.now_s()
                 kv = await self.ctx.transport.prefill(server, self.req, send)
                 took_ms = 1_000 * (self.ctx.now_s() - started_s)
@@ -183,6 +195,18 @@
         )
         return kv
 
+    @contextmanager
+    def _reading(self, load: ServerLoad, tokens: int) -> Iterator[None]:
+        load.outstanding += 1
+        load.prefill_tokens += tokens
+        self.ctx.loads_changed()
+        try:
+            yield
+        finally:
+            load.outstanding -= 1
+            load.prefill_tokens -= tokens
+            self.ctx.loads_changed()
+
     async def _decode(self, room: Reservation) -> bool:
         server, left_s = room.server, self.left_s
         kv, self._kv, self._room = self._kv, None, None
@@ -195,16 +219,10 @@
         )
         self.attempts += 1
         try:
-            with _decoding(
-                self.ctx.loads.of(server.identity),
-                self._prompt,
-                reads=kv is None,
-            ) as read:
-                async with self.ctx.transport.open(
-                    server, self.req, send
-                ) as answer:
-                    read()
-                    await self._forward(server, answer)
+            async with self.ctx.transport.open(
+                server, self.req, send
+            ) as answer:
+                await self._forward(server, answer)
             return True
         except ServerUnreachable as failure:
             self.attempts -= 1
@@ -223,9 +241,14 @@
                 and self.attempts < self.route.max_attempts,
             )
         finally:
-            self.ctx.room.note_freed()
+            self._end_run(server)
         return False
 
+    def _end_run(self, server: Server) -> None:
+        self.ctx.loads.of(server.identity).runs.discard(self._run)
+        self.ctx.loads_changed()
+        self.ctx.room.note_freed()
+
     def _keep(self, kv: KvHandle | None) -> None:
         """Offer a KV cache to another engine while it lasts, else free it.
 
@@ -235,8 +258,8 @@
         if kv is None:
             return
         self._kv_refusals += 1
-        spec = self.ctx.directory.configuration.services[self.service].engine
-        lasts_s = KV_MARGIN * (spec.handle_ms if spec else 0) / 1_000
+        spec = self.ctx.engine_spec(self.service)
+        lasts_s = KV_MARGIN * spec.handle_ms / 1_000
         age_s = self.ctx.now_s() - self._kv_made_s
         if self._kv_refusals <= 1 and age_s < lasts_s:
             self._kv = kv
@@ -255,14 +278,17 @@
             return
         if not self.reply.is_started:
             await self.reply.start(answer.status, answer.headers)
+        stride = self.ctx.engine_spec(self.service).event_tokens
         async for chunk in answer.chunks:
             whole = self._events.feed(chunk)
             if whole:
+                self._run.produced = stride * self._events.count
                 await self.reply.write(whole)
         if self._events.rest:
             await self.reply.write(self._events.rest)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).succeeded(0.0)
+        self.ctx.note_output(self.service, self._run.produced)
         self._log_answer(server, answer)
 
     def _log_answer(self, server: Server, answer: Answer) -> None:
@@ -273,38 +299,3 @@
             attempts=self.attempts,
             events=self._events.count,
         )
-
-
-@contextmanager
-def _reading(load: ServerLoad, tokens: int) -> Iterator[None]:
-    load.outstanding += 1
-    load.prefill_tokens += tokens
-    try:
-        yield
-    finally:
-        load.outstanding -= 1
-        load.prefill_tokens -= tokens
-
-
-@contextmanager
-def _decoding(
-    load: ServerLoad, prompt: Prompt, *, reads: bool
-) -> Iterator[Callable[[], None]]:
-    """Count a generation; the yielded function notes its first token."""
-    tokens = prompt.tokens + prompt.expected_output
-    reading = prompt.tokens if reads else 0
-    load.outstanding += 1
-    load.kv_tokens += tokens
-    load.prefill_tokens += reading
-
-    def read() -> None:
-        nonlocal reading
-        load.prefill_tokens -= reading
-        reading = 0
-
-    try:
-        yield read
-    finally:
-        read()
-        load.kv_tokens -= tokens
-        load.outstanding -= 1
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -85,6 +85,8 @@
     kv_tokens: int = 0
     """Tokens that fit into the memory of one engine."""
     kv_token_bytes: int = 0
+    event_tokens: int = 1
+    """Tokens that one event of a stream carries."""
     handle_ms: int = 0
     """Time for which a prefilled KV cache is kept for its transfer."""
 
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -16,6 +16,7 @@
 
 from gooseberrypost.errors import NotRun
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
+from gooseberrypost.policy.enginememory import Run
 from gooseberrypost.policy.serverchoice import decode_order, usable
 from gooseberrypost.policy.waitingorder import Waiting, is_hopeless, order
 
@@ -28,6 +29,8 @@
 """Pause before engines that were full are asked again."""
 RESERVATION_MS: Final = 2_000
 """Time in which the prompt is read; engines hold no longer."""
+RESERVED_OUTPUT: Final = 0.5
+"""Share of the expected output that an engine must have free at once."""
 LEAD_S: Final = 0.2
 """Time from the reservation to the first event: the prompt is read."""
 
@@ -45,6 +48,7 @@
     service: str = ""
     request: str = ""
     excluded: set[str] = field(default_factory=set)
+    run: Run = field(default_factory=lambda: Run(0, 0))
     granted: asyncio.Future[Reservation] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -112,16 +116,7 @@
 
     async def _reserve(self, ticket: Ticket) -> bool:
         ctx = self._ctx
-        now_s = ctx.now_s()
-        servers = usable(
-            ctx.directory.servers.of(ticket.service, now_s),
-            ctx.loads,
-            now_s,
-            ticket.excluded,
-        )
-        for server in decode_order(
-            servers, ctx.loads, ctx.settings.zone, ctx.rng
-        ):
+        for server in self._candidates(ticket):
             if ctx.loads.of(server.identity).is_full(ctx.now_s()):
                 continue
             reservation = await self._try(server, ticket)
@@ -129,19 +124,39 @@
                 continue
             if ticket in self._waiting and not ticket.granted.done():
                 self._waiting.remove(ticket)
+                ctx.loads.of(server.identity).runs.add(ticket.run)
+                ctx.loads_changed()
                 ticket.granted.set_result(reservation)
             else:
                 ctx.spawn(ctx.transport.cancel(reservation))
             return True
         return False
 
+    def _candidates(self, ticket: Ticket) -> list[Server]:
+        ctx = self._ctx
+        now_s = ctx.now_s()
+        servers = usable(
+            ctx.directory.servers.of(ticket.service, now_s),
+            ctx.loads,
+            now_s,
+            ticket.excluded,
+        )
+        spec = ctx.engine_spec(ticket.service)
+        return decode_order(
+            servers,
+            ctx.loads,
+            (ticket.output, ticket.tokens),
+            spec.kv_tokens,
+            ctx.settings.zone,
+            ctx.rng,
+        )
+
     async def _try(self, server: Server, ticket: Ticket) -> Reservation | None:
         ctx = self._ctx
         load = ctx.loads.of(server.identity)
+        tokens = ticket.tokens + round(RESERVED_OUTPUT * ticket.output)
         try:
-            return await ctx.transport.reserve(
-                server, ticket.tokens, RESERVATION_MS
-            )
+            return await ctx.transport.reserve(server, tokens, RESERVATION_MS)
         except ServerRefused:
             load.refused(ctx.now_s())
             ctx.metrics.count("reservations_refused_total")
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -128,6 +128,7 @@
         slots=int(found.get("slots") or 0),
         kv_tokens=int(found.get("kv_capacity_tokens") or 0),
         kv_token_bytes=int(found.get("kv_token_bytes") or 0),
+        event_tokens=int(found.get("stride") or 1),
         # In seconds on the wire.
         handle_ms=int(float(found.get("kv_retention_s") or 0) * 1_000),
     )
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -7,12 +7,15 @@
 from absl import logging
 from result import Err, Result
 
-from gooseberrypost.gateway.directory import Batch, Feed
+from gooseberrypost.address import parse_address
+from gooseberrypost.gateway.directory import Batch, Feed, FeedLost
+from gooseberrypost.gateway.peers import RegistrationFailed, Registry
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import (
     decode_configuration,
     decode_server,
 )
+from gooseberrypost.platform.store import LeaseEnded
 
 if TYPE_CHECKING:
     from typing import Any
@@ -40,8 +43,10 @@
         """Return everything."""
         found = await self._store.range(names.CONFIGURATION_PREFIX)
         servers = await self._store.range(names.SERVERS_PREFIX)
-        # Changes between the two reads are repeated by the first watch.
-        return _batch((*found.items, *servers.items), found.at, is_whole=True)
+        gateways = await self._store.range(names.GATEWAYS_PREFIX)
+        # Changes between the reads are repeated by the first watch.
+        items = (*found.items, *servers.items, *gateways.items)
+        return _batch(items, found.at, is_whole=True)
 
     async def wait(self, after: int) -> Batch:
         """Return later changes."""
@@ -55,6 +60,7 @@
     configurations: list[Configuration] = []
     servers: list[Server] = []
     removed = []
+    gateways: dict[str, str | None] = {}
     for key, item in last.items():
         if key == names.CONFIGURATION_KEY and item.value is not None:
             configurations += _valid(item, decode_configuration(item.value))
@@ -65,11 +71,25 @@
             else:
                 decoded = decode_server(instance, item.value, item.revision)
                 servers += _valid(item, decoded)
+        elif key.startswith(names.GATEWAYS_PREFIX):
+            name = key.removeprefix(names.GATEWAYS_PREFIX)
+            gateways[name] = _address(item)
     return Batch(
-        tuple(configurations), tuple(servers), tuple(removed), at, is_whole
+        tuple(configurations),
+        tuple(servers),
+        tuple(removed),
+        at,
+        is_whole,
+        gateways,
     )
 
 
+def _address(item: Item) -> str | None:
+    """Address in a gateway's registration, None where it is gone."""
+    text = (item.value or b"").decode("ascii", "replace")
+    return text if parse_address(text).is_ok() else None
+
+
 def _valid(item: Item, decoded: Result[Any, Exception]) -> list[Any]:
     if isinstance(decoded, Err):
         logging.warning(
@@ -80,3 +100,34 @@
         )
         return []
     return [decoded.ok_value]
+
+
+class StoreRegistry(Registry):
+    """Registrations of the gateways, under leases of the store."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def register(self, name: str, address: str, ttl_ms: int) -> int:
+        """Write this gateway's address and return the lease."""
+        key = f"{names.GATEWAYS_PREFIX}{name}"
+        try:
+            lease = await self._store.grant_lease(ttl_ms)
+            await self._store.put(key, address.encode(), lease)
+        except (FeedLost, LeaseEnded) as failure:
+            raise RegistrationFailed(str(failure)) from failure
+        return lease
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease."""
+        try:
+            await self._store.keep_lease(lease)
+        except (FeedLost, LeaseEnded) as failure:
+            raise RegistrationFailed(str(failure)) from failure
+
+    async def end(self, lease: int) -> None:
+        """Remove the registration."""
+        try:
+            await self._store.end_lease(lease)
+        except (FeedLost, LeaseEnded) as failure:
+            raise RegistrationFailed(str(failure)) from failure
--- a/src/gooseberrypost/platform/gateway.py
+++ b/src/gooseberrypost/platform/gateway.py
@@ -10,7 +10,7 @@
 
 from gooseberrypost.gateway.daemon import GatewayDaemon, serve_until_signal
 from gooseberrypost.platform.engines import HttpTransport
-from gooseberrypost.platform.feeds import StoreFeed
+from gooseberrypost.platform.feeds import StoreFeed, StoreRegistry
 from gooseberrypost.platform.requests import decode_request
 from gooseberrypost.platform.settings import decode_settings
 from gooseberrypost.platform.store import PlatformStore
@@ -28,6 +28,7 @@
         cfg,
         HttpTransport(),
         StoreFeed(store),
+        StoreRegistry(store),
         decode_request,
         random.Random(),
     )
--- a/src/gooseberrypost/platform/settings.py
+++ b/src/gooseberrypost/platform/settings.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from gooseberrypost.address import parse_address
+from gooseberrypost.address import MAX_PORT, parse_address
 from gooseberrypost.settings.gateway import GatewaySettings
 from gooseberrypost.settings.problems import SettingsInvalid, SettingsProblem
 
@@ -53,6 +53,18 @@
         self._problem(path, value, "IP:PORT")
         return ""
 
+    def ports(self, path: str) -> tuple[int, int]:
+        value = self.value(path)
+        if (
+            isinstance(value, list)
+            and len(value) == 2
+            and all(isinstance(port, int) for port in value)
+            and 0 < value[0] <= value[1] <= MAX_PORT
+        ):
+            return value[0], value[1]
+        self._problem(path, value, "the first and the last port")
+        return 0, 0
+
     def number(self, path: str, default: float) -> float:
         value = self.value(path)
         if value is _MISSING:
@@ -84,6 +96,7 @@
         problem = SettingsProblem("", 1, "is not an object")
         return Err(SettingsInvalid(file, [problem]))
     reader = _Reader(found)
+    ports = reader.ports("internal_port_range")
     # The machine's own address; ``listen`` has one for each interface.
     ip = reader.text("ip")
     settings = GatewaySettings(
@@ -93,6 +106,7 @@
         readiness_address=reader.address("listen.readiness"),
         store_address=reader.address("platform.address"),
         metrics_address=f"{ip}:{METRICS_PORT}",
+        internal_address=f"{ip}:{ports[0]}",
         # In seconds on the wire.
         grace_ms=round(1_000 * reader.number("bounds.grace_s", 8)),
         repeat_ratio=reader.number("bounds.retry_budget_ratio", 0.1),
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -19,8 +19,14 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-CALL_TIMEOUT_S: Final = 2.0
-"""Answers take some ms; a slow store answers within half a second."""
+MIN_ANSWER_S: Final = 0.5
+"""Time for an answer, beside the wait of a watch; usual are some ms.
+
+A connection that fell silent is noticed within the 2 s in which a change of
+the configuration must be in force.
+"""
+MAX_ANSWER_S: Final = 2.0
+"""Time for an answer while the store is slow; it doubles at each failure."""
 CONNECT_TIMEOUT_S: Final = 1.0
 MAX_PAGES: Final = 1_000
 """Pages of 500 items; a range that is longer than this is not a range."""
@@ -58,10 +64,11 @@
 class PlatformStore:
     """Calls to the store; every failure is a ``StoreUnavailable``."""
 
-    __slots__ = ("_session", "address")
+    __slots__ = ("_answer_s", "_session", "address")
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self._answer_s = MIN_ANSWER_S
         connector = aiohttp.TCPConnector(limit=0, socket_factory=tcp_socket)
         self._session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
@@ -102,6 +109,32 @@
             tuple(_items(found, "events")), _whole_number(found, "at")
         )
 
+    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key, whatever it held, and return the revision."""
+        entry = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease": lease,
+        }
+        body = {"precondition": [], "puts": [entry], "remove": []}
+        found = await self._call("POST", names.TXN_PATH, body=body)
+        return _whole_number(found, "revision")
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Create a lease and return its number."""
+        found = await self._call(
+            "POST", names.LEASE_PATH, body={"ttl_ms": ttl_ms}
+        )
+        return _whole_number(found, "lease")
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renew a lease; ``LeaseEnded`` where it is gone."""
+        await self._call("POST", f"{names.KEEP_PATH}{lease}")
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease, which removes its keys."""
+        await self._call("DELETE", f"{names.LEASE_END_PATH}{lease}")
+
     async def close(self) -> None:
         """Close the connections."""
         await self._session.close()
@@ -116,7 +149,7 @@
     ) -> dict[str, Any]:
         url = URL(f"http://{self.address}{path}")
         timeout = aiohttp.ClientTimeout(
-            total=CALL_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
+            total=self._answer_s + wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
             async with self._session.request(
@@ -125,15 +158,22 @@
                 content = await response.read()
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            self._answer_s = min(2 * self._answer_s, MAX_ANSWER_S)
             raise StoreUnavailable(f"{path}: {exc!r}") from exc
+        self._answer_s = MIN_ANSWER_S
         return _decoded(path, status, content)
 
 
 def _decoded(path: str, status: int, content: bytes) -> dict[str, Any]:
     if status == 410:
         raise HistoryLost(path)
+    if status == 404:
+        # Only calls that name a lease are answered so.
+        raise LeaseEnded(path)
     if status != 200:
         raise StoreUnavailable(f"{path}: status {status}")
+    if not content:
+        return {}
     try:
         found = json.loads(content)
     except ValueError as exc:
--- a/src/gooseberrypost/policy/serverchoice.py
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -13,7 +13,7 @@
     import random
     from collections.abc import Collection, Iterable, Sequence
 
-    from gooseberrypost.policy.serverload import ServerLoad, ServerLoads
+    from gooseberrypost.policy.serverload import ServerLoads
 
 DEFAULT_SERVICE_MS: Final = 50.0
 """Time of one request at a server that has not answered yet."""
@@ -21,6 +21,8 @@
 """Time for a prompt token at an engine that has not read any yet."""
 DIRECT_SLOWDOWN: Final = 2.0
 """A decode engine reads a prompt at half the speed of a prefill engine."""
+MEMORY_SHARE: Final = 0.95
+"""Share of an engine's memory that predicted peaks may fill."""
 MAX_PREFILL_WAIT_MS: Final = 1_000.0
 """Wait at the prefill engines for which a prompt stays off decode engines."""
 OTHER_ZONE_MS: Final = 2.0
@@ -67,7 +69,7 @@
     def expected_ms(server: Server) -> tuple[float, float]:
         load = loads.of(server.identity)
         service_ms = load.service_ms or DEFAULT_SERVICE_MS
-        queued = load.outstanding / max(server.slots, 1)
+        queued = loads.outstanding(server.identity) / max(server.slots, 1)
         other = OTHER_ZONE_MS if server.zone != zone else 0.0
         return service_ms * (1 + queued) + other, rng.random()
 
@@ -84,7 +86,7 @@
     return min(
         (server for server in servers if server.stage is Stage.PREFILL),
         key=lambda server: (
-            prefill_time_ms(loads.of(server.identity), tokens),
+            prefill_time_ms(server, loads, tokens),
             rng.random(),
         ),
         default=None,
@@ -94,21 +96,33 @@
 def decode_order(
     servers: Iterable[Server],
     loads: ServerLoads,
+    size: tuple[int, int],
+    kv_tokens: int,
     zone: str,
     rng: random.Random,
 ) -> list[Server]:
-    """Decode engines, the one with the least memory in use here first."""
+    """Decode engines with room for a generation, the emptiest first.
 
-    def key(server: Server) -> tuple[float, bool, float]:
-        load = loads.of(server.identity)
+    ``size`` is the output and the prompt of the generation in tokens. An
+    engine has room if the predicted peak of its memory stays below
+    ``kv_tokens``; more makes it preempt generations, whose prompts are then
+    read again.
+    """
+    peaks = []
+    for server in servers:
+        if server.stage is Stage.PREFILL:
+            continue
+        identity = server.identity
+        if loads.run_count(identity) >= max(server.slots, 1):
+            continue
+        peak = loads.peak_with(identity, [size])
+        if loads.run_count(identity) and peak > MEMORY_SHARE * kv_tokens > 0:
+            continue
         # A prompt read between tokens slows every stream of the engine.
-        in_use = load.kv_tokens + load.prefill_tokens
-        return in_use, server.zone != zone, rng.random()
-
-    return sorted(
-        (server for server in servers if server.stage is not Stage.PREFILL),
-        key=key,
-    )
+        in_use = peak + loads.prefill_tokens(identity)
+        key = (in_use, server.zone != zone, rng.random())
+        peaks.append((key, server))
+    return [server for _, server in sorted(peaks, key=lambda one: one[0])]
 
 
 def reads_itself(
@@ -121,18 +135,14 @@
     """
     if prefill is None:
         return True
-    apart_ms = prefill_time_ms(loads.of(prefill.identity), tokens)
+    apart_ms = prefill_time_ms(prefill, loads, tokens)
     if apart_ms <= MAX_PREFILL_WAIT_MS:
         return False
-    load = loads.of(decode.identity)
-    return DIRECT_SLOWDOWN * prefill_time_ms(load, tokens) < apart_ms
-
-
-def prefill_rate(load: ServerLoad) -> float:
-    """Time of a prompt token in ms."""
-    return load.prefill_ms_per_token or DEFAULT_PREFILL_MS_PER_TOKEN
+    return DIRECT_SLOWDOWN * prefill_time_ms(decode, loads, tokens) < apart_ms
 
 
-def prefill_time_ms(load: ServerLoad, tokens: int) -> float:
+def prefill_time_ms(server: Server, loads: ServerLoads, tokens: int) -> float:
     """Time until an engine has read a prompt behind those sent before."""
-    return (load.prefill_tokens + tokens) * prefill_rate(load)
+    rate = loads.of(server.identity).prefill_ms_per_token
+    waiting = loads.prefill_tokens(server.identity)
+    return (waiting + tokens) * (rate or DEFAULT_PREFILL_MS_PER_TOKEN)
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -11,6 +11,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+from gooseberrypost.policy.enginememory import Run, peak_of
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -19,6 +21,9 @@
 """An engine that crashed is back after some seconds."""
 SMOOTHING: Final = 0.2
 """Weight of the newest observation in a moving average."""
+PEER_SILENT_S: Final = 1.0
+"""Time after which a gateway's loads are dropped; engines stop a request when
+its connection is lost, so a gateway that ended leaves nothing behind."""
 FULL_S: Final = 0.04
 """Time for which a server that refused for lack of room is avoided."""
 
@@ -29,13 +34,12 @@
     __slots__ = (
         "failures",
         "full_until_s",
-        "kv_tokens",
         "outstanding",
         "prefill_ms_per_token",
         "prefill_tokens",
+        "runs",
         "service_ms",
         "suspect_until_s",
-        "trial_running",
     )
 
     def __init__(self) -> None:
@@ -43,8 +47,8 @@
         """Requests sent and not answered."""
         self.prefill_tokens = 0
         """Prompt tokens sent and not known to be read."""
-        self.kv_tokens = 0
-        """Tokens of memory that running generations may fill."""
+        self.runs: set[Run] = set()
+        """Generations that decode there, or are about to."""
         self.service_ms = 0.0
         """Moving average of the time of one request; 0: not known."""
         self.prefill_ms_per_token = 0.0
@@ -53,7 +57,6 @@
         """Failures in a row."""
         self.suspect_until_s = float("-inf")
         self.full_until_s = float("-inf")
-        self.trial_running = False
 
     def is_suspect(self, now_s: float) -> bool:
         """Whether the server is avoided after failures."""
@@ -91,13 +94,31 @@
             )
 
 
+class PeerLoad:
+    """Load that another gateway puts on one server."""
+
+    __slots__ = ("outstanding", "prefill_tokens", "runs")
+
+    def __init__(
+        self,
+        outstanding: int,
+        prefill_tokens: int,
+        runs: list[tuple[int, int]],
+    ) -> None:
+        self.outstanding = outstanding
+        self.prefill_tokens = prefill_tokens
+        self.runs = runs
+        """Remaining and present tokens of each generation."""
+
+
 class ServerLoads:
-    """Loads by the identity of a server's start."""
+    """Loads by the identity of a server's start, with those of the peers."""
 
-    __slots__ = ("_loads",)
+    __slots__ = ("_loads", "_peers")
 
     def __init__(self) -> None:
         self._loads: dict[str, ServerLoad] = {}
+        self._peers: dict[str, tuple[float, dict[str, PeerLoad]]] = {}
 
     def of(self, identity: str) -> ServerLoad:
         """Return the load of a server, new where it was not seen yet."""
@@ -106,6 +127,49 @@
             load = self._loads[identity] = ServerLoad()
         return load
 
+    def items(self) -> Iterable[tuple[str, ServerLoad]]:
+        """Return this gateway's own loads."""
+        return self._loads.items()
+
+    def note_peer(
+        self, name: str, now_s: float, loads: dict[str, PeerLoad]
+    ) -> None:
+        """Take the loads that another gateway reports of itself."""
+        self._peers[name] = (now_s, loads)
+
+    def peers(self, now_s: float) -> int:
+        """Return the number of other gateways heard of lately."""
+        self.forget_silent(now_s)
+        return len(self._peers)
+
+    def outstanding(self, identity: str) -> int:
+        """Return the requests of all gateways at a server."""
+        return self.of(identity).outstanding + sum(
+            load.outstanding for load in self._of_peers(identity)
+        )
+
+    def prefill_tokens(self, identity: str) -> int:
+        """Return the prompt tokens that a server has not read yet."""
+        return self.of(identity).prefill_tokens + sum(
+            load.prefill_tokens for load in self._of_peers(identity)
+        )
+
+    def peak_with(
+        self, identity: str, new: Iterable[tuple[int, int]] = ()
+    ) -> int:
+        """Return the memory a server will need with further generations."""
+        sizes = [(run.remaining, run.tokens) for run in self.of(identity).runs]
+        for load in self._of_peers(identity):
+            sizes += load.runs
+        sizes += new
+        return peak_of(sizes)
+
+    def run_count(self, identity: str) -> int:
+        """Return the generations of all gateways at a server."""
+        return len(self.of(identity).runs) + sum(
+            len(load.runs) for load in self._of_peers(identity)
+        )
+
     def forget_except(self, identities: Iterable[str]) -> None:
         """Drop servers that are gone and have no request outstanding."""
         kept = set(identities)
@@ -113,6 +177,19 @@
             if identity not in kept and not self._loads[identity].outstanding:
                 del self._loads[identity]
 
+    def forget_silent(self, now_s: float) -> None:
+        """Drop the loads of gateways that were not heard of lately."""
+        for name in list(self._peers):
+            if now_s - self._peers[name][0] > PEER_SILENT_S:
+                del self._peers[name]
+
+    def _of_peers(self, identity: str) -> list[PeerLoad]:
+        return [
+            loads[identity]
+            for _, loads in self._peers.values()
+            if identity in loads
+        ]
+
 
 def _average(known: float, observed: float) -> float:
     if not known:
--- a/src/gooseberrypost/policy/waitingorder.py
+++ b/src/gooseberrypost/policy/waitingorder.py
@@ -9,18 +9,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-OUTPUT_SHARE: Final = 1.0
-"""Share of the expected output that is reserved beside the prompt.
-
-Generations of one engine end at different times, so that they do not need
-their final memory at the same moment.
-"""
-
 
 @dataclass(slots=True)
 class Waiting:
@@ -31,7 +24,9 @@
     give_up_s: float
     """Time after which its client no longer waits."""
     tokens: int
-    """Memory that it needs."""
+    """Tokens of its prompt."""
+    output: int = 0
+    """Output tokens expected."""
     priority: int = 0
 
 
@@ -56,8 +51,3 @@
 def is_hopeless(one: Waiting, now_s: float, lead_s: float) -> bool:
     """Whether the first event would come after the client has left."""
     return now_s + lead_s > one.give_up_s
-
-
-def reserved_output(expected_output: int) -> int:
-    """Output tokens to reserve memory for."""
-    return round(OUTPUT_SHARE * expected_output)
--- a/src/gooseberrypost/settings/gateway.py
+++ b/src/gooseberrypost/settings/gateway.py
@@ -17,6 +17,8 @@
     """``host:port`` for the balancer's readiness check."""
     store_address: str
     """``host:port`` of the platform's store."""
+    internal_address: str
+    """``host:port`` for datagrams of other gateways."""
     metrics_address: str = ""
     """``host:port`` of the metrics; empty: not served."""
     grace_ms: int = 8_000
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -264,3 +264,21 @@
   6: optional string name,     // of the sender
   7: optional string zone,
 }
+
+// ---- between gateways ----
+
+struct ServerLoadNotice {
+  1: string identity,          // of the backend server's start
+  2: i32 outstanding,
+  3: i32 prefill_tokens,       // sent and not known to be read
+  4: list<i32> run_tokens,     // memory of each generation in tokens
+  5: list<i32> run_remaining,  // tokens that each is expected to add
+}
+
+struct LoadNotice {
+  1: string name,              // of the sending gateway
+  2: i64 incarnation,
+  3: i64 sequence,             // rises with each notice of an incarnation
+  4: list<ServerLoadNotice> servers,
+  5: i64 configuration_version,
+}
--- a/src/gooseberrypost/wire/messages.py
+++ b/src/gooseberrypost/wire/messages.py
@@ -57,6 +57,7 @@
     idl.CrashReport: 47,
     idl.ConfigPull: 60,
     idl.ConfigDelta: 61,
+    idl.LoadNotice: 70,
 }
 
 TYPES_BY_NUMBER: Final[dict[int, type]] = {
