Keep the prefill and decode pools in balance, and refuse what cannot be in time

The gateway that holds the duty in the store moves an engine when that raises the rate of the smaller pool by a fifth; it confirms the duty under a condition before each order, waits for a lease after taking it, and names the engine's order count.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -27,7 +27,9 @@
     from gooseberrypost.settings.gateway import GatewaySettings
 
 OUTPUT_SMOOTHING: Final = 0.05
-"""Weight of the newest output in the mean of a service."""
+"""Weight of the newest generation in the means of a service."""
+DEFAULT_RUN_S: Final = 3.0
+"""Time of a generation before the first one has ended."""
 
 
 @dataclass(slots=True)
@@ -45,6 +47,8 @@
     loads_changed: Callable[[], None] = lambda: None
     """Called when this gateway's load on the engines has changed."""
     _outputs: dict[str, float] = field(default_factory=dict)
+    _prompts: dict[str, float] = field(default_factory=dict)
+    _run_s: dict[str, float] = field(default_factory=dict)
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _background: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -73,10 +77,25 @@
         """Return the mean output of late in tokens; 0: not known."""
         return self._outputs.get(service, 0.0)
 
-    def note_output(self, service: str, tokens: int) -> None:
-        """Note the output of a generation that ran to its end."""
+    def run_s(self, service: str) -> float:
+        """Return the mean time of a generation at its decode engine."""
+        return self._run_s.get(service, DEFAULT_RUN_S)
+
+    def mean_prompt(self, service: str) -> float:
+        """Return the mean prompt of late in tokens; 0: not known."""
+        return self._prompts.get(service, 0.0)
+
+    def note_prompt(self, service: str, tokens: int) -> None:
+        """Note the prompt of a request."""
+        mean = self._prompts.get(service, float(tokens))
+        self._prompts[service] = mean + OUTPUT_SMOOTHING * (tokens - mean)
+
+    def note_run(self, service: str, tokens: int, took_s: float) -> None:
+        """Note the output and the time of a generation that has ended."""
         mean = self._outputs.get(service, float(tokens))
         self._outputs[service] = mean + OUTPUT_SMOOTHING * (tokens - mean)
+        mean_s = self.run_s(service)
+        self._run_s[service] = mean_s + OUTPUT_SMOOTHING * (took_s - mean_s)
 
     def log(self, event: str, req: ClientRequest, **fields: object) -> None:
         """Log one decision on a request, with the version it rests on."""
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -14,6 +14,7 @@
 from gooseberrypost.gateway.directory import Follower, register
 from gooseberrypost.gateway.frontend import Frontend, Probes
 from gooseberrypost.gateway.peers import Peers
+from gooseberrypost.gateway.stages import StageController
 from gooseberrypost.lifecycle import LifecycleController, State
 
 if TYPE_CHECKING:
@@ -23,15 +24,16 @@
     from gooseberrypost.gateway.directory import Feed
     from gooseberrypost.gateway.frontend import Decoder
     from gooseberrypost.gateway.peers import Registry
+    from gooseberrypost.gateway.stages import Duty
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
 
 OWNER: Final = "GatewayDaemon"
 READINESS_INTERVAL_S: Final = 0.05
 CLEANING_INTERVAL_S: Final = 5.0
-DRAIN_ACCEPT_S: Final = 2.5
+DRAIN_ACCEPT_S: Final = 2.2
 """Time for the balancer to notice; it asks once a second and twice."""
-EXIT_MARGIN_S: Final = 1.0
+EXIT_MARGIN_S: Final = 0.6
 """Time kept for closing before the platform kills the process."""
 
 
@@ -44,6 +46,7 @@
         transport: Transport,
         feed: Feed,
         registry: Registry,
+        duty: Duty,
         decode: Decoder,
         rng: random.Random,
     ) -> None:
@@ -54,6 +57,7 @@
         directory = register(board, OWNER)
         self.context = GatewayContext(cfg, directory, transport, rng)
         section = self.lifecycle.section
+        peers = Peers(self.context, registry)
         self.frontend = Frontend(self.context, section, decode)
         for service in (
             self.lifecycle,
@@ -61,7 +65,8 @@
             self.context.room,
             self.frontend,
             Follower(feed, directory),
-            Peers(self.context, registry),
+            peers,
+            StageController(self.context, duty, peers),
         ):
             self.add_dependency(service)
 
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -16,7 +16,12 @@
 
 from gooseberrypost.blackboard import Section
 from gooseberrypost.errors import Failure
-from gooseberrypost.gateway.model import Configuration, Server
+from gooseberrypost.gateway.model import (
+    Configuration,
+    Server,
+    Stage,
+    StageOrder,
+)
 from gooseberrypost.policy.membership import ServerList
 
 if TYPE_CHECKING:
@@ -30,6 +35,12 @@
 A change must be in force within 2 s; a store call is priced.
 """
 MIN_BACKOFF_S: Final = 0.1
+ORDER_LAPSES_S: Final = 15.0
+"""Time after which an order that had no effect is no longer waited for.
+
+A change takes 6 s, and an order may be carried out 12 s late; an engine that
+refuses meanwhile says that it did not run the request.
+"""
 MAX_BACKOFF_S: Final = 0.8
 """A store that is back is used within a second."""
 
@@ -61,6 +72,12 @@
     gateways: Mapping[str, str | None] = field(default_factory=dict)
     """Addresses of gateways by name; None where the registration is gone."""
 
+    stage_holder: str | None = None
+    """Gateway that orders stage changes; empty where there is none now."""
+    stage_orders: tuple[StageOrder, ...] = ()
+    stage_orders_gone: tuple[str, ...] = ()
+    """Engines whose orders are no longer waited for."""
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing changed."""
@@ -69,6 +86,9 @@
             or self.servers
             or self.removed
             or self.gateways
+            or self.stage_orders
+            or self.stage_orders_gone
+            or self.stage_holder is not None
         )
 
 
@@ -90,7 +110,14 @@
 class Directory(Section):
     """What is known of routes and servers; written by the follower."""
 
-    __slots__ = ("configuration", "gateways", "read_s", "servers")
+    __slots__ = (
+        "configuration",
+        "gateways",
+        "read_s",
+        "servers",
+        "stage_holder",
+        "stage_orders",
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -100,6 +127,26 @@
         self.servers = ServerList()
         self.gateways: dict[str, str] = {}
         """Internal addresses of the registered gateways, by name."""
+        self.stage_holder = ""
+        """Gateway that orders stage changes; empty: none."""
+        self.stage_orders: dict[str, tuple[Stage, float]] = {}
+        """Stage that an engine was ordered to take, and when."""
+
+    def serving(self, service: str, now_s: float) -> list[Server]:
+        """Servers of a service, without engines that change their pool."""
+        return [
+            server
+            for server in self.servers.of(service, now_s)
+            if not self.is_switching(server, now_s)
+        ]
+
+    def is_switching(self, server: Server, now_s: float) -> bool:
+        """Whether an engine was ordered to a pool that it is not in yet."""
+        ordered = self.stage_orders.get(server.instance)
+        if ordered is None:
+            return False
+        stage, since_s = ordered
+        return stage is not server.stage and now_s - since_s < ORDER_LAPSES_S
 
     @property
     def is_known(self) -> bool:
@@ -195,9 +242,32 @@
                 directory.gateways.pop(name, None)
             else:
                 directory.gateways[name] = address
+        self._apply_stages(batch, now_s)
         if not batch.is_empty:
             directory.notify()
 
+    def _apply_stages(self, batch: Batch, now_s: float) -> None:
+        directory = self._directory
+        if batch.is_whole:
+            directory.stage_holder = batch.stage_holder or ""
+        elif batch.stage_holder is not None:
+            directory.stage_holder = batch.stage_holder
+        for instance in batch.stage_orders_gone:
+            directory.stage_orders.pop(instance, None)
+        for order in batch.stage_orders:
+            directory.stage_orders[order.instance] = order.stage, now_s
+            logging.info(
+                "event=stage_ordered server=%s stage=%s holder=%s at=%d",
+                order.instance,
+                order.stage.value,
+                directory.stage_holder,
+                batch.at,
+            )
+        for server in batch.servers:
+            ordered = directory.stage_orders.get(server.instance)
+            if ordered is not None and ordered[0] is server.stage:
+                del directory.stage_orders[server.instance]
+
 
 def register(board: Blackboard, owner: str) -> Directory:
     """Add the directory section to a blackboard."""
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -59,6 +59,7 @@
         self._run = Run(0, 0)
         self._room: Reservation | None = None
         """Reserved and not used yet."""
+        self._decoding_since_s = 0.0
         self._kv_made_s = 0.0
         self._kv_refusals = 0
 
@@ -103,6 +104,7 @@
             prompt.max_output,
         )
         self._run = Run(prompt.tokens, output, prompt.max_output)
+        self.ctx.note_prompt(self.service, prompt.tokens)
         ticket = Ticket(
             objective_s=arrived_s + route.latency_ms / 1_000,
             give_up_s=min(self.end_s, arrived_s + self._patience_s()),
@@ -218,6 +220,7 @@
             resume_after=self._events.last_id,
         )
         self.attempts += 1
+        self._decoding_since_s = self.ctx.now_s()
         try:
             async with self.ctx.transport.open(
                 server, self.req, send
@@ -288,7 +291,11 @@
             await self.reply.write(self._events.rest)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).succeeded(0.0)
-        self.ctx.note_output(self.service, self._run.produced)
+        self.ctx.note_run(
+            self.service,
+            self._run.produced,
+            self.ctx.now_s() - self._decoding_since_s,
+        )
         self._log_answer(server, answer)
 
     def _log_answer(self, server: Server, answer: Answer) -> None:
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -38,6 +38,25 @@
     DECODE = "decode"
 
 
+@dataclass(slots=True, frozen=True)
+class StageOrder:
+    """An order that moves an engine to another pool."""
+
+    instance: str
+    stage: Stage
+
+
+@dataclass(slots=True, frozen=True)
+class EngineReport:
+    """What an engine says of itself."""
+
+    stage: Stage
+    is_busy: bool
+    """Whether an order is being carried out."""
+    orders: int
+    """Orders that it has accepted since its start."""
+
+
 @dataclass(slots=True, frozen=True)
 class Target:
     """A service that a route leads to, with its share of the requests."""
@@ -87,6 +106,8 @@
     kv_token_bytes: int = 0
     event_tokens: int = 1
     """Tokens that one event of a stream carries."""
+    stage_switch_ms: int = 0
+    """Time for which an engine serves nothing while it changes its pool."""
     handle_ms: int = 0
     """Time for which a prefilled KV cache is kept for its transfer."""
 
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -28,10 +28,12 @@
 """Interval of notices without a change; silence of 1 s drops the load."""
 COALESCE_S: Final = 0.01
 """Changes within this time share a notice."""
-REGISTRATION_TTL_MS: Final = 15_000
-"""A gateway that ended is told of changes for this long, at most."""
-RENEWAL_S: Final = 5.0
-RETRY_S: Final = 1.0
+RENEWALS: Final = 3
+"""Renewals within the time of a lease; two may be lost."""
+RETRY_S: Final = 0.5
+HEARD_S: Final = 10.0
+"""Time for which a gateway that was heard of gets notices without being
+registered, as registrations lapse while the store is away."""
 
 
 class RegistrationFailed(Failure):
@@ -63,11 +65,14 @@
         super().__init__()
         self._ctx = ctx
         self._registry = registry
-        self._lease = 0
+        self.lease = 0
+        """Lease of the registration; 0: none at the moment."""
         self._incarnation = new_incarnation()
         self._sequence = 0
         self._latest: dict[str, tuple[int, int]] = {}
         """Incarnation and sequence of the last notice, by sender."""
+        self._heard: dict[str, tuple[str, float]] = {}
+        """Address of a sender and when it was heard of last."""
         self._changed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         ctx.loads_changed = self._changed.set
@@ -87,9 +92,9 @@
 
     async def on_stop(self) -> None:
         """Remove the registration and close the socket."""
-        if self._lease:
+        if self.lease:
             try:
-                await self._registry.end(self._lease)
+                await self._registry.end(self.lease)
             except RegistrationFailed as failure:
                 logging.info(
                     "event=registration_left detail=%r", failure.detail
@@ -119,6 +124,7 @@
         if self._latest.get(notice.name, (0, 0)) >= version:
             return
         self._latest[notice.name] = version
+        self._heard[notice.name] = f"{addr[0]}:{addr[1]}", time.monotonic()
         loads = {
             one.identity: PeerLoad(
                 one.outstanding,
@@ -127,7 +133,9 @@
             )
             for one in notice.servers
         }
-        self._ctx.loads.note_peer(notice.name, time.monotonic(), loads)
+        self._ctx.loads.note_peer(
+            notice.name, time.monotonic(), loads, notice.waiting or 0
+        )
         self._ctx.room.note_freed()
 
     async def _send(self) -> None:
@@ -144,11 +152,7 @@
             self._send_notice()
 
     def _send_notice(self) -> None:
-        addresses = [
-            address
-            for name, address in self._ctx.directory.gateways.items()
-            if name != self._ctx.settings.name
-        ]
+        addresses = self._addresses()
         if not addresses or self._transport is None:
             return
         self._sequence += 1
@@ -157,6 +161,15 @@
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
+    def _addresses(self) -> list[str]:
+        now_s = time.monotonic()
+        found = dict(self._ctx.directory.gateways)
+        for name, (address, heard_s) in self._heard.items():
+            if now_s - heard_s < HEARD_S:
+                found.setdefault(name, address)
+        found.pop(self._ctx.settings.name, None)
+        return list(found.values())
+
     def _notice(self) -> Any:
         return idl.LoadNotice(
             name=self._ctx.settings.name,
@@ -174,30 +187,31 @@
                 if load.outstanding or load.runs
             ],
             configuration_version=self._ctx.directory.configuration.version,
+            waiting=self._ctx.room.waiting,
         )
 
     async def _register(self) -> None:
         cfg = self._ctx.settings
         while not self.should_stop:
             try:
-                if self._lease:
-                    await self._registry.renew(self._lease)
+                if self.lease:
+                    await self._registry.renew(self.lease)
                 else:
-                    self._lease = await self._registry.register(
-                        cfg.name, cfg.internal_address, REGISTRATION_TTL_MS
+                    self.lease = await self._registry.register(
+                        cfg.name, cfg.internal_address, cfg.lease_ms
                     )
                     logging.info(
                         "event=registered gateway=%s address=%s lease=%d",
                         cfg.name,
                         cfg.internal_address,
-                        self._lease,
+                        self.lease,
                     )
-                await self.sleep(RENEWAL_S)
+                await self.sleep(cfg.lease_ms / 1_000 / RENEWALS)
             except RegistrationFailed as failure:
                 logging.warning(
                     "event=registration_failed lease=%d detail=%r",
-                    self._lease,
+                    self.lease,
                     failure.detail,
                 )
-                self._lease = 0
+                self.lease = 0
                 await self.sleep(RETRY_S)
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -18,7 +18,14 @@
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
 from gooseberrypost.policy.enginememory import Run
 from gooseberrypost.policy.serverchoice import decode_order, usable
-from gooseberrypost.policy.waitingorder import Waiting, is_hopeless, order
+from gooseberrypost.policy.waitingorder import (
+    MIN_RETRY_AFTER_S,
+    Waiting,
+    expected_wait_s,
+    is_hopeless,
+    order,
+    retry_after_s,
+)
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.context import GatewayContext
@@ -68,7 +75,13 @@
         self.add_future(self._serve())
 
     async def acquire(self, ticket: Ticket) -> Reservation:
-        """Wait for room; raises ``NoRoom``."""
+        """Wait for room; raises ``NoRoom``.
+
+        A generation that cannot be in time behind those that wait already is
+        refused at once: its client learns when to come back, instead of
+        waiting for an answer that is late.
+        """
+        self._refuse_if_late(ticket)
         self._waiting.append(ticket)
         self._changed.set()
         try:
@@ -80,6 +93,33 @@
             with suppress(ValueError):
                 self._waiting.remove(ticket)
 
+    @property
+    def waiting(self) -> int:
+        """Number of waiting generations."""
+        return len(self._waiting)
+
+    def _refuse_if_late(self, ticket: Ticket) -> None:
+        ctx = self._ctx
+        now_s = ctx.now_s()
+        wait_s = self._expected_wait_s(ticket)
+        if now_s + wait_s + LEAD_S <= ticket.objective_s:
+            return
+        after_s = retry_after_s(wait_s, ctx.rng.random())
+        raise NoRoom(
+            f"{self.waiting} wait here for {ticket.service}, "
+            f"expected wait {wait_s:.2f} s",
+            retry_after_ms=round(1_000 * after_s),
+        )
+
+    def _expected_wait_s(self, ticket: Ticket) -> float:
+        ctx = self._ctx
+        if not self._waiting and self._candidates(ticket):
+            return 0.0
+        known = ctx.directory.serving(ticket.service, ctx.now_s())
+        running = sum(ctx.loads.run_count(one.identity) for one in known)
+        waiting = self.waiting + ctx.loads.waiting_at_peers()
+        return expected_wait_s(waiting, running, ctx.run_s(ticket.service))
+
     def note_freed(self) -> None:
         """Look again, as a generation has ended."""
         self._changed.set()
@@ -102,18 +142,26 @@
     async def _round(self) -> None:
         """Offer each waiting generation what room there is."""
         now_s = self._ctx.now_s()
+        for ticket in list(self._waiting):
+            if is_hopeless(ticket, now_s, LEAD_S):
+                self._refuse(ticket)
         for ticket in order(self._waiting, now_s, LEAD_S):
-            if is_hopeless(ticket, self._ctx.now_s(), LEAD_S):
-                self._waiting.remove(ticket)
-                if not ticket.granted.done():
-                    ticket.granted.set_exception(
-                        NoRoom(f"no room in {ticket.service}")
-                    )
+            if ticket not in self._waiting:
                 continue
             if not await self._reserve(ticket):
                 # Those behind it wait as well, or large ones never get room.
                 break
 
+    def _refuse(self, ticket: Ticket) -> None:
+        self._waiting.remove(ticket)
+        if not ticket.granted.done():
+            ticket.granted.set_exception(
+                NoRoom(
+                    f"no room in {ticket.service} in time",
+                    retry_after_ms=round(1_000 * MIN_RETRY_AFTER_S),
+                )
+            )
+
     async def _reserve(self, ticket: Ticket) -> bool:
         ctx = self._ctx
         for server in self._candidates(ticket):
@@ -136,7 +184,7 @@
         ctx = self._ctx
         now_s = ctx.now_s()
         servers = usable(
-            ctx.directory.servers.of(ticket.service, now_s),
+            ctx.directory.serving(ticket.service, now_s),
             ctx.loads,
             now_s,
             ticket.excluded,
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -16,7 +16,7 @@
     from collections.abc import AsyncIterator
     from contextlib import AbstractAsyncContextManager
 
-    from gooseberrypost.gateway.model import Server
+    from gooseberrypost.gateway.model import EngineReport, Server, Stage
     from gooseberrypost.gateway.request import ClientRequest
 
 
@@ -146,6 +146,26 @@
     async def release(self, kv: KvHandle) -> None:
         """Free a KV cache that will not be used; failures are logged."""
 
+    @abstractmethod
+    async def report(self, server: Server) -> EngineReport:
+        """Ask an engine for its state; raises ``ServerUnreachable``."""
+
+    @abstractmethod
+    async def order_stage(
+        self,
+        server: Server,
+        stage: Stage,
+        after_orders: int,
+        holder: str,
+        fence: int,
+        timeout_s: float,
+    ) -> None:
+        """Order an engine to another pool after so many other orders.
+
+        Raises ``ServerRefused`` where it will not change, and
+        ``ServerUnreachable`` or ``AnswerLost`` where that is not known.
+        """
+
     @abstractmethod
     async def close(self) -> None:
         """Close all connections."""
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -15,12 +15,14 @@
 from gooseberrypost.gateway.model import (
     ClientLimits,
     Configuration,
+    EngineReport,
     EngineSpec,
     RequestKind,
     Route,
     Server,
     Service,
     Stage,
+    StageOrder,
     Target,
 )
 
@@ -58,11 +60,7 @@
 def decode_server(
     instance: str, content: bytes, revision: int
 ) -> Result[Server, InvalidDocument]:
-    """Decode the registration of a server.
-
-    ``sequence`` there counts orders that changed the engine, and does not
-    order registrations; the store's revision does.
-    """
+    """Decode the registration of a server."""
     try:
         found = json.loads(content)
         state = found["state"]
@@ -130,6 +128,7 @@
         kv_token_bytes=int(found.get("kv_token_bytes") or 0),
         event_tokens=int(found.get("stride") or 1),
         # In seconds on the wire.
+        stage_switch_ms=int(float(found.get("stage_switch_s") or 0) * 1_000),
         handle_ms=int(float(found.get("kv_retention_s") or 0) * 1_000),
     )
 
@@ -150,3 +149,37 @@
             found.get("idle_timeout_ms") or known.idle_timeout_ms
         ),
     )
+
+
+def decode_report(content: bytes) -> Result[EngineReport, InvalidDocument]:
+    """Decode an engine's report.
+
+    ``sequence`` counts accepted orders here; in a registration it counts the
+    registration's own writes.
+    """
+    try:
+        found = json.loads(content)
+        return Ok(
+            EngineReport(
+                stage=Stage(found.get("stage") or ""),
+                is_busy=bool(found.get("busy")),
+                orders=int(found["sequence"]),
+            )
+        )
+    except (ValueError, TypeError, LookupError, AttributeError) as exc:
+        return Err(InvalidDocument(f"report: {exc!r}"))
+
+
+def decode_stage_order(
+    instance: str, content: bytes, at: int
+) -> Result[StageOrder, InvalidDocument]:
+    """Decode the note of an order that a gateway is about to give."""
+    try:
+        return Ok(StageOrder(instance, Stage(json.loads(content)["stage"])))
+    except (ValueError, TypeError, LookupError) as exc:
+        return Err(InvalidDocument(f"order for {instance} at {at}: {exc!r}"))
+
+
+def encode_stage_order(order: StageOrder) -> bytes:
+    """Encode the note of an order."""
+    return json.dumps({"stage": order.stage.value}).encode()
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -12,6 +12,7 @@
 import aiohttp
 from absl import logging
 from aiohttp.client_proto import ResponseHandler
+from result import Err
 from yarl import URL
 
 from gooseberrypost.gateway.transport import (
@@ -27,12 +28,13 @@
     WrongInstance,
 )
 from gooseberrypost.platform import names
+from gooseberrypost.platform.documents import decode_report
 from gooseberrypost.platform.requests import encode_headers
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from gooseberrypost.gateway.model import Server
+    from gooseberrypost.gateway.model import EngineReport, Server, Stage
     from gooseberrypost.gateway.request import ClientRequest
 
 MISDIRECTED: Final = 421
@@ -160,6 +162,38 @@
         """Free a KV cache that will not be used."""
         await self._free(kv.server, f"{names.KV_HANDLE_PATH}{kv.handle}")
 
+    async def report(self, server: Server) -> EngineReport:
+        """Ask an engine for its state."""
+        status, content = await self._control("GET", server, names.REPORT_PATH)
+        decoded = decode_report(content)
+        if status != 200 or isinstance(decoded, Err):
+            raise ServerUnreachable(f"report of {server.address}: {status}")
+        return decoded.ok_value
+
+    async def order_stage(
+        self,
+        server: Server,
+        stage: Stage,
+        after_orders: int,
+        holder: str,
+        fence: int,
+        timeout_s: float,
+    ) -> None:
+        """Order an engine to another pool."""
+        body = {
+            "operation": "stage",
+            "stage": stage.value,
+            "holder": holder,
+            "fencing_token": fence,
+            # The order holds only if no other came before it.
+            "precondition": after_orders,
+        }
+        status, _ = await self._control(
+            "POST", server, names.ORDER_PATH, body, timeout_s
+        )
+        if status not in (200, 202):
+            raise ServerRefused(server.address, status=status)
+
     async def _free(self, server: Server, path: str) -> None:
         try:
             await self._control("DELETE", server, path)
@@ -172,14 +206,21 @@
             )
 
     async def _control(
-        self, method: str, server: Server, path: str, body: Any = None
+        self,
+        method: str,
+        server: Server,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> tuple[int, bytes]:
         """Make a small call that executes nothing."""
         url = URL(f"http://{server.address}{path}", encoded=True)
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        # Another engine at the address answers 421 instead.
+        headers = {names.EXPECT_INSTANCE: server.instance}
         try:
             async with self._session.request(
-                method, url, json=body, timeout=timeout
+                method, url, json=body, timeout=timeout, headers=headers
             ) as response:
                 return response.status, await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -8,19 +8,22 @@
 from result import Err, Result
 
 from gooseberrypost.address import parse_address
-from gooseberrypost.gateway.directory import Batch, Feed, FeedLost
-from gooseberrypost.gateway.peers import RegistrationFailed, Registry
+from gooseberrypost.gateway.directory import Batch, Feed
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import (
     decode_configuration,
     decode_server,
+    decode_stage_order,
 )
-from gooseberrypost.platform.store import LeaseEnded
 
 if TYPE_CHECKING:
     from typing import Any
 
-    from gooseberrypost.gateway.model import Configuration, Server
+    from gooseberrypost.gateway.model import (
+        Configuration,
+        Server,
+        StageOrder,
+    )
     from gooseberrypost.platform.store import Item, Items, PlatformStore
 
 WAIT_MS: Final = 1_200
@@ -43,9 +46,9 @@
         """Return everything."""
         found = await self._store.range(names.CONFIGURATION_PREFIX)
         servers = await self._store.range(names.SERVERS_PREFIX)
-        gateways = await self._store.range(names.GATEWAYS_PREFIX)
+        own = await self._store.range(names.OWN_PREFIX)
         # Changes between the reads are repeated by the first watch.
-        items = (*found.items, *servers.items, *gateways.items)
+        items = (*found.items, *servers.items, *own.items)
         return _batch(items, found.at, is_whole=True)
 
     async def wait(self, after: int) -> Batch:
@@ -61,6 +64,9 @@
     servers: list[Server] = []
     removed = []
     gateways: dict[str, str | None] = {}
+    holder: str | None = None
+    orders: list[StageOrder] = []
+    withdrawn: list[str] = []
     for key, item in last.items():
         if key == names.CONFIGURATION_KEY and item.value is not None:
             configurations += _valid(item, decode_configuration(item.value))
@@ -74,6 +80,15 @@
         elif key.startswith(names.GATEWAYS_PREFIX):
             name = key.removeprefix(names.GATEWAYS_PREFIX)
             gateways[name] = _address(item)
+        elif key == names.STAGE_HOLDER_KEY:
+            holder = (item.value or b"").decode("utf-8", "replace")
+        elif key.startswith(names.STAGE_ORDERS_PREFIX):
+            instance = key.removeprefix(names.STAGE_ORDERS_PREFIX)
+            if item.value is None:
+                withdrawn.append(instance)
+                continue
+            decoded = decode_stage_order(instance, item.value, item.revision)
+            orders += _valid(item, decoded)
     return Batch(
         tuple(configurations),
         tuple(servers),
@@ -81,6 +96,9 @@
         at,
         is_whole,
         gateways,
+        holder,
+        tuple(orders),
+        tuple(withdrawn),
     )
 
 
@@ -100,34 +118,3 @@
         )
         return []
     return [decoded.ok_value]
-
-
-class StoreRegistry(Registry):
-    """Registrations of the gateways, under leases of the store."""
-
-    def __init__(self, store: PlatformStore) -> None:
-        self._store = store
-
-    async def register(self, name: str, address: str, ttl_ms: int) -> int:
-        """Write this gateway's address and return the lease."""
-        key = f"{names.GATEWAYS_PREFIX}{name}"
-        try:
-            lease = await self._store.grant_lease(ttl_ms)
-            await self._store.put(key, address.encode(), lease)
-        except (FeedLost, LeaseEnded) as failure:
-            raise RegistrationFailed(str(failure)) from failure
-        return lease
-
-    async def renew(self, lease: int) -> None:
-        """Renew a lease."""
-        try:
-            await self._store.keep_lease(lease)
-        except (FeedLost, LeaseEnded) as failure:
-            raise RegistrationFailed(str(failure)) from failure
-
-    async def end(self, lease: int) -> None:
-        """Remove the registration."""
-        try:
-            await self._store.end_lease(lease)
-        except (FeedLost, LeaseEnded) as failure:
-            raise RegistrationFailed(str(failure)) from failure
--- a/src/gooseberrypost/platform/gateway.py
+++ b/src/gooseberrypost/platform/gateway.py
@@ -9,8 +9,9 @@
 from result import Err
 
 from gooseberrypost.gateway.daemon import GatewayDaemon, serve_until_signal
+from gooseberrypost.platform.coordination import StoreDuty, StoreRegistry
 from gooseberrypost.platform.engines import HttpTransport
-from gooseberrypost.platform.feeds import StoreFeed, StoreRegistry
+from gooseberrypost.platform.feeds import StoreFeed
 from gooseberrypost.platform.requests import decode_request
 from gooseberrypost.platform.settings import decode_settings
 from gooseberrypost.platform.store import PlatformStore
@@ -29,6 +30,7 @@
         HttpTransport(),
         StoreFeed(store),
         StoreRegistry(store),
+        StoreDuty(store),
         decode_request,
         random.Random(),
     )
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -17,7 +17,7 @@
 from gooseberrypost.platform.engines import tcp_socket
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
 MIN_ANSWER_S: Final = 0.5
 """Time for an answer, beside the wait of a watch; usual are some ms.
@@ -44,6 +44,12 @@
     code = "lease_ended"
 
 
+class ConditionFailed(Failure):
+    """A key has another revision; nothing was written."""
+
+    code = "condition_failed"
+
+
 @dataclass(slots=True, frozen=True)
 class Item:
     """A key and its value; ``value`` is None where it was deleted."""
@@ -53,6 +59,15 @@
     revision: int
 
 
+@dataclass(slots=True, frozen=True)
+class Put:
+    """A key to write; it is removed when its lease ends (0: none)."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
 @dataclass(slots=True, frozen=True)
 class Items:
     """Items and the store's revision at which they were read."""
@@ -109,15 +124,36 @@
             tuple(_items(found, "events")), _whole_number(found, "at")
         )
 
-    async def put(self, key: str, value: bytes, lease: int = 0) -> int:
-        """Write a key, whatever it held, and return the revision."""
-        entry = {
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "lease": lease,
+    async def write(
+        self,
+        puts: Sequence[Put],
+        conditions: Mapping[str, int] | None = None,
+        removed: Sequence[str] = (),
+        timeout_s: float = 0.0,
+    ) -> int:
+        """Write and remove keys if all conditions hold; return the revision.
+
+        A condition is the revision of a key, 0 for one that does not exist;
+        ``ConditionFailed`` where one differs.
+        """
+        body = {
+            "precondition": [
+                {"key": key, "revision": revision}
+                for key, revision in (conditions or {}).items()
+            ],
+            "puts": [
+                {
+                    "key": put.key,
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in puts
+            ],
+            "remove": list(removed),
         }
-        body = {"precondition": [], "puts": [entry], "remove": []}
-        found = await self._call("POST", names.TXN_PATH, body=body)
+        found = await self._call(
+            "POST", names.TXN_PATH, body=body, timeout_s=timeout_s
+        )
         return _whole_number(found, "revision")
 
     async def grant_lease(self, ttl_ms: int) -> int:
@@ -146,10 +182,12 @@
         query: Mapping[str, str] | None = None,
         body: Any = None,
         wait_s: float = 0.0,
+        timeout_s: float = 0.0,
     ) -> dict[str, Any]:
         url = URL(f"http://{self.address}{path}")
         timeout = aiohttp.ClientTimeout(
-            total=self._answer_s + wait_s, sock_connect=CONNECT_TIMEOUT_S
+            total=(timeout_s or self._answer_s) + wait_s,
+            sock_connect=CONNECT_TIMEOUT_S,
         )
         try:
             async with self._session.request(
@@ -167,6 +205,8 @@
 def _decoded(path: str, status: int, content: bytes) -> dict[str, Any]:
     if status == 410:
         raise HistoryLost(path)
+    if status == 412:
+        raise ConditionFailed(path)
     if status == 404:
         # Only calls that name a lease are answered so.
         raise LeaseEnded(path)
--- /dev/null
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -0,0 +1,116 @@
+"""How many engines read prompts and how many decode.
+
+The pools work one after the other, so that the smaller rate of the two is
+the rate of the service. An engine changes its pool if that raises this rate
+by ``MIN_GAIN``; the threshold also keeps engines from changing to and fro.
+
+>>> demand = Demand(prompt=5_000, output=4_000, run_s=3.0, kv_tokens=100_000)
+>>> engines = [Engine(str(n), Stage.PREFILL, 32) for n in range(3)]
+>>> change = choose_change([*engines, Engine("d", Stage.DECODE, 32)], demand)
+>>> change.instance, change.stage
+('0', <Stage.DECODE: 'decode'>)
+>>> more = [Engine("e", Stage.DECODE, 32), Engine("f", Stage.DECODE, 32)]
+>>> choose_change([*engines[:2], Engine("d", Stage.DECODE, 32), *more], demand)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from gooseberrypost.gateway.model import Stage, StageOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MIN_GAIN: Final = 1.2
+"""Least ratio of the rates after and before a change.
+
+A change takes an engine out of service for seconds and must pay for that.
+"""
+MEMORY_SHARE: Final = 0.9
+"""Share of an engine's memory that generations fill on average."""
+DIRECT_SHARE: Final = 0.25
+"""Rate at which a decode engine reads prompts beside its streams, against a
+prefill engine: half the speed, half of the time."""
+
+
+@dataclass(slots=True, frozen=True)
+class Engine:
+    """An engine as the balance sees it."""
+
+    instance: str
+    stage: Stage
+    slots: int
+    prefill_ms_per_token: float = 0.02
+    load: float = 0.0
+    """Work that a change would wait for; the idlest engine changes."""
+
+
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """A typical generation of the service."""
+
+    prompt: float
+    """Mean prompt in tokens."""
+    output: float
+    """Mean output in tokens."""
+    run_s: float
+    """Mean time at the decode engine."""
+    kv_tokens: int
+    """Memory of an engine in tokens."""
+
+
+def service_rate(engines: Sequence[Engine], demand: Demand) -> float:
+    """Return the generations per second that the pools can serve."""
+    decode = sum(
+        _decode_rate(engine, demand)
+        for engine in engines
+        if engine.stage is not Stage.PREFILL
+    )
+    prefill = sum(
+        _prefill_rate(engine, demand)
+        * (1.0 if engine.stage is Stage.PREFILL else 0.0)
+        for engine in engines
+    )
+    if not prefill:
+        prefill = DIRECT_SHARE * sum(
+            _prefill_rate(engine, demand) for engine in engines
+        )
+    return min(prefill, decode)
+
+
+def choose_change(
+    engines: Sequence[Engine], demand: Demand
+) -> StageOrder | None:
+    """Return the change that raises the rate most, if it is worth it."""
+    now = service_rate(engines, demand)
+    best, best_key = None, (MIN_GAIN * now, 0.0)
+    for number, engine in enumerate(engines):
+        other = (
+            Stage.DECODE if engine.stage is Stage.PREFILL else Stage.PREFILL
+        )
+        changed = Engine(
+            engine.instance,
+            other,
+            engine.slots,
+            engine.prefill_ms_per_token,
+        )
+        after = [*engines[:number], changed, *engines[number + 1 :]]
+        key = (service_rate(after, demand), -engine.load)
+        if key[0] > best_key[0] or (
+            best is not None and key[0] == best_key[0] and key > best_key
+        ):
+            best, best_key = StageOrder(engine.instance, other), key
+    return best
+
+
+def _prefill_rate(engine: Engine, demand: Demand) -> float:
+    took_ms = max(demand.prompt, 1) * engine.prefill_ms_per_token
+    return 1_000 / took_ms
+
+
+def _decode_rate(engine: Engine, demand: Demand) -> float:
+    held = max(demand.prompt + demand.output / 2, 1)
+    fitting = MEMORY_SHARE * demand.kv_tokens / held
+    return min(engine.slots, fitting) / max(demand.run_s, 0.01)
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -114,11 +114,12 @@
 class ServerLoads:
     """Loads by the identity of a server's start, with those of the peers."""
 
-    __slots__ = ("_loads", "_peers")
+    __slots__ = ("_loads", "_peers", "_waiting")
 
     def __init__(self) -> None:
         self._loads: dict[str, ServerLoad] = {}
         self._peers: dict[str, tuple[float, dict[str, PeerLoad]]] = {}
+        self._waiting: dict[str, int] = {}
 
     def of(self, identity: str) -> ServerLoad:
         """Return the load of a server, new where it was not seen yet."""
@@ -132,16 +133,25 @@
         return self._loads.items()
 
     def note_peer(
-        self, name: str, now_s: float, loads: dict[str, PeerLoad]
+        self,
+        name: str,
+        now_s: float,
+        loads: dict[str, PeerLoad],
+        waiting: int = 0,
     ) -> None:
         """Take the loads that another gateway reports of itself."""
         self._peers[name] = (now_s, loads)
+        self._waiting[name] = waiting
 
     def peers(self, now_s: float) -> int:
         """Return the number of other gateways heard of lately."""
         self.forget_silent(now_s)
         return len(self._peers)
 
+    def waiting_at_peers(self) -> int:
+        """Return the generations that wait for room at other gateways."""
+        return sum(self._waiting.values())
+
     def outstanding(self, identity: str) -> int:
         """Return the requests of all gateways at a server."""
         return self.of(identity).outstanding + sum(
@@ -182,6 +192,7 @@
         for name in list(self._peers):
             if now_s - self._peers[name][0] > PEER_SILENT_S:
                 del self._peers[name]
+                self._waiting.pop(name, None)
 
     def _of_peers(self, identity: str) -> list[PeerLoad]:
         return [
--- a/src/gooseberrypost/policy/waitingorder.py
+++ b/src/gooseberrypost/policy/waitingorder.py
@@ -9,11 +9,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Final, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+MIN_RETRY_AFTER_S: Final = 1.0
+MAX_RETRY_AFTER_S: Final = 3.0
+"""Clients wait up to a third of the time that they have left."""
+RETRY_SPREAD: Final = 0.4
+
 
 @dataclass(slots=True)
 class Waiting:
@@ -51,3 +56,27 @@
 def is_hopeless(one: Waiting, now_s: float, lead_s: float) -> bool:
     """Whether the first event would come after the client has left."""
     return now_s + lead_s > one.give_up_s
+
+
+def expected_wait_s(waiting: int, running: int, run_s: float) -> float:
+    """Time until room is free behind those that wait already.
+
+    Room becomes free as the running generations end one after the other.
+
+    >>> expected_wait_s(waiting=4, running=30, run_s=3.0)
+    0.5
+    """
+    if not running:
+        return 0.0
+    return (waiting + 1) * run_s / running
+
+
+def retry_after_s(wait_s: float, spread: float) -> float:
+    """Time after which a refused client should come back.
+
+    ``spread`` from 0 to 1 keeps those refused together from coming back
+    together.
+    """
+    return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S) * (
+        1 + RETRY_SPREAD * spread
+    )
--- a/src/gooseberrypost/settings/gateway.py
+++ b/src/gooseberrypost/settings/gateway.py
@@ -28,5 +28,7 @@
     repeat_window_ms: int = 10_000
     repeat_allowance: float = 0.0
     """Repeated sends in a window beside the share, over all gateways."""
+    lease_ms: int = 3_000
+    """Time of a lease, in which a gateway that holds a duty is replaced."""
     change_apply_ms: int = 2_000
     """Time within which a change is in force."""
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -281,4 +281,5 @@
   3: i64 sequence,             // rises with each notice of an incarnation
   4: list<ServerLoadNotice> servers,
   5: i64 configuration_version,
+  6: optional i32 waiting,     // generations that wait for room
 }
