--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -94,12 +94,18 @@
         self._server = ClientServer(ctx, self._handle)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.2)
         self._site: web.TCPSite | None = None
-        self.in_flight = 0
+        self._busy: set[web.RequestHandler] = set()
+        """Connections with a request in flight."""
         self._idle = asyncio.Event()
         self._idle.set()
         self.address = ""
         """Bound ``host:port``."""
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are not answered yet."""
+        return len(self._busy)
+
     async def on_start(self) -> None:
         """Bind; raises ``OSError`` when the port is taken."""
         await self._runner.setup()
@@ -121,7 +127,11 @@
             await self._site.stop()
             self._site = None
         for connection in self._server.connections:
-            connection.close()
+            if connection in self._busy:
+                connection.close()
+            else:
+                # ``close`` leaves an idle connection open and deaf.
+                connection.force_close()
 
     async def idle(self, wait_s: float) -> None:
         """Wait until no request is in flight, up to a time."""
@@ -134,7 +144,8 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         leaving = self._lifecycle.state is State.DRAINING
         reply = HttpReply(request, close=leaving)
-        self.in_flight += 1
+        connection = request.protocol
+        self._busy.add(connection)
         self._idle.clear()
         try:
             await self._serve(request, reply)
@@ -143,8 +154,8 @@
         except Failure as failure:
             await self._refuse(reply, failure)
         finally:
-            self.in_flight -= 1
-            if not self.in_flight:
+            self._busy.discard(connection)
+            if not self._busy:
                 self._idle.set()
         return reply.response or web.Response(status=CallerGone.http_status)
 
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -84,7 +84,11 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._answer_s = MIN_ANSWER_S
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=tcp_socket)
+        # Idle connections may all have fallen silent; each would cost the
+        # time of a call that is not answered.
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=tcp_socket
+        )
         self._session = aiohttp.ClientSession(
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
         )
