--- /dev/null
+++ b/tests/gateway_kit.py
@@ -0,0 +1,184 @@
+"""A gateway in front of the platform's stand-ins, in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from gooseberrypost.gateway.daemon import GatewayDaemon
+from gooseberrypost.platform.coordination import StoreDuty, StoreRegistry
+from gooseberrypost.platform.engines import HttpTransport
+from gooseberrypost.platform.feeds import StoreFeed
+from gooseberrypost.platform.requests import decode_request
+from gooseberrypost.platform.store import PlatformStore
+from gooseberrypost.settings.gateway import GatewaySettings
+from tests.standins.platform_engine import PlatformEngineStandIn
+from tests.standins.platform_store import PlatformStoreStandIn
+
+HOST = "h.example"
+ROUTES = {
+    "safe": {"kind": "idempotent", "service": "desk", "max_attempts": 2},
+    "once": {"kind": "non_idempotent", "service": "desk"},
+    "text": {"kind": "streaming", "service": "llm", "resumable": False},
+    "again": {
+        "kind": "streaming",
+        "service": "llm",
+        "resumable": True,
+        "max_attempts": 2,
+    },
+}
+
+
+def configuration(version: int, timeout_ms: int = 2_000, **limits) -> dict:
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 900,
+            "target_gap_ms": 300,
+            "max_attempts": 1,
+            **route,
+        }
+        for name, route in ROUTES.items()
+    ]
+    engine = {"slots": 4, "kv_capacity_tokens": 10_000, "stride": 1}
+    engine |= {"kv_retention_s": 0.5, "stage_switch_s": 6.0}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "desk", "health_path": "/h", "max_connections": 10},
+            {"name": "llm", "max_connections": 10, "engine": engine},
+        ],
+        "limits": limits,
+    }
+
+
+class Answered:
+    """What a client got."""
+
+    def __init__(self, status, headers, body, complete):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.complete = complete
+
+
+class GatewayKit:
+    """The stand-ins, one gateway and a client."""
+
+    def __init__(self):
+        self.store = PlatformStoreStandIn()
+        self.engines: dict[str, PlatformEngineStandIn] = {}
+        self.clients: list[PlatformStore] = []
+        self.requests = 0
+
+    async def add(
+        self, instance: str, service: str = "desk", stage: str = "", **changes
+    ) -> PlatformEngineStandIn:
+        engine = await PlatformEngineStandIn(instance, stage).start()
+        self.engines[instance] = engine
+        self.register(instance, service, **changes)
+        return engine
+
+    def register(self, instance: str, service: str, **changes):
+        entry = self.engines[instance].registration(service, **changes)
+        self.store.put(f"servers/{instance}", entry)
+
+    async def gateway(self, name: str = "gateway-1", **changes):
+        cfg = GatewaySettings(
+            **{
+                "name": name,
+                "zone": "a",
+                "client_address": "127.0.0.1:0",
+                "readiness_address": f"127.0.0.1:{free_port()}",
+                "store_address": self.store.address,
+                "internal_address": f"127.0.0.1:{free_port()}",
+                "repeat_ratio": 0.2,
+                "repeat_allowance": 54.0,
+                **changes,
+            }
+        )
+        client = PlatformStore(cfg.store_address)
+        self.clients.append(client)
+        daemon = GatewayDaemon(
+            cfg,
+            HttpTransport(),
+            StoreFeed(client),
+            StoreRegistry(client),
+            StoreDuty(client),
+            decode_request,
+            random.Random(1),
+        )
+        await daemon.start()
+        return daemon
+
+    async def until(self, condition, wait_s: float = 5.0):
+        end_s = asyncio.get_running_loop().time() + wait_s
+        while not condition():
+            assert asyncio.get_running_loop().time() < end_s
+            await asyncio.sleep(0.01)
+
+    async def call(
+        self, path: str, method: str = "POST", body=b"body", **headers
+    ) -> Answered:
+        self.requests += 1
+        sent = {
+            "Host": HOST,
+            "X-Gooseberrypost-Attempt-Id": f"r{self.requests}",
+            "X-Gooseberrypost-Deadline-Ms": "2000",
+        }
+        sent |= {name.replace("_", "-"): v for name, v in headers.items()}
+        url = f"http://{self.daemon.frontend.address}{path}"
+        async with aiohttp.request(
+            method, url, headers=sent, data=body
+        ) as response:
+            try:
+                content, complete = await response.read(), True
+            except aiohttp.ClientError:
+                content, complete = b"", False
+            return Answered(
+                response.status, response.headers, content, complete
+            )
+
+    async def generate(self, path: str = "/text/x", tokens: str = "100,10"):
+        return await self.call(
+            path,
+            X_Gooseberrypost_Token_Usage=tokens,
+            X_Gooseberrypost_Prompt_Prefix="ab:100",
+        )
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@asynccontextmanager
+async def serving(*engines: tuple[str, str, str], **changes):
+    """Run a gateway in front of engines: instance, service, stage."""
+    kit = GatewayKit()
+    await kit.store.start()
+    kit.store.put("op/config", configuration(3))
+    for instance, service, stage in engines:
+        await kit.add(instance, service, stage)
+    kit.daemon = await kit.gateway(**changes)
+    try:
+        await kit.until(lambda: kit.daemon.lifecycle.state == "serving")
+        yield kit
+    finally:
+        with contextlib.suppress(asyncio.CancelledError):
+            await kit.daemon.stop()
+        for client in kit.clients:
+            await client.close()
+        for engine in kit.engines.values():
+            await engine.stop()
+        await kit.store.stop()
--- /dev/null
+++ b/tests/standins/platform_engine.py
@@ -0,0 +1,238 @@
+"""Stand-in of the platform's backend servers, plain and model engines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+
+SIGNATURE = "X-Gooseberrypost-Server-Stamp: sig"
+NOT_EXECUTED = "X-Gooseberrypost-Not-Executed: 1"
+
+
+class Received:
+    """One request as the server read it."""
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def header(self, name: str) -> str | None:
+        return self.headers.get(f"x-gooseberrypost-{name}".lower())
+
+
+class PlatformEngineStandIn:
+    """Answers on raw connections, so that answers can be broken."""
+
+    def __init__(self, instance: str, stage: str = ""):
+        self.instance = instance
+        self.stage = stage
+        self.host, self.port = "127.0.0.1", 0
+        self.received: list[Received] = []
+        self.executed: list[str] = []
+        self.control: list[Received] = []
+        self.closed_early: list[str] = []
+        self.mode = "answer"
+        """How requests end: answer, refuse, reset, hang, unframed_reset,
+        foreign, truncate, unsigned, error."""
+        self.events = 3
+        self.event_s = 0.0
+        self.has_room = True
+        self.orders = 0
+        self.refuses_orders = False
+        self.tasks: set[asyncio.Task] = set()
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    def registration(self, service: str, **changes) -> dict:
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "stage": self.stage,
+            "sequence": 7,
+            "born": 1,
+            **changes,
+        }
+
+    async def start(self, address: str = "127.0.0.1:0"):
+        host, _, port = address.rpartition(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self):
+        self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            request = await self._read(reader)
+            if request is not None:
+                await self._answer(request, reader, writer)
+        except ConnectionError:
+            return
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    async def _read(self, reader) -> Received | None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            return None
+        lines = head.decode("latin-1").split("\r\n")
+        method, target, _ = lines[0].split(" ")
+        headers = {}
+        for line in filter(None, lines[1:]):
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return Received(method, target, headers, body)
+
+    async def _answer(self, request, reader, writer):
+        if request.target.startswith("/-/"):
+            self.control.append(request)
+            status, body = self._control(request)
+            return await self._json(writer, status, body)
+        self.received.append(request)
+        if request.header("Expect-Instance") != self.instance:
+            return await self._send(writer, "421 Misdirected", [NOT_EXECUTED])
+        if request.header("Inference-Stage") == "prefill":
+            body = {"kv_handle": "h1", "tokens": 10, "version": 1}
+            return await self._json(writer, 200, body)
+        if self.mode == "refuse":
+            return await self._send(
+                writer, "503 Service Unavailable", [NOT_EXECUTED]
+            )
+        request_id = request.header("Attempt-Id")
+        self.executed.append(request_id)
+        watcher = asyncio.create_task(self._watch(reader, request_id))
+        try:
+            await getattr(self, f"_mode_{self.mode}")(request, writer)
+        finally:
+            watcher.cancel()
+
+    async def _watch(self, reader, request_id):
+        """Note that the connection was closed before the answer's end."""
+        if not await reader.read(1):
+            self.closed_early.append(request_id)
+
+    def _control(self, request):
+        path = request.target
+        if path == "/-/hold-take":
+            if self.has_room:
+                return 200, {"hold": "hold-1"}
+            return 503, {}
+        if path == "/-/report":
+            return 200, {
+                "stage": self.stage,
+                "busy": False,
+                "sequence": self.orders,
+            }
+        if path == "/-/order" and self.refuses_orders:
+            return 409, {}
+        if path == "/-/order":
+            self.orders += 1
+            return 202, {}
+        return 200, {}
+
+    async def _json(self, writer, status, body):
+        content = json.dumps(body).encode()
+        await self._send(
+            writer, f"{status} X", ["Content-Type: application/json"], content
+        )
+
+    async def _send(self, writer, status, headers, body=b""):
+        lines = [
+            f"HTTP/1.1 {status}",
+            *headers,
+            f"Content-Length: {len(body)}",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        await writer.drain()
+
+    def _head(self, request, *headers) -> bytes:
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Gooseberrypost-Attempt-Id: {request.header('Attempt-Id')}",
+            SIGNATURE,
+            *headers,
+        ]
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    async def _mode_answer(self, request, writer):
+        if self.stage:
+            return await self._stream(request, writer)
+        body = f"{self.instance} {request.method} {request.target}".encode()
+        head = self._head(request, f"Content-Length: {len(body)}")
+        writer.write(head + body)
+        await writer.drain()
+
+    async def _stream(self, request, writer):
+        head = self._head(
+            request,
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        )
+        writer.write(head)
+        first = int(request.headers.get("last-event-id") or 0)
+        for number in range(first + 1, self.events + 1):
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            if self.mode == "truncate" and number == 2:
+                event = event[:6]
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            if self.mode == "truncate" and number == 2:
+                return
+            await asyncio.sleep(self.event_s)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def _mode_truncate(self, request, writer):
+        if self.stage:
+            return await self._stream(request, writer)
+        writer.write(self._head(request, "Content-Length: 50") + b"part")
+        await writer.drain()
+
+    async def _mode_reset(self, request, writer):
+        reset(writer)
+
+    async def _mode_hang(self, request, writer):
+        await asyncio.sleep(3_600)
+
+    async def _mode_unframed_reset(self, request, writer):
+        writer.write(self._head(request) + b"part")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+
+    async def _mode_foreign(self, request, writer):
+        request.headers["x-gooseberrypost-attempt-id"] = "another"
+        await self._mode_answer(request, writer)
+
+    async def _mode_unsigned(self, request, writer):
+        await self._send(writer, "200 OK", [], b"no signature")
+
+    async def _mode_error(self, request, writer):
+        await self._send(writer, "500 Oops", [SIGNATURE], b"failed")
+
+
+def reset(writer: asyncio.StreamWriter):
+    """Close with a reset; an abort alone closes in order."""
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,169 @@
+"""Stand-in of the platform's store, by its published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+from tests.standins.server import StandIn
+
+
+class PlatformStoreStandIn(StandIn):
+    """Keys with revisions, watches, transactions and leases."""
+
+    def __init__(self):
+        super().__init__()
+        self.revision = 1
+        self.items: dict[str, dict] = {}
+        self.history: list[dict] = []
+        self.leases: dict[int, asyncio.TimerHandle] = {}
+        self.ttls: dict[int, int] = {}
+        self.changed = asyncio.Event()
+        self.calls: list[str] = []
+        self.deaf = False
+        """Watches hear nothing until they end."""
+        self.down = False
+        """Every call is answered 503."""
+        self.silent = False
+        """No call is answered."""
+        self.compacted = 0
+        """Revision up to which the history is dropped."""
+        router = self.app.router
+        router.add_get("/-/kv-range", self._range)
+        router.add_get("/-/kv-watch", self._watch)
+        router.add_post("/-/kv-txn", self._txn)
+        router.add_post("/-/kv-lease", self._grant)
+        router.add_post("/-/kv-keep/{lease}", self._keep)
+        router.add_delete("/-/kv-lease-end/{lease}", self._end)
+        self.app.middlewares.append(self._faults)
+
+    @web.middleware
+    async def _faults(self, request, handler):
+        self.calls.append(request.path)
+        if self.silent:
+            await asyncio.sleep(3_600)
+        if self.down:
+            return web.json_response({}, status=503)
+        return await handler(request)
+
+    def switch(self, name: str, value):
+        setattr(self, name, value)
+
+    def put(self, key: str, value: object, lease: int = 0):
+        content = value if isinstance(value, bytes) else encode(value)
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {
+            "key": key,
+            "value": base64.b64encode(content).decode(),
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key: str):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            gone = {"key": key, "revision": self.revision, "deleted": True}
+            self._note(gone)
+
+    def _note(self, event: dict):
+        self.history.append(event)
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    async def _range(self, request):
+        prefix, after = (
+            request.query["path_prefix"],
+            request.query.get("after"),
+        )
+        found = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix) and (not after or key > after)
+        ]
+        body = {"items": found, "has_more": False, "at": self.revision}
+        return web.json_response(body)
+
+    async def _watch(self, request):
+        prefix = request.query["path_prefix"]
+        after = int(request.query["after"])
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(request.query["wait_ms"]) / 1_000
+        while True:
+            if after < self.compacted:
+                return web.json_response({}, status=410)
+            changed = self.changed
+            events = [
+                event
+                for event in self.history
+                if event["revision"] > after
+                and event["key"].startswith(prefix)
+            ]
+            if events and not self.deaf:
+                break
+            try:
+                async with asyncio.timeout(max(end - loop.time(), 0)):
+                    await changed.wait()
+            except TimeoutError:
+                events = []
+                break
+        return web.json_response({"events": events, "at": self.revision})
+
+    async def _txn(self, request):
+        body = await request.json()
+        for row in body["precondition"]:
+            present = self.items.get(row["key"], {}).get("revision", 0)
+            if present != row["revision"]:
+                return web.json_response({"items": []}, status=412)
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return web.json_response({}, status=404)
+        for put in body["puts"]:
+            value = base64.b64decode(put["value"])
+            self.put(put["key"], value, put["lease"])
+        for key in body["remove"]:
+            self.remove(key)
+        return web.json_response({"revision": self.revision})
+
+    async def _grant(self, request):
+        ttl = (await request.json())["ttl_ms"]
+        lease = 1_000 + len(self.ttls)
+        self.ttls[lease] = ttl
+        self._arm(lease)
+        return web.json_response({"lease": lease, "ttl_ms": ttl})
+
+    def _arm(self, lease: int):
+        loop = asyncio.get_running_loop()
+        self.leases[lease] = loop.call_later(
+            self.ttls[lease] / 1_000, self.lapse, lease
+        )
+
+    def lapse(self, lease: int):
+        handle = self.leases.pop(lease, None)
+        if handle is not None:
+            handle.cancel()
+        for key, item in list(self.items.items()):
+            if item["lease"] == lease:
+                self.remove(key)
+
+    async def _keep(self, request):
+        lease = int(request.match_info["lease"])
+        if lease not in self.leases:
+            return web.json_response({}, status=404)
+        self.leases[lease].cancel()
+        self._arm(lease)
+        return web.json_response({"ttl_ms": self.ttls[lease]})
+
+    async def _end(self, request):
+        self.lapse(int(request.match_info["lease"]))
+        return web.json_response({})
+
+
+def encode(value: object) -> bytes:
+    return json.dumps(value).encode()
--- /dev/null
+++ b/tests/test_gateway_adapter.py
@@ -0,0 +1,106 @@
+"""Decoding of the platform's documents, settings and headers."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrypost.gateway.model import Stage
+from gooseberrypost.platform.documents import (
+    decode_configuration,
+    decode_report,
+    decode_server,
+)
+from gooseberrypost.platform.settings import decode_settings
+from tests.gateway_kit import configuration
+
+SETTINGS = {
+    "node_name": "edge-1",
+    "zone": "z",
+    "ip": "10.1.0.35",
+    "listen": {"frontend": "10.1.0.35:8144", "readiness": "10.1.0.35:8140"},
+    "internal_port_range": [7660, 7675],
+    "bounds": {"grace_s": 8, "retry_budget_ratio": 0.2, "budget_slack": 54},
+    "platform": {"address": "10.200.1.7:8142"},
+    "a_new_field": True,
+}
+
+
+def test_settings_are_decoded_with_their_units():
+    """Guards against seconds taken for milliseconds."""
+    cfg = decode_settings(json.dumps(SETTINGS), "f").unwrap()
+    assert cfg.grace_ms == 8_000
+    assert cfg.repeat_allowance == 54
+    assert cfg.internal_address == "10.1.0.35:7660"
+    assert cfg.lease_ms == 3_000
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("node_name", 5),
+        ("listen", {}),
+        ("internal_port_range", [9, 3]),
+        ("platform", {"address": "store:80"}),
+        ("bounds", {"grace_s": -1}),
+    ],
+)
+def test_wrong_settings_name_their_field(path, value):
+    """Guards against a process that starts with half of its settings."""
+    text = json.dumps({**SETTINGS, path: value})
+    failure = decode_settings(text, "node.json").unwrap_err()
+    assert any(one.path.startswith(path) for one in failure.problems)
+    assert all(one.allowed for one in failure.problems)
+    assert "node.json" in str(failure)
+
+
+def test_configuration_is_decoded_whole():
+    """Guards against routes without their limits."""
+    content = json.dumps(configuration(7, idle_timeout_ms=9_000)).encode()
+    cfg = decode_configuration(content).unwrap()
+    assert cfg.version == 7
+    assert cfg.limits.idle_timeout_ms == 9_000
+    assert cfg.services["llm"].engine.handle_ms == 500
+    assert cfg.services["llm"].engine.stage_switch_ms == 6_000
+    assert cfg.route("h.example", "/again/x").resumable
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_give_a_typed_error(content):
+    """Guards against a follower that ends at a foreign entry."""
+    assert decode_configuration(content).is_err()
+    assert decode_server("i", content, 1).is_err()
+    assert decode_report(content).is_err()
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            ["service", "address", "state", "slots", "stage", "born", "zone"]
+        ),
+        st.one_of(st.none(), st.integers(), st.text(), st.lists(st.none())),
+    )
+)
+def test_registration_of_any_shape_is_decoded_or_refused(found):
+    """Guards against exceptions from fields of another type."""
+    decode_server("i", json.dumps(found).encode(), 1)
+
+
+def test_registration_is_decoded():
+    """Guards against a start that is taken for another one."""
+    entry = {
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 32,
+        "state": "draining",
+        "stage": "prefill",
+        "born": 1_700_000_000_000,
+    }
+    found = decode_server("i", json.dumps(entry).encode(), 9).unwrap()
+    assert found.draining
+    assert found.stage is Stage.PREFILL
+    assert found.identity == "i@1700000000000"
--- /dev/null
+++ b/tests/test_gateway_directory.py
@@ -0,0 +1,147 @@
+"""How a gateway follows the store, and what it does without it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.gateway_kit import configuration, serving
+
+PLAIN = (("a", "desk", ""), ("b", "desk", ""))
+
+
+def run(work):
+    return asyncio.run(work())
+
+
+def test_deaf_watch_does_not_hide_a_change():
+    """Guards against a change missed by a watch that heard nothing."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.store.deaf = True
+            kit.store.put("op/config", configuration(8))
+            # The deaf watch has answered with a revision behind the change.
+            await asyncio.sleep(0.3)
+            kit.store.deaf = False
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 8, 2.0)
+
+    run(work)
+
+
+def test_dropped_history_is_read_anew():
+    """Guards against a follower that stops at a lost history."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.store.deaf = True
+            kit.store.put("op/config", configuration(8))
+            kit.store.compacted = kit.store.revision
+            kit.store.cut()
+            kit.store.deaf = False
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 8, 2.0)
+
+    run(work)
+
+
+def test_silent_store_is_noticed_in_time():
+    """Guards against waiting on a silent connection beyond the bound."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.store.silent = True
+            await asyncio.sleep(0.2)
+            kit.store.put("op/config", configuration(8))
+            kit.store.silent = False
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 8, 2.0)
+
+    run(work)
+
+
+def test_requests_are_served_while_the_store_is_down():
+    """Guards against a gateway that forgets what it knows."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.store.down = True
+            kit.store.cut()
+            await asyncio.sleep(0.3)
+            assert (await kit.call("/once/x")).status == 200
+
+    run(work)
+
+
+def test_draining_server_gets_no_new_request():
+    """Guards against requests to a server that leaves."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.register("a", "desk", state="draining")
+            servers = kit.daemon.context.directory.servers
+            await kit.until(lambda: any(s.draining for s in servers.all()))
+            for _ in range(5):
+                assert (await kit.call("/once/x")).status == 200
+            assert kit.engines["a"].received == []
+
+    run(work)
+
+
+def test_entry_of_another_writer_is_ignored():
+    """Guards against a follower that fails on what it cannot decode."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.store.put("servers/x", b"\xff\xfe")
+            kit.store.put("servers/y", {"service": 5, "state": "odd"})
+            kit.store.put("op/config", configuration(8))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 8)
+            assert len(directory.servers.all()) == 2
+
+    run(work)
+
+
+def test_idle_connections_are_closed_when_leaving():
+    """Guards against a request read after SIGTERM and never answered."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            host, _, port = kit.daemon.frontend.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+                b"X-Gooseberrypost-Attempt-Id: q\r\n\r\n"
+            )
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readuntil(b"/safe/x")
+            await kit.daemon.frontend.close_idle()
+            async with asyncio.timeout(1):
+                assert await reader.read() == b""
+            writer.close()
+
+    run(work)
+
+
+def test_gateways_share_their_loads():
+    """Guards against engines filled by gateways that ignore each other."""
+
+    async def work():
+        async with serving(
+            ("p", "llm", "prefill"), ("d", "llm", "decode")
+        ) as kit:
+            other = await kit.gateway("gateway-2")
+            try:
+                engine = kit.engines["d"]
+                engine.events, engine.event_s = 20, 0.05
+                task = asyncio.create_task(kit.generate())
+                await kit.until(lambda: other.context.loads.run_count("d@1"))
+                await task
+                await kit.until(
+                    lambda: not other.context.loads.run_count("d@1")
+                )
+            finally:
+                await other.stop()
+
+    run(work)
--- /dev/null
+++ b/tests/test_gateway_policy.py
@@ -0,0 +1,243 @@
+"""Pure decisions of a gateway: who waits, where work goes, what is known."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrypost.gateway.model import (
+    Configuration,
+    RequestKind,
+    Route,
+    Server,
+    Stage,
+    Target,
+)
+from gooseberrypost.policy.enginememory import (
+    Run,
+    expected_output,
+    peak_of,
+    peak_tokens,
+)
+from gooseberrypost.policy.membership import LAPSE_GRACE_S, ServerList
+from gooseberrypost.policy.poolbalance import Demand, Engine, choose_change
+from gooseberrypost.policy.repeatbudget import RepeatBudget
+from gooseberrypost.policy.serverchoice import (
+    choose_plain,
+    choose_prefill,
+    decode_order,
+    reads_itself,
+    usable,
+)
+from gooseberrypost.policy.serverload import PeerLoad, ServerLoads
+from gooseberrypost.policy.waitingorder import (
+    MAX_RETRY_AFTER_S,
+    Waiting,
+    order,
+    retry_after_s,
+)
+
+SIZES = st.lists(
+    st.tuples(st.integers(0, 50), st.integers(0, 200)), max_size=8
+)
+
+
+def server(name: str, stage: Stage = Stage.NONE, **changes) -> Server:
+    return Server(name, "s", "10.0.0.1:80", "a", 4, stage=stage, **changes)
+
+
+@given(SIZES)
+def test_peak_is_the_most_memory_at_any_step(sizes):
+    """Guards against engines that are filled past their memory."""
+    steps = range(max((remaining for remaining, _ in sizes), default=0) + 1)
+    simulated = max(
+        sum(tokens + t for remaining, tokens in sizes if remaining >= t)
+        for t in steps
+    )
+    assert peak_of(sizes) == simulated
+
+
+def test_overdue_generation_is_expected_to_go_on():
+    """Guards against counting a long answer as ended."""
+    run = Run(1_000, 100, max_output=8_000)
+    run.produced = 400
+    assert run.remaining == 120
+    run.produced = 8_000
+    assert run.remaining == 0
+    assert peak_tokens([run]) == 9_000
+
+
+@given(st.integers(0, 9_000), st.floats(0, 9_000), st.integers(1, 8_000))
+def test_expected_output_stays_within_the_limit(hint, mean, most):
+    """Guards against estimates that no answer can reach."""
+    assert 1 <= expected_output(hint, mean, most) <= most
+
+
+def test_burst_of_long_prompts_costs_the_late_and_not_the_next():
+    """Guards against a burst that makes every later request late too."""
+    waiting = [Waiting(n / 10, 5.0, 100) for n in range(10)]
+    served = order(waiting, now_s=0.55, lead_s=0.1)
+    assert [one.objective_s for one in served[:3]] == [0.7, 0.8, 0.9]
+
+
+@given(st.floats(0, 100), st.floats(0, 1))
+def test_retry_after_is_bounded(wait_s, spread):
+    """Guards against times that clients do not wait for."""
+    assert 1.0 <= retry_after_s(wait_s, spread) <= 1.4 * MAX_RETRY_AFTER_S
+
+
+def test_decode_engine_without_room_is_left_out():
+    """Guards against preemptions by one generation too many."""
+    loads = ServerLoads()
+    servers = [server("a", Stage.DECODE), server("b", Stage.DECODE)]
+    loads.of("a@0").runs.add(Run(5_000, 4_000))
+    peers = {"b@0": PeerLoad(1, 0, [(1_000, 1_000)])}
+    loads.note_peer("other", 0.0, peers)
+    found = decode_order(
+        servers, loads, (1_000, 4_000), 10_000, "a", random.Random(1)
+    )
+    assert [one.instance for one in found] == ["b"]
+
+
+def test_empty_engine_takes_a_generation_of_any_size():
+    """Guards against large requests that no engine ever takes."""
+    found = decode_order(
+        [server("a", Stage.DECODE)],
+        ServerLoads(),
+        (8_000, 9_000),
+        10_000,
+        "a",
+        random.Random(1),
+    )
+    assert len(found) == 1
+
+
+def test_silent_gateway_leaves_no_load_behind():
+    """Guards against engines that seem full after a gateway was lost."""
+    loads = ServerLoads()
+    loads.note_peer("other", 0.0, {"a@0": PeerLoad(1, 100, [(1, 1)])}, 3)
+    assert loads.run_count("a@0") == 1
+    loads.forget_silent(2.0)
+    assert loads.run_count("a@0") == 0
+    assert loads.waiting_at_peers() == 0
+
+
+def test_prompts_stay_off_decode_engines_at_moderate_load():
+    """Guards against pauses in streams while prefill engines have room."""
+    loads = ServerLoads()
+    prefill, decode = server("p", Stage.PREFILL), server("d", Stage.DECODE)
+    loads.of("p@0").prefill_tokens = 20_000
+    assert not reads_itself(prefill, decode, loads, 5_000)
+    loads.of("p@0").prefill_tokens = 200_000
+    assert reads_itself(prefill, decode, loads, 5_000)
+    assert reads_itself(None, decode, loads, 5_000)
+
+
+def test_prompt_goes_to_the_engine_that_reads_it_first():
+    """Guards against a slow engine that gets as much as the others."""
+    loads = ServerLoads()
+    servers = [server("p", Stage.PREFILL), server("q", Stage.PREFILL)]
+    loads.of("p@0").prefill_ms_per_token = 0.2
+    found = choose_prefill(servers, loads, 1_000, random.Random(1))
+    assert found.instance == "q"
+
+
+def test_suspect_is_used_only_when_nothing_else_is_left():
+    """Guards against a failing server that keeps getting requests."""
+    loads = ServerLoads()
+    servers = [server("a"), server("b"), server("c", draining=True)]
+    loads.of("a@0").failed(0.0)
+    assert [one.instance for one in usable(servers, loads, 0.1)] == ["b"]
+    left = usable(servers, loads, 0.1, excluded={"b@0"})
+    assert [one.instance for one in left] == ["a"]
+    assert choose_plain([], loads, "a", random.Random(1)) is None
+
+
+def test_lapsed_registrations_stay_in_use_until_they_are_back():
+    """Guards against refusing everything after an outage of the store."""
+    servers = ServerList()
+    known = [server(name) for name in "abc"]
+    servers.apply(known, [], True, 0.0)
+    servers.note_regained(10.0)
+    servers.apply([], [], True, 10.0)
+    assert len(servers.of("s", 10.1)) == 3
+    servers.apply([server("a", revision=5)], [], False, 11.0)
+    left = servers.of("s", 10.1 + LAPSE_GRACE_S)
+    assert [one.instance for one in left] == ["a"]
+
+
+def test_server_without_registration_leaves_at_once():
+    """Guards against requests to a server that left without a word."""
+    servers = ServerList()
+    servers.apply([server(name) for name in "abc"], [], True, 0.0)
+    servers.apply([], ["a"], False, 60.0)
+    assert len(servers.of("s", 60.0)) == 2
+
+
+def test_older_registration_does_not_replace_a_newer_one():
+    """Guards against a repeated event that revives a leaving server."""
+    servers = ServerList()
+    servers.apply([server("a", draining=True, revision=9)], [], True, 0.0)
+    servers.apply([server("a", revision=8)], [], False, 0.1)
+    assert servers.of("s", 0.2)[0].draining
+
+
+@given(st.lists(st.booleans(), max_size=200))
+def test_repeats_stay_within_the_budget(events):
+    """Guards against repeats that add up to a second load."""
+    budget = RepeatBudget(ratio=0.2, allowance=3.0, window_s=10.0)
+    requests = repeats = 0
+    for number, is_request in enumerate(events):
+        if is_request:
+            budget.note_request(number / 100)
+            requests += 1
+        else:
+            repeats += budget.take(number / 100)
+    assert repeats <= 0.2 * requests + 3.0
+
+
+@given(
+    st.lists(st.sampled_from([Stage.PREFILL, Stage.DECODE]), min_size=1),
+    st.floats(100, 10_000),
+    st.floats(10, 8_000),
+)
+def test_a_change_of_pool_is_never_undone_by_the_next(stages, prompt, output):
+    """Guards against an engine that changes its pool to and fro."""
+    demand = Demand(prompt, output, 3.0, 100_000)
+    engines = [Engine(str(n), stage, 32) for n, stage in enumerate(stages)]
+    change = choose_change(engines, demand)
+    if change is None:
+        return
+    after = [
+        Engine(one.instance, change.stage, one.slots)
+        if one.instance == change.instance
+        else one
+        for one in engines
+    ]
+    back = choose_change(after, demand)
+    assert back is None or back.stage is change.stage
+
+
+def test_pool_that_loses_engines_is_filled_up():
+    """Guards against one decode engine behind three prefill engines."""
+    demand = Demand(5_000, 4_000, 3.0, 100_000)
+    engines = [Engine(n, Stage.PREFILL, 32) for n in "abc"]
+    change = choose_change([*engines, Engine("d", Stage.DECODE, 32)], demand)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+
+
+def test_longest_prefix_decides_the_route():
+    """Guards against a route that hides a more specific one."""
+    routes = tuple(
+        Route(prefix, "h", prefix, RequestKind.IDEMPOTENT, targets, 100)
+        for prefix in ("/a/", "/a/b/")
+        for targets in [(Target("s", 1.0),)]
+    )
+    cfg = Configuration(1, routes)
+    assert cfg.route("H:80", "/a/b/c").name == "/a/b/"
+    assert cfg.route("h", "/a/c").name == "/a/"
+    assert cfg.route("h", "/b") is None
+    assert cfg.route("other", "/a/") is None
--- /dev/null
+++ b/tests/test_gateway_stages.py
@@ -0,0 +1,121 @@
+"""Orders that move engines between the pools, under one duty."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from tests.gateway_kit import serving
+
+POOLS = (
+    ("p", "llm", "prefill"),
+    ("q", "llm", "prefill"),
+    ("r", "llm", "prefill"),
+    ("d", "llm", "decode"),
+)
+HOLDER = "gooseberrypost/stage-holder"
+
+
+def run(work):
+    return asyncio.run(work())
+
+
+def orders(kit) -> list:
+    return [
+        one
+        for engine in kit.engines.values()
+        for one in engine.control
+        if one.target == "/-/order"
+    ]
+
+
+def load_pools(*daemons):
+    for daemon in daemons:
+        daemon.context.note_prompt("llm", 2_000)
+        daemon.context.note_run("llm", 2_000, 3.0)
+
+
+def test_engine_is_ordered_once_and_with_its_fence():
+    """Guards against orders without a fence, and against repeated ones."""
+
+    async def work():
+        async with serving(*POOLS, lease_ms=500) as kit:
+            load_pools(kit.daemon)
+            await kit.until(lambda: orders(kit))
+            await asyncio.sleep(1.0)
+            (order,) = orders(kit)
+            body = json.loads(order.body)
+            held = kit.store.items[HOLDER]["revision"]
+            assert body["operation"] == "stage"
+            assert body["stage"] == "decode"
+            assert body["holder"] == "gateway-1"
+            assert body["fencing_token"] == held
+            assert body["precondition"] == 0
+            assert order.header("Expect-Instance") in ("p", "q", "r")
+
+    run(work)
+
+
+def test_new_holder_waits_for_a_lease():
+    """Guards against two holders that take turns within a lease."""
+
+    async def work():
+        async with serving(*POOLS, lease_ms=1_000) as kit:
+            load_pools(kit.daemon)
+            await kit.until(lambda: HOLDER in kit.store.items)
+            begun = asyncio.get_running_loop().time()
+            await kit.until(lambda: orders(kit))
+            assert asyncio.get_running_loop().time() - begun >= 1.0
+
+    run(work)
+
+
+def test_holder_without_its_key_gives_no_order():
+    """Guards against orders on a duty that was taken away unnoticed."""
+
+    async def work():
+        async with serving(*POOLS, lease_ms=500) as kit:
+            await kit.until(lambda: HOLDER in kit.store.items)
+            kit.store.deaf = True
+            kit.store.items.pop(HOLDER)
+            kit.store.put(HOLDER, b"another")
+            await asyncio.sleep(1.0)
+            load_pools(kit.daemon)
+            await asyncio.sleep(1.5)
+            assert orders(kit) == []
+
+    run(work)
+
+
+def test_one_of_two_gateways_gives_the_orders():
+    """Guards against two gateways that order the same engine."""
+
+    async def work():
+        async with serving(*POOLS, lease_ms=500) as kit:
+            other = await kit.gateway("gateway-2", lease_ms=500)
+            try:
+                load_pools(kit.daemon, other)
+                await kit.until(lambda: orders(kit))
+                await asyncio.sleep(1.0)
+                holders = {json.loads(o.body)["holder"] for o in orders(kit)}
+                assert len(holders) == 1
+                assert len(orders(kit)) == 1
+            finally:
+                await other.stop()
+
+    run(work)
+
+
+def test_refused_order_is_withdrawn():
+    """Guards against an engine left unused for an order it refused."""
+
+    async def work():
+        async with serving(*POOLS, lease_ms=500) as kit:
+            for engine in kit.engines.values():
+                engine.refuses_orders = True
+            load_pools(kit.daemon)
+            await kit.until(lambda: orders(kit))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: not directory.stage_orders)
+
+    run(work)
