--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -41,6 +41,8 @@
 BACKLOG: Final = 1_024
 IDLE_MARGIN: Final = 2.0
 """Connections stay open for this multiple of the client's idle limit."""
+BEGIN_S: Final = 0.05
+"""Time in which a request that was read is begun."""
 LINGER_S: Final = 1.0
 """Time to discard the rest of a refused body before closing."""
 METRICS_TYPE: Final = "text/plain; version=0.0.4"
@@ -126,11 +128,15 @@
         if self._site is not None:
             await self._site.stop()
             self._site = None
-        for connection in self._server.connections:
-            if connection in self._busy:
-                connection.close()
-            else:
-                # ``close`` leaves an idle connection open and deaf.
+        # ``close`` stops reading; a request that was read before is begun
+        # meanwhile, and its connection is closed after its answer. One that
+        # is still idle then is open and deaf.
+        connections = self._server.connections
+        for connection in connections:
+            connection.close()
+        await asyncio.sleep(BEGIN_S)
+        for connection in connections:
+            if connection not in self._busy:
                 connection.force_close()
 
     async def idle(self, wait_s: float) -> None:
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -124,6 +124,29 @@
     run(work)
 
 
+def test_request_that_was_read_is_answered_when_leaving():
+    """Guards against closing between a request's arrival and its start."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            frontend = kit.daemon.frontend
+            host, _, port = frontend.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await kit.until(lambda: frontend._server.connections)
+            (connection,) = frontend._server.connections
+            connection.data_received(
+                b"POST /once/x HTTP/1.1\r\nHost: h.example\r\n"
+                b"X-Gooseberrypost-Attempt-Id: q\r\nContent-Length: 0\r\n\r\n"
+            )
+            # The request is queued, and its handler has not run yet.
+            await frontend.close_idle()
+            async with asyncio.timeout(2):
+                assert b" 200 " in await reader.readline()
+            writer.close()
+
+    run(work)
+
+
 def test_gateways_share_their_loads():
     """Guards against engines filled by gateways that ignore each other."""
 
