--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -170,7 +170,7 @@
             timeout_s=min(self.left_s, limit_s),
             connect_s=min(CONNECT_S, self.left_s),
         )
-        was_alone = not loads.prefill_tokens(server.identity)
+        before = loads.prefill_tokens(server.identity)
         try:
             with self._reading(load, tokens):
                 started_s = self.ctx.now_s()
@@ -186,14 +186,14 @@
             # Reading a prompt executes nothing and may be repeated.
             self.note_lost(server, failure, repeatable=True)
             return None
-        load.prefilled(tokens, took_ms, was_alone)
+        load.prefilled(before + tokens, took_ms)
         self._kv_made_s, self._kv_refusals = self.ctx.now_s(), 0
         self.log(
             "prefilled",
             server=server.instance,
             tokens=kv.tokens,
             server_ms=round(took_ms),
-            alone=was_alone,
+            before=before,
         )
         return kv
 
--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -30,9 +31,9 @@
 """
 MEMORY_SHARE: Final = 0.9
 """Share of an engine's memory that generations fill on average."""
-DIRECT_SHARE: Final = 0.25
+DIRECT_SHARE: Final = 0.1
 """Rate at which a decode engine reads prompts beside its streams, against a
-prefill engine: half the speed, half of the time."""
+prefill engine: it has half the speed, and its streams pause meanwhile."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,14 +71,15 @@
     )
     prefill = sum(
         _prefill_rate(engine, demand)
-        * (1.0 if engine.stage is Stage.PREFILL else 0.0)
         for engine in engines
+        if engine.stage is Stage.PREFILL
     )
-    if not prefill:
-        prefill = DIRECT_SHARE * sum(
-            _prefill_rate(engine, demand) for engine in engines
-        )
-    return min(prefill, decode)
+    direct = DIRECT_SHARE * sum(
+        _prefill_rate(engine, demand)
+        for engine in engines
+        if engine.stage is not Stage.PREFILL
+    )
+    return min(max(prefill, direct), decode)
 
 
 def choose_change(
@@ -86,7 +88,11 @@
     """Return the change that raises the rate most, if it is worth it."""
     now = service_rate(engines, demand)
     best, best_key = None, (MIN_GAIN * now, 0.0)
+    sizes = Counter(engine.stage for engine in engines)
     for number, engine in enumerate(engines):
+        if sizes[engine.stage] == 1 and len(sizes) > 1:
+            # The last engine of a pool stays, whatever rates were measured.
+            continue
         other = (
             Stage.DECODE if engine.stage is Stage.PREFILL else Stage.PREFILL
         )
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -52,7 +52,7 @@
         self.service_ms = 0.0
         """Moving average of the time of one request; 0: not known."""
         self.prefill_ms_per_token = 0.0
-        """Moving average while no other prompt waited; 0: not known."""
+        """Moving average over a prompt and those before it; 0: not known."""
         self.failures = 0
         """Failures in a row."""
         self.suspect_until_s = float("-inf")
@@ -84,11 +84,11 @@
         self.suspect_until_s = float("-inf")
         self.service_ms = _average(self.service_ms, service_ms)
 
-    def prefilled(self, tokens: int, took_ms: float, was_alone: bool) -> None:
-        """Note the time that a prompt took."""
+    def prefilled(self, tokens: int, took_ms: float) -> None:
+        """Note the time of a prompt and of those before it, in tokens."""
         self.failures = 0
         self.suspect_until_s = float("-inf")
-        if was_alone and tokens:
+        if tokens:
             self.prefill_ms_per_token = _average(
                 self.prefill_ms_per_token, took_ms / tokens
             )
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -229,6 +229,28 @@
     assert change.stage is Stage.DECODE
 
 
+def test_last_engine_of_a_pool_stays():
+    """Guards against a prefill pool that is emptied for more decoding.
+
+    Seen when one of two prefill engines left: the rate that was measured for
+    the other one under load made decode engines seem to read as fast.
+    """
+    demand = Demand(5_000, 4_000, 3.0, 100_000)
+    engines = [Engine(n, Stage.DECODE, 32) for n in "abc"]
+    slow = Engine("p", Stage.PREFILL, 32, prefill_ms_per_token=0.2)
+    change = choose_change([*engines, slow], demand)
+    assert change is None or change.stage is Stage.PREFILL
+
+
+def test_empty_pool_gets_an_engine():
+    """Guards against decode engines that go on reading all prompts."""
+    demand = Demand(5_000, 4_000, 3.0, 100_000)
+    engines = [Engine(n, Stage.DECODE, 32) for n in "abcd"]
+    change = choose_change(engines, demand)
+    assert change is not None
+    assert change.stage is Stage.PREFILL
+
+
 def test_longest_prefix_decides_the_route():
     """Guards against a route that hides a more specific one."""
     routes = tuple(
