--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
-from typing import TYPE_CHECKING, Any, Final
+import asyncio
+from contextlib import AsyncExitStack, contextmanager
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from gooseberrypost.gateway.events import EventSplitter
 from gooseberrypost.gateway.exchange import CONNECT_S, Exchange
@@ -18,17 +19,19 @@
 from gooseberrypost.policy.enginememory import Run, expected_output
 from gooseberrypost.policy.serverchoice import (
     choose_prefill,
+    decode_order,
     prefill_time_ms,
     reads_itself,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Awaitable, Iterator
 
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.transport import (
         Answer,
         KvHandle,
+        MovedRun,
         Reservation,
     )
     from gooseberrypost.policy.serverload import ServerLoad
@@ -38,6 +41,10 @@
 MIN_PREFILL_S: Final = 1.0
 KV_MARGIN: Final = 0.7
 """Share of its retention in which a KV cache is still offered."""
+SILENT_S: Final = 0.7
+"""Silence after which a generation is taken over; events come every 50 ms,
+and one that was preempted goes on after a few hundred."""
+MAX_TAKEOVERS: Final = 2
 CLIENT_PATIENCE_MS: Final = 2_000
 OBJECTIVE_PATIENCE: Final = 4
 GAP_PATIENCE: Final = 8
@@ -45,6 +52,8 @@
 objective of the first event and eight times that of a pause."""
 OK: Final = 200
 
+T = TypeVar("T")
+
 
 class Generation(Exchange):
     """Plans, reads the prompt and streams the answer."""
@@ -57,6 +66,9 @@
         self._kv: KvHandle | None = None
         """Prefilled and not used yet."""
         self._run = Run(0, 0)
+        self._moved: MovedRun | None = None
+        """Taken over from an engine that fell silent, and not resumed yet."""
+        self._takeovers = 0
         self._room: Reservation | None = None
         """Reserved and not used yet."""
         self._decoding_since_s = 0.0
@@ -85,6 +97,9 @@
 
     async def _attempt(self) -> bool:
         """Try once; returns whether the client has its answer."""
+        if self._moved is not None:
+            moved, self._moved = self._moved, None
+            return await self._decode(moved.server, moved.kv, None)
         if self._room is None:
             self._room = await self._reserve()
         if self._kv is None:
@@ -93,7 +108,8 @@
                 self._kv = await self._prefill(reader)
                 if self._kv is None:
                     return False
-        return await self._decode(self._room)
+        room, kv, self._room, self._kv = self._room, self._kv, None, None
+        return await self._decode(room.server, kv, room)
 
     async def _reserve(self) -> Reservation:
         prompt = self._prompt
@@ -209,9 +225,10 @@
             load.prefill_tokens -= tokens
             self.ctx.loads_changed()
 
-    async def _decode(self, room: Reservation) -> bool:
-        server, left_s = room.server, self.left_s
-        kv, self._kv, self._room = self._kv, None, None
+    async def _decode(
+        self, server: Server, kv: KvHandle | None, room: Reservation | None
+    ) -> bool:
+        left_s = self.left_s
         send = Send(
             timeout_s=left_s,
             connect_s=min(CONNECT_S, left_s),
@@ -221,10 +238,13 @@
         )
         self.attempts += 1
         self._decoding_since_s = self.ctx.now_s()
+        self.ctx.loads.of(server.identity).runs.add(self._run)
         try:
-            async with self.ctx.transport.open(
-                server, self.req, send
-            ) as answer:
+            async with AsyncExitStack() as stack:
+                opened = self.ctx.transport.open(server, self.req, send)
+                answer = await self._watched(
+                    server, stack.enter_async_context(opened)
+                )
                 await self._forward(server, answer)
             return True
         except ServerUnreachable as failure:
@@ -236,17 +256,83 @@
             self.note_refused(server, failure)
             self._keep(kv)
         except AnswerLost as failure:
-            self._events.restart()
-            self.note_lost(
-                server,
-                failure,
-                repeatable=self.is_repeatable
-                and self.attempts < self.route.max_attempts,
-            )
+            await self._note_broken(server, failure)
         finally:
             self._end_run(server)
         return False
 
+    async def _note_broken(self, server: Server, failure: AnswerLost) -> None:
+        self._events.restart()
+        moved = self._moved is not None or await self._take_over(server)
+        if moved:
+            # It goes on as the same run.
+            self.attempts -= 1
+        self.note_lost(
+            server,
+            failure,
+            repeatable=moved
+            or (
+                self.is_repeatable and self.attempts < self.route.max_attempts
+            ),
+        )
+
+    async def _watched(self, server: Server, work: Awaitable[T]) -> T:
+        """Wait for an engine; a generation that falls silent is taken over.
+
+        The connection stays open meanwhile: an engine drops a generation
+        whose connection is closed.
+        """
+        task = asyncio.ensure_future(work)
+        try:
+            done, _ = await asyncio.wait({task}, timeout=SILENT_S)
+            if not done and await self._take_over(server):
+                raise AnswerLost(f"{server.address}: silent")
+            return await task
+        finally:
+            if not task.done():
+                task.cancel()
+                await asyncio.wait({task})
+
+    async def _take_over(self, server: Server) -> bool:
+        """Stop a generation at its engine, to go on with it elsewhere."""
+        if self._takeovers >= MAX_TAKEOVERS:
+            return False
+        self._takeovers += 1
+        target = self._takeover_target(server)
+        try:
+            self._moved = await self.ctx.transport.stop_and_copy(
+                server, self.req, target
+            )
+        except (ServerRefused, ServerUnreachable) as failure:
+            self.log(
+                "takeover_failed",
+                server=server.instance,
+                events=self._events.count,
+                code=failure.code,
+                detail=failure.detail,
+            )
+            return False
+        self.log(
+            "taken_over",
+            server=server.instance,
+            target=self._moved.server.instance,
+            events=self._events.count,
+        )
+        self.ctx.metrics.count("takeovers_total")
+        return True
+
+    def _takeover_target(self, server: Server) -> Server:
+        cfg, loads = self.ctx.settings, self.ctx.loads
+        others = [
+            one for one in self.servers() if one.identity != server.identity
+        ]
+        spec = self.ctx.engine_spec(self.service)
+        size = (self._run.remaining, self._run.tokens)
+        found = decode_order(
+            others, loads, size, spec.kv_tokens, cfg.zone, self.ctx.rng
+        )
+        return found[0] if found else server
+
     def _end_run(self, server: Server) -> None:
         self.ctx.loads.of(server.identity).runs.discard(self._run)
         self.ctx.loads_changed()
@@ -282,7 +368,8 @@
         if not self.reply.is_started:
             await self.reply.start(answer.status, answer.headers)
         stride = self.ctx.engine_spec(self.service).event_tokens
-        async for chunk in answer.chunks:
+        chunks = aiter(answer.chunks)
+        while chunk := await self._watched(server, anext(chunks, b"")):
             whole = self._events.feed(chunk)
             if whole:
                 self._run.produced = stride * self._events.count
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -70,6 +70,15 @@
     tokens: int
 
 
+@dataclass(slots=True, frozen=True)
+class MovedRun:
+    """A stopped generation and where it can go on."""
+
+    kv: KvHandle
+    server: Server
+    """Engine that has the memory: the target, or the source without room."""
+
+
 @dataclass(slots=True, frozen=True)
 class Reservation:
     """A slot and memory that an engine holds for one request."""
@@ -142,6 +151,17 @@
     async def cancel(self, reservation: Reservation) -> None:
         """Give up an unused reservation; failures are logged."""
 
+    @abstractmethod
+    async def stop_and_copy(
+        self, server: Server, req: ClientRequest, target: Server
+    ) -> MovedRun:
+        """Stop a generation and copy its memory to another engine.
+
+        The generation can go on from the copy as the same run. Raises
+        ``ServerRefused`` where the engine runs no such request, and
+        ``ServerUnreachable``.
+        """
+
     @abstractmethod
     async def release(self, kv: KvHandle) -> None:
         """Free a KV cache that will not be used; failures are logged."""
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -20,6 +20,7 @@
     AnswerLost,
     ForeignAnswer,
     KvHandle,
+    MovedRun,
     Reservation,
     Send,
     ServerRefused,
@@ -40,6 +41,8 @@
 MISDIRECTED: Final = 421
 CONTROL_TIMEOUT_S: Final = 0.25
 """Time for a small call, which takes a round trip of some ms."""
+MOVE_TIMEOUT_S: Final = 1.0
+"""Time to copy the memory of a generation; a slow link takes a tenth of it."""
 READ_BYTES: Final = 64 * 1024
 """Bytes read ahead of a slow client, per request."""
 SKIPPED_HEADERS: Final = frozenset(
@@ -158,6 +161,21 @@
         path = f"{names.HOLD_DROP_PATH}{reservation.id}"
         await self._free(reservation.server, path)
 
+    async def stop_and_copy(
+        self, server: Server, req: ClientRequest, target: Server
+    ) -> MovedRun:
+        """Stop a generation and copy its memory to another engine."""
+        body = {"id": req.id, "target": target.address, "last": True}
+        status, content = await self._control(
+            "POST", server, names.KV_MOVE_PATH, body, MOVE_TIMEOUT_S
+        )
+        handle = _moved_handle(content)
+        if not handle or status not in (200, 503):
+            raise ServerRefused(server.address, status=status)
+        # A refusal with a handle leaves the stopped run at its engine.
+        place = target if status == 200 else server
+        return MovedRun(KvHandle(server, handle, 0), place)
+
     async def release(self, kv: KvHandle) -> None:
         """Free a KV cache that will not be used."""
         await self._free(kv.server, f"{names.KV_HANDLE_PATH}{kv.handle}")
@@ -315,3 +333,11 @@
         return Reservation(server, str(json.loads(content)["hold"]), tokens)
     except (ValueError, TypeError, LookupError) as exc:
         raise ServerUnreachable(f"reservation: {exc!r}") from exc
+
+
+def _moved_handle(content: bytes) -> str:
+    """Handle of a stopped run, empty where the answer has none."""
+    try:
+        return str(json.loads(content).get("kv_handle") or "")
+    except (ValueError, AttributeError):
+        return ""
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -66,6 +66,7 @@
 ORDER_PATH: Final = "/-/order"
 HOLD_TAKE_PATH: Final = "/-/hold-take"
 HOLD_DROP_PATH: Final = "/-/hold-drop/"
+KV_MOVE_PATH: Final = "/-/kv-move"
 KV_HANDLE_PATH: Final = "/-/kv-handle/"
 
 KEY_PATH: Final = "/-/kv-key"
