--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -28,6 +28,8 @@
 
 OUTPUT_SMOOTHING: Final = 0.05
 """Weight of the newest generation in the means of a service."""
+RUN_MARGIN: Final = 1.4
+"""Ratio of the time in which most generations end to the expected time."""
 DEFAULT_RUN_S: Final = 3.0
 """Time of a generation before the first one has ended."""
 
@@ -42,6 +44,8 @@
     rng: random.Random
     loads: ServerLoads = field(default_factory=ServerLoads)
     metrics: Metrics = field(default_factory=Metrics)
+    leaves_s: float = float("inf")
+    """Time at which this gateway ends; what cannot be done is not begun."""
     now_s: Callable[[], float] = time.monotonic
     room: DecodeRoom = field(init=False)
     loads_changed: Callable[[], None] = lambda: None
@@ -81,6 +85,12 @@
         """Return the mean time of a generation at its decode engine."""
         return self._run_s.get(service, DEFAULT_RUN_S)
 
+    def expected_run_s(self, service: str, output: int) -> float:
+        """Return the time in which most answers of a length are made."""
+        mean = self.mean_output(service)
+        share = output / mean if mean else 1.0
+        return RUN_MARGIN * share * self.run_s(service)
+
     def mean_prompt(self, service: str) -> float:
         """Return the mean prompt of late in tokens; 0: not known."""
         return self._prompts.get(service, 0.0)
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -33,6 +33,8 @@
 CLEANING_INTERVAL_S: Final = 5.0
 DRAIN_ACCEPT_S: Final = 2.2
 """Time for the balancer to notice; it asks once a second and twice."""
+LAST_ACCEPT_S: Final = 1.0
+"""Time before the exit in which no connection is accepted any more."""
 EXIT_MARGIN_S: Final = 0.6
 """Time kept for closing before the platform kills the process."""
 
@@ -100,16 +102,23 @@
         """Leave the balancer's rotation and finish what was begun."""
         self.lifecycle.drain()
         logging.info("event=draining in_flight=%d", self.frontend.in_flight)
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + self.settings.grace_ms / 1_000 - EXIT_MARGIN_S
-        await asyncio.sleep(min(DRAIN_ACCEPT_S, max(0.0, end_s - loop.time())))
+        ctx = self.context
+        now_s = ctx.now_s()
+        ctx.leaves_s = now_s + self.settings.grace_ms / 1_000 - EXIT_MARGIN_S
+        # The balancer may have nobody else to send clients to, so they are
+        # served until the rest of the time is needed for what was begun.
+        await asyncio.sleep(max(0.0, min(DRAIN_ACCEPT_S, self._left_s())))
+        await self.frontend.idle(self._left_s() - LAST_ACCEPT_S)
         await self.frontend.close_idle()
-        await self.frontend.idle(end_s - loop.time())
+        await self.frontend.idle(self._left_s())
         if self.frontend.in_flight:
             logging.warning(
                 "event=drain_timed_out in_flight=%d", self.frontend.in_flight
             )
 
+    def _left_s(self) -> float:
+        return self.context.leaves_s - self.context.now_s()
+
     async def on_stop(self) -> None:
         """Close the connections to the servers."""
         await self.context.transport.close()
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -38,6 +38,8 @@
 """Time in which the prompt is read; engines hold no longer."""
 RESERVED_OUTPUT: Final = 0.5
 """Share of the expected output that an engine must have free at once."""
+LEAVING_RETRY_MS: Final = 50
+"""Pause before a client tries another gateway."""
 LEAD_S: Final = 0.2
 """Time from the reservation to the first event: the prompt is read."""
 
@@ -81,6 +83,7 @@
         refused at once: its client learns when to come back, instead of
         waiting for an answer that is late.
         """
+        self._refuse_if_leaving(ticket)
         self._refuse_if_late(ticket)
         self._waiting.append(ticket)
         self._changed.set()
@@ -98,6 +101,15 @@
         """Number of waiting generations."""
         return len(self._waiting)
 
+    def _refuse_if_leaving(self, ticket: Ticket) -> None:
+        ctx = self._ctx
+        end_s = ctx.now_s() + ctx.expected_run_s(ticket.service, ticket.output)
+        if end_s > ctx.leaves_s:
+            raise NoRoom(
+                f"this gateway ends in {ctx.leaves_s - ctx.now_s():.1f} s",
+                retry_after_ms=LEAVING_RETRY_MS,
+            )
+
     def _refuse_if_late(self, ticket: Ticket) -> None:
         ctx = self._ctx
         now_s = ctx.now_s()
