--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -148,11 +148,12 @@
                 response.status, response.headers, content, complete
             )
 
-    async def generate(self, path: str = "/text/x", tokens: str = "100,10"):
+    async def generate(self, path: str = "/text/x", **headers):
         return await self.call(
             path,
-            X_Gooseberrypost_Token_Usage=tokens,
+            X_Gooseberrypost_Token_Usage="100,10",
             X_Gooseberrypost_Prompt_Prefix="ab:100",
+            **headers,
         )
 
 
