--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -26,7 +26,7 @@
 
 QUIET_INTERVAL_S: Final = 0.25
 """Interval of notices without a change; silence of 1 s drops the load."""
-COALESCE_S: Final = 0.004
+COALESCE_S: Final = 0.001
 """Changes within this time share a notice."""
 RENEWALS: Final = 3
 """Renewals within the time of a lease; two may be lost."""
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -228,15 +228,19 @@
         for server in self._candidates(ticket):
             if ctx.loads.of(server.identity).is_full(ctx.now_s()):
                 continue
+            runs = ctx.loads.of(server.identity).runs
+            # The others hear of it before the engine answers.
+            runs.add(ticket.run)
+            ctx.loads_changed()
             reservation = await self._try(server, ticket)
             if reservation is None:
+                runs.discard(ticket.run)
                 continue
             if ticket in self._waiting and not ticket.granted.done():
                 self._waiting.remove(ticket)
-                ctx.loads.of(server.identity).runs.add(ticket.run)
-                ctx.loads_changed()
                 ticket.granted.set_result(reservation)
             else:
+                runs.discard(ticket.run)
                 ctx.spawn(ctx.transport.cancel(reservation))
             return True
         return False
--- a/src/gooseberrypost/policy/waitingorder.py
+++ b/src/gooseberrypost/policy/waitingorder.py
@@ -14,10 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MIN_RETRY_AFTER_S: Final = 2.5
+MIN_RETRY_AFTER_S: Final = 3.5
 """A load that fills all engines lasts for seconds; a client that comes back
 too soon is refused again, and has no further try."""
-MAX_RETRY_AFTER_S: Final = 3.2
+MAX_RETRY_AFTER_S: Final = 3.6
 """Clients wait up to a third of the time that they have left."""
 RETRY_SPREAD: Final = 0.3
 LATE_TURN_MS: Final = 100_000
