Order a second engine while the first one changes, and wait only for noted orders

A holder now waits for a lease after the latest order that was noted; another engine is ordered meanwhile if those that serve lose nothing.

--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -35,6 +35,8 @@
 A change must be in force within 2 s; a store call is priced.
 """
 MIN_BACKOFF_S: Final = 0.1
+UNKNOWN_HOLDER: Final = ""
+"""Name for a holder whose orders were not seen."""
 ORDER_LAPSES_S: Final = 15.0
 """Time after which an order that had no effect is no longer waited for.
 
@@ -116,6 +118,7 @@
         "read_s",
         "servers",
         "stage_holder",
+        "stage_order_s",
         "stage_orders",
     )
 
@@ -129,6 +132,8 @@
         """Internal addresses of the registered gateways, by name."""
         self.stage_holder = ""
         """Gateway that orders stage changes; empty: none."""
+        self.stage_order_s: dict[str, float] = {}
+        """When a gateway may have given its last order, by name."""
         self.stage_orders: dict[str, tuple[Stage, float]] = {}
         """Stage that an engine was ordered to take, and when."""
 
@@ -249,6 +254,9 @@
     def _apply_stages(self, batch: Batch, now_s: float) -> None:
         directory = self._directory
         if batch.is_whole:
+            # Notes go with the lease of their holder, so that a whole list
+            # does not show those of a former one.
+            directory.stage_order_s[UNKNOWN_HOLDER] = now_s
             directory.stage_holder = batch.stage_holder or ""
         elif batch.stage_holder is not None:
             directory.stage_holder = batch.stage_holder
@@ -256,11 +264,12 @@
             directory.stage_orders.pop(instance, None)
         for order in batch.stage_orders:
             directory.stage_orders[order.instance] = order.stage, now_s
+            directory.stage_order_s[order.holder] = now_s
             logging.info(
                 "event=stage_ordered server=%s stage=%s holder=%s at=%d",
                 order.instance,
                 order.stage.value,
-                directory.stage_holder,
+                order.holder,
                 batch.at,
             )
         for server in batch.servers:
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -44,6 +44,8 @@
 
     instance: str
     stage: Stage
+    holder: str = ""
+    """Gateway that gives the order."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -5,8 +5,8 @@
 
 * before each order the store confirms under a condition that the duty is
   still held, and an order is sent only within ``CONFIRMED_S`` of that;
-* a new holder waits for the time of a lease before its first order, in which
-  no order of its predecessor can still be on its way;
+* a new holder waits until the latest order that anybody has noted is older
+  than a lease, so that no order of its predecessor is still on its way;
 * the fencing token is the store's revision at which the duty was taken;
 * an order names the engine's start and the number of orders before it, so
   that one which is carried out late changes nothing.
@@ -16,6 +16,7 @@
 
 import time
 from abc import ABC, abstractmethod
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from absl import logging
@@ -32,7 +33,7 @@
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.context import GatewayContext
-    from gooseberrypost.gateway.model import Server, StageOrder
+    from gooseberrypost.gateway.model import Server, Stage, StageOrder
     from gooseberrypost.gateway.peers import Peers
 
 TICK_S: Final = 0.25
@@ -117,8 +118,15 @@
             logging.info(
                 "event=duty_taken fence=%d lease=%d", self._fence, lease
             )
+        # The notes of former orders are in the directory by then.
+        if time.monotonic() - self._held_since_s < LEASE_MARGIN_S:
+            return False
+        given = self._ctx.directory.stage_order_s.items()
+        last_s = max(
+            (at_s for holder, at_s in given if holder != name), default=0.0
+        )
         wait_s = self._ctx.settings.lease_ms / 1_000 + LEASE_MARGIN_S
-        return time.monotonic() - self._held_since_s > wait_s
+        return time.monotonic() - last_s > wait_s
 
     async def _balance(self) -> None:
         now_s = self._ctx.now_s()
@@ -145,8 +153,16 @@
             for server in ctx.directory.servers.of(service, now_s)
             if not server.draining
         ]
-        if any(ctx.directory.is_switching(one, now_s) for one in present):
-            return None
+        changing = [
+            self._engine(one, ctx.directory.stage_orders[one.instance][0])
+            for one in present
+            if ctx.directory.is_switching(one, now_s)
+        ]
+        present = [
+            one
+            for one in present
+            if not ctx.directory.is_switching(one, now_s)
+        ]
         engines = [self._engine(one) for one in self._expected(present, now_s)]
         spec = ctx.engine_spec(service)
         demand = Demand(
@@ -157,7 +173,7 @@
         )
         if not demand.prompt or not demand.output:
             return None
-        order = choose_change(engines, demand)
+        order = choose_change(engines, demand, changing)
         if order is None or order.instance not in {
             one.instance for one in present
         }:
@@ -184,12 +200,12 @@
                 expected.append(server)
         return expected
 
-    def _engine(self, server: Server) -> Engine:
+    def _engine(self, server: Server, stage: Stage | None = None) -> Engine:
         loads = self._ctx.loads
         load = loads.of(server.identity)
         return Engine(
             server.instance,
-            server.stage,
+            stage or server.stage,
             server.slots,
             load.prefill_ms_per_token or DEFAULT_PREFILL_MS_PER_TOKEN,
             loads.run_count(server.identity)
@@ -209,7 +225,10 @@
         if report.is_busy or report.stage is not server.stage:
             self._log(server, order, report.orders, "busy")
             return
-        await self._duty.confirm(self._fence, self._lease, order)
+        note = replace(order, holder=ctx.settings.name)
+        await self._duty.confirm(self._fence, self._lease, note)
+        # Until the note comes back by the watch.
+        ctx.directory.stage_orders[order.instance] = order.stage, ctx.now_s()
         try:
             await ctx.transport.order_stage(
                 server,
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -175,11 +175,14 @@
 ) -> Result[StageOrder, InvalidDocument]:
     """Decode the note of an order that a gateway is about to give."""
     try:
-        return Ok(StageOrder(instance, Stage(json.loads(content)["stage"])))
+        found = json.loads(content)
+        stage, holder = Stage(found["stage"]), str(found["holder"])
+        return Ok(StageOrder(instance, stage, holder))
     except (ValueError, TypeError, LookupError) as exc:
         return Err(InvalidDocument(f"order for {instance} at {at}: {exc!r}"))
 
 
 def encode_stage_order(order: StageOrder) -> bytes:
     """Encode the note of an order."""
-    return json.dumps({"stage": order.stage.value}).encode()
+    note = {"stage": order.stage.value, "holder": order.holder}
+    return json.dumps(note).encode()
--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -28,6 +28,8 @@
 
 A change takes an engine out of service for seconds and must pay for that.
 """
+SPARE_SHARE: Final = 0.95
+"""Share of the rate that must remain while another engine changes."""
 MEMORY_SHARE: Final = 0.9
 """Share of an engine's memory that generations fill on average."""
 DIRECT_SHARE: Final = 0.1
@@ -82,20 +84,42 @@
 
 
 def choose_change(
-    engines: Sequence[Engine], demand: Demand
+    engines: Sequence[Engine],
+    demand: Demand,
+    changing: Sequence[Engine] = (),
 ) -> StageOrder | None:
-    """Return the first change towards the best balance, if it is worth it."""
-    least = MIN_GAIN * service_rate(engines, demand)
+    """Return the first change towards the best balance, if it is worth it.
+
+    ``changing`` are engines that were ordered already, with the stage that
+    they will have. A further one is ordered meanwhile only if those that
+    serve lose nothing by it.
+    """
+    least = MIN_GAIN * service_rate([*engines, *changing], demand)
     best: StageOrder | None = None
     for stage in (Stage.PREFILL, Stage.DECODE):
-        rate, first = _best_towards(engines, stage, demand)
-        if first is not None and rate > least:
-            best, least = StageOrder(first.instance, stage), rate
+        rate, first = _best_towards(engines, stage, demand, changing)
+        if first is None or rate <= least:
+            continue
+        if changing and not _is_spare(first, engines, demand):
+            continue
+        best, least = StageOrder(first.instance, stage), rate
     return best
 
 
+def _is_spare(
+    engine: Engine, engines: Sequence[Engine], demand: Demand
+) -> bool:
+    """Whether the others serve as much without an engine."""
+    others = [one for one in engines if one is not engine]
+    now = service_rate(engines, demand)
+    return service_rate(others, demand) >= SPARE_SHARE * now
+
+
 def _best_towards(
-    engines: Sequence[Engine], stage: Stage, demand: Demand
+    engines: Sequence[Engine],
+    stage: Stage,
+    demand: Demand,
+    changing: Sequence[Engine],
 ) -> tuple[float, Engine | None]:
     """Best rate of moving some engines to a pool, and the first to move."""
     movable = sorted(
@@ -105,7 +129,7 @@
     if len(movable) < len(engines):
         # The last engine of a pool stays, whatever rates were measured.
         movable = movable[:-1]
-    present = {engine.instance: engine for engine in engines}
+    present = {engine.instance: engine for engine in (*engines, *changing)}
     best = 0.0
     for engine in movable:
         present[engine.instance] = Engine(
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -265,6 +265,19 @@
     assert order([returned, new], 0.0, 0.1) == [new, returned]
 
 
+def test_second_engine_changes_while_the_first_one_does():
+    """Guards against a short pool that is filled engine by engine."""
+    demand = Demand(5_000, 4_000, 3.0, 100_000)
+    engines = [Engine(n, Stage.PREFILL, 32) for n in "ab"]
+    engines.append(Engine("d", Stage.DECODE, 32))
+    changing = [Engine("c", Stage.DECODE, 32)]
+    change = choose_change(engines, demand, changing)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+    # The only engine that still reads prompts is not taken.
+    assert choose_change(engines[1:], demand, changing) is None
+
+
 def test_balance_is_reached_in_steps():
     """Guards against a large pool whose first step alone gains too little."""
     demand = Demand(5_000, 4_000, 3.3, 60_000)
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -119,3 +119,30 @@
             await kit.until(lambda: not directory.stage_orders)
 
     run(work)
+
+
+def test_successor_waits_for_the_orders_of_its_predecessor():
+    """Guards against holders that take turns within a lease."""
+
+    async def work():
+        async with serving(*POOLS, lease_ms=1_000) as kit:
+            other = await kit.gateway("gateway-2", lease_ms=1_000)
+            try:
+                await kit.until(lambda: HOLDER in kit.store.items)
+                await asyncio.sleep(1.6)
+                load_pools(kit.daemon, other)
+                await kit.until(lambda: orders(kit))
+                begun = asyncio.get_running_loop().time()
+                first = json.loads(orders(kit)[0].body)["holder"]
+                # The order has had no effect, and the holder is replaced.
+                kit.store.lapse(kit.store.items[HOLDER]["lease"])
+                for daemon in (kit.daemon, other):
+                    daemon.context.directory.stage_orders.clear()
+                    if daemon.settings.name == first:
+                        await daemon.stop()
+                await kit.until(lambda: len(orders(kit)) > 1, 8.0)
+                assert asyncio.get_running_loop().time() - begun >= 1.0
+            finally:
+                await other.stop()
+
+    run(work)
