--- a/scripts/capacity/__main__.py
+++ b/scripts/capacity/__main__.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 import click
-from scripts.capacity import held, idle, requests, spread, start
+from scripts.capacity import gateway, held, idle, requests, spread, start
 
-PARTS: Final = ("held", "spread", "start", "idle", "requests")
+PARTS: Final = ("held", "gateway", "spread", "start", "idle", "requests")
 
 
 @click.command()
@@ -22,6 +22,8 @@
     chosen = part or PARTS
     if "held" in chosen:
         held.measure(quick)
+    if "gateway" in chosen:
+        gateway.measure(quick)
     if "spread" in chosen:
         spread.measure(quick)
     for name, module in (
--- /dev/null
+++ b/scripts/capacity/gateway.py
@@ -0,0 +1,155 @@
+"""Notices between gateways, and decisions over many engines."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from typing import TYPE_CHECKING, Final
+
+from scripts.capacity.fit import report
+
+from gooseberrypost.gateway.model import Server, Stage
+from gooseberrypost.platform.documents import decode_server
+from gooseberrypost.policy.enginememory import Run
+from gooseberrypost.policy.serverchoice import choose_prefill, decode_order
+from gooseberrypost.policy.serverload import PeerLoad, ServerLoads
+from gooseberrypost.wire.codec import LENGTH_BYTES, Frame, decode, encode
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REPEATS: Final = 20
+RUNS_AN_ENGINE: Final = 7
+
+
+def measure(quick: bool) -> None:
+    """Print bytes and CPU time of a gateway's own work."""
+    print("# gateway: CPU time by time.process_time")
+    runs = [1, 4, 16] if quick else [1, 8, 64]
+    report(
+        "gateway.notice_bytes",
+        "bytes by runs",
+        runs,
+        [len(_notice(size)) for size in runs],
+    )
+    report(
+        "gateway.notice_encode",
+        "us by runs",
+        runs,
+        [_us(lambda size=size: _notice(size)) for size in runs],
+    )
+    report(
+        "gateway.notice_decode",
+        "us by runs",
+        runs,
+        [_us(_decoder(size)) for size in runs],
+    )
+    engines = [5, 20, 80] if quick else [20, 200, 1_400]
+    report(
+        "gateway.choose_decode",
+        "us by engines",
+        engines,
+        [_us(_decode_choice(size)) for size in engines],
+    )
+    report(
+        "gateway.choose_prefill",
+        "us by engines",
+        engines,
+        [_us(_prefill_choice(size)) for size in engines],
+    )
+    report(
+        "gateway.decode_registration",
+        "us by registrations",
+        engines,
+        [_us(_registrations(size)) for size in engines],
+    )
+
+
+def _us(run: Callable[[], object]) -> float:
+    run()
+    begun = time.process_time()
+    for _ in range(REPEATS):
+        run()
+    return 1e6 * (time.process_time() - begun) / REPEATS
+
+
+def _notice(runs: int) -> bytes:
+    servers = [
+        idl.ServerLoadNotice(
+            identity=f"i-{number:010x}@1700000000000",
+            outstanding=1,
+            prefill_tokens=5_000,
+            run_tokens=[5_000],
+            run_remaining=[4_000],
+        )
+        for number in range(runs)
+    ]
+    notice = idl.LoadNotice(
+        name="edge-sk-west-a-1",
+        incarnation=1,
+        sequence=1,
+        servers=servers,
+        configuration_version=7,
+        waiting=0,
+        outputs=[idl.OutputNotice(service_name="s", tokens=4_000.0)],
+    )
+    return encode(Frame(0, notice))
+
+
+def _decoder(runs: int) -> Callable[[], object]:
+    data = _notice(runs)[LENGTH_BYTES:]
+    return lambda: decode(data).unwrap()
+
+
+def _fleet(size: int) -> tuple[list[Server], ServerLoads]:
+    loads = ServerLoads()
+    servers = [
+        Server(
+            f"i-{number}",
+            "s",
+            "10.0.0.1:80",
+            "a",
+            32,
+            stage=Stage.PREFILL if number % 3 == 0 else Stage.DECODE,
+        )
+        for number in range(size)
+    ]
+    for server in servers:
+        load = loads.of(server.identity)
+        load.runs.add(Run(5_000, 4_000))
+    peer = {
+        server.identity: PeerLoad(1, 0, [(4_000, 5_000)] * RUNS_AN_ENGINE)
+        for server in servers
+    }
+    loads.note_peer("peer", 0.0, peer)
+    return servers, loads
+
+
+def _decode_choice(size: int) -> Callable[[], object]:
+    servers, loads = _fleet(size)
+    rng = random.Random(1)
+    return lambda: decode_order(
+        servers, loads, (4_000, 5_000), 100_000, "a", rng
+    )
+
+
+def _prefill_choice(size: int) -> Callable[[], object]:
+    servers, loads = _fleet(size)
+    rng = random.Random(1)
+    return lambda: choose_prefill(servers, loads, 5_000, rng)
+
+
+def _registrations(size: int) -> Callable[[], object]:
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 32,
+        "state": "ready",
+        "stage": "decode",
+        "born": 1_700_000_000_000,
+    }
+    content = json.dumps(entry).encode()
+    return lambda: [decode_server("i", content, 1) for _ in range(size)]
--- a/scripts/capacity/start.py
+++ b/scripts/capacity/start.py
@@ -13,7 +13,7 @@
 from scripts.capacity.records import document
 from scripts.capacity.usage import Usage
 from tests.fleet import hello
-from tests.scenarios.processes import Process, free_address
+from tests.scenarios.processes import Process, reserve_address
 from tests.standins.keyvalue import KeyValueService, monotonic_ms, serving
 
 from gooseberrypost.blackboard import Blackboard
@@ -57,8 +57,11 @@
                 "vm": "vm-starter",
                 "zone": "a",
                 "service": "service-1",
-                "internal_address": free_address(),
-                "backend": {"kind": "model", "address": free_address()},
+                "internal_address": reserve_address(stack),
+                "backend": {
+                    "kind": "model",
+                    "address": reserve_address(stack),
+                },
                 "peers": [relay.address for relay in relays],
                 "key_value_addresses": [address],
             },
