--- a/tests/test_daemonlog.py
+++ b/tests/test_daemonlog.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import os
 import re
 import subprocess
 import sys
 
 import pytest
 
+from gooseberrypost import daemonlog
 from tests.scenarios.processes import SOURCE
 
 PROGRAM = """
@@ -65,3 +67,36 @@
     assert texts[-1].startswith("event=failed\\nTraceback")
     assert texts[-1].endswith("OSError: two\\nlines")
     assert not done.stdout
+
+
+def test_slow_reader_never_blocks_the_log():
+    """Guards against a process that waits for the reader of its log."""
+    reader, writer = os.pipe()
+    try:
+        stream = daemonlog.BoundedStream(writer, lines_per_s=1e6)
+        for _ in range(3_000):
+            stream.write("x" * 99 + "\n")
+        os.set_blocking(reader, False)
+        while True:
+            try:
+                os.read(reader, 1 << 20)
+            except BlockingIOError:
+                break
+        stream.write("last\n")
+        assert b"event=log_dropped lines=" in os.read(reader, 1 << 20)
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+def test_rate_of_the_log_is_bounded():
+    """Guards against a log that grows with every request of a burst."""
+    reader, writer = os.pipe()
+    try:
+        stream = daemonlog.BoundedStream(writer, lines_per_s=5.0)
+        for _ in range(50):
+            stream.write("x\n")
+        assert os.read(reader, 1 << 20).count(b"x") <= 6
+    finally:
+        os.close(reader)
+        os.close(writer)
--- a/tests/test_gateway_adapter.py
+++ b/tests/test_gateway_adapter.py
@@ -5,9 +5,12 @@
 import json
 
 import pytest
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gooseberrypost.cli.exit_codes import ExitCode
+from gooseberrypost.cli.main import main
 from gooseberrypost.gateway.model import Stage
 from gooseberrypost.platform.documents import (
     decode_configuration,
@@ -57,6 +60,20 @@
     assert "node.json" in str(failure)
 
 
+def test_check_of_the_settings_tells_file_field_and_allowed(tmp_path):
+    """Guards against a check that does not say what to change."""
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps(SETTINGS))
+    runner = CliRunner()
+    found = runner.invoke(main, ["gateway", "--config", str(file), "--check"])
+    assert found.exit_code == 0
+    assert found.output == f"{file}: valid\n"
+    file.write_text(json.dumps({**SETTINGS, "zone": 3}))
+    found = runner.invoke(main, ["gateway", "--config", str(file), "--check"])
+    assert found.exit_code == ExitCode.INVALID
+    assert "node.json: line 1: zone: is 3; allowed: a text" in found.output
+
+
 def test_configuration_is_decoded_whole():
     """Guards against routes without their limits."""
     content = json.dumps(configuration(7, idle_timeout_ms=9_000)).encode()
