Never run a generation again whose taken-over memory is lost

Found by a test: after a takeover whose memory the next engine refused, the client of a stream that may not be resumed was told 503, and the request could be read and run a second time. It is told 502 now, as the first run may have had effects.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Iterator
 
+    from gooseberrypost.errors import NotRun
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.transport import (
         Answer,
@@ -181,6 +182,9 @@
     def _give_back(self) -> None:
         """Free what was reserved or read and not used."""
         transport = self.ctx.transport
+        if self._moved is not None:
+            self.ctx.spawn(transport.release(self._moved.kv))
+            self._moved = None
         if self._kv is not None:
             self.ctx.spawn(transport.release(self._kv))
             self._kv = None
@@ -263,9 +267,11 @@
         except ServerUnreachable as failure:
             self.attempts -= 1
             self._kv = kv
+            self._check_may_restart(failure)
             self.note_unreachable(server, failure)
         except ServerRefused as failure:
             self.attempts -= 1
+            self._check_may_restart(failure)
             self.note_refused(server, failure)
             self._keep(kv)
         except AnswerLost as failure:
@@ -274,20 +280,18 @@
             self._end_run(server)
         return False
 
+    def _check_may_restart(self, failure: NotRun) -> None:
+        """Raise where only the same run could go on and its memory is lost."""
+        if self.attempts and not self.is_repeatable:
+            raise AnswerLost(f"not resumed: {failure}") from failure
+
     async def _note_broken(self, server: Server, failure: AnswerLost) -> None:
         self._events.restart()
-        moved = self._moved is not None or await self._take_over(server)
-        if moved:
-            # It goes on as the same run.
-            self.attempts -= 1
-        self.note_lost(
-            server,
-            failure,
-            repeatable=moved
-            or (
-                self.is_repeatable and self.attempts < self.route.max_attempts
-            ),
-        )
+        # A generation that is taken over goes on as the same run.
+        repeatable = self._moved is not None or await self._take_over(server)
+        if self.is_repeatable and self.attempts < self.route.max_attempts:
+            repeatable = True
+        self.note_lost(server, failure, repeatable=repeatable)
 
     async def _watched(self, server: Server, work: Awaitable[T]) -> T:
         """Wait for an engine; a generation that falls silent is taken over.
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -43,6 +43,10 @@
         self.has_room = True
         self.orders = 0
         self.refuses_orders = False
+        self.keeps_runs = False
+        """Whether a run can be stopped, to go on from its memory."""
+        self.refuses_sources = False
+        """Whether the memory of another engine cannot be fetched."""
         self.tasks: set[asyncio.Task] = set()
 
     @property
@@ -113,7 +117,11 @@
         if request.header("Inference-Stage") == "prefill":
             body = {"kv_handle": "h1", "tokens": 10, "version": 1}
             return await self._json(writer, 200, body)
-        if self.mode == "refuse":
+        is_sourced = request.header("Kv-Source") is not None
+        refuses = self.mode == "refuse" or (
+            is_sourced and self.refuses_sources
+        )
+        if refuses:
             return await self._send(
                 writer, "503 Service Unavailable", [NOT_EXECUTED]
             )
@@ -142,6 +150,10 @@
                 "busy": False,
                 "sequence": self.orders,
             }
+        if path == "/-/kv-move" and self.keeps_runs:
+            return 200, {"kv_handle": "moved-1", "created": 0}
+        if path == "/-/kv-move":
+            return 404, {}
         if path == "/-/order" and self.refuses_orders:
             return 409, {}
         if path == "/-/order":
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -229,6 +229,48 @@
     run(work)
 
 
+def test_silent_generation_goes_on_as_the_same_run():
+    """Guards against a stream lost with the answer of an engine that runs."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            silent = kit.engines["d"]
+            silent.mode, silent.keeps_runs = "hang", True
+            task = asyncio.create_task(kit.generate())
+            await kit.until(lambda: silent.executed)
+            other = await kit.add("e", "llm", "decode")
+            servers = kit.daemon.context.directory.servers
+            await kit.until(lambda: len(servers.all()) == 3)
+            got = await task
+            assert got.complete
+            assert got.body.count(b"data:") == 3
+            source = f"{silent.address}/moved-1"
+            assert other.received[0].header("Kv-Source") == source
+
+    run(work)
+
+
+def test_generation_that_cannot_go_on_is_not_run_again():
+    """Guards against a second run, and against a false promise of none."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            silent = kit.engines["d"]
+            silent.mode, silent.keeps_runs = "hang", True
+            task = asyncio.create_task(kit.generate())
+            await kit.until(lambda: silent.executed)
+            other = await kit.add("e", "llm", "decode")
+            other.refuses_sources = True
+            servers = kit.daemon.context.directory.servers
+            await kit.until(lambda: len(servers.all()) == 3)
+            got = await task
+            assert got.status == 502
+            assert other.executed == []
+            assert len(silent.executed) == 1
+
+    run(work)
+
+
 def test_client_that_leaves_stops_its_stream():
     """Guards against engines that work on for nobody."""
 
