Add a soak of random faults over real gateway processes

Signals, relays to the store, a failing store and failing servers, against the promises as clients and servers see them.

--- /dev/null
+++ b/tests/scenarios/gateway_soak.py
@@ -0,0 +1,357 @@
+"""Random faults over real gateway processes; ``--seed N --seconds S``.
+
+Faults come from outside the processes: signals, relays to the store that cut
+or stall, a store that is down, silent, deaf or forgets, and servers that fail
+in each way of their stand-in. They come in series and overlap. What clients
+and servers see is checked against the promises.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+import tempfile
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import aiohttp
+import click
+
+from tests.gateway_kit import HOST, ROUTES, configuration
+from tests.scenarios.processes import Process
+from tests.scenarios.relay import Relay
+from tests.standins.platform_engine import PlatformEngineStandIn
+from tests.standins.platform_store import PlatformStoreStandIn
+
+GATEWAYS = 3
+CLIENTS = 6
+STAGES = ("", "", "", "prefill", "prefill", "decode", "decode", "decode")
+MODES = ("refuse", "reset", "hang", "truncate", "foreign", "unsigned", "error")
+NOT_RUN = (408, 421, 429, 503)
+AT_ONCE = 4
+SETTLE_S = 12.0
+"""Time in which everything serves again after the last fault."""
+
+
+class Sent:
+    """One request of a client and what came back."""
+
+    def __init__(self, request: str, route: str):
+        self.request, self.route = request, route
+        self.status: int | None = None
+        self.body = b""
+        self.complete = False
+
+
+class Soak:
+    """Processes, stand-ins, clients and faults of one seed."""
+
+    def __init__(self, seed: int, seconds: float):
+        self.rng = random.Random(seed)
+        self.seed, self.seconds = seed, seconds
+        self.sent: list[Sent] = []
+        self.version = 1
+        self.trace: list[str] = []
+        self.violations: list[str] = []
+
+    async def run(self) -> list[str]:
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            clients = [
+                asyncio.create_task(self._client(number))
+                for number in range(CLIENTS)
+            ]
+            await self._faults()
+            for client in clients:
+                client.cancel()
+            await asyncio.gather(*clients, return_exceptions=True)
+            await self._settle()
+            self._check()
+        return self.violations
+
+    async def _start(self, stack: AsyncExitStack):
+        self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        self.store = PlatformStoreStandIn()
+        await self.store.start()
+        stack.push_async_callback(self.store.stop)
+        self.store.put("op/config", configuration(self.version))
+        self.engines = []
+        for number, stage in enumerate(STAGES):
+            engine = PlatformEngineStandIn(f"i-{number}", stage)
+            await engine.start()
+            stack.push_async_callback(engine.stop)
+            engine.event_s = 0.02
+            self.engines.append(engine)
+            self._register(engine)
+        self.relays, self.gateways = [], []
+        for number in range(GATEWAYS):
+            relay = await stack.enter_async_context(
+                Relay.serving(self.store.address)
+            )
+            process = self._process(number, relay.address)
+            stack.callback(process.kill)
+            self.relays.append(relay)
+            self.gateways.append(process)
+            process.write()
+            process.start()
+        await self._until(self._all_ready, "all gateways ready")
+
+    def _register(self, engine: PlatformEngineStandIn, **changes):
+        service = "llm" if engine.stage else "desk"
+        entry = engine.registration(service, **changes)
+        self.store.put(f"servers/{engine.instance}", entry)
+
+    def _process(self, number: int, store: str) -> Process:
+        ip = f"127.0.0.{number + 2}"
+        settings = {
+            "name": f"gateway-{number}",
+            "node_name": f"gateway-{number}",
+            "zone": "a",
+            "ip": ip,
+            "listen": {
+                "frontend": f"{ip}:{free_port(ip)}",
+                "readiness": f"{ip}:{free_port(ip)}",
+            },
+            "internal_port_range": [free_port(ip), 65_000],
+            "bounds": {
+                "grace_s": 4,
+                "retry_budget_ratio": 0.2,
+                "budget_slack": 54,
+            },
+            "platform": {"address": store},
+        }
+        return Process("gateway", settings, self.folder)
+
+    async def _client(self, number: int):
+        """Send on open connections until their process is gone."""
+        timeout = aiohttp.ClientTimeout(total=4)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self._request(session, f"c{number}-{len(self.sent)}")
+                await asyncio.sleep(self.rng.uniform(0, 0.05))
+
+    async def _request(self, session: aiohttp.ClientSession, request: str):
+        route = self.rng.choice(list(ROUTES))
+        gateway = self.rng.choice(self.gateways)
+        sent = Sent(request, route)
+        self.sent.append(sent)
+        address = gateway.settings["listen"]["frontend"]
+        headers = {
+            "Host": HOST,
+            "X-Gooseberrypost-Attempt-Id": request,
+            "X-Gooseberrypost-Deadline-Ms": "2000",
+        }
+        if ROUTES[route]["kind"] == "streaming":
+            headers["X-Gooseberrypost-Token-Usage"] = "100,10"
+        try:
+            async with session.post(
+                f"http://{address}/{route}/{request}",
+                headers=headers,
+                data=b"body",
+            ) as response:
+                sent.status = response.status
+                sent.body = await response.read()
+                sent.complete = True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def _faults(self):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.seconds
+        active: set[asyncio.Task] = set()
+        kinds = (
+            self._signal_gateway,
+            self._pause_gateway,
+            self._break_relay,
+            self._break_store,
+            self._break_engine,
+            self._drain_engine,
+            self._change_configuration,
+            self._reload,
+        )
+        while loop.time() < end:
+            if len(active) < AT_ONCE:
+                task = asyncio.create_task(self.rng.choice(kinds)())
+                active.add(task)
+                task.add_done_callback(active.discard)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+        await asyncio.gather(*active)
+
+    def _note(self, *words: object):
+        self.trace.append(" ".join(map(str, words)))
+
+    async def _signal_gateway(self):
+        """Kill or terminate a gateway and start it again."""
+        gateway = self.rng.choice(self.gateways)
+        number = self.rng.choice((signal.SIGKILL, signal.SIGTERM))
+        if not gateway.running:
+            return
+        self._note(number.name, gateway.settings["name"])
+        gateway.signal(number)
+        await asyncio.to_thread(gateway.popen.wait)
+        await asyncio.sleep(self.rng.uniform(0, 0.5))
+        gateway.start()
+
+    async def _pause_gateway(self):
+        gateway = self.rng.choice(self.gateways)
+        self._note("pause", gateway.settings["name"])
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        gateway.signal(signal.SIGCONT)
+
+    async def _break_relay(self):
+        relay = self.rng.choice(self.relays)
+        kind = self.rng.choice(("cut", "stall"))
+        self._note(kind, "store of gateway", self.relays.index(relay))
+        getattr(relay, kind)()
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        relay.heal()
+
+    async def _break_store(self):
+        kind = self.rng.choice(("down", "silent", "deaf", "compact", "lapse"))
+        self._note("store", kind)
+        if kind == "compact":
+            self.store.compacted = self.store.revision
+            self.store.cut()
+        elif kind == "lapse":
+            for lease in list(self.store.leases):
+                self.store.lapse(lease)
+        else:
+            setattr(self.store, kind, True)
+            await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+            setattr(self.store, kind, False)
+
+    async def _break_engine(self):
+        engine = self.rng.choice(self.engines)
+        engine.mode = self.rng.choice(MODES)
+        self._note("server", engine.instance, engine.mode)
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        engine.mode = "answer"
+
+    async def _drain_engine(self):
+        engine = self.rng.choice(self.engines)
+        self._note("drain", engine.instance)
+        self._register(engine, state="draining")
+        await asyncio.sleep(self.rng.uniform(0.5, 2.0))
+        self._register(engine)
+
+    async def _change_configuration(self):
+        for _ in range(self.rng.randint(1, 5)):
+            self.version += self.rng.randint(1, 7)
+            self.store.put("op/config", configuration(self.version))
+            await asyncio.sleep(self.rng.uniform(0, 0.1))
+        self._note("configuration", self.version)
+
+    async def _reload(self):
+        gateway = self.rng.choice(self.gateways)
+        self._note("reload", gateway.settings["name"])
+        gateway.signal(signal.SIGHUP)
+
+    async def _settle(self):
+        for number, gateway in enumerate(self.gateways):
+            self.relays[number].heal()
+            gateway.signal(signal.SIGCONT)
+        await self._until(self._all_ready, "all gateways ready again")
+        await self._until(self._all_serve, "every route served everywhere")
+        await self._until(self._all_idle, "no server works for nobody")
+
+    async def _until(self, condition, what: str):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + SETTLE_S
+        while not await condition():
+            if loop.time() > end:
+                self.violations.append(f"not in {SETTLE_S} s: {what}")
+                return
+            await asyncio.sleep(0.1)
+
+    async def _all_ready(self) -> bool:
+        timeout = aiohttp.ClientTimeout(total=1)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for gateway in self.gateways:
+                address = gateway.settings["listen"]["readiness"]
+                try:
+                    async with session.get(f"http://{address}/") as response:
+                        if response.status != 200:
+                            return False
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    return False
+        return True
+
+    async def _all_serve(self) -> bool:
+        timeout = aiohttp.ClientTimeout(total=4)
+        begun = len(self.sent)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for _ in range(4 * len(ROUTES)):
+                await self._request(session, f"after-{len(self.sent)}")
+        return all(s.status == 200 and s.complete for s in self.sent[begun:])
+
+    async def _all_idle(self) -> bool:
+        return not any(engine.tasks for engine in self.engines)
+
+    def _check(self):
+        runs: dict[str, int] = {}
+        for engine in self.engines:
+            for request in engine.executed:
+                runs[request] = runs.get(request, 0) + 1
+        for sent in self.sent:
+            self._check_one(sent, runs.get(sent.request, 0))
+
+    def _check_one(self, sent: Sent, runs: int):
+        route = ROUTES[sent.route]
+        repeatable = route["kind"] == "idempotent" or route.get("resumable")
+        where = f"{sent.request} on {sent.route}, status {sent.status}"
+        if runs > 1 and not repeatable:
+            self.violations.append(f"ran {runs} times: {where}")
+        if runs and sent.status in NOT_RUN and not repeatable:
+            self.violations.append(f"ran after its refusal: {where}")
+        if sent.status != 200 or not sent.complete:
+            return
+        if route["kind"] == "streaming":
+            events = "".join(f"id: {n}\ndata: {n}\n\n" for n in (1, 2, 3))
+            whole = sent.body == events.encode()
+        else:
+            whole = sent.body.endswith(
+                f"/{sent.route}/{sent.request}".encode()
+            )
+        if not whole or not runs:
+            self.violations.append(f"not whole: {where}: {sent.body[:80]!r}")
+
+
+def free_port(ip: str) -> int:
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return sock.getsockname()[1]
+
+
+async def soak(seed: int, seconds: float) -> Soak:
+    run = Soak(seed, seconds)
+    await run.run()
+    return run
+
+
+@click.command()
+@click.option("--seed", type=int, required=True)
+@click.option("--seeds", type=int, default=1, help="Seeds to run from there.")
+@click.option("--seconds", type=float, default=20.0)
+def main(seed: int, seeds: int, seconds: float):
+    """Run seeds and end with 1 if a promise was broken."""
+    failed = False
+    for number in range(seed, seed + seeds):
+        run = asyncio.run(soak(number, seconds))
+        served = sum(s.status == 200 and s.complete for s in run.sent)
+        click.echo(
+            f"seed {number}: {len(run.sent)} sent, {served} served, "
+            f"{len(run.trace)} faults, {len(run.violations)} violations"
+        )
+        for violation in run.violations:
+            click.echo(f"  {violation}")
+        if run.violations:
+            failed = True
+            click.echo("  " + "; ".join(run.trace))
+    raise SystemExit(failed)
+
+
+if __name__ == "__main__":
+    main()
