--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import socket
@@ -104,7 +105,10 @@
         self.store.put(f"servers/{engine.instance}", entry)
 
     def _process(self, number: int, store: str) -> Process:
-        ip = f"127.0.0.{number + 2}"
+        # The port of the metrics is fixed, so that runs beside each other
+        # need addresses of their own.
+        pid = os.getpid()
+        ip = f"127.{1 + pid // 250 % 250}.{1 + pid % 250}.{number + 2}"
         settings = {
             "name": f"gateway-{number}",
             "node_name": f"gateway-{number}",
