--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -32,6 +32,8 @@
 MODES = ("refuse", "reset", "hang", "truncate", "foreign", "unsigned", "error")
 NOT_RUN = (408, 421, 429, 503)
 AT_ONCE = 4
+INTERPRETER_S = 0.2
+"""Time in which the interpreter starts, before any code of the product."""
 SETTLE_S = 12.0
 """Time in which everything serves again after the last fault."""
 
@@ -202,6 +204,7 @@
         await asyncio.to_thread(gateway.popen.wait)
         await asyncio.sleep(self.rng.uniform(0, 0.5))
         gateway.start()
+        await asyncio.sleep(INTERPRETER_S)
         self.stopping.discard(gateway)
 
     async def _pause_gateway(self):
@@ -256,6 +259,9 @@
 
     async def _reload(self):
         gateway = self.rng.choice(self.gateways)
+        if gateway in self.stopping or not gateway.lines():
+            # Until its first line the interpreter itself is starting.
+            return
         self._note("reload", gateway.settings["name"])
         gateway.signal(signal.SIGHUP)
 
--- a/tests/test_gateway_adapter.py
+++ b/tests/test_gateway_adapter.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 
 import pytest
 from click.testing import CliRunner
@@ -19,6 +22,7 @@
 )
 from gooseberrypost.platform.settings import decode_settings
 from tests.gateway_kit import configuration
+from tests.scenarios.processes import SOURCE
 
 SETTINGS = {
     "node_name": "edge-1",
@@ -74,6 +78,31 @@
     assert "node.json: line 1: zone: is 3; allowed: a text" in found.output
 
 
+def test_reload_during_the_start_does_not_end_the_process():
+    """Guards against a SIGHUP that ends a process which still loads.
+
+    The signal is sent from the first module that the command line imports.
+    """
+    program = (
+        "import os, runpy, signal, sys\n"
+        "class Finder:\n"
+        "    def find_spec(self, name, path=None, target=None):\n"
+        "        if name == 'gooseberrypost.cli':\n"
+        "            os.kill(os.getpid(), signal.SIGHUP)\n"
+        "sys.meta_path.insert(0, Finder())\n"
+        "sys.argv = ['gooseberrypost', '--version']\n"
+        "runpy.run_module('gooseberrypost', run_name='__main__')\n"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(SOURCE)},
+    )
+    assert done.returncode == 0, done.stderr
+    assert "version" in done.stdout
+
+
 def test_configuration_is_decoded_whole():
     """Guards against routes without their limits."""
     content = json.dumps(configuration(7, idle_timeout_ms=9_000)).encode()
