Free the room of clients that leave, queue each service by itself, drop unused fields

Found by reading: a client that left in the moment of its reservation left its generation in the load for ever; the first waiting generation of a full service held up those of other services; an unexpected error would have ended the queue's task. Tests for the first two failed before. Fields that nothing uses are gone.

--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -115,7 +115,6 @@
     __slots__ = (
         "configuration",
         "gateways",
-        "read_s",
         "servers",
         "stage_holder",
         "stage_order_s",
@@ -125,8 +124,6 @@
     def __init__(self) -> None:
         super().__init__()
         self.configuration = Configuration()
-        self.read_s = 0.0
-        """Monotonic time of the source's last answer; 0 before the first."""
         self.servers = ServerList()
         self.gateways: dict[str, str] = {}
         """Internal addresses of the registered gateways, by name."""
@@ -189,7 +186,11 @@
                 await self._note_lost(lost)
                 continue
             self._note_answer()
-            self.apply(batch, time.monotonic())
+            try:
+                self.apply(batch, time.monotonic())
+            except Exception:
+                # The next batches are taken all the same.
+                logging.exception("event=batch_failed at=%d", batch.at)
             if not batch.is_empty:
                 # After an answer without changes the same revision is asked
                 # for again: a watch that was deaf while something changed
@@ -226,7 +227,6 @@
     def apply(self, batch: Batch, now_s: float) -> None:
         """Take a batch into the directory and log each change."""
         directory = self._directory
-        directory.read_s = now_s
         for cfg in batch.configurations:
             # An older version never replaces a newer one.
             if cfg.version > directory.configuration.version:
--- a/src/gooseberrypost/gateway/request.py
+++ b/src/gooseberrypost/gateway/request.py
@@ -18,11 +18,6 @@
     parts: tuple[tuple[str, int], ...] = ()
     """Parts of the prompt in order, each with its tokens."""
 
-    @property
-    def expected_output(self) -> int:
-        """Output tokens to plan with."""
-        return min(self.output_hint or self.max_output, self.max_output)
-
 
 @dataclass(slots=True)
 class ClientRequest:
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -74,8 +74,8 @@
         self._ctx = ctx
         self._waiting: list[Ticket] = []
         self._changed = asyncio.Event()
-        self._open_since_s: float | None = None
-        """Since when the first generation would find room."""
+        self._open_since_s: dict[str, float] = {}
+        """Since when the first generation of a service would find room."""
 
     async def on_started(self) -> None:
         """Serve the waiting until the service stops."""
@@ -156,7 +156,13 @@
         granted = ticket.granted
         if not granted.done() or granted.cancelled() or granted.exception():
             return
-        self._ctx.spawn(self._ctx.transport.cancel(granted.result()))
+        reservation = granted.result()
+        self._forget(reservation.server, ticket)
+        self._ctx.spawn(self._ctx.transport.cancel(reservation))
+
+    def _forget(self, server: Server, ticket: Ticket) -> None:
+        self._ctx.loads.of(server.identity).runs.discard(ticket.run)
+        self._ctx.loads_changed()
 
     async def _serve(self) -> None:
         while not self.should_stop:
@@ -164,7 +170,11 @@
                 async with asyncio.timeout(RETRY_S if self._waiting else None):
                     await self._changed.wait()
             self._changed.clear()
-            await self._round()
+            try:
+                await self._round()
+            except Exception:
+                # The generations that wait must not wait for ever.
+                logging.exception("event=room_round_failed")
 
     async def _round(self) -> None:
         """Offer each waiting generation what room there is."""
@@ -172,17 +182,27 @@
         for ticket in list(self._waiting):
             if is_hopeless(ticket, now_s, self._lead_s(ticket)):
                 self._refuse(ticket)
-        while self._waiting:
-            ticket = self._first()
-            # Those behind the first wait as well, or large ones never get
-            # room.
-            if not self._has_turn(ticket) or not await self._reserve(ticket):
-                break
-            self._open_since_s = None
-
-    def _first(self) -> Ticket:
-        lead_s = max(map(self._lead_s, self._waiting))
-        return order(self._waiting, self._ctx.now_s(), lead_s)[0]
+        for service in {ticket.service for ticket in self._waiting}:
+            while ticket := self._first(service):
+                # Those behind the first wait as well, or large ones never get
+                # room.
+                if not self._has_turn(ticket):
+                    break
+                if not await self._reserve(ticket):
+                    break
+                self._open_since_s.pop(service, None)
+
+    def _first(self, service: str | None = None) -> Ticket | None:
+        """Return who is served next, of one service or of all."""
+        waiting = [
+            ticket
+            for ticket in self._waiting
+            if service in (None, ticket.service)
+        ]
+        if not waiting:
+            return None
+        lead_s = max(map(self._lead_s, waiting))
+        return order(waiting, self._ctx.now_s(), lead_s)[0]
 
     def _has_turn(self, ticket: Ticket) -> bool:
         """Whether a generation may take the room that there is now.
@@ -194,13 +214,12 @@
         ctx = self._ctx
         now_s = ctx.now_s()
         if not self._candidates(ticket):
-            self._open_since_s = None
+            self._open_since_s.pop(ticket.service, None)
             return False
-        if self._open_since_s is None:
-            self._open_since_s = now_s
+        since_s = self._open_since_s.setdefault(ticket.service, now_s)
         turn = turn_ms(ticket, now_s, self._lead_s(ticket))
         before = min(ctx.loads.before(turn, now_s), MAX_TURNS)
-        wait_s = self._open_since_s + before * TURN_S - now_s
+        wait_s = since_s + before * TURN_S - now_s
         if wait_s <= 0:
             return True
         asyncio.get_running_loop().call_later(wait_s, self._changed.set)
@@ -209,9 +228,9 @@
     @property
     def turn_ms(self) -> int | None:
         """Turn of the first waiting generation; None without any."""
-        if not self._waiting:
-            return None
         ticket = self._first()
+        if ticket is None:
+            return None
         return turn_ms(ticket, self._ctx.now_s(), self._lead_s(ticket))
 
     def _lead_s(self, ticket: Ticket) -> float:
@@ -232,19 +251,18 @@
         for server in self._candidates(ticket):
             if ctx.loads.of(server.identity).is_full(ctx.now_s()):
                 continue
-            runs = ctx.loads.of(server.identity).runs
             # The others hear of it before the engine answers.
-            runs.add(ticket.run)
+            ctx.loads.of(server.identity).runs.add(ticket.run)
             ctx.loads_changed()
             reservation = await self._try(server, ticket)
             if reservation is None:
-                runs.discard(ticket.run)
+                self._forget(server, ticket)
                 continue
             if ticket in self._waiting and not ticket.granted.done():
                 self._waiting.remove(ticket)
                 ticket.granted.set_result(reservation)
             else:
-                runs.discard(ticket.run)
+                self._forget(server, ticket)
                 ctx.spawn(ctx.transport.cancel(reservation))
             return True
         return False
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
+from gooseberrypost.errors import NotRun, UnknownOutcome
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -54,13 +54,6 @@
     code = "foreign_answer"
 
 
-class StreamBroken(Failure):
-    """A stream ended before its end."""
-
-    code = "stream_broken"
-    http_status = 502
-
-
 @dataclass(slots=True, frozen=True)
 class KvHandle:
     """Prefilled KV cache that waits at an engine for its transfer."""
@@ -114,8 +107,6 @@
     kv: KvHandle | None = None
     """Prefilled KV cache to fetch before decoding."""
     resume_after: str = ""
-    urgency: int | None = None
-    """Priority at the engine, 0 first; None leaves it at the default."""
 
 
 class Transport(ABC):
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -78,7 +78,6 @@
                 slots=int(found["slots"]),
                 draining=state == "draining",
                 stage=Stage(found.get("stage") or ""),
-                cold_ms=int(found.get("cold_remaining_ms") or 0),
                 born_ms=int(found.get("born") or 0),
                 revision=revision,
             )
@@ -115,8 +114,6 @@
     engine = found.get("engine")
     return Service(
         name=str(found["name"]),
-        health_path=str(found.get("health_path") or ""),
-        max_connections=int(found.get("max_connections") or 0),
         engine=_engine(engine) if engine else None,
     )
 
@@ -125,10 +122,8 @@
     return EngineSpec(
         slots=int(found.get("slots") or 0),
         kv_tokens=int(found.get("kv_capacity_tokens") or 0),
-        kv_token_bytes=int(found.get("kv_token_bytes") or 0),
         event_tokens=int(found.get("stride") or 1),
         # In seconds on the wire.
-        stage_switch_ms=int(float(found.get("stage_switch_s") or 0) * 1_000),
         handle_ms=int(float(found.get("kv_retention_s") or 0) * 1_000),
     )
 
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -11,7 +11,6 @@
 SIGNATURE: Final = "X-Gooseberrypost-Server-Stamp"
 EXPECT_INSTANCE: Final = "X-Gooseberrypost-Expect-Instance"
 NOT_EXECUTED: Final = "X-Gooseberrypost-Not-Executed"
-MODEL: Final = "X-Gooseberrypost-Model"
 TOKEN_USAGE: Final = "X-Gooseberrypost-Token-Usage"
 """Prompt tokens and the maximum of output tokens, not what was used."""
 PROMPT_PREFIX: Final = "X-Gooseberrypost-Prompt-Prefix"
@@ -61,7 +60,6 @@
 )
 """Headers that concern a single connection."""
 
-READY_PATH: Final = "/-/readyz"
 REPORT_PATH: Final = "/-/report"
 ORDER_PATH: Final = "/-/order"
 HOLD_TAKE_PATH: Final = "/-/hold-take"
@@ -69,7 +67,6 @@
 KV_MOVE_PATH: Final = "/-/kv-move"
 KV_HANDLE_PATH: Final = "/-/kv-handle/"
 
-KEY_PATH: Final = "/-/kv-key"
 RANGE_PATH: Final = "/-/kv-range"
 WATCH_PATH: Final = "/-/kv-watch"
 TXN_PATH: Final = "/-/kv-txn"
--- a/src/gooseberrypost/platform/requests.py
+++ b/src/gooseberrypost/platform/requests.py
@@ -61,8 +61,6 @@
     headers = req.headers.copy()
     headers[names.DEADLINE_MS] = str(max(1, int(send.timeout_s * 1_000)))
     headers[names.EXPECT_INSTANCE] = server.instance
-    if send.urgency is not None:
-        headers[names.PRIORITY] = str(send.urgency)
     if send.reservation is not None:
         headers[names.KV_HOLD] = send.reservation.id
     if send.kv is not None:
--- a/src/gooseberrypost/platform/settings.py
+++ b/src/gooseberrypost/platform/settings.py
@@ -116,7 +116,6 @@
         # A number of sends in one window, not a time.
         repeat_allowance=reader.number("bounds.budget_slack", 0),
         lease_ms=round(reader.number("bounds.lease_ms", 3_000)),
-        change_apply_ms=round(reader.number("bounds.config_apply_ms", 2_000)),
     )
     if reader.problems:
         return Err(SettingsInvalid(file, reader.problems))
--- a/src/gooseberrypost/settings/gateway.py
+++ b/src/gooseberrypost/settings/gateway.py
@@ -30,5 +30,3 @@
     """Repeated sends in a window beside the share, over all gateways."""
     lease_ms: int = 3_000
     """Time of a lease, in which a gateway that holds a duty is replaced."""
-    change_apply_ms: int = 2_000
-    """Time within which a change is in force."""
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gooseberrypost.gateway.room import Ticket
 from tests.gateway_kit import configuration, serving
 
 PLAIN = (("a", "desk", ""), ("b", "desk", ""))
@@ -179,6 +180,44 @@
     run(work)
 
 
+def test_client_that_leaves_with_its_reservation_frees_the_room():
+    """Guards against room that stays taken by a generation of nobody."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            ctx = kit.daemon.context
+            now_s = ctx.now_s()
+            ticket = Ticket(now_s + 1, now_s + 2, 100, 10, service="llm")
+            task = asyncio.create_task(ctx.room.acquire(ticket))
+            ticket.granted.add_done_callback(lambda _: task.cancel())
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            assert ctx.loads.run_count("d@1") == 0
+            dropped = "/-/hold-drop/hold-1"
+            await kit.until(
+                lambda: kit.engines["d"].control[-1].target == dropped
+            )
+
+    run(work)
+
+
+def test_full_service_does_not_hold_up_another_one():
+    """Guards against one model's queue in front of all others."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            ctx = kit.daemon.context
+            now_s = ctx.now_s()
+            full = Ticket(now_s + 0.8, now_s + 5, 100, 10, service="other")
+            waits = asyncio.create_task(ctx.room.acquire(full))
+            await asyncio.sleep(0.05)
+            async with asyncio.timeout(0.4):
+                assert (await kit.generate()).status == 200
+            waits.cancel()
+
+    run(work)
+
+
 def test_slow_first_events_do_not_make_a_gateway_refuse_for_ever():
     """Guards against refusals with room at hand after some slow prompts.
 
