Balance the pools of each model service by itself

Found by reading: a balanced service reset the change that was due in another one, and an engine that changes its pool was also counted in its old one, so that a second change waited.

--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -17,7 +17,7 @@
 import time
 from abc import ABC, abstractmethod
 from dataclasses import replace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeGuard
 
 from absl import logging
 from mode import Service
@@ -78,8 +78,8 @@
         self._fence = 0
         self._lease = 0
         self._held_since_s = 0.0
-        self._due: tuple[StageOrder, float] | None = None
-        """Change that is due, and since when."""
+        self._due: dict[str, tuple[Stage, float]] = {}
+        """Direction of the change that is due in a service, since when."""
         self._seen: dict[str, tuple[Server, float]] = {}
         """Engines and when they were last registered."""
 
@@ -130,82 +130,84 @@
 
     async def _balance(self) -> None:
         now_s = self._ctx.now_s()
-        for (
-            service,
-            spec,
-        ) in self._ctx.directory.configuration.services.items():
-            if spec.engine is None:
+        services = self._ctx.directory.configuration.services
+        for service in services.values():
+            if service.engine is None:
                 continue
-            order = self._change(service, now_s)
-            if order is None or not self._has_settled(order, now_s):
-                continue
-            await self._order(service, order)
+            order = self._change(service.name, now_s)
+            if self._has_settled(service.name, order, now_s):
+                await self._order(service.name, order)
 
-    def _has_settled(self, order: StageOrder, now_s: float) -> bool:
-        if self._due is None or self._due[0].stage is not order.stage:
-            self._due = order, now_s
-        return now_s - self._due[1] >= SETTLED_S
+    def _has_settled(
+        self, service: str, order: StageOrder | None, now_s: float
+    ) -> TypeGuard[StageOrder]:
+        """Whether a change in the same direction is due for some time."""
+        if order is None:
+            self._due.pop(service, None)
+            return False
+        stage, since_s = self._due.get(service, (order.stage, now_s))
+        if stage is not order.stage:
+            since_s = now_s
+        self._due[service] = order.stage, since_s
+        return now_s - since_s >= SETTLED_S
 
     def _change(self, service: str, now_s: float) -> StageOrder | None:
         ctx = self._ctx
+        directory = ctx.directory
         present = [
             server
-            for server in ctx.directory.servers.of(service, now_s)
+            for server in directory.servers.of(service, now_s)
             if not server.draining
         ]
-        changing = [
-            self._engine(one, ctx.directory.stage_orders[one.instance][0])
-            for one in present
-            if ctx.directory.is_switching(one, now_s)
-        ]
-        present = [
-            one
-            for one in present
-            if not ctx.directory.is_switching(one, now_s)
-        ]
-        engines = [self._engine(one) for one in self._expected(present, now_s)]
-        spec = ctx.engine_spec(service)
+        switching = {
+            server.instance: directory.stage_orders[server.instance][0]
+            for server in present
+            if directory.is_switching(server, now_s)
+        }
+        changing, engines = [], []
+        for server in self._expected(service, present, now_s):
+            stage = switching.get(server.instance)
+            if stage is None:
+                engines.append(self._engine(server, server.stage))
+            else:
+                changing.append(self._engine(server, stage))
         demand = Demand(
             ctx.mean_prompt(service),
             ctx.mean_output(service),
             ctx.run_s(service),
-            spec.kv_tokens,
+            ctx.engine_spec(service).kv_tokens,
         )
         if not demand.prompt or not demand.output:
             return None
         order = choose_change(engines, demand, changing)
         if order is None or order.instance not in {
-            one.instance for one in present
+            server.instance for server in present
         }:
-            self._due = None
             return None
         return order
 
-    def _expected(self, present: list[Server], now_s: float) -> list[Server]:
+    def _expected(
+        self, service: str, present: list[Server], now_s: float
+    ) -> list[Server]:
         """Engines that are registered, and those that may have crashed."""
         for server in present:
             self._seen[server.instance] = server, now_s
-        service = {server.service for server in present}
-        names = {server.instance for server in present}
-        leaving = {
-            server.instance
-            for server in self._ctx.directory.servers.all()
-            if server.draining
-        }
+        registered = self._ctx.directory.servers.of(service, now_s)
+        known = {server.instance for server in registered}
         expected = list(present)
         for instance, (server, seen_s) in list(self._seen.items()):
-            if instance in leaving or now_s - seen_s > RETURN_S:
+            if now_s - seen_s > RETURN_S:
                 del self._seen[instance]
-            elif instance not in names and server.service in service:
+            elif server.service == service and instance not in known:
                 expected.append(server)
         return expected
 
-    def _engine(self, server: Server, stage: Stage | None = None) -> Engine:
+    def _engine(self, server: Server, stage: Stage) -> Engine:
         loads = self._ctx.loads
         load = loads.of(server.identity)
         return Engine(
             server.instance,
-            stage or server.stage,
+            stage,
             server.slots,
             load.prefill_ms_per_token or DEFAULT_PREFILL_MS_PER_TOKEN,
             loads.run_count(server.identity)
@@ -216,7 +218,7 @@
         ctx = self._ctx
         known = ctx.directory.servers.of(service, ctx.now_s())
         server = next(one for one in known if one.instance == order.instance)
-        self._due = None
+        self._due.pop(service, None)
         try:
             report = await ctx.transport.report(server)
         except ServerUnreachable as failure:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -56,6 +56,7 @@
         "services": [
             {"name": "desk", "health_path": "/h", "max_connections": 10},
             {"name": "llm", "max_connections": 10, "engine": engine},
+            {"name": "quiet-llm", "max_connections": 10, "engine": engine},
         ],
         "limits": limits,
     }
