Hear gateways again after their restart, and keep a lease through a lost call

Found by reading: incarnations are random, so that the notices of every second restarted gateway were taken for old ones and ignored for good; its load on the engines was not seen. One renewal without an answer gave up the registration and the duty, which then stayed without a holder until the lease had lapsed.

--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -59,7 +59,7 @@
         directory = register(board, OWNER)
         self.context = GatewayContext(cfg, directory, transport, rng)
         section = self.lifecycle.section
-        peers = Peers(self.context, registry)
+        self.peers = Peers(self.context, registry)
         self.frontend = Frontend(self.context, section, decode)
         for service in (
             self.lifecycle,
@@ -67,8 +67,8 @@
             self.context.room,
             self.frontend,
             Follower(feed, directory),
-            peers,
-            StageController(self.context, duty, peers),
+            self.peers,
+            StageController(self.context, duty, self.peers),
         ):
             self.add_dependency(service)
 
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -37,11 +37,17 @@
 
 
 class RegistrationFailed(Failure):
-    """The registration was not written, or has lapsed."""
+    """The store did not answer, or wrote nothing."""
 
     code = "registration_failed"
 
 
+class RegistrationLapsed(RegistrationFailed):
+    """The lease has ended, and the registration is gone."""
+
+    code = "registration_lapsed"
+
+
 class Registry(ABC):
     """Where gateways find each other."""
 
@@ -51,7 +57,7 @@
 
     @abstractmethod
     async def renew(self, lease: int) -> None:
-        """Renew a lease; raises ``RegistrationFailed`` where it ended."""
+        """Renew a lease; ``RegistrationLapsed`` where it has ended."""
 
     @abstractmethod
     async def end(self, lease: int) -> None:
@@ -120,10 +126,11 @@
         if not isinstance(notice, idl.LoadNotice):
             self._ctx.metrics.count("notices_invalid_total")
             return
-        version = (notice.incarnation, notice.sequence)
-        if self._latest.get(notice.name, (0, 0)) >= version:
+        incarnation, sequence = self._latest.get(notice.name, (0, 0))
+        # Incarnations are random: another one is a restart, not an age.
+        if notice.incarnation == incarnation and notice.sequence <= sequence:
             return
-        self._latest[notice.name] = version
+        self._latest[notice.name] = notice.incarnation, notice.sequence
         self._heard[notice.name] = f"{addr[0]}:{addr[1]}", time.monotonic()
         loads = {
             one.identity: PeerLoad(
@@ -202,6 +209,7 @@
 
     async def _register(self) -> None:
         cfg = self._ctx.settings
+        renewed_s = float("-inf")
         while not self.should_stop:
             try:
                 if self.lease:
@@ -216,12 +224,18 @@
                         cfg.internal_address,
                         self.lease,
                     )
+                renewed_s = time.monotonic()
                 await self.sleep(cfg.lease_ms / 1_000 / RENEWALS)
             except RegistrationFailed as failure:
                 logging.warning(
-                    "event=registration_failed lease=%d detail=%r",
+                    "event=registration_failed lease=%d code=%s detail=%r",
                     self.lease,
+                    failure.code,
                     failure.detail,
                 )
-                self.lease = 0
+                # One call that was not answered does not end a lease.
+                age_s = time.monotonic() - renewed_s
+                is_over = age_s > cfg.lease_ms / 1_000
+                if is_over or isinstance(failure, RegistrationLapsed):
+                    self.lease = 0
                 await self.sleep(RETRY_S)
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -5,7 +5,11 @@
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.gateway.directory import FeedLost
-from gooseberrypost.gateway.peers import RegistrationFailed, Registry
+from gooseberrypost.gateway.peers import (
+    RegistrationFailed,
+    RegistrationLapsed,
+    Registry,
+)
 from gooseberrypost.gateway.stages import Duty, DutyLost
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import encode_stage_order
@@ -43,7 +47,9 @@
         """Renew a lease."""
         try:
             await self._store.keep_lease(lease)
-        except (FeedLost, LeaseEnded) as failure:
+        except LeaseEnded as failure:
+            raise RegistrationLapsed(str(failure)) from failure
+        except FeedLost as failure:
             raise RegistrationFailed(str(failure)) from failure
 
     async def end(self, lease: int) -> None:
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from gooseberrypost.wire.codec import Frame, encode
+from gooseberrypost.wire.messages import idl
 from tests.gateway_kit import configuration, serving
 
 PLAIN = (("a", "desk", ""), ("b", "desk", ""))
@@ -168,3 +170,53 @@
                 await other.stop()
 
     run(work)
+
+
+def test_restarted_gateway_is_heard_again():
+    """Guards against notices that are ignored for good after a restart."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            loads = kit.daemon.context.loads
+
+            def hear(incarnation: int, sequence: int, outstanding: int):
+                load = idl.ServerLoadNotice(
+                    identity="a@1",
+                    outstanding=outstanding,
+                    prefill_tokens=0,
+                    run_tokens=[],
+                    run_remaining=[],
+                )
+                notice = idl.LoadNotice(
+                    name="other",
+                    incarnation=incarnation,
+                    sequence=sequence,
+                    servers=[load],
+                    configuration_version=1,
+                )
+                data = encode(Frame(0, notice))
+                kit.daemon.peers.datagram_received(data, ("127.0.0.1", 9))
+
+            hear(900, 7, 1)
+            hear(900, 6, 2)
+            assert loads.outstanding("a@1") == 1
+            hear(5, 1, 3)
+            assert loads.outstanding("a@1") == 3
+
+    run(work)
+
+
+def test_registration_outlives_a_call_without_an_answer():
+    """Guards against a duty that is given up for one lost renewal."""
+
+    async def work():
+        async with serving(*PLAIN, lease_ms=3_000) as kit:
+            await kit.until(lambda: kit.daemon.peers.lease)
+            lease = kit.daemon.peers.lease
+            kit.store.down = True
+            await asyncio.sleep(1.6)
+            kit.store.down = False
+            await asyncio.sleep(0.8)
+            assert kit.daemon.peers.lease == lease
+
+    run(work)
