Keep the reserve of a pool unless the rate rises by half

Ruled out: a longer mean of the rates; the gain is real while nothing else leaves.

A change that leaves a pool with one engine needs a gain of a half. The test of a second change while the first one is under way used a fleet in which the change took the reserve; it uses one prefill engine more now and checks the same two cases.

--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -28,6 +28,14 @@
 
 A change takes an engine out of service for seconds and must pay for that.
 """
+RESERVE_GAIN: Final = 1.5
+"""Least ratio for a change that leaves a pool with a single engine.
+
+The loss of that engine stops the service, while the rates vary by a third
+with the load under which they were measured.
+"""
+RESERVE_ENGINES: Final = 2
+"""Engines in a pool that keep it served when one of them is lost."""
 SPARE_SHARE: Final = 0.95
 """Share of the rate that must remain while another engine changes."""
 MEMORY_SHARE: Final = 0.9
@@ -94,18 +102,31 @@
     they will have. A further one is ordered meanwhile only if those that
     serve lose nothing by it.
     """
-    least = MIN_GAIN * service_rate([*engines, *changing], demand)
+    now = service_rate([*engines, *changing], demand)
     best: StageOrder | None = None
+    best_rate = 0.0
     for stage in (Stage.PREFILL, Stage.DECODE):
         rate, first = _best_towards(engines, stage, demand, changing)
-        if first is None or rate <= least:
+        if first is None or rate <= best_rate:
+            continue
+        if rate <= _least_gain(first, engines, changing) * now:
             continue
         if changing and not _is_spare(first, engines, demand):
             continue
-        best, least = StageOrder(first.instance, stage), rate
+        best, best_rate = StageOrder(first.instance, stage), rate
     return best
 
 
+def _least_gain(
+    moved: Engine, engines: Sequence[Engine], changing: Sequence[Engine]
+) -> float:
+    """Least ratio of the rates for which an engine leaves its pool."""
+    left = sum(
+        engine.stage is moved.stage for engine in (*engines, *changing)
+    )
+    return RESERVE_GAIN if left <= RESERVE_ENGINES else MIN_GAIN
+
+
 def _is_spare(
     engine: Engine, engines: Sequence[Engine], demand: Demand
 ) -> bool:
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -268,14 +268,35 @@
 def test_second_engine_changes_while_the_first_one_does():
     """Guards against a short pool that is filled engine by engine."""
     demand = Demand(5_000, 4_000, 3.0, 100_000)
-    engines = [Engine(n, Stage.PREFILL, 32) for n in "ab"]
+    engines = [Engine(n, Stage.PREFILL, 32) for n in "abe"]
     engines.append(Engine("d", Stage.DECODE, 32))
     changing = [Engine("c", Stage.DECODE, 32)]
     change = choose_change(engines, demand, changing)
     assert change is not None
     assert change.stage is Stage.DECODE
     # The only engine that still reads prompts is not taken.
-    assert choose_change(engines[1:], demand, changing) is None
+    assert choose_change(engines[2:], demand, changing) is None
+
+
+def test_pool_keeps_its_reserve_when_an_engine_of_the_other_one_leaves():
+    """Guards against a single prefill engine whose loss stops the service.
+
+    Seen on a fleet of five: a decode engine drained, one of two prefill
+    engines was moved for a gain of a third, and the other one left as well.
+    """
+    demand = Demand(5_200, 4_100, 3.0, 100_615)
+    engines = [Engine(n, Stage.PREFILL, 32) for n in "ab"]
+    engines += [Engine(n, Stage.DECODE, 32) for n in "cd"]
+    assert choose_change(engines, demand) is None
+
+
+def test_pool_gives_up_its_reserve_for_a_much_higher_rate():
+    """Guards against a single decode engine behind two prefill engines."""
+    demand = Demand(5_200, 4_100, 3.0, 100_615)
+    engines = [Engine(n, Stage.PREFILL, 32) for n in "ab"]
+    change = choose_change([*engines, Engine("c", Stage.DECODE, 32)], demand)
+    assert change is not None
+    assert change.stage is Stage.DECODE
 
 
 def test_balance_is_reached_in_steps():
