Predict the memory of a batch by the chance that each generation still runs

Cause: a generation near its estimate counted as about to end, though many of those go on for a third of it; its margin shrank as well.

Notices of other gateways are decoded when the loads are read and not one by one as they come, as most are replaced unread.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -344,9 +344,13 @@
             one for one in self.servers() if one.identity != server.identity
         ]
         spec = self.ctx.engine_spec(self.service)
-        size = (self._run.remaining, self._run.tokens)
         found = decode_order(
-            others, loads, size, spec.kv_tokens, cfg.zone, self.ctx.rng
+            others,
+            loads,
+            self._run.size,
+            spec.kv_tokens,
+            cfg.zone,
+            self.ctx.rng,
         )
         return found[0] if found else server
 
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -17,14 +17,23 @@
 
 from gooseberrypost.errors import Failure
 from gooseberrypost.identity import new_incarnation
+from gooseberrypost.policy.enginememory import RunSize
 from gooseberrypost.policy.serverload import PeerLoad
-from gooseberrypost.wire.codec import LENGTH_BYTES, Frame, decode, encode
+from gooseberrypost.wire.codec import (
+    LENGTH_BYTES,
+    MAX_CORRELATION,
+    Frame,
+    correlation,
+    decode,
+    encode,
+)
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.context import GatewayContext
+    from gooseberrypost.policy.serverload import ServerLoad
 
-QUIET_INTERVAL_S: Final = 0.25
+QUIET_INTERVAL_S: Final = 0.3
 """Interval of notices without a change; silence of 1 s drops the load."""
 COALESCE_S: Final = 0.001
 """Changes within this time share a notice."""
@@ -79,9 +88,14 @@
         """Incarnation and sequence of the last notice, by sender."""
         self._heard: dict[str, tuple[str, float]] = {}
         """Address of a sender and when it was heard of last."""
+        self._unread: dict[str, tuple[bytes, float]] = {}
+        """Latest notice of each address and when it came."""
+        self._cleaned_s = float("-inf")
+        """When gateways that fell silent were forgotten."""
         self._changed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         ctx.loads_changed = self._changed.set
+        ctx.loads.refresh = self._read
 
     async def on_start(self) -> None:
         """Bind the datagram socket."""
@@ -117,6 +131,27 @@
         self._ctx.metrics.count("notices_refused_total")
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Keep a notice until the loads are read; a newer one replaces it.
+
+        Most notices are replaced before anybody reads them, and decoding is
+        what makes them expensive.
+        """
+        sender = f"{addr[0]}:{addr[1]}"
+        known = self._unread.get(sender)
+        if known is not None and correlation(data) < correlation(known[0]):
+            return
+        self._unread[sender] = data, time.monotonic()
+        if self._ctx.room.has_waiting:
+            self._ctx.room.note_freed()
+
+    def _read(self) -> None:
+        """Take the notices that came since the last reading."""
+        if self._unread:
+            unread, self._unread = self._unread, {}
+            for sender, (data, heard_s) in unread.items():
+                self._take(sender, data, heard_s)
+
+    def _take(self, sender: str, data: bytes, heard_s: float) -> None:
         """Take a notice, unless a newer one of its sender came before."""
         decoded = decode(data[LENGTH_BYTES:])
         if isinstance(decoded, Err):
@@ -131,24 +166,21 @@
         if notice.incarnation == incarnation and notice.sequence <= sequence:
             return
         self._latest[notice.name] = notice.incarnation, notice.sequence
-        self._heard[notice.name] = f"{addr[0]}:{addr[1]}", time.monotonic()
+        self._heard[notice.name] = sender, heard_s
         loads = {
             one.identity: PeerLoad(
-                one.outstanding,
-                one.prefill_tokens,
-                list(zip(one.run_remaining, one.run_tokens, strict=False)),
+                one.outstanding, one.prefill_tokens, _run_sizes(one)
             )
             for one in notice.servers
         }
         self._ctx.loads.note_peer(
             notice.name,
-            time.monotonic(),
+            heard_s,
             loads,
             notice.waiting or 0,
             {one.service_name: one.tokens for one in notice.outputs or ()},
             notice.turn_ms,
         )
-        self._ctx.room.note_freed()
 
     async def _send(self) -> None:
         while not self.should_stop:
@@ -160,15 +192,22 @@
                 # Without a change the notice is repeated all the same.
                 pass
             self._changed.clear()
-            self._ctx.loads.forget_silent(time.monotonic())
+            self._forget_silent()
             self._send_notice()
 
+    def _forget_silent(self) -> None:
+        now_s = time.monotonic()
+        if now_s - self._cleaned_s >= QUIET_INTERVAL_S:
+            self._cleaned_s = now_s
+            self._read()
+            self._ctx.loads.forget_silent(now_s)
+
     def _send_notice(self) -> None:
         addresses = self._addresses()
         if not addresses or self._transport is None:
             return
         self._sequence += 1
-        data = encode(Frame(0, self._notice()))
+        data = encode(Frame(self._sequence & MAX_CORRELATION, self._notice()))
         for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
@@ -188,13 +227,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             servers=[
-                idl.ServerLoadNotice(
-                    identity=identity,
-                    outstanding=load.outstanding,
-                    prefill_tokens=load.prefill_tokens,
-                    run_tokens=[run.tokens for run in load.runs],
-                    run_remaining=[run.remaining for run in load.runs],
-                )
+                _server_notice(identity, load)
                 for identity, load in self._ctx.loads.items()
                 if load.outstanding or load.runs
             ],
@@ -239,3 +272,29 @@
                 if is_over or isinstance(failure, RegistrationLapsed):
                     self.lease = 0
                 await self.sleep(RETRY_S)
+
+
+def _server_notice(identity: str, load: ServerLoad) -> Any:
+    sizes = [run.size for run in load.runs]
+    return idl.ServerLoadNotice(
+        identity=identity,
+        outstanding=load.outstanding,
+        prefill_tokens=load.prefill_tokens,
+        run_tokens=[size.tokens for size in sizes],
+        run_produced=[size.produced for size in sizes],
+        run_expected=[size.expected for size in sizes],
+        run_limit=[size.max_output for size in sizes],
+    )
+
+
+def _run_sizes(notice: Any) -> list[RunSize]:
+    return [
+        RunSize(*one)
+        for one in zip(
+            notice.run_tokens,
+            notice.run_produced,
+            notice.run_expected,
+            notice.run_limit,
+            strict=False,
+        )
+    ]
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -102,6 +102,11 @@
             with suppress(ValueError):
                 self._waiting.remove(ticket)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any generation waits for room."""
+        return bool(self._waiting)
+
     @property
     def waiting(self) -> int:
         """Number of waiting generations that can still be in time."""
@@ -280,7 +285,7 @@
         return decode_order(
             servers,
             ctx.loads,
-            (ticket.output, ticket.tokens),
+            ticket.run.size,
             spec.kv_tokens,
             ctx.settings.zone,
             ctx.rng,
--- a/src/gooseberrypost/policy/enginememory.py
+++ b/src/gooseberrypost/policy/enginememory.py
@@ -1,35 +1,78 @@
 """Memory of a decode engine: what its generations will need, and when.
 
-Generations that run in one batch grow at the same pace and end one after the
-other, so that the most memory is needed at one of their ends and not when
-all have their final size.
-
->>> runs = [Run(tokens=5_000, remaining=1_000), Run(6_000, 4_000)]
->>> peak_tokens(runs)
-13000
+Generations of one batch grow at the same pace, and each ends at a length that
+is only estimated. The memory that an engine needs after so many further
+tokens is therefore a sum of independent terms: the size that a generation
+has by then, if it still runs.
+
+>>> sizes = [RunSize(5_000, 0, 1_000, 8_000), RunSize(6_000, 0, 4_000, 8_000)]
+>>> 11_000 < safe_peak(sizes, margin=0.0) < safe_peak(sizes, margin=2.0)
+True
 """
 
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+ESTIMATE_ERROR: Final = 0.354
+"""Standard deviation of the logarithm of an output against its estimate.
 
-OVERDUE_SHARE: Final = 0.3
-"""Share of its output that a generation beyond its estimate still adds."""
-ESTIMATE_ERROR: Final = 0.33
-"""Standard deviation of the logarithm of an output against its estimate."""
+Outputs vary by 0.5 around their mean and clients' estimates by 0.5 around the
+output; the mean of both is off by half of the root of two times that.
+"""
 MARGIN: Final = 1.5
-"""Standard deviations kept free. A preempted generation is read again, which
-costs more than the generation that was squeezed in is worth."""
+"""Standard deviations of the needed memory that are kept free.
+
+A preempted generation is read again, which costs more than the generation
+that was squeezed in is worth.
+"""
 HINT_WEIGHT: Final = 0.5
 """Weight of a client's estimate against the mean of the service, in logs.
 
 Estimates are right at the median and often far off, so that neither alone is
 the best prediction.
 """
+STEPS: Final = (0, 250, 500, 800, 1_200, 1_600, 2_000, 2_600, 3_200, 4_000)
+"""Further output tokens at which the memory is predicted; the peak is flat."""
+RATIO_STEPS: Final = 32
+"""Resolution of the table of lengths, per multiple of the estimate."""
+MAX_RATIO: Final = 3
+"""Multiple of its estimate that an output hardly ever exceeds."""
+LEAST_CHANCE: Final = 1e-4
+"""Keeps the chance of going on defined for outputs far beyond the estimate."""
+
+
+def _chance_of_exceeding(ratio: float) -> float:
+    """Chance that an output is longer than a multiple of its estimate."""
+    if ratio <= 0:
+        return 1.0
+    deviations = math.log(ratio) / ESTIMATE_ERROR
+    chance = 0.5 * math.erfc(deviations / math.sqrt(2))
+    return max(chance, LEAST_CHANCE)
+
+
+_CHANCES: Final = tuple(
+    _chance_of_exceeding(step / RATIO_STEPS)
+    for step in range(MAX_RATIO * RATIO_STEPS + 1)
+)
+_LAST: Final = len(_CHANCES) - 1
+
+
+class RunSize(NamedTuple):
+    """Size of a generation as gateways tell each other."""
+
+    tokens: int
+    """Tokens in memory now."""
+    produced: int
+    """Output tokens so far."""
+    expected: int
+    """Output tokens expected at the start."""
+    max_output: int
+    """Output tokens at most."""
 
 
 class Run:
@@ -40,14 +83,14 @@
     def __init__(
         self,
         tokens: int,
-        remaining: int,
+        expected: int,
         max_output: int | None = None,
     ) -> None:
         self.prompt = tokens
         """Tokens in memory at the start."""
-        self.expected = remaining
+        self.expected = expected
         """Output tokens expected at the start."""
-        self.max_output = remaining if max_output is None else max_output
+        self.max_output = expected if max_output is None else max_output
         self.produced = 0
         """Output tokens so far."""
 
@@ -56,40 +99,62 @@
         """Tokens in memory now."""
         return self.prompt + self.produced
 
+    @property
+    def size(self) -> RunSize:
+        """Size at this moment."""
+        return RunSize(
+            self.tokens, self.produced, self.expected, self.max_output
+        )
+
     @property
     def remaining(self) -> int:
         """Tokens that are expected to be added."""
-        left = self.expected - self.produced
-        if left <= 0:
-            left = round(OVERDUE_SHARE * self.produced)
-        return max(0, min(left, self.max_output - self.produced))
+        return remaining_tokens(self.size)
 
 
-def peak_tokens(runs: Iterable[Run]) -> int:
-    """Most memory in tokens that runs need until the last has ended."""
-    return peak_of([(run.remaining, run.tokens) for run in runs])
+def remaining_tokens(size: RunSize) -> int:
+    """Tokens that a generation is expected to add, as it has not ended yet.
 
-
-def peak_of(sizes: list[tuple[int, int]]) -> int:
-    """Most memory of runs given as remaining and present tokens."""
-    sizes = sorted(sizes)
-    present = sum(tokens for _, tokens in sizes)
-    peak = present
-    for ended, (remaining, tokens) in enumerate(sizes):
-        running = len(sizes) - ended
-        peak = max(peak, present + running * remaining)
-        present -= tokens
-    return peak
+    >>> remaining_tokens(RunSize(5_400, 400, 400, 8_000)) > 100
+    True
+    """
+    left = size.max_output - size.produced
+    if left <= 0:
+        return 0
+    scale = RATIO_STEPS / max(size.expected, 1)
+    at = min(int(size.produced * scale), _LAST)
+    steps = sum(_CHANCES[at + 1 :]) / _CHANCES[at]
+    return max(1, min(round((steps + 0.5) / scale), left))
 
 
-def safe_peak_of(sizes: list[tuple[int, int]]) -> int:
-    """Peak of runs with a margin for the errors of their estimates.
+def safe_peak(sizes: Sequence[RunSize], margin: float = MARGIN) -> int:
+    """Return the most memory that generations need, with a margin.
 
-    The errors are independent, so that their sum grows with the root of the
-    sum of their squares: relatively, few large runs need more margin.
+    The errors of the estimates are independent, so that the margin grows
+    with the root of the sum of their squares.
     """
-    spread = math.sqrt(sum(remaining**2 for remaining, _ in sizes))
-    return peak_of(sizes) + round(MARGIN * ESTIMATE_ERROR * spread)
+    curves = []
+    for tokens, produced, expected, max_output in sizes:
+        scale = RATIO_STEPS / max(expected, 1)
+        now = _CHANCES[min(int(produced * scale), _LAST)]
+        left = max(0, max_output - produced)
+        curves.append((tokens, produced, scale, now, left))
+    peak = 0.0
+    for step in STEPS:
+        mean = variance = 0.0
+        for tokens, produced, scale, now, left in curves:
+            if step > left:
+                continue
+            at = int((produced + step) * scale)
+            chance = _CHANCES[at if at < _LAST else _LAST] / now
+            size = tokens + step
+            needed = chance * size
+            mean += needed
+            variance += needed * (size - needed)
+        needed = mean + margin * math.sqrt(variance)
+        if needed > peak:
+            peak = needed
+    return round(peak)
 
 
 def expected_output(hint: int, mean: float, max_output: int) -> int:
--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -121,9 +121,7 @@
     moved: Engine, engines: Sequence[Engine], changing: Sequence[Engine]
 ) -> float:
     """Least ratio of the rates for which an engine leaves its pool."""
-    left = sum(
-        engine.stage is moved.stage for engine in (*engines, *changing)
-    )
+    left = sum(engine.stage is moved.stage for engine in (*engines, *changing))
     return RESERVE_GAIN if left <= RESERVE_ENGINES else MIN_GAIN
 
 
--- a/src/gooseberrypost/policy/serverchoice.py
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -13,6 +13,7 @@
     import random
     from collections.abc import Collection, Iterable, Sequence
 
+    from gooseberrypost.policy.enginememory import RunSize
     from gooseberrypost.policy.serverload import ServerLoads
 
 DEFAULT_SERVICE_MS: Final = 50.0
@@ -21,7 +22,7 @@
 """Time for a prompt token at an engine that has not read any yet."""
 DIRECT_SLOWDOWN: Final = 2.0
 """A decode engine reads a prompt at half the speed of a prefill engine."""
-MEMORY_SHARE: Final = 0.95
+MEMORY_SHARE: Final = 0.98
 """Share of an engine's memory that predicted peaks may fill."""
 MAX_PREFILL_WAIT_MS: Final = 1_000.0
 """Wait at the prefill engines for which a prompt stays off decode engines."""
@@ -96,15 +97,14 @@
 def decode_order(
     servers: Iterable[Server],
     loads: ServerLoads,
-    size: tuple[int, int],
+    size: RunSize,
     kv_tokens: int,
     zone: str,
     rng: random.Random,
 ) -> list[Server]:
     """Decode engines with room for a generation, the emptiest first.
 
-    ``size`` is the output and the prompt of the generation in tokens. An
-    engine has room if the predicted peak of its memory stays below
+    An engine has room if the predicted peak of its memory stays below
     ``kv_tokens``; more makes it preempt generations, whose prompts are then
     read again.
     """
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -11,10 +11,12 @@
 
 from typing import TYPE_CHECKING, Final
 
-from gooseberrypost.policy.enginememory import Run, safe_peak_of
+from gooseberrypost.policy.enginememory import RunSize, safe_peak
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
+
+    from gooseberrypost.policy.enginememory import Run
 
 MIN_SUSPECT_S: Final = 0.5
 MAX_SUSPECT_S: Final = 4.0
@@ -103,20 +105,29 @@
         self,
         outstanding: int,
         prefill_tokens: int,
-        runs: list[tuple[int, int]],
+        runs: list[RunSize],
     ) -> None:
         self.outstanding = outstanding
         self.prefill_tokens = prefill_tokens
         self.runs = runs
-        """Remaining and present tokens of each generation."""
+        """Size of each generation that decodes there."""
 
 
 class ServerLoads:
     """Loads by the identity of a server's start, with those of the peers."""
 
-    __slots__ = ("_loads", "_outputs", "_peers", "_turns", "_waiting")
+    __slots__ = (
+        "_loads",
+        "_outputs",
+        "_peers",
+        "_turns",
+        "_waiting",
+        "refresh",
+    )
 
     def __init__(self) -> None:
+        self.refresh: Callable[[], None] = _nothing
+        """Takes what other gateways have sent; called before each reading."""
         self._loads: dict[str, ServerLoad] = {}
         self._peers: dict[str, tuple[float, dict[str, PeerLoad]]] = {}
         self._waiting: dict[str, int] = {}
@@ -157,11 +168,13 @@
 
     def peers(self, now_s: float) -> int:
         """Return the number of other gateways heard of lately."""
+        self.refresh()
         self.forget_silent(now_s)
         return len(self._peers)
 
     def before(self, turn_ms: int, now_s: float) -> int:
         """Return the gateways whose generations have an earlier turn."""
+        self.refresh()
         return sum(
             theirs - 1_000 * (now_s - since_s) < turn_ms
             for theirs, since_s in self._turns.values()
@@ -169,6 +182,7 @@
 
     def mean_with_peers(self, service: str, own: float) -> float:
         """Return the mean of the gateways' mean outputs; 0: not known."""
+        self.refresh()
         means = [
             outputs[service]
             for outputs in self._outputs.values()
@@ -180,6 +194,7 @@
 
     def waiting_at_peers(self) -> int:
         """Return the generations that wait for room at other gateways."""
+        self.refresh()
         return sum(self._waiting.values())
 
     def outstanding(self, identity: str) -> int:
@@ -194,15 +209,16 @@
             load.prefill_tokens for load in self._of_peers(identity)
         )
 
-    def peak_with(
-        self, identity: str, new: Iterable[tuple[int, int]] = ()
-    ) -> int:
-        """Return the memory a server will need with further generations."""
-        sizes = [(run.remaining, run.tokens) for run in self.of(identity).runs]
+    def run_sizes(self, identity: str) -> list[RunSize]:
+        """Return the generations of all gateways at a server."""
+        sizes = [run.size for run in self.of(identity).runs]
         for load in self._of_peers(identity):
             sizes += load.runs
-        sizes += new
-        return safe_peak_of(sizes)
+        return sizes
+
+    def peak_with(self, identity: str, new: Iterable[RunSize] = ()) -> int:
+        """Return the memory a server will need with further generations."""
+        return safe_peak([*self.run_sizes(identity), *new])
 
     def run_count(self, identity: str) -> int:
         """Return the generations of all gateways at a server."""
@@ -226,6 +242,7 @@
                 self._turns.pop(name, None)
 
     def _of_peers(self, identity: str) -> list[PeerLoad]:
+        self.refresh()
         return [
             loads[identity]
             for _, loads in self._peers.values()
@@ -233,6 +250,10 @@
         ]
 
 
+def _nothing() -> None:
+    """Stand for a gateway without others."""
+
+
 def _average(known: float, observed: float) -> float:
     if not known:
         return observed
--- a/src/gooseberrypost/wire/bounds.py
+++ b/src/gooseberrypost/wire/bounds.py
@@ -94,6 +94,10 @@
             raise ProtocolFailure(f"a container of {count} elements")
         if depth >= MAX_DEPTH:
             raise ProtocolFailure(f"nested deeper than {MAX_DEPTH}")
+        sizes = [FIXED_BYTES.get(kind) for kind in kinds]
+        if None not in sizes:
+            self.skip(count * sum(filter(None, sizes)))
+            return
         for _ in range(count):
             for kind in kinds:
                 self.value(kind, depth + 1)
--- a/src/gooseberrypost/wire/codec.py
+++ b/src/gooseberrypost/wire/codec.py
@@ -26,6 +26,7 @@
 VERSION: Final = 1
 LENGTH_BYTES: Final = 4
 MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+MAX_CORRELATION: Final = 2**32 - 1
 
 _HEADER: Final = struct.Struct("!BBI")
 _LENGTH: Final = struct.Struct("!I")
@@ -56,6 +57,17 @@
     return _LENGTH.pack(length) + header + body
 
 
+def correlation(data: bytes) -> int:
+    """Return the correlation number of an encoded frame without decoding it.
+
+    It is 0 where there is none; ``decode`` says what is wrong.
+    """
+    if len(data) < LENGTH_BYTES + _HEADER.size:
+        return 0
+    _, _, number = _HEADER.unpack_from(data, LENGTH_BYTES)
+    return int(number)
+
+
 def decode(data: bytes) -> Result[Frame, ProtocolFailure]:
     """Parse what follows the length; malformed: ``ProtocolFailure``."""
     if len(data) < _HEADER.size:
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -272,7 +272,9 @@
   2: i32 outstanding,
   3: i32 prefill_tokens,       // sent and not known to be read
   4: list<i32> run_tokens,     // memory of each generation in tokens
-  5: list<i32> run_remaining,  // tokens that each is expected to add
+  5: list<i32> run_produced,   // output tokens of each so far
+  6: list<i32> run_expected,   // output tokens expected at the start
+  7: list<i32> run_limit,      // output tokens at most
 }
 
 struct OutputNotice {
