--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -26,7 +26,7 @@
     reads_itself,
     relief_target,
 )
-from gooseberrypost.policy.waitingorder import objective_left_s, relative_cost
+from gooseberrypost.policy.waitingorder import objective_left_s
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Iterator
@@ -157,12 +157,6 @@
             tokens=prompt.tokens,
             output=output,
             priority=route.priority,
-            cost=relative_cost(
-                prompt.tokens,
-                output,
-                self.ctx.mean_prompt(self.service),
-                self.ctx.mean_output(self.service),
-            ),
             service=self.service,
             request=self.req.id,
             excluded=self.excluded,
--- a/src/gooseberrypost/gateway/room.py
+++ b/src/gooseberrypost/gateway/room.py
@@ -16,7 +16,7 @@
 
 from gooseberrypost.errors import NotRun
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
-from gooseberrypost.policy.enginememory import Run
+from gooseberrypost.policy.enginememory import Run, must_yield
 from gooseberrypost.policy.serverchoice import decode_order, usable
 from gooseberrypost.policy.waitingorder import (
     MIN_RETRY_AFTER_S,
@@ -156,9 +156,7 @@
         known = ctx.directory.serving(ticket.service, ctx.now_s())
         running = sum(ctx.loads.run_count(one.identity) for one in known)
         waiting = self.waiting + ctx.loads.waiting_at_peers()
-        return expected_wait_s(
-            waiting, running, ctx.run_s(ticket.service), ticket.cost
-        )
+        return expected_wait_s(waiting, running, ctx.run_s(ticket.service))
 
     def note_freed(self) -> None:
         """Look again, as a generation has ended."""
@@ -273,6 +271,11 @@
             if reservation is None:
                 self._forget(server, ticket)
                 continue
+            if self._must_yield(server, ticket):
+                ctx.metrics.count("reservations_yielded_total")
+                self._forget(server, ticket)
+                ctx.spawn(ctx.transport.cancel(reservation))
+                continue
             if ticket in self._waiting and not ticket.granted.done():
                 self._waiting.remove(ticket)
                 ticket.granted.set_result(reservation)
@@ -282,6 +285,13 @@
             return True
         return False
 
+    def _must_yield(self, server: Server, ticket: Ticket) -> bool:
+        """Whether others took the same room while this one was reserved."""
+        ctx = self._ctx
+        sizes = ctx.loads.run_sizes(server.identity, ctx.now_s())
+        kv_tokens = ctx.engine_spec(ticket.service).kv_tokens
+        return must_yield(sizes, ticket.run.size, kv_tokens)
+
     def _candidates(self, ticket: Ticket) -> list[Server]:
         ctx = self._ctx
         now_s = ctx.now_s()
--- a/src/gooseberrypost/policy/enginememory.py
+++ b/src/gooseberrypost/policy/enginememory.py
@@ -176,6 +176,24 @@
     return math.ceil(peak)
 
 
+def must_yield(sizes: Sequence[RunSize], own: RunSize, kv_tokens: int) -> bool:
+    """Whether a reservation is given back, as others took the same room.
+
+    Gateways reserve at the same engine before they hear of each other. Of
+    the generations that have not begun the largest goes elsewhere, so that
+    not all of them do.
+
+    >>> small, large = RunSize(5_000, 0, 1, 1), RunSize(6_000, 0, 1, 1)
+    >>> [must_yield([small, large], own, 10_000) for own in (small, large)]
+    [False, True]
+    """
+    if len(sizes) < 2 or not kv_tokens:
+        return False
+    if safe_peak(sizes, limit=kv_tokens) <= kv_tokens:
+        return False
+    return own == max(size for size in sizes if not size.produced)
+
+
 def expected_output(hint: int, mean: float, max_output: int) -> int:
     """Output tokens to plan with, from a client's estimate and the mean.
 
--- a/src/gooseberrypost/policy/waitingorder.py
+++ b/src/gooseberrypost/policy/waitingorder.py
@@ -22,14 +22,6 @@
 RETRY_SPREAD: Final = 0.3
 LATE_TURN_MS: Final = 100_000
 """Offset that puts late generations behind all that can be in time."""
-SHORT_FIRST_S: Final = 0.4
-"""Time by which a generation of mean cost stands behind one without cost;
-half of the usual objective, so that long ones still get their turn."""
-MAX_COST: Final = 3.0
-"""Cost above which a generation does not stand further behind."""
-MIN_AHEAD: Final = 0.4
-MAX_AHEAD: Final = 2.0
-"""Bounds of the share of the waiting that is served first."""
 RETURNED_SHARE: Final = 0.83
 """Share of the route's time below which a client is taken for one that has
 come back: it has used the rest waiting."""
@@ -48,18 +40,6 @@
     output: int = 0
     """Output tokens expected."""
     priority: int = 0
-    cost: float = 1.0
-    """Memory that it needs times the time that it needs it, as a multiple of
-    the mean of its service."""
-
-    @property
-    def rank_s(self) -> float:
-        """Time by which generations of one class are ordered.
-
-        A short one passes a long one, which is bounded by ``MAX_COST``: the
-        same memory then serves more of them in time.
-        """
-        return self.objective_s + SHORT_FIRST_S * min(self.cost, MAX_COST)
 
 
 W = TypeVar("W", bound=Waiting)
@@ -75,7 +55,7 @@
 
     def key(one: Waiting) -> tuple[int, bool, float]:
         is_late = now_s + lead_s > one.objective_s
-        return one.priority, is_late, one.rank_s
+        return one.priority, is_late, one.objective_s
 
     return sorted(waiting, key=key)
 
@@ -85,9 +65,9 @@
 
     >>> one = Waiting(objective_s=2.0, give_up_s=3.0, tokens=1)
     >>> turn_ms(one, now_s=1.5, lead_s=0.1), turn_ms(one, 2.0, 0.1)
-    (900, 100400)
+    (500, 100000)
     """
-    left_ms = round(1_000 * (one.rank_s - now_s))
+    left_ms = round(1_000 * (one.objective_s - now_s))
     is_late = now_s + lead_s > one.objective_s
     return max(left_ms, -LATE_TURN_MS) + (LATE_TURN_MS if is_late else 0)
 
@@ -113,38 +93,17 @@
     return now_s + lead_s > one.give_up_s
 
 
-def expected_wait_s(
-    waiting: int, running: int, run_s: float, cost: float = 1.0
-) -> float:
+def expected_wait_s(waiting: int, running: int, run_s: float) -> float:
     """Time until room is free behind those that wait already.
 
-    Room becomes free as the running generations end one after the other. A
-    short generation passes most of those that wait, a long one lets as many
-    pass that come later.
+    Room becomes free as the running generations end one after the other.
 
     >>> expected_wait_s(waiting=4, running=30, run_s=3.0)
     0.5
-    >>> expected_wait_s(waiting=4, running=30, run_s=3.0, cost=0.5)
-    0.3
     """
     if not running:
         return 0.0
-    ahead = waiting * min(max(cost, MIN_AHEAD), MAX_AHEAD)
-    return (ahead + 1) * run_s / running
-
-
-def relative_cost(
-    prompt: float, output: float, mean_prompt: float, mean_output: float
-) -> float:
-    """Memory times time of a generation against the mean generation.
-
-    >>> relative_cost(5_000, 4_000, 5_000, 4_000), relative_cost(1, 1, 0, 0)
-    (1.0, 1.0)
-    """
-    mean = mean_output * (mean_prompt + mean_output / 2)
-    if not mean:
-        return 1.0
-    return output * (prompt + output / 2) / mean
+    return (waiting + 1) * run_s / running
 
 
 def retry_after_s(wait_s: float, spread: float) -> float:
