--- a/scripts/capacity/gateway.py
+++ b/scripts/capacity/gateway.py
@@ -11,7 +11,7 @@
 
 from gooseberrypost.gateway.model import Server, Stage
 from gooseberrypost.platform.documents import decode_server
-from gooseberrypost.policy.enginememory import Run
+from gooseberrypost.policy.enginememory import Run, RunSize
 from gooseberrypost.policy.serverchoice import choose_prefill, decode_order
 from gooseberrypost.policy.serverload import PeerLoad, ServerLoads
 from gooseberrypost.wire.codec import LENGTH_BYTES, Frame, decode, encode
@@ -22,6 +22,8 @@
 
 REPEATS: Final = 20
 RUNS_AN_ENGINE: Final = 7
+BEGUN: Final = RunSize(5_000, 1_000, 4_000, 8_000)
+NEW: Final = RunSize(5_000, 0, 4_000, 8_000)
 
 
 def measure(quick: bool) -> None:
@@ -82,7 +84,9 @@
             outstanding=1,
             prefill_tokens=5_000,
             run_tokens=[5_000],
-            run_remaining=[4_000],
+            run_produced=[1_000],
+            run_expected=[4_000],
+            run_limit=[8_000],
         )
         for number in range(runs)
     ]
@@ -120,7 +124,7 @@
         load = loads.of(server.identity)
         load.runs.add(Run(5_000, 4_000))
     peer = {
-        server.identity: PeerLoad(1, 0, [(4_000, 5_000)] * RUNS_AN_ENGINE)
+        server.identity: PeerLoad(1, 0, [BEGUN] * RUNS_AN_ENGINE)
         for server in servers
     }
     loads.note_peer("peer", 0.0, peer)
@@ -130,9 +134,7 @@
 def _decode_choice(size: int) -> Callable[[], object]:
     servers, loads = _fleet(size)
     rng = random.Random(1)
-    return lambda: decode_order(
-        servers, loads, (4_000, 5_000), 100_000, "a", rng
-    )
+    return lambda: decode_order(servers, loads, NEW, 100_000, "a", 0.0, rng)
 
 
 def _prefill_choice(size: int) -> Callable[[], object]:
--- a/src/gooseberrypost/policy/serverchoice.py
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -26,6 +26,12 @@
 """A decode engine reads a prompt at half the speed of a prefill engine."""
 MEMORY_SHARE: Final = 0.98
 """Share of an engine's memory that predicted peaks may fill."""
+LOOKED_AT: Final = 40
+"""Engines whose memory is predicted for one choice.
+
+A prediction takes some 20 us, and with 40 engines drawn at random one has
+room unless nearly all are full.
+"""
 DRAWN: Final = 2
 """Engines with room of which the emptier one is taken."""
 MAX_PREFILL_WAIT_MS: Final = 1_000.0
@@ -117,7 +123,7 @@
     read again.
     """
     peaks = []
-    for server in servers:
+    for server in _sample(list(servers), rng):
         if server.stage is Stage.PREFILL:
             continue
         identity = server.identity
@@ -139,6 +145,13 @@
     return [server for _, server in peaks]
 
 
+def _sample(servers: list[Server], rng: random.Random) -> list[Server]:
+    """Draw the engines to look at where there are very many."""
+    if len(servers) <= LOOKED_AT:
+        return servers
+    return rng.sample(servers, LOOKED_AT)
+
+
 def relief_target(
     servers: Sequence[Server],
     loads: ServerLoads,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,7 +6,7 @@
 import re
 
 import pytest
-from scripts.capacity import held, spread
+from scripts.capacity import gateway, held, spread
 from scripts.capacity.fit import Fit
 from scripts.capacity.records import ALL_RECORDS, ZONES, records
 from scripts.capacity.usage import Usage
@@ -62,3 +62,10 @@
 def test_two_entries_of_each_zone_watch_at_full_size():
     """Guards against watchers that grow with the number of entries."""
     assert spread._watchers(420) == WATCHERS_PER_ZONE * ZONES
+
+
+def test_measurements_of_a_gateway_run(capsys, monkeypatch):
+    """Guards against measurements left behind by a change of the product."""
+    monkeypatch.setattr(gateway, "REPEATS", 1)
+    gateway.measure(quick=True)
+    assert "gateway.choose_decode" in capsys.readouterr().out
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -27,6 +27,7 @@
 from gooseberrypost.policy.relief import run_to_move
 from gooseberrypost.policy.repeatbudget import RepeatBudget
 from gooseberrypost.policy.serverchoice import (
+    LOOKED_AT,
     choose_plain,
     choose_prefill,
     decode_order,
@@ -163,6 +164,15 @@
     assert [one.instance for one in found] == ["b"]
 
 
+def test_choice_among_very_many_engines_looks_at_some():
+    """Guards against a choice that costs milliseconds in a large fleet."""
+    servers = [server(f"e{n}", Stage.DECODE) for n in range(1_400)]
+    found = decode_order(
+        servers, ServerLoads(), ONE_RUN, 10_000, "a", 0.0, random.Random(1)
+    )
+    assert len(found) == LOOKED_AT
+
+
 def test_empty_engine_takes_a_generation_of_any_size():
     """Guards against large requests that no engine ever takes."""
     found = decode_order(
