--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -31,6 +31,12 @@
 STAGES = ("", "", "", "prefill", "prefill", "decode", "decode", "decode")
 MODES = ("refuse", "reset", "hang", "truncate", "foreign", "unsigned", "error")
 NOT_RUN = (408, 421, 429, 503)
+EVENTS = 12
+EVENT_TOKENS = 200
+STREAM_USAGE = f"3000,{2 * EVENTS * EVENT_TOKENS}"
+STREAM_HINT = "400"
+"""Estimate of a stream's output, far too low: engines of 10,000 tokens run
+out of memory, so that generations move."""
 AT_ONCE = 4
 INTERPRETER_S = 0.2
 """Time in which the interpreter starts, before any code of the product."""
@@ -81,13 +87,14 @@
         self.store = PlatformStoreStandIn()
         await self.store.start()
         stack.push_async_callback(self.store.stop)
-        self.store.put("op/config", configuration(self.version))
+        self.store.put("op/config", crowded(self.version))
         self.engines = []
         for number, stage in enumerate(STAGES):
             engine = PlatformEngineStandIn(f"i-{number}", stage)
             await engine.start()
             stack.push_async_callback(engine.stop)
-            engine.event_s = 0.02
+            engine.event_s, engine.events = 0.02, EVENTS
+            engine.keeps_runs = True
             self.engines.append(engine)
             self._register(engine)
         self.relays, self.gateways = [], []
@@ -152,7 +159,8 @@
             "X-Gooseberrypost-Deadline-Ms": "2000",
         }
         if ROUTES[route]["kind"] == "streaming":
-            headers["X-Gooseberrypost-Token-Usage"] = "100,10"
+            headers["X-Gooseberrypost-Token-Usage"] = STREAM_USAGE
+            headers["X-Gooseberrypost-Length-Hint"] = STREAM_HINT
         try:
             async with session.post(
                 f"http://{address}/{route}/{request}",
@@ -253,7 +261,7 @@
     async def _change_configuration(self):
         for _ in range(self.rng.randint(1, 5)):
             self.version += self.rng.randint(1, 7)
-            self.store.put("op/config", configuration(self.version))
+            self.store.put("op/config", crowded(self.version))
             await asyncio.sleep(self.rng.uniform(0, 0.1))
         self._note("configuration", self.version)
 
@@ -307,7 +315,15 @@
     async def _all_idle(self) -> bool:
         return not any(engine.tasks for engine in self.engines)
 
+    @property
+    def moved(self) -> int:
+        """Generations that went on at another engine."""
+        return sum(len(engine.continued) for engine in self.engines)
+
     def _check(self):
+        for engine in self.engines:
+            for request in engine.crossed:
+                self.violations.append(f"memory of another run: {request}")
         runs: dict[str, int] = {}
         for engine in self.engines:
             for request in engine.executed:
@@ -326,7 +342,8 @@
         if sent.status != 200 or not sent.complete:
             return
         if route["kind"] == "streaming":
-            events = "".join(f"id: {n}\ndata: {n}\n\n" for n in (1, 2, 3))
+            numbers = range(1, EVENTS + 1)
+            events = "".join(f"id: {n}\ndata: {n}\n\n" for n in numbers)
             whole = sent.body == events.encode()
         else:
             whole = sent.body.endswith(
@@ -336,6 +353,15 @@
             self.violations.append(f"not whole: {where}: {sent.body[:80]!r}")
 
 
+def crowded(version: int) -> dict:
+    """Configure engines that make many tokens an event."""
+    found = configuration(version)
+    for service in found["services"]:
+        if "engine" in service:
+            service["engine"] = {**service["engine"], "stride": EVENT_TOKENS}
+    return found
+
+
 def free_port(ip: str) -> int:
     with socket.socket() as sock:
         sock.bind((ip, 0))
@@ -360,7 +386,8 @@
         served = sum(s.status == 200 and s.complete for s in run.sent)
         click.echo(
             f"seed {number}: {len(run.sent)} sent, {served} served, "
-            f"{len(run.trace)} faults, {len(run.violations)} violations"
+            f"{run.moved} moved, {len(run.trace)} faults, "
+            f"{len(run.violations)} violations"
         )
         for violation in run.violations:
             click.echo(f"  {violation}")
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -24,6 +24,10 @@
         return self.headers.get(f"x-gooseberrypost-{name}".lower())
 
 
+MOVED: dict[str, str] = {}
+"""Request of each stopped run that has not gone on, by ADDRESS/HANDLE."""
+
+
 class PlatformEngineStandIn:
     """Answers on raw connections, so that answers can be broken."""
 
@@ -43,9 +47,15 @@
         self.has_room = True
         self.orders = 0
         self.refuses_orders = False
+        self.stopped = 0
+        """Runs that were stopped."""
         self.keeps_runs = False
         self.works: dict[str, asyncio.Future[None]] = {}
         """Requests that are executed now, by id."""
+        self.continued: list[str] = []
+        """Requests that went on here from the memory of another engine."""
+        self.crossed: list[str] = []
+        """Requests that asked for the memory of another request."""
         """Whether a run can be stopped, to go on from its memory."""
         self.refuses_sources = False
         """Whether the memory of another engine cannot be fetched."""
@@ -128,7 +138,18 @@
                 writer, "503 Service Unavailable", [NOT_EXECUTED]
             )
         request_id = request.header("Attempt-Id")
-        self.executed.append(request_id)
+        source = request.header("Kv-Source") or ""
+        if source in MOVED:
+            owner = MOVED.pop(source)
+            self.continued.append(request_id)
+            if owner != request_id:
+                self.crossed.append(request_id)
+        elif "/moved-" in source:
+            return await self._send(
+                writer, "503 Service Unavailable", [NOT_EXECUTED]
+            )
+        else:
+            self.executed.append(request_id)
         work = asyncio.ensure_future(
             getattr(self, f"_mode_{self.mode}")(request, writer)
         )
@@ -164,10 +185,7 @@
                 "sequence": self.orders,
             }
         if path == "/-/kv-move" and self.keeps_runs:
-            work = self.works.get(json.loads(request.body)["id"])
-            if work is not None and self.mode == "answer":
-                work.cancel()
-            return 200, {"kv_handle": "moved-1", "created": 0}
+            return self._stop_run(json.loads(request.body)["id"])
         if path == "/-/kv-move":
             return 404, {}
         if path == "/-/order" and self.refuses_orders:
@@ -177,6 +195,17 @@
             return 202, {}
         return 200, {}
 
+    def _stop_run(self, request_id: str):
+        """Stop a run; its memory can be used once, by the same request."""
+        work = self.works.get(request_id)
+        if work is None:
+            return 404, {}
+        work.cancel()
+        self.stopped += 1
+        handle = f"moved-{self.stopped}"
+        MOVED[f"{self.address}/{handle}"] = request_id
+        return 200, {"kv_handle": handle, "created": 0}
+
     async def _json(self, writer, status, body):
         content = json.dumps(body).encode()
         await self._send(
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -12,3 +12,5 @@
     run = asyncio.run(soak(seed=1, seconds=8.0))
     assert run.violations == []
     assert len(run.trace) > 5
+    # Moves between engines go on under the faults as well.
+    assert run.moved > 0
