Give moves a module of their own, and free the room of a move whose client leaves

Cause: the room at the target was announced before the copy and taken back after it, but not when the client left meanwhile, so that the engine seemed fuller from then on.

gateway/relocation.py holds what stops a generation and chooses where it goes on; generation.py keeps the exchange.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -9,6 +9,7 @@
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.events import EventSplitter
 from gooseberrypost.gateway.exchange import CONNECT_S, Exchange
+from gooseberrypost.gateway.relocation import Relocation
 from gooseberrypost.gateway.request import Prompt
 from gooseberrypost.gateway.room import Ticket
 from gooseberrypost.gateway.transport import (
@@ -18,13 +19,10 @@
     ServerUnreachable,
 )
 from gooseberrypost.policy.enginememory import Run, expected_output
-from gooseberrypost.policy.relief import run_to_move
 from gooseberrypost.policy.serverchoice import (
     choose_prefill,
-    decode_order,
     prefill_time_ms,
     reads_itself,
-    relief_target,
 )
 from gooseberrypost.policy.waitingorder import objective_left_s
 
@@ -36,7 +34,6 @@
     from gooseberrypost.gateway.transport import (
         Answer,
         KvHandle,
-        MovedRun,
         Reservation,
     )
     from gooseberrypost.policy.serverload import ServerLoad
@@ -49,11 +46,6 @@
 SILENT_S: Final = 0.7
 """Silence after which a generation is taken over; events come every 50 ms,
 and one that was preempted goes on after a few hundred."""
-MAX_TAKEOVERS: Final = 2
-RELIEF_INTERVAL_S: Final = 0.3
-"""Pause between two moves of a generation, and after one that failed."""
-RELIEF_BUDGET_SHARE: Final = 0.5
-"""Part of the budget of repeats that moves may use."""
 STOPPED_S: Final = 0.1
 """Time in which an engine that stopped a generation closes its stream."""
 CLIENT_PATIENCE_MS: Final = 2_000
@@ -83,11 +75,7 @@
         self._kv: KvHandle | None = None
         """Prefilled and not used yet."""
         self._run = Run(0, 0)
-        self._moved: MovedRun | None = None
-        """Taken over from an engine that fell silent, and not resumed yet."""
-        self._takeovers = 0
-        self._relief_after_s = float("-inf")
-        """Time before which the generation is not moved again."""
+        self._relocation = Relocation(self)
         self._room: Reservation | None = None
         """Reserved and not used yet."""
         self._reserved_s = 0.0
@@ -122,8 +110,8 @@
 
     async def _attempt(self) -> bool:
         """Try once; returns whether the client has its answer."""
-        if self._moved is not None:
-            moved, self._moved = self._moved, None
+        moved = self._relocation.take()
+        if moved is not None:
             return await self._decode(moved.server, moved.kv, None)
         if self._room is None:
             self._room = await self._reserve()
@@ -201,10 +189,10 @@
     def _give_back(self) -> None:
         """Free what was reserved or read and not used."""
         transport = self.ctx.transport
-        if self._moved is not None:
-            self._end_run(self._moved.server)
-            self.ctx.spawn(transport.release(self._moved.kv))
-            self._moved = None
+        moved = self._relocation.take()
+        if moved is not None:
+            self._end_run(moved.server)
+            self.ctx.spawn(transport.release(moved.kv))
         if self._kv is not None:
             self.ctx.spawn(transport.release(self._kv))
             self._kv = None
@@ -312,7 +300,10 @@
     async def _note_broken(self, server: Server, failure: AnswerLost) -> None:
         self._events.restart()
         # A generation that is taken over goes on as the same run.
-        repeatable = self._moved is not None or await self._take_over(server)
+        relocation = self._relocation
+        repeatable = relocation.moved is not None or (
+            await relocation.take_over(server, self._run)
+        )
         if self.is_repeatable and self.attempts < self.route.max_attempts:
             repeatable = True
         self.note_lost(server, failure, repeatable=repeatable)
@@ -326,7 +317,9 @@
         task = asyncio.ensure_future(work)
         try:
             done, _ = await asyncio.wait({task}, timeout=SILENT_S)
-            if not done and await self._take_over(server):
+            if not done and await self._relocation.take_over(
+                server, self._run
+            ):
                 raise AnswerLost(f"{server.address}: silent")
             return await task
         finally:
@@ -334,92 +327,6 @@
                 task.cancel()
                 await asyncio.wait({task})
 
-    async def _take_over(self, server: Server) -> bool:
-        """Stop a silent generation, to go on with it elsewhere."""
-        if self._takeovers >= MAX_TAKEOVERS:
-            return False
-        self._takeovers += 1
-        return await self._stop(
-            server, self._takeover_target(server), "taken_over"
-        )
-
-    async def _relieve(self, server: Server) -> bool:
-        """Move to another engine before this one runs out of memory."""
-        now_s = self.ctx.now_s()
-        target = self._relief_target(server, now_s)
-        if target is None:
-            return False
-        # A move counts as a repeat, of which failures need the most.
-        if not self.budget.take(now_s, RELIEF_BUDGET_SHARE):
-            return False
-        self._relief_after_s = now_s + RELIEF_INTERVAL_S
-        # The others hear of the room that is taken before the copy is made.
-        runs = self.ctx.loads.of(target.identity).runs
-        runs.add(self._run)
-        self.ctx.loads_changed()
-        is_moved = await self._stop(server, target, "relieved")
-        if self._moved is None or self._moved.server is not target:
-            runs.discard(self._run)
-            self.ctx.loads_changed()
-        return is_moved
-
-    def _relief_target(self, server: Server, now_s: float) -> Server | None:
-        """Engine to move to; None: this engine has memory for everybody."""
-        if now_s < self._relief_after_s or self._moved is not None:
-            return None
-        loads, size = self.ctx.loads, self._run.size
-        kv_tokens = self.ctx.engine_spec(self.service).kv_tokens
-        sizes = loads.run_sizes(server.identity, now_s)
-        if run_to_move(sizes, kv_tokens) != size:
-            return None
-        others = [
-            one for one in self.servers() if one.identity != server.identity
-        ]
-        return relief_target(
-            others, loads, size, kv_tokens, server.zone, now_s
-        )
-
-    async def _stop(self, server: Server, target: Server, event: str) -> bool:
-        """Stop a generation and copy its memory to another engine."""
-        try:
-            self._moved = await self.ctx.transport.stop_and_copy(
-                server, self.req, target
-            )
-        except (ServerRefused, ServerUnreachable) as failure:
-            self.log(
-                "takeover_failed",
-                server=server.instance,
-                events=self._events.count,
-                code=failure.code,
-                detail=failure.detail,
-            )
-            return False
-        self.log(
-            event,
-            server=server.instance,
-            target=self._moved.server.instance,
-            events=self._events.count,
-        )
-        self.ctx.metrics.count("moves_total", reason=event)
-        return True
-
-    def _takeover_target(self, server: Server) -> Server:
-        cfg, loads = self.ctx.settings, self.ctx.loads
-        others = [
-            one for one in self.servers() if one.identity != server.identity
-        ]
-        spec = self.ctx.engine_spec(self.service)
-        found = decode_order(
-            others,
-            loads,
-            self._run.size,
-            spec.kv_tokens,
-            cfg.zone,
-            self.ctx.now_s(),
-            self.ctx.rng,
-        )
-        return found[0] if found else server
-
     def _end_run(self, server: Server) -> None:
         self.ctx.loads.of(server.identity).runs.discard(self._run)
         self.ctx.loads_changed()
@@ -464,7 +371,7 @@
             if whole:
                 self._run.produced = stride * self._events.count
                 await self.reply.write(whole)
-                if await self._relieve(server):
+                if await self._relocation.relieve(server, self._run):
                     await self._write_rest(chunks, stride)
                     raise Relieved(server.address)
         if self._events.rest:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -347,6 +347,34 @@
     run(work)
 
 
+def test_client_that_leaves_during_a_move_frees_the_room():
+    """Guards against room that stays announced at the engine moved to."""
+
+    async def work():
+        async with serving(*POOLS, ("e", "llm", "decode")) as kit:
+            loads = kit.daemon.context.loads
+            loads.note_peer("other", time.monotonic() + 60, fills("e", 9_900))
+            source, moving = kit.engines["d"], asyncio.Event()
+            source.events, source.event_s = 60, 0.05
+
+            async def stop_and_copy(*_: object):
+                moving.set()
+                await asyncio.sleep(60)
+
+            kit.daemon.context.transport.stop_and_copy = stop_and_copy
+            task = asyncio.create_task(kit.generate())
+            await kit.until(lambda: source.executed)
+            loads.note_peer("other", time.monotonic() + 60, fills("d", 9_800))
+            async with asyncio.timeout(3.0):
+                await moving.wait()
+            assert loads.of("e@1").runs
+            task.cancel()
+            await kit.until(lambda: not loads.of("e@1").runs, 1.0)
+            await kit.until(lambda: not loads.of("d@1").runs, 1.0)
+
+    run(work)
+
+
 def fills(instance: str, tokens: int) -> dict[str, PeerLoad]:
     """Load of another gateway whose generation ends sooner than others."""
     size = RunSize(tokens, 1_000, 1, 1_000)
