--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -194,9 +194,12 @@
             self._seen[server.instance] = server, now_s
         registered = self._ctx.directory.servers.of(service, now_s)
         known = {server.instance for server in registered}
+        # An engine may come back at its address as another instance.
+        in_use = {server.address for server in registered}
         expected = list(present)
         for instance, (server, seen_s) in list(self._seen.items()):
-            if now_s - seen_s > RETURN_S:
+            is_replaced = instance not in known and server.address in in_use
+            if is_replaced or now_s - seen_s > RETURN_S:
                 del self._seen[instance]
             elif server.service == service and instance not in known:
                 expected.append(server)
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
+from gooseberrypost.gateway.stages import StageController
 from tests.gateway_kit import serving
 
 POOLS = (
@@ -166,3 +168,32 @@
                 await other.stop()
 
     run(work)
+
+
+def test_engine_that_comes_back_as_another_instance_counts_once():
+    """Guards against a reserve of prefill engines that is counted twice.
+
+    Seen on a fleet of five: a crashed engine was back under another id, both
+    were counted, and the only other prefill engine was moved away.
+    """
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            controller = StageController(kit.daemon.context, None, None)
+            directory = kit.daemon.context.directory
+
+            def expected(now_s: float) -> set[str]:
+                present = list(directory.servers.of("llm", now_s))
+                found = controller._expected("llm", present, now_s)
+                return {server.instance for server in found}
+
+            assert expected(0.0) == {"p", "q", "r", "d"}
+            servers = directory.servers
+            gone = next(one for one in servers.all() if one.instance == "p")
+            servers.apply([], ["p"], False, 1.0)
+            assert expected(1.0) == {"p", "q", "r", "d"}
+            back = replace(gone, instance="new")
+            servers.apply([back], [], False, 2.0)
+            assert expected(2.0) == {"new", "q", "r", "d"}
+
+    run(work)
