Remove the expected remaining tokens, which nothing uses any more

Their tests check the prediction itself: an overdue generation, and one near its estimate, still take a part of the memory while others reach their peak. No behaviour changes.

--- a/src/gooseberrypost/policy/enginememory.py
+++ b/src/gooseberrypost/policy/enginememory.py
@@ -118,26 +118,6 @@
             self.tokens, self.produced, self.expected, self.max_output
         )
 
-    @property
-    def remaining(self) -> int:
-        """Tokens that are expected to be added."""
-        return remaining_tokens(self.size)
-
-
-def remaining_tokens(size: RunSize) -> int:
-    """Tokens that a generation is expected to add, as it has not ended yet.
-
-    >>> remaining_tokens(RunSize(5_400, 400, 400, 8_000)) > 100
-    True
-    """
-    left = size.max_output - size.produced
-    if left <= 0:
-        return 0
-    scale = RATIO_STEPS / max(size.expected, 1)
-    at = min(int(size.produced * scale), _LAST)
-    steps = sum(_CHANCES[at + 1 :]) / _CHANCES[at]
-    return max(1, min(round((steps + 0.5) / scale), left))
-
 
 def safe_peak(
     sizes: Sequence[RunSize],
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -105,14 +105,18 @@
             return min(output, size.max_output)
 
 
+def added_to_new_ones(size: RunSize) -> int:
+    """Memory that a generation needs while four others reach their peak."""
+    new = [RunSize(5_000, 0, 4_000, 8_000)] * 4
+    return safe_peak([*new, size], 0.0) - safe_peak(new, 0.0)
+
+
 def test_overdue_generation_is_expected_to_go_on():
     """Guards against counting a long answer as ended."""
-    run = Run(1_000, 100, max_output=8_000)
-    run.produced = 110
-    assert 20 <= run.remaining <= 60
-    run.produced = 8_000
-    assert run.remaining == 0
-    assert safe_peak([run.size]) == 9_000
+    assert added_to_new_ones(RunSize(5_400, 4_400, 4_000, 8_000)) > 1_000
+    ended = Run(1_000, 100, max_output=8_000)
+    ended.produced = 8_000
+    assert safe_peak([ended.size]) == 9_000
 
 
 def test_generation_near_its_estimate_is_not_counted_as_ending():
@@ -121,9 +125,7 @@
     Of the answers that reach nine tenths of their estimate many go on for a
     third of it.
     """
-    run = Run(1_000, 4_000, max_output=8_000)
-    run.produced = 3_600
-    assert run.remaining > 1_000
+    assert added_to_new_ones(RunSize(4_600, 3_600, 4_000, 8_000)) > 1_000
 
 
 @given(st.integers(0, 9_000), st.floats(0, 9_000), st.integers(1, 8_000))
