Let a small gain suffice in an overload, and predict outputs by their median

The mean of the hints, used until generations have ended, is above the median that the prediction stands for, so too little was admitted.

The lock holder logs the balance of the pools every 5 s.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -126,13 +126,13 @@
         known = self.directory.configuration.services.get(service)
         return (known.engine if known else None) or EngineSpec()
 
-    def mean_output(self, service: str) -> float:
-        """Return the moving average of output tokens; 0 if unknown.
+    def typical_output(self, service: str) -> float:
+        """Return the median of output tokens; 0 if unknown.
 
         It combines the averages of all gateways, as a single gateway may have
         served only a few generations.
         """
-        own = self._lengths(service).mean
+        own = self._lengths(service).typical
         return self.loads.mean_output_tokens(service, own)
 
     def first_event_delay_s(self, service: str) -> float:
@@ -165,12 +165,12 @@
             longest_s - mean_s
         )
 
-    def local_mean_outputs(self) -> dict[str, float]:
-        """Return this gateway's own mean output tokens by service."""
+    def local_typical_outputs(self) -> dict[str, float]:
+        """Return this gateway's own median output tokens by service."""
         return {
-            service: lengths.mean
+            service: lengths.typical
             for service, lengths in self._output_lengths.items()
-            if lengths.mean
+            if lengths.typical
         }
 
     def _lengths(self, service: str) -> OutputLengths:
@@ -189,23 +189,27 @@
 
     def expected_decode_s(self, service: str, output: int) -> float:
         """Predict the decode time for an output length, with a margin."""
-        mean = self.mean_output(service)
-        share = output / mean if mean else 1.0
-        return DECODE_TIME_MARGIN * share * self.mean_decode_s(service)
+        tokens_per_s = self.loads.tokens_per_s
+        expected_s = (
+            output / tokens_per_s
+            if tokens_per_s
+            else self.mean_decode_s(service)
+        )
+        return DECODE_TIME_MARGIN * expected_s
 
     def record_generation(
         self, service: str, tokens: int, took_s: float
     ) -> None:
         """Record the output size and decode time of a completed generation."""
-        lengths = self._lengths(service)
-        lengths.record_output(tokens)
+        self._lengths(service).record_output(tokens)
         mean_s = self.mean_decode_s(service)
         self._mean_decode_times_s[service] = mean_s + MEAN_SMOOTHING * (
             took_s - mean_s
         )
-        self.loads.tokens_per_s = (
-            lengths.mean / self._mean_decode_times_s[service]
-        )
+        if took_s > 0:
+            rate = tokens / took_s
+            mean = self.loads.tokens_per_s or rate
+            self.loads.tokens_per_s = mean + MEAN_SMOOTHING * (rate - mean)
 
     def log(self, event: str, req: ClientRequest, **fields: object) -> None:
         """Log an event of a request, with the configuration version."""
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -175,7 +175,7 @@
         self.ctx.record_hint(self.service, prompt.output_hint)
         output = predict_output_tokens(
             prompt.output_hint,
-            self.ctx.mean_output(self.service),
+            self.ctx.typical_output(self.service),
             prompt.max_output,
         )
         self._run = Run(prompt.tokens, output, prompt.max_output)
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -240,6 +240,7 @@
         return list(addresses.values())
 
     def _build_notice(self) -> Any:
+        outputs = self._ctx.local_typical_outputs()
         return idl.LoadNotice(
             name=self._ctx.settings.name,
             incarnation=self._incarnation,
@@ -255,7 +256,7 @@
             gone=self._ctx.loads.unreachable(time.monotonic()),
             outputs=[
                 idl.OutputNotice(service_name=service, tokens=tokens)
-                for service, tokens in self._ctx.local_mean_outputs().items()
+                for service, tokens in outputs.items()
             ],
         )
 
--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -24,6 +24,7 @@
 from mode import Service
 
 from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.model import Stage
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     ServerRefused,
@@ -34,12 +35,13 @@
     PoolEngine,
     Workload,
     choose_stage_change,
+    service_rate,
 )
 from gooseberrypost.policy.workloadestimate import WorkloadEstimate
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.context import GatewayContext
-    from gooseberrypost.gateway.model import Server, Stage, StageOrder
+    from gooseberrypost.gateway.model import Server, StageOrder
     from gooseberrypost.gateway.peers import Peers
 
 CHECK_INTERVAL_S: Final = 0.25
@@ -52,6 +54,10 @@
 """Wait in addition to a lease, and before a new lock holder's first order."""
 
 
+POOLS_LOG_INTERVAL_S: Final = 5.0
+"""Interval at which the lock holder logs the balance of the pools."""
+
+
 class StageLockLost(Failure):
     """Another gateway holds the stage lock, or the holder is unknown."""
 
@@ -95,6 +101,7 @@
         """Target stage of a due change and when it became due, by service."""
         self._estimates: dict[str, WorkloadEstimate] = {}
         """Workload of each service, observed while the lock is held."""
+        self._next_pools_log_s: dict[str, float] = {}
         self._rosters: dict[str, EngineRoster] = {}
         """Engines in service or expected back, by service."""
 
@@ -228,8 +235,34 @@
                 and server.instance not in changing_stage
             )
             (engines if can_change else changing).append(state)
+        self._log_pools(service, [*engines, *changing], workload, now_s)
         return choose_stage_change(engines, workload, changing)
 
+    def _log_pools(
+        self,
+        service: str,
+        engines: list[PoolEngine],
+        workload: Workload,
+        now_s: float,
+    ) -> None:
+        """Log the balance of a service's pools at intervals."""
+        if now_s < self._next_pools_log_s.get(service, 0.0):
+            return
+        self._next_pools_log_s[service] = now_s + POOLS_LOG_INTERVAL_S
+        prefill = sum(engine.stage is Stage.PREFILL for engine in engines)
+        logging.info(
+            "event=pools service=%s prefill=%d decode=%d prompt=%d output=%d "
+            "run_ms=%d demand_per_s=%.1f rate_per_s=%.1f",
+            service,
+            prefill,
+            len(engines) - prefill,
+            workload.prompt_tokens,
+            workload.output_tokens,
+            1_000 * workload.run_s,
+            workload.demand_per_s,
+            service_rate(engines, workload),
+        )
+
     def _workload(self, service: str) -> Workload | None:
         """Return the workload of a service, None if not known well enough."""
         ctx = self._ctx
--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -38,6 +38,8 @@
 A change takes an engine out of service for seconds, which the gain must make
 up for, and the workload is estimated to about a tenth.
 """
+MIN_GAIN_IN_OVERLOAD: Final = 1.05
+"""Minimum ratio while more generations arrive than the pools can serve."""
 MIN_GAIN_TO_SINGLE_ENGINE: Final = 1.5
 """Minimum ratio for a change that leaves a pool with a single engine.
 
@@ -152,7 +154,10 @@
         rate, first = _best_rate_towards(engines, stage, workload, changing)
         if first is None or rate <= best_rate:
             continue
-        if rate <= _required_gain(first, engines, changing) * now:
+        is_overloaded = now < workload.demand_per_s < math.inf
+        if rate <= now * _required_gain(
+            first, engines, changing, is_overloaded=is_overloaded
+        ):
             continue
         if changing and not _can_spare(first, engines, workload):
             continue
@@ -164,8 +169,10 @@
     moved: PoolEngine,
     engines: Sequence[PoolEngine],
     changing: Sequence[PoolEngine],
+    *,
+    is_overloaded: bool,
 ) -> float:
-    """Minimum ratio of the service rates for an engine to leave its pool.
+    """Return the minimum ratio of the rates for an engine to leave its pool.
 
     It is higher where the change would leave a single engine in a pool while
     the other pool has several.
@@ -173,11 +180,9 @@
     present = (*engines, *changing)
     own_pool = sum(engine.stage is moved.stage for engine in present)
     other_pool = len(present) - own_pool
-    return (
-        MIN_GAIN_TO_SINGLE_ENGINE
-        if own_pool <= REDUNDANT_POOL_ENGINES and other_pool > 1
-        else MIN_GAIN
-    )
+    if own_pool <= REDUNDANT_POOL_ENGINES and other_pool > 1:
+        return MIN_GAIN_TO_SINGLE_ENGINE
+    return MIN_GAIN_IN_OVERLOAD if is_overloaded else MIN_GAIN
 
 
 def _can_spare(
--- a/src/gooseberrypost/policy/workloadestimate.py
+++ b/src/gooseberrypost/policy/workloadestimate.py
@@ -25,7 +25,7 @@
 
 SMOOTHING: Final = 0.05
 """Weight of the latest observation in the moving averages."""
-SETTLING_UPDATES: Final = 20
+SETTLING_UPDATES: Final = 10
 """Observations after which the averages are used."""
 MIN_RUNS: Final = 2
 """Runs below which an observation says too little about their sizes."""
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -549,6 +549,26 @@
     assert choose_stage_change(chat_engines(2, 6), busy) is not None
 
 
+def test_overloaded_pool_gets_an_engine_for_a_small_gain():
+    """Guards against a burst in which the pools wait for a larger imbalance.
+
+    Pattern: three engines in each pool, 9 requests a second, of which the
+    decode pool has memory for 6.4; with one more engine it has for 8.9.
+    """
+    workload = Workload(3_000, 830, 3.07, 37_952, 0.9, demand_per_s=9.0)
+    change = choose_stage_change(chat_engines(3, 3), workload)
+    assert change is not None
+    assert change.stage is Stage.DECODE
+    calm = replace(workload, demand_per_s=7.0)
+    rates = [
+        service_rate(chat_engines(*pools), workload)
+        for pools in ((3, 3), (2, 4))
+    ]
+    assert rates[0] < 9.0
+    if rates[1] < 1.15 * rates[0]:
+        assert choose_stage_change(chat_engines(3, 3), calm) is None
+
+
 def late_share(engines: int, per_s: float, prefill_s: float) -> float:
     """Simulate clumped prompts at the shortest of some prefill queues."""
     rng = random.Random(1)
