Bound what is read from servers and stores

A comment or a byte now and then kept a stalled stream alive.

Change: bodies are read up to a limit, which counts as a lost answer; AnswerFrame passes on only the bytes of the first final answer, and ends heads and framing without end.

--- a/src/gooseberrypost/agent/backend.py
+++ b/src/gooseberrypost/agent/backend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
@@ -10,6 +11,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.agent.http import open_session
+from gooseberrypost.boundedread import MAX_REPLY_BYTES, read_bounded
 from gooseberrypost.errors import (
     ConnectionLost,
     Failure,
@@ -99,7 +101,8 @@
             ) as reply:
                 if reply.status >= MIN_HTTP_ERROR_STATUS:
                     return Err(await failure_from_reply(reply))
-                return Ok(await reply.json(content_type=None))
+                content = await read_bounded(reply, MAX_REPLY_BYTES)
+                return Ok(json.loads(content))
         except (*TRANSPORT_ERRORS, ValueError) as exc:
             return Err(failure_from_exception(exc))
 
@@ -126,8 +129,8 @@
 async def failure_from_reply(reply: aiohttp.ClientResponse) -> Failure:
     """Return the failure that the JSON body of an error reply names."""
     try:
-        document = await reply.json(content_type=None)
+        document = json.loads(await read_bounded(reply, MAX_REPLY_BYTES))
         code = str(document["error"])
-    except (ValueError, TypeError, KeyError):
+    except (*TRANSPORT_ERRORS, ValueError, TypeError, KeyError):
         return ProtocolFailure(f"backend server replied {reply.status}")
     return failure_from_code(code, f"backend server: {code}")
--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -16,6 +16,7 @@
     LoadReport,
     failure_from_exception,
 )
+from gooseberrypost.boundedread import MAX_REPLY_BYTES, read_bounded
 from gooseberrypost.errors import Failure, MalformedRequest
 
 if TYPE_CHECKING:
@@ -96,7 +97,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as reply:
-                body = await reply.read()
+                body = await read_bounded(reply, MAX_REPLY_BYTES)
                 response_headers = forwarded_headers(reply.headers.items())
                 return Ok(PlainResponse(reply.status, response_headers, body))
         except (*TRANSPORT_ERRORS, ValueError) as exc:
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -15,6 +15,8 @@
 from result import Err
 from yarl import URL
 
+from gooseberrypost.answerframe import AnswerFrame, FramingTooLarge
+from gooseberrypost.boundedread import MAX_CONTROL_BYTES, read_bounded
 from gooseberrypost.gateway.transport import (
     Answer,
     AnswerLost,
@@ -54,12 +56,40 @@
 
 
 class EngineProtocol(ResponseHandler):
-    """Protocol that does not treat a connection reset as the end of a body.
+    """Protocol for servers that may be in trouble.
 
     aiohttp ends a body without a length at any loss of the connection, but the
-    body is complete only if the server closed the connection properly.
+    body is complete only if the server closed the connection properly. It also
+    fails an answer that is followed by other bytes, and reads framing without
+    end.
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        self._frame = AnswerFrame()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the bytes that belong to the answer."""
+        try:
+            answer = self._frame.feed(data) if data else data
+            if data and not answer:
+                return
+            body_before = self._body_bytes
+            super().data_received(answer)
+            has_body = self._body_bytes != body_before
+            self._frame.count_framing(len(answer), has_body=has_body)
+        except FramingTooLarge as exc:
+            payload, transport = self._payload, self.transport
+            if payload is not None and not payload.is_eof():
+                payload.set_exception(exc)
+            self.set_exception(exc)
+            if transport is not None:
+                transport.abort()
+
+    @property
+    def _body_bytes(self) -> int:
+        return self._payload.total_bytes if self._payload is not None else -1
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished body when the connection was reset."""
         payload = self._payload
@@ -137,7 +167,7 @@
         response = await self._send(server, req, headers, options)
         try:
             self._check_response(server, req, response)
-            content = await _read_body(response)
+            content = await _read_control(response)
         finally:
             response.close()
         if response.status != 200:
@@ -246,7 +276,8 @@
             async with self._session.request(
                 method, url, json=body, timeout=timeout, headers=headers
             ) as response:
-                return response.status, await response.read()
+                content = await read_bounded(response, MAX_CONTROL_BYTES)
+                return response.status, content
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
 
@@ -322,8 +353,11 @@
         raise AnswerLost(f"body: {exc!r}") from exc
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    return b"".join([chunk async for chunk in _chunks(response)])
+async def _read_control(response: aiohttp.ClientResponse) -> bytes:
+    try:
+        return await read_bounded(response, MAX_CONTROL_BYTES)
+    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        raise AnswerLost(f"body: {exc!r}") from exc
 
 
 def _kv_handle(server: Server, content: bytes) -> KvHandle:
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -14,6 +14,7 @@
 import aiohttp
 from yarl import URL
 
+from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.directory import FeedLost, HistoryLost
 from gooseberrypost.platform import names
@@ -216,7 +217,7 @@
             async with self._session.request(
                 method, url, params=query, json=body, timeout=timeout
             ) as response:
-                content = await response.read()
+                content = await read_bounded(response, MAX_STORE_BYTES)
                 status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             self._response_timeout_s = min(
--- a/src/gooseberrypost/stores/http.py
+++ b/src/gooseberrypost/stores/http.py
@@ -13,6 +13,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
 from gooseberrypost.errors import Failure
 from gooseberrypost.stores.keyvalue import (
     Conflict,
@@ -166,8 +167,9 @@
             async with self._open_session().post(
                 f"http://{address}/v1/{name}", json=body, timeout=timeout
             ) as response:
+                content = await read_bounded(response, MAX_STORE_BYTES)
                 return _parse_response(
-                    response.status, await response.read(), no_response_failure
+                    response.status, content, no_response_failure
                 )
         except _CONNECT_ERRORS as exc:
             return Err(KeyValueUnavailable(f"{address}: {exc!r}"))
--- a/src/gooseberrypost/stores/vms.py
+++ b/src/gooseberrypost/stores/vms.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 from abc import ABC, abstractmethod
 from enum import StrEnum
 from typing import Any, Final, NamedTuple, Self
@@ -12,6 +13,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
 from gooseberrypost.errors import Failure, NotRun
 
 REQUEST_TIMEOUT_MS: Final = 1_000
@@ -76,7 +78,8 @@
             async with self._session.get(url) as response:
                 if response.status != 200:
                     return Err(VmListUnavailable(f"status {response.status}"))
-                return _parse_records(await response.json())
+                content = await read_bounded(response, MAX_STORE_BYTES)
+                return _parse_records(json.loads(content))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
             return Err(VmListUnavailable(f"{self._address}: {exc!r}"))
 
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -32,6 +32,10 @@
         self.compacted = 0
         """Watches from before this revision are answered with 410, as if the
         history had been compacted."""
+        self.endless = False
+        """Fault: answers have a body that ends when the caller closes."""
+        self.sent_bytes = 0
+        """Bytes of answers without end."""
         router = self.app.router
         router.add_get("/-/kv-range", self._list)
         router.add_get("/-/kv-watch", self._watch)
@@ -46,10 +50,19 @@
         self.calls.append(request.path)
         if self.silent:
             await asyncio.sleep(3_600)
+        if self.endless:
+            return await self._send_endlessly(request)
         if self.down:
             return web.json_response({}, status=503)
         return await handler(request)
 
+    async def _send_endlessly(self, request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(b" " * 65_536)
+            self.sent_bytes += 65_536
+
     def switch(self, name: str, value):
         setattr(self, name, value)
 
--- /dev/null
+++ b/tests/test_gateway_trouble.py
@@ -0,0 +1,240 @@
+"""Requests through a gateway whose backend servers or store are in trouble."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from gooseberrypost.platform.store import PlatformStore, StoreUnavailable
+from tests.gateway_kit import configuration, serving
+from tests.standins.platform_store import FakePlatformStore
+from tests.standins.troubled_engine import TroubledEngine
+
+MAX_READ_BYTES = 16 * 1024 * 1024
+"""Bytes that may be sent before the gateway closes: the largest answer and
+what the sockets of both sides buffer."""
+
+
+def run(work):
+    return asyncio.run(work())
+
+
+async def add_troubled(kit, instance: str, service: str, stage: str = ""):
+    """Add a troubled backend server and wait until the gateway knows it."""
+    engine = await TroubledEngine(instance, stage).start()
+    kit.engines[instance] = engine
+    kit.register(instance, service)
+    servers = kit.daemon.context.directory.servers
+    await kit.until(
+        lambda: instance in {server.instance for server in servers.all()}
+    )
+    return engine
+
+
+@pytest.mark.parametrize(
+    "mode",
+    [
+        "endless_status",
+        "endless_headers",
+        "endless_header",
+        "endless_interim",
+        "endless_body",
+        "endless_error_body",
+        "endless_extension",
+        "endless_trailer",
+    ],
+)
+@pytest.mark.parametrize("route", ["once", "text"])
+def test_answer_without_end_is_cut_and_its_outcome_unknown(mode, route):
+    """Guards against a server that fills the memory of a gateway.
+
+    Its bytes end only when the caller closes. The request may have run, so
+    its client must not be told otherwise.
+    """
+
+    async def work():
+        async with serving(("p", "llm", "prefill")) as kit:
+            service, stage = (
+                ("desk", "")
+                if route == "once"
+                else (
+                    "llm",
+                    "decode",
+                )
+            )
+            engine = await add_troubled(kit, "x", service, stage)
+            engine.mode = mode
+            started_s = time.monotonic()
+            got = await (
+                kit.call("/once/x") if route == "once" else kit.generate()
+            )
+            assert got.status in (502, 504)
+            assert time.monotonic() - started_s < 4.0
+            sent = engine.sent_bytes
+            await kit.until(lambda: not engine.tasks)
+            assert engine.sent_bytes <= max(sent, 1) + MAX_READ_BYTES
+            if mode != "endless_interim":
+                assert engine.sent_bytes <= MAX_READ_BYTES
+            engine.mode = "answer"
+            assert (await kit.call("/safe/x")).status == (
+                200 if route == "once" else 503
+            )
+
+    run(work)
+
+
+def test_bytes_after_a_complete_answer_belong_to_no_request():
+    """Guards against forwarding what follows an answer on its connection."""
+
+    async def work():
+        async with serving() as kit:
+            engine = await add_troubled(kit, "x", "desk")
+            engine.mode = "endless_after_answer"
+            got = await kit.call("/once/x")
+            assert (got.status, got.body) == (200, b"good")
+            await kit.until(lambda: not engine.tasks)
+            assert engine.sent_bytes <= MAX_READ_BYTES
+
+    run(work)
+
+
+def test_late_second_copy_of_an_answer_reaches_nobody():
+    """Guards against the answer of one request that is given to the next.
+
+    The server sends each answer three times, the last copy late.
+    """
+
+    async def work():
+        async with serving() as kit:
+            engine = await add_troubled(kit, "x", "desk")
+            engine.mode = "second_copy"
+            for number in range(1, 9):
+                got = await kit.call("/once/x")
+                assert got.body == f"for r{number}".encode()
+                if number % 2:
+                    await asyncio.sleep(0.08)
+
+    run(work)
+
+
+def test_answer_before_its_request_is_not_used():
+    """Guards against an answer that was already on the connection."""
+
+    async def work():
+        async with serving() as kit:
+            engine = await add_troubled(kit, "x", "desk")
+            engine.mode = "early"
+            got = await kit.call("/once/x")
+            assert got.status == 502
+            assert b"other" not in got.body
+
+    run(work)
+
+
+def test_event_without_end_fails_the_stream():
+    """Guards against an event that is buffered until memory runs out."""
+
+    async def work():
+        async with serving(("p", "llm", "prefill")) as kit:
+            engine = await add_troubled(kit, "x", "llm", "decode")
+            engine.mode = "endless_event"
+            got = await kit.generate()
+            assert not got.complete or got.status >= 500
+            await kit.until(lambda: not engine.tasks)
+            assert engine.sent_bytes <= MAX_READ_BYTES
+
+    run(work)
+
+
+@pytest.mark.parametrize("mode", ["trickle_bytes", "trickle_comments"])
+def test_trickling_stream_counts_as_stalled(mode):
+    """Guards against a stalled stream that a byte now and then keeps alive.
+
+    Another engine resumes it after the last event.
+    """
+
+    async def work():
+        pools = (("p", "llm", "prefill"),)
+        async with serving(*pools) as kit:
+            kit.store.put("op/config", configuration(4, timeout_ms=9_000))
+            engine = await add_troubled(kit, "x", "llm", "decode")
+            engine.mode = mode
+            task = asyncio.create_task(
+                kit.generate("/again/x", X_Gooseberrypost_Deadline_Ms="9000")
+            )
+            await kit.until(lambda: engine.executed)
+            other = await kit.add("d", "llm", "decode")
+            got = await task
+            assert got.complete
+            assert other.received[-1].headers["last-event-id"] == "1"
+            assert got.body.count(b"data: 2") == 1
+            assert not engine.running
+
+    run(work)
+
+
+def test_slow_but_sound_stream_is_not_cut():
+    """Guards against taking a stream with long regular pauses for stalled.
+
+    Each pause is twice the objective for the gap between events.
+    """
+
+    async def work():
+        async with serving(
+            ("p", "llm", "prefill"),
+            ("d", "llm", "decode"),
+            ("e", "llm", "decode"),
+        ) as kit:
+            kit.store.put("op/config", configuration(4, timeout_ms=9_000))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 4)
+            for name in ("d", "e"):
+                kit.engines[name].event_s = 0.6
+            got = await kit.generate(X_Gooseberrypost_Deadline_Ms="9000")
+            assert got.complete
+            controls = [
+                one.target
+                for name in ("d", "e")
+                for one in kit.engines[name].control
+            ]
+            assert "/-/kv-move" not in controls
+
+    run(work)
+
+
+def test_control_answer_without_end_is_cut():
+    """Guards against a reservation whose answer fills the memory."""
+
+    async def work():
+        async with serving(("p", "llm", "prefill")) as kit:
+            engine = await add_troubled(kit, "x", "llm", "decode")
+            engine.endless_control = True
+            got = await kit.generate()
+            assert got.status == 503
+            await kit.until(lambda: not engine.tasks)
+            calls = len(engine.control)
+            assert engine.sent_bytes <= calls * 4 * 1024 * 1024
+
+    run(work)
+
+
+def test_store_answer_without_end_is_cut():
+    """Guards against a store whose answer fills the memory of a gateway."""
+
+    async def work():
+        store = FakePlatformStore()
+        await store.start()
+        store.endless = True
+        client = PlatformStore(store.address)
+        try:
+            with pytest.raises(StoreUnavailable):
+                await client.range("op/")
+            await asyncio.sleep(0.1)
+            assert store.sent_bytes <= MAX_READ_BYTES
+        finally:
+            await client.close()
+            await store.stop()
+
+    run(work)
