Keep a gateway whole after unexpected errors, and a suspended holder silent

Cause: a background task that raised was not started again; a notice with missing or negative fields raised where loads are read; an order to an engine was sent without a check of the time since its confirmation, and the steady clock does not count suspension.

Change: tasks are logged, counted and started again; notices are checked, one log line a second; the validity of a confirmation is measured with the boot clock and starts at its request. StageLock names remove_order, which the controller calls.

--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -15,6 +15,7 @@
 from gooseberrypost.gateway.frontend import Frontend, MonitoringServer
 from gooseberrypost.gateway.peers import Peers
 from gooseberrypost.gateway.stages import StageController
+from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.lifecycle import LifecycleController, State
 
 if TYPE_CHECKING:
@@ -61,22 +62,28 @@
         self.context = GatewayContext(cfg, directory, transport, rng)
         section = self.lifecycle.section
         self.peers = Peers(self.context, registry)
+        self.stages = StageController(self.context, stage_lock, self.peers)
         self.frontend = Frontend(self.context, section, decode)
         for service in (
             self.lifecycle,
             MonitoringServer(self.context, section),
             self.context.reservation_queue,
             self.frontend,
-            FeedWatcher(feed, directory, cfg.propagation_ms),
+            FeedWatcher(
+                feed, directory, cfg.propagation_ms, self.context.metrics
+            ),
             self.peers,
-            StageController(self.context, stage_lock, self.peers),
+            self.stages,
         ):
             self.add_dependency(service)
 
     async def on_started(self) -> None:
         """Become ready once the configuration and the servers are loaded."""
-        self.add_future(self._serve_when_loaded())
-        self.add_future(self._forget_removed_servers())
+        metrics = self.context.metrics
+        self.add_future(keep_running(self, self._serve_when_loaded, metrics))
+        self.add_future(
+            keep_running(self, self._forget_removed_servers, metrics)
+        )
 
     async def _serve_when_loaded(self) -> None:
         directory = self.context.directory
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -23,12 +23,14 @@
     Stage,
     StageOrder,
 )
+from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.policy.membership import ServerList
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from gooseberrypost.blackboard import Blackboard
+    from gooseberrypost.metrics import Metrics
 
 COALESCE_SHARE: Final = 0.075
 """Pause after a change, so that changes in quick succession share one call,
@@ -185,9 +187,14 @@
     """Watches the feed and applies its updates to the directory."""
 
     def __init__(
-        self, feed: Feed, directory: Directory, propagation_ms: int
+        self,
+        feed: Feed,
+        directory: Directory,
+        propagation_ms: int,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
+        self._metrics = metrics
         self._feed = feed
         self._watch_wait_ms = round(WATCH_WAIT_SHARE * propagation_ms)
         self._coalesce_s = COALESCE_SHARE * propagation_ms / 1_000
@@ -199,7 +206,7 @@
 
     async def on_started(self) -> None:
         """Watch the feed until the service stops."""
-        self.add_future(self._watch_feed())
+        self.add_future(keep_running(self, self._watch_feed, self._metrics))
 
     async def _watch_feed(self) -> None:
         while not self.should_stop:
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any, Final
@@ -17,6 +18,7 @@
 from result import Err
 
 from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.identity import new_incarnation
 from gooseberrypost.policy.enginememory import RunSize
 from gooseberrypost.policy.serverload import PeerLoad
@@ -49,6 +51,10 @@
 as registrations lapse while the store is unavailable."""
 
 
+INVALID_LOG_INTERVAL_S: Final = 1.0
+"""Interval of log lines on invalid notices."""
+
+
 class RegistrationFailed(Failure):
     """The store did not answer, or did not write the registration."""
 
@@ -99,6 +105,7 @@
         """Newest undecoded notice and its arrival time, by address."""
         self._last_expiry_s = float("-inf")
         """Monotonic time at which stale peer loads were last dropped."""
+        self._next_invalid_log_s = float("-inf")
         self._load_changed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
         ctx.notify_loads_changed = self._load_changed.set
@@ -114,8 +121,9 @@
 
     async def on_started(self) -> None:
         """Send notices and keep the registration until the service stops."""
-        self.add_future(self._send_notices())
-        self.add_future(self._keep_registered())
+        metrics = self._ctx.metrics
+        self.add_future(keep_running(self, self._send_notices, metrics))
+        self.add_future(keep_running(self, self._keep_registered, metrics))
 
     async def on_stop(self) -> None:
         """Remove the registration and close the socket."""
@@ -158,7 +166,21 @@
         if self._pending:
             pending, self._pending = self._pending, {}
             for sender, (data, received_s) in pending.items():
-                self._process_notice(sender, data, received_s)
+                try:
+                    self._process_notice(sender, data, received_s)
+                except (TypeError, ValueError, AttributeError) as exc:
+                    # A field is missing or has a value out of range.
+                    self._count_invalid(sender, exc)
+
+    def _count_invalid(self, sender: str, reason: object) -> None:
+        """Count an invalid notice; one line is logged at each interval."""
+        self._ctx.metrics.count("notices_invalid_total")
+        now_s = time.monotonic()
+        if now_s >= self._next_invalid_log_s:
+            self._next_invalid_log_s = now_s + INVALID_LOG_INTERVAL_S
+            logging.warning(
+                "event=notice_invalid sender=%s detail=%r", sender, reason
+            )
 
     def _process_notice(
         self, sender: str, data: bytes, received_s: float
@@ -166,34 +188,37 @@
         """Apply a notice unless a newer one from its sender was applied."""
         decoded = decode(data[LENGTH_BYTES:])
         if isinstance(decoded, Err):
-            self._ctx.metrics.count("notices_invalid_total")
+            self._count_invalid(sender, decoded.err_value.detail)
             return
         notice = decoded.ok_value.message
         if not isinstance(notice, idl.LoadNotice):
-            self._ctx.metrics.count("notices_invalid_total")
+            self._count_invalid(sender, type(notice).__name__)
             return
         incarnation, sequence = self._last_sequences.get(notice.name, (0, 0))
         # Incarnations are random: a different one means that the sender
         # restarted, whichever number is higher.
         if notice.incarnation == incarnation and notice.sequence <= sequence:
             return
-        self._last_sequences[notice.name] = notice.incarnation, notice.sequence
-        self._last_seen[notice.name] = sender, received_s
         loads = {
             server.identity: PeerLoad(
-                server.outstanding, server.prefill_tokens, _run_sizes(server)
+                _count(server.outstanding),
+                _count(server.prefill_tokens),
+                _run_sizes(server),
             )
             for server in notice.servers
         }
+        outputs = {
+            output.service_name: _length(output.tokens)
+            for output in notice.outputs or ()
+        }
+        self._last_sequences[notice.name] = notice.incarnation, notice.sequence
+        self._last_seen[notice.name] = sender, received_s
         self._ctx.loads.update_peer(
             notice.name,
             received_s,
             loads,
-            notice.waiting or 0,
-            {
-                output.service_name: output.tokens
-                for output in notice.outputs or ()
-            },
+            _count(notice.waiting or 0),
+            outputs,
             notice.turn_ms,
             notice.gone or (),
         )
@@ -307,9 +332,23 @@
     )
 
 
+def _count(value: int) -> int:
+    """Return a count of a notice; raises ``ValueError`` if it is negative."""
+    if value < 0:
+        raise ValueError(f"{value} is negative")
+    return value
+
+
+def _length(tokens: float) -> float:
+    """Return a mean length; raises ``ValueError`` unless it is a length."""
+    if not 0 <= tokens < math.inf:
+        raise ValueError(f"{tokens} is no length")
+    return tokens
+
+
 def _run_sizes(notice: Any) -> list[RunSize]:
     return [
-        RunSize(*fields)
+        RunSize(*map(_count, fields))
         for fields in zip(
             notice.run_tokens,
             notice.run_produced,
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -16,6 +16,7 @@
 from mode import Service
 
 from gooseberrypost.errors import NotRun
+from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
 from gooseberrypost.policy.enginememory import Run, must_release_reservation
 from gooseberrypost.policy.queueorder import (
@@ -105,7 +106,7 @@
 
     async def on_started(self) -> None:
         """Process the queue until the service stops."""
-        self.add_future(self._process())
+        self.add_future(keep_running(self, self._process, self._ctx.metrics))
 
     async def acquire(self, pending: PendingReservation) -> Reservation:
         """Wait for a reservation; raises ``NoDecodeCapacity``.
--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -25,6 +25,7 @@
 
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.model import Stage
+from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     ServerRefused,
@@ -48,8 +49,8 @@
 DEBOUNCE_S: Final = 0.6
 """Time for which a change to one stage must be due before it is ordered."""
 CONFIRMATION_VALIDITY_S: Final = 0.4
-"""Maximum time from the store's confirmation to the end of the call that sends
-the order."""
+"""Maximum time from the request for the store's confirmation to the end of the
+call that sends the order."""
 LEASE_MARGIN_S: Final = 0.5
 """Wait in addition to a lease, and before a new lock holder's first order."""
 
@@ -58,6 +59,11 @@
 """Interval at which the lock holder logs the balance of the pools."""
 
 
+def boottime_s() -> float:
+    """Return the time since the boot, including suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class StageLockLost(Failure):
     """Another gateway holds the stage lock, or the holder is unknown."""
 
@@ -83,6 +89,15 @@
         Raises ``StageLockLost``.
         """
 
+    @abstractmethod
+    async def remove_order(
+        self, fencing_token: int, order: StageOrder
+    ) -> None:
+        """Remove the record of an order that was refused or not sent.
+
+        Raises ``StageLockLost``.
+        """
+
 
 class StageController(Service):
     """Acquires the stage lock if it is free and orders stage changes."""
@@ -94,6 +109,8 @@
         self._ctx = ctx
         self._lock = lock
         self._peers = peers
+        self._boottime_s = boottime_s
+        """Clock that also counts the time for which a VM is suspended."""
         self._fencing_token = 0
         self._lease = 0
         self._acquired_s = 0.0
@@ -107,7 +124,9 @@
 
     async def on_started(self) -> None:
         """Check the pools until the service stops."""
-        self.add_future(self._check_loop())
+        self.add_future(
+            keep_running(self, self._check_loop, self._ctx.metrics)
+        )
 
     async def _check_loop(self) -> None:
         while not self.should_stop:
@@ -300,9 +319,13 @@
     async def _send_order(self, service: str, order: StageOrder) -> None:
         ctx = self._ctx
         self._log_due_change(service, order)
-        known = ctx.directory.servers.of(service, ctx.now_s())
-        server = next(s for s in known if s.instance == order.instance)
         self._due_changes.pop(service, None)
+        known = ctx.directory.servers.of(service, ctx.now_s())
+        server = next(
+            (one for one in known if one.instance == order.instance), None
+        )
+        if server is None:
+            return
         try:
             report = await ctx.transport.fetch_report(server)
         except ServerUnreachable as failure:
@@ -312,7 +335,19 @@
             self._record_outcome(server, order, report.accepted_orders, "busy")
             return
         record = replace(order, holder=ctx.settings.name)
+        confirmed_s = self._boottime_s()
         await self._lock.record_order(self._fencing_token, self._lease, record)
+        # The VM may have been suspended since; a successor may then hold the
+        # lock and have sent its own orders.
+        validity_s = CONFIRMATION_VALIDITY_S - (
+            self._boottime_s() - confirmed_s
+        )
+        if validity_s <= 0:
+            self._record_outcome(
+                server, order, report.accepted_orders, "confirmation expired"
+            )
+            await self._lock.remove_order(self._fencing_token, order)
+            return
         # Set here at once, as the watch delivers the record only later.
         ctx.directory.stage_orders[order.instance] = order.stage, ctx.now_s()
         try:
@@ -322,7 +357,7 @@
                 report.accepted_orders,
                 ctx.settings.name,
                 self._fencing_token,
-                CONFIRMATION_VALIDITY_S,
+                validity_s,
             )
         except ServerRefused as failure:
             self._record_outcome(
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -284,7 +284,7 @@
 
 struct OutputNotice {
   1: string service_name,
-  2: double tokens,            // mean output tokens per generation
+  2: double tokens,            // typical output tokens per generation
 }
 
 struct LoadNotice {
