Derive Retry-After from the time that the client has left

Cause: 3.5 to 3.6 s fitted deadlines of 14 s only; a client with 2.5 s left waits 0.8 s at most, and one with 120 s would return too soon.

Change: between three quarters and the whole of the third of its remaining time that a client waits, later if the expected wait is longer. At 14 s this gives 3.5 to 4.67 s as before. The test of the bounds now holds for any deadline.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -192,6 +192,7 @@
             priority=route.priority,
             service=self.service,
             request=self.req.id,
+            deadline_s=self.req.deadline_s,
             excluded=self.excluded,
             run=self._run,
         )
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -20,7 +20,6 @@
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
 from gooseberrypost.policy.enginememory import Run, must_release_reservation
 from gooseberrypost.policy.queueorder import (
-    MIN_RETRY_AFTER_S,
     QueuedGeneration,
     expected_wait_s,
     is_abandoned_before_start,
@@ -84,6 +83,8 @@
     service: str = ""
     request: str = ""
     """Request id, for the log."""
+    deadline_s: float = 0.0
+    """Time at which the client times out."""
     excluded: set[str] = field(default_factory=set)
     """Identities of servers that are not tried."""
     run: Run = field(default_factory=lambda: Run(0, 0))
@@ -170,7 +171,7 @@
         first_event_delay_s = self._first_event_delay_s(pending)
         if now_s + wait_s + first_event_delay_s <= pending.first_event_due_s:
             return
-        after_s = retry_after_s(wait_s, ctx.rng.random())
+        after_s = self._retry_after_s(pending, wait_s)
         raise NoDecodeCapacity(
             f"{self.waiting_count} generations queued for {pending.service}, "
             f"expected wait {wait_s:.2f} s",
@@ -297,10 +298,16 @@
             pending.granted.set_exception(
                 NoDecodeCapacity(
                     f"no decode memory in {pending.service} in time",
-                    retry_after_ms=round(1_000 * MIN_RETRY_AFTER_S),
+                    retry_after_ms=round(1_000 * self._retry_after_s(pending)),
                 )
             )
 
+    def _retry_after_s(
+        self, pending: PendingReservation, wait_s: float = 0.0
+    ) -> float:
+        left_s = pending.deadline_s - self._ctx.now_s()
+        return retry_after_s(wait_s, left_s, self._ctx.rng.random())
+
     async def _reserve(self, pending: PendingReservation) -> bool:
         ctx = self._ctx
         for server in self._candidates(pending):
--- a/src/gooseberrypost/policy/queueorder.py
+++ b/src/gooseberrypost/policy/queueorder.py
@@ -17,19 +17,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-MIN_RETRY_AFTER_S: Final = 3.5
-"""Minimum time after which a refused client should retry.
+CLIENT_PATIENCE_SHARE: Final = 1 / 3
+"""Share of its remaining time that a client waits before it retries."""
+MIN_RETURN_SHARE: Final = 0.75
+"""Earliest return, as a share of the time that the client waits.
 
 An overload of all engines lasts for seconds; a client that retries too soon
 is refused again and has no further attempt.
 """
-MAX_RETRY_AFTER_S: Final = 3.6
-"""Maximum time after which a refused client should retry, before jitter.
-
-Clients wait for at most a third of their remaining time.
-"""
-RETRY_JITTER: Final = 0.3
-"""Maximum share by which jitter lengthens the time before a retry."""
 LATE_RANK_OFFSET_MS: Final = 100_000
 """Offset that ranks late generations after all that can be in time."""
 FIRST_ATTEMPT_MIN_SHARE: Final = 0.83
@@ -141,12 +136,19 @@
     return (queued + 1) * run_s / running
 
 
-def retry_after_s(wait_s: float, jitter: float) -> float:
+def retry_after_s(wait_s: float, left_s: float, jitter: float) -> float:
     """Return the time after which a refused client should retry.
 
-    ``jitter`` from 0 to 1 keeps clients that are refused together from
-    retrying together.
+    ``wait_s`` is the expected time until memory is free and ``left_s`` the
+    time that the client has left, of which it waits a part. ``jitter`` from 0
+    to 1 keeps clients that are refused together from retrying together.
+
+    >>> retry_after_s(0.5, left_s=12.0, jitter=0.0)
+    3.0
+    >>> retry_after_s(3.8, left_s=12.0, jitter=0.5)
+    3.9
     """
-    return min(max(wait_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S) * (
-        1 + RETRY_JITTER * jitter
-    )
+    patience_s = CLIENT_PATIENCE_SHARE * max(left_s, 0.0)
+    earliest_s = max(wait_s, MIN_RETURN_SHARE * patience_s)
+    earliest_s = min(earliest_s, patience_s)
+    return earliest_s + jitter * (patience_s - earliest_s)
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -157,10 +157,23 @@
     assert [one.first_event_due_s for one in served[:3]] == [0.7, 0.8, 0.9]
 
 
-@given(st.floats(0, 100), st.floats(0, 1))
-def test_retry_after_is_bounded(wait_s, spread):
-    """Guards against retry times that clients do not wait for."""
-    assert 1.0 <= retry_after_s(wait_s, spread) <= 4.7
+@given(st.floats(0, 100), st.floats(0, 600), st.floats(0, 1))
+def test_retry_after_is_bounded(wait_s, left_s, spread):
+    """Guards against retry times that clients do not wait for.
+
+    A client waits a third of the time that it has left. One that returns
+    much sooner finds the same overload, whatever the deadlines of a site.
+    """
+    after_s = retry_after_s(wait_s, left_s, spread)
+    assert left_s / 4 - 0.001 <= after_s <= left_s / 3 + 0.001
+    assert 1.0 <= retry_after_s(wait_s, 14.0, spread) <= 4.7
+
+
+def test_client_that_returns_is_known_as_late():
+    """Guards against a refused client whose return delays first attempts."""
+    for timeout_s in (1.0, 14.0, 120.0):
+        after_s = retry_after_s(0.0, timeout_s, 0.0)
+        assert first_event_due_in_s(timeout_s - after_s, timeout_s, 0.9) < 0
 
 
 def test_decode_engine_without_free_memory_is_not_chosen():
