Refuse a returning client that cannot be served before it gives up

Cause: a client that came back after a refusal was always queued, also when the queue was longer than it waits; it was held until it left (price "worth held to the end").

Change: its due time is the time at which it gives up. The test fails on the code before.

--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -158,10 +158,11 @@
     def _refuse_if_late(self, pending: PendingReservation) -> None:
         ctx = self._ctx
         now_s = ctx.now_s()
-        if pending.first_event_due_s <= now_s:
-            # The first event is already late, and a refused client would not
-            # retry again, so the generation waits for free memory.
-            return
+        due_s = pending.first_event_due_s
+        if due_s <= now_s:
+            # The first event is late in any case, and a refused client would
+            # not retry again, so it may wait until its client gives up.
+            due_s = pending.abandon_s
         wait_s = self._expected_wait_s(pending)
         if wait_s <= 0:
             # Memory is available, so a refusal gains nothing. The predicted
@@ -169,7 +170,7 @@
             # that are served.
             return
         first_event_delay_s = self._first_event_delay_s(pending)
-        if now_s + wait_s + first_event_delay_s <= pending.first_event_due_s:
+        if now_s + wait_s + first_event_delay_s <= due_s:
             return
         after_s = self._retry_after_s(pending, wait_s)
         raise NoDecodeCapacity(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -542,3 +542,25 @@
                 assert got.complete
 
     run(work)
+
+
+def test_returning_client_that_cannot_be_served_is_refused_at_once():
+    """Guards against holding a client until it gives up.
+
+    The client returns after a refusal. So many generations run and wait that
+    memory is free only after it would have left.
+    """
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            ctx = kit.daemon.context
+            sizes = [RunSize(9_900, 10, 100, 8_000)]
+            ctx.loads.update_peer(
+                "other", ctx.now_s() + 60, {"d@1": PeerLoad(1, 0, sizes)}, 9
+            )
+            started_s = time.monotonic()
+            got = await kit.generate(X_Gooseberrypost_Deadline_Ms="1500")
+            assert got.status == 503
+            assert time.monotonic() - started_s < 0.5
+
+    run(work)
