--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -244,6 +244,7 @@
             self._remove_run(moved.server)
             self.ctx.spawn(transport.release_kv(moved.kv))
         if self._kv is not None:
+            self._count_waste("unused")
             self.ctx.spawn(transport.release_kv(self._kv))
             self._kv = None
         if self._reservation is not None:
@@ -278,6 +279,7 @@
             self.handle_refusal(server, failure)
             return None
         except AnswerLost as failure:
+            self._count_waste("prefill_lost")
             # A prefill has no side effects, so it may be repeated.
             self.handle_lost_answer(server, failure, repeatable=True)
             return None
@@ -377,10 +379,18 @@
         is_moved = migration.moved is not None
         if not is_moved and not isinstance(failure, StreamStalled):
             is_moved = await migration.fail_over(server, self._run)
+        if not is_moved:
+            self._count_waste("engine_lost")
         self.handle_lost_answer(
             server, failure, repeatable=is_moved or self._may_execute_again
         )
 
+    def _count_waste(self, cause: str) -> None:
+        """Count the prompt as prefilled without an answer from it."""
+        self.ctx.metrics.count(
+            "prefill_wasted_tokens_total", self._prompt.tokens, cause=cause
+        )
+
     def _start_progress(
         self, server: Server, kv: KvHandle | None
     ) -> StreamProgress:
@@ -463,6 +473,7 @@
         if self._kv_refusals <= 1 and age_s < reusable_s:
             self._kv = kv
         else:
+            self._count_waste("refused")
             self.ctx.spawn(self.ctx.transport.release_kv(kv))
 
     async def _forward(self, server: Server, answer: Answer) -> None:
--- a/src/gooseberrypost/platform/settings.py
+++ b/src/gooseberrypost/platform/settings.py
@@ -19,6 +19,12 @@
 METRICS_PORT: Final = 9_464
 """Port of the metrics; must match ``deploy/system.toml``."""
 
+ANSWER_BUFFER_SHARE: Final = 0.2
+"""Share of a VM's memory for answers that are buffered."""
+BYTES_PER_MB: Final = 1_000_000
+DEFAULT_MEMORY_MB: Final = 128
+"""Memory of a VM whose settings do not state it."""
+
 _MISSING: Final = object()
 
 
@@ -127,6 +133,11 @@
         # A number of retries per window, not a time.
         retry_budget_allowance=reader.number("bounds.budget_slack", 0),
         lease_ms=round(reader.number("bounds.lease_ms", 3_000)),
+        answer_buffer_bytes=round(
+            ANSWER_BUFFER_SHARE
+            * BYTES_PER_MB
+            * reader.number("limits.memory_mb", DEFAULT_MEMORY_MB)
+        ),
     )
     if reader.problems:
         return Err(SettingsInvalid(file, reader.problems))
--- a/tests/test_gateway_adapter.py
+++ b/tests/test_gateway_adapter.py
@@ -43,6 +43,9 @@
     assert cfg.retry_budget_allowance == 54
     assert cfg.internal_address == "10.1.0.35:7660"
     assert cfg.lease_ms == 3_000
+    small = {**SETTINGS, "limits": {"memory_mb": 88}}
+    found = decode_settings(json.dumps(small), "f").unwrap()
+    assert found.answer_buffer_bytes == 17_600_000
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -564,3 +564,25 @@
             assert time.monotonic() - started_s < 0.5
 
     run(work)
+
+
+@pytest.mark.parametrize(
+    ("fault", "cause"),
+    [
+        ({"refuses_kv_sources": True}, "refused"),
+        ({"mode": "reset"}, "engine_lost"),
+    ],
+)
+def test_wasted_prefill_is_counted_by_cause(fault, cause):
+    """Guards against prefills that are thrown away without a trace."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            for name, value in fault.items():
+                setattr(kit.engines["d"], name, value)
+            assert (await kit.generate()).status >= 500
+            metrics = kit.daemon.context.metrics
+            name = "prefill_wasted_tokens_total"
+            assert metrics.value(name, cause=cause) == 100
+
+    run(work)
