Try an engine again that refused a KV cache, if no other has memory

Cause: found by a test of the wasted-prefill counter. An engine that refused once was excluded for the rest of the request, also in the queue for memory: with a single decode engine the generation waited 1.8 s and was refused while the engine was empty.

Change: such engines are candidates if no other engine has memory. The test fails before.

--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -33,6 +33,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from gooseberrypost.gateway.context import GatewayContext
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.transport import Reservation
@@ -346,13 +348,25 @@
         return must_release_reservation(sizes, pending.run.size, kv_tokens)
 
     def _candidates(self, pending: PendingReservation) -> list[Server]:
+        """Return the engines that can admit a generation, in order.
+
+        Engines that refused this generation before come in only if no other
+        one has memory: they may have refused a KV cache that had expired.
+        """
+        return self._ranked(pending, pending.excluded) or (
+            self._ranked(pending, ()) if pending.excluded else []
+        )
+
+    def _ranked(
+        self, pending: PendingReservation, excluded: Collection[str]
+    ) -> list[Server]:
         ctx = self._ctx
         now_s = ctx.now_s()
         servers = eligible_servers(
             ctx.directory.available_servers(pending.service, now_s),
             ctx.loads,
             now_s,
-            pending.excluded,
+            excluded,
         )
         spec = ctx.engine_spec(pending.service)
         return rank_decode_engines(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -586,3 +586,22 @@
             assert metrics.value(name, cause=cause) == 100
 
     run(work)
+
+
+def test_engine_that_refused_a_kv_cache_is_used_again():
+    """Guards against refusing a client while an engine has free memory.
+
+    The only decode engine refused an expired KV cache. It was not tried again
+    and the request waited until it was refused.
+    """
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            engine = kit.engines["d"]
+            engine.refuses_kv_sources = True
+            task = asyncio.create_task(kit.generate())
+            await kit.until(lambda: len(engine.received) == 1)
+            engine.refuses_kv_sources = False
+            assert (await task).status == 200
+
+    run(work)
