Compare the pools by the load at which they begin to queue, from unbiased figures

Rated at 5 in 100 late first events the prefill pool seemed too small; the time of a run came from the generations that end first; a new lock holder took engines that it had seen once, queued behind others, for half as fast.

Change: rated at a quarter; the time of a run follows from the output rate; prefill speed counts from eight unqueued prompts; no reserve beyond half of the rate is waited for.

--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -38,6 +38,7 @@
     choose_stage_change,
     service_rate,
 )
+from gooseberrypost.policy.serverload import MIN_PREFILLS
 from gooseberrypost.policy.workloadestimate import WorkloadEstimate
 
 if TYPE_CHECKING:
@@ -164,7 +165,19 @@
             estimate = self._estimates.setdefault(
                 service.name, WorkloadEstimate()
             )
-            estimate.update(sizes, waiting, ctx.mean_decode_s(service.name))
+            estimate.update(sizes, waiting, self._run_s(service.name))
+
+    def _run_s(self, service: str) -> float:
+        """Return the mean time of a generation at its decode engine.
+
+        It follows from the output rate: the generations that have ended since
+        a start are shorter than the mean.
+        """
+        estimate = self._estimates.get(service)
+        tokens_per_s = self._ctx.loads.tokens_per_s
+        if estimate is None or not estimate.output_tokens or not tokens_per_s:
+            return self._ctx.mean_decode_s(service)
+        return estimate.output_tokens / tokens_per_s
 
     async def _ensure_lock(self) -> bool:
         """Acquire or keep the lock; return whether orders may be sent.
@@ -291,7 +304,7 @@
         return Workload(
             estimate.prompt_tokens,
             estimate.output_tokens,
-            ctx.mean_decode_s(service),
+            self._run_s(service),
             ctx.engine_spec(service).kv_tokens,
             ctx.directory.configuration.first_event_objective_s(service),
             estimate.demand_per_s,
@@ -311,7 +324,9 @@
             server.instance,
             stage,
             server.slots,
-            load.min_prefill_ms_per_token or usual_ms,
+            load.min_prefill_ms_per_token
+            if load.prefills >= MIN_PREFILLS
+            else usual_ms,
             loads.run_count(server.identity)
             + loads.prefill_tokens(server.identity),
         )
--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -48,15 +48,18 @@
 """
 REDUNDANT_POOL_ENGINES: Final = 2
 """Smallest pool that still has an engine after the loss of one."""
-MAX_UTILIZATION: Final = 0.7
+MAX_UTILIZATION: Final = 0.5
 """Share of the service rate up to which no engine changes its pool.
 
 Below it a higher rate gains nothing, and the change takes an engine away.
 """
 MIN_REMAINING_SHARE: Final = 0.95
 """Share of the service rate that must remain for a concurrent change."""
-LATE_SHARE: Final = 0.05
-"""Share of first events that may miss their objective at the rated load."""
+LATE_SHARE: Final = 0.25
+"""Share of first events that may miss their objective at the rated load.
+
+The pools are compared by the load at which each begins to miss it.
+"""
 QUEUEING_TIME_SHARE: Final = 0.8
 """Share of the first-event objective for queueing and prefill.
 
@@ -260,7 +263,7 @@
     distributed exponentially. Many servers can be used more than a few.
 
     >>> [round(rated_utilization(n, 0.15, 0.6), 2) for n in (1, 2, 4, 30)]
-    [0.44, 0.7, 0.84, 0.98]
+    [0.74, 0.86, 0.93, 0.99]
     """
     low, high = MIN_UTILIZATION, 1.0
     for _ in range(BISECTION_STEPS):
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -33,6 +33,8 @@
 
 The server is then avoided without a failure observed by this gateway.
 """
+MIN_PREFILLS: Final = 8
+"""Prompts from which on the observed prefill time is relied upon."""
 MIN_PREFILL_GROWTH: Final = 1.02
 """Factor by which the minimum prefill time rises with each observation.
 
@@ -58,6 +60,7 @@
         "outstanding",
         "prefill_ms_per_token",
         "prefill_tokens",
+        "prefills",
         "runs",
         "service_ms",
         "suspect_until_s",
@@ -75,6 +78,8 @@
         """Moving average of the time per request; 0 if not known."""
         self.prefill_ms_per_token = 0.0
         """Moving average, prompts queued before included; 0 if not known."""
+        self.prefills = 0
+        """Prompts that had no others queued before them."""
         self.min_prefill_ms_per_token = 0.0
         """Recent minimum, which excludes queueing; 0 if not known."""
         self.failures = 0
@@ -142,6 +147,7 @@
             self.prefill_ms_per_token, took_ms / (tokens + queued_tokens)
         )
         if not queued_tokens:
+            self.prefills += 1
             observed = took_ms / tokens
             minimum = self.min_prefill_ms_per_token * MIN_PREFILL_GROWTH
             self.min_prefill_ms_per_token = (
@@ -212,17 +218,21 @@
         return load
 
     def usual_prefill_ms_per_token(self, identities: Iterable[str]) -> float:
-        """Return the mean prefill time, without queueing, of some engines.
+        """Return the prefill time of a service's engines, without queueing.
 
-        Only engines with an observation count; 0 if there is none.
+        It is that of the fastest engine observed, as the first prompts at an
+        engine may have queued behind those of other gateways; 0 before
+        ``MIN_PREFILLS`` prompts.
         """
         observed = [
-            load.min_prefill_ms_per_token
+            load
             for identity in identities
             if (load := self._loads.get(identity)) is not None
-            and load.min_prefill_ms_per_token
+            and load.prefills
         ]
-        return sum(observed) / len(observed) if observed else 0.0
+        if sum(load.prefills for load in observed) < MIN_PREFILLS:
+            return 0.0
+        return min(load.min_prefill_ms_per_token for load in observed)
 
     def items(self) -> Iterable[tuple[str, ServerLoad]]:
         """Return this gateway's own load for each server identity."""
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -8,6 +8,7 @@
 
 from gooseberrypost.policy.enginememory import Run
 from gooseberrypost.policy.engineroster import EngineRoster
+from gooseberrypost.policy.serverload import MIN_PREFILLS
 from tests.gateway_kit import serving
 
 POOLS = (
@@ -35,7 +36,8 @@
 def load_pools(*daemons):
     for daemon in daemons:
         daemon.context.record_generation("llm", 2_000, 3.0)
-        daemon.context.loads.of("p@1").record_prefill(2_000, 40.0)
+        for _ in range(MIN_PREFILLS):
+            daemon.context.loads.of("p@1").record_prefill(2_000, 40.0)
         # More runs than the decode engine has memory for.
         daemon.context.loads.of("d@1").runs.update(
             Run(2_000, 2_000) for _ in range(4)
