Count a stage order until its engine has changed, also when its record lapsed

Change: the removal of a record says nothing; a refused order is replaced by a record of the stage that the engine keeps. The new test fails on the code before; the test of refused orders now checks that the engine is used, as its entry stays.

--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -94,7 +94,7 @@
     """
     stage_orders: tuple[StageOrder, ...] = ()
     stage_orders_removed: tuple[str, ...] = ()
-    """Engine instances whose stage orders were removed."""
+    """Engine instances whose records of stage orders were removed."""
 
     @property
     def is_empty(self) -> bool:
@@ -155,7 +155,8 @@
         self.stage_orders: dict[str, tuple[Stage, float]] = {}
         """Ordered stage and monotonic time of the order, by engine instance.
 
-        An entry is removed once the engine registers with that stage.
+        An entry is removed once the engine registers with that stage; one with
+        the engine's own stage stands for an order that was cancelled.
         """
 
     def available_servers(self, service: str, now_s: float) -> list[Server]:
@@ -299,8 +300,12 @@
             directory.stage_lock_holder = update.stage_lock_holder or ""
         elif update.stage_lock_holder is not None:
             directory.stage_lock_holder = update.stage_lock_holder
-        for instance in update.stage_orders_removed:
-            directory.stage_orders.pop(instance, None)
+        # A record is removed when its holder's lease ends. The engine may
+        # still execute the order, so it counts until the engine registers with
+        # the stage, or until ``STAGE_ORDER_TIMEOUT_S``.
+        for instance, (_, since_s) in list(directory.stage_orders.items()):
+            if now_s - since_s > STAGE_ORDER_TIMEOUT_S:
+                del directory.stage_orders[instance]
         for order in update.stage_orders:
             directory.stage_orders[order.instance] = order.stage, now_s
             directory.last_stage_order_s[order.holder] = now_s
--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -24,7 +24,7 @@
 from mode import Service
 
 from gooseberrypost.errors import Failure
-from gooseberrypost.gateway.model import Stage
+from gooseberrypost.gateway.model import Stage, StageOrder
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.gateway.transport import (
     AnswerLost,
@@ -43,7 +43,7 @@
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.context import GatewayContext
-    from gooseberrypost.gateway.model import Server, StageOrder
+    from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.peers import Peers
 
 CHECK_INTERVAL_S: Final = 0.25
@@ -91,12 +91,14 @@
         """
 
     @abstractmethod
-    async def remove_order(
-        self, fencing_token: int, order: StageOrder
+    async def cancel_order(
+        self, fencing_token: int, lease: int, order: StageOrder
     ) -> None:
-        """Remove the record of an order that was refused or not sent.
+        """Replace the record of an order that was refused or not sent.
 
-        Raises ``StageLockLost``.
+        ``order`` names the stage that the engine has. A record that is only
+        removed may have lapsed with its holder's lease while the engine
+        executes the order. Raises ``StageLockLost``.
         """
 
 
@@ -361,7 +363,7 @@
             self._record_outcome(
                 server, order, report.accepted_orders, "confirmation expired"
             )
-            await self._lock.remove_order(self._fencing_token, order)
+            await self._cancel_order(server)
             return
         # Set here at once, as the watch delivers the record only later.
         ctx.directory.stage_orders[order.instance] = order.stage, ctx.now_s()
@@ -381,7 +383,7 @@
                 report.accepted_orders,
                 f"status {failure.status}",
             )
-            await self._lock.remove_order(self._fencing_token, order)
+            await self._cancel_order(server)
         except (ServerUnreachable, AnswerLost) as failure:
             # The engine may still execute the order, so the record stays.
             self._record_outcome(
@@ -392,6 +394,13 @@
                 server, order, report.accepted_orders, "accepted"
             )
 
+    async def _cancel_order(self, server: Server) -> None:
+        """Record that an engine keeps its stage."""
+        ctx = self._ctx
+        kept = StageOrder(server.instance, server.stage, ctx.settings.name)
+        ctx.directory.stage_orders.pop(server.instance, None)
+        await self._lock.cancel_order(self._fencing_token, self._lease, kept)
+
     def _log_due_change(self, service: str, order: StageOrder) -> None:
         """Log a change with the workload that makes it due."""
         workload = self._workload(service)
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -96,14 +96,8 @@
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise StageLockLost(str(failure)) from failure
 
-    async def remove_order(
-        self, fencing_token: int, order: StageOrder
+    async def cancel_order(
+        self, fencing_token: int, lease: int, order: StageOrder
     ) -> None:
-        """Remove the record of a refused order."""
-        key = f"{names.STAGE_ORDERS_PREFIX}{order.instance}"
-        try:
-            await self._store.write(
-                [], {names.STAGE_HOLDER_KEY: fencing_token}, removed=[key]
-            )
-        except (ConditionFailed, FeedLost, LeaseEnded) as failure:
-            raise StageLockLost(str(failure)) from failure
+        """Replace the record of an order that was refused or not sent."""
+        await self.record_order(fencing_token, lease, order)
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -276,7 +276,7 @@
 
     def __init__(self, clock: list[float], suspended_s: float):
         self.clock, self.suspended_s = clock, suspended_s
-        self.removed: list[str] = []
+        self.cancelled: list[str] = []
 
     async def acquire(self, name, lease):
         return 7
@@ -284,8 +284,9 @@
     async def record_order(self, fencing_token, lease, order):
         self.clock[0] += self.suspended_s
 
-    async def remove_order(self, fencing_token, order):
-        self.removed.append(order.instance)
+    async def cancel_order(self, fencing_token, lease, order):
+        assert order.stage is Stage.PREFILL
+        self.cancelled.append(order.instance)
 
 
 @pytest.mark.parametrize("suspended_s", [0.0, 5.0])
@@ -309,7 +310,7 @@
             engine = kit.engines["p"]
             orders = [one for one in engine.control if one.method == "POST"]
             assert len(orders) == (0 if suspended_s else 1)
-            assert lock.removed == (["p"] if suspended_s else [])
+            assert lock.cancelled == (["p"] if suspended_s else [])
 
     asyncio.run(work())
 
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import replace
 
 from gooseberrypost.policy.enginememory import Run
@@ -174,7 +175,51 @@
             load_pools(kit.daemon)
             await kit.until(lambda: orders(kit), wait_s=10.0)
             directory = kit.daemon.context.directory
-            await kit.until(lambda: not directory.stage_orders)
+            ordered = orders(kit)[0].header("Expect-Instance")
+            server = next(
+                one
+                for one in directory.servers.all()
+                if one.instance == ordered
+            )
+            # Also after the watch has delivered both records.
+            await asyncio.sleep(0.5)
+            assert not directory.is_changing_stage(server, time.monotonic())
+
+    run(work)
+
+
+def test_ordered_engine_is_avoided_after_its_order_record_lapsed():
+    """Guards against using an engine that is changing its pool.
+
+    The record of an order is removed with the lease of its holder. While the
+    engine executed the order, it refused 40 requests of other gateways, which
+    took it for a decode engine again.
+    """
+
+    async def work():
+        async with serving(*POOLS, lease_ms=500) as kit:
+            other = await kit.gateway("gateway-2", lease_ms=500)
+            try:
+                load_pools(kit.daemon)
+                await kit.until(lambda: orders(kit), wait_s=10.0)
+                ordered = orders(kit)[0].header("Expect-Instance")
+                directory = other.context.directory
+                await kit.until(lambda: ordered in directory.stage_orders)
+                await kit.daemon.stop()
+                keys = kit.store.items
+                prefix = "gooseberrypost/stage-orders/"
+                await kit.until(
+                    lambda: not any(key.startswith(prefix) for key in keys)
+                )
+                await asyncio.sleep(0.3)
+                server = next(
+                    one
+                    for one in directory.servers.all()
+                    if one.instance == ordered
+                )
+                assert directory.is_changing_stage(server, time.monotonic())
+            finally:
+                await other.stop()
 
     run(work)
 
