--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 import aiohttp
@@ -65,7 +66,8 @@
             async with self.session.get("/load", timeout=timeout) as reply:
                 if reply.status == HTTP_NOT_FOUND:
                     return Ok(LoadReport())
-                document = await reply.json(content_type=None)
+                content = await read_bounded(reply, MAX_REPLY_BYTES)
+                document = json.loads(content)
             return LoadReport.from_document(document)
         except (*TRANSPORT_ERRORS, ValueError) as exc:
             return Err(failure_from_exception(exc))
