--- a/tests/scenarios/processes.py
+++ b/tests/scenarios/processes.py
@@ -73,6 +73,9 @@
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "PYTHONPATH": str(SOURCE)},
+                # In the group of the tests, the end of the shell that started
+                # them would continue a stopped daemon.
+                process_group=0,
             )
 
     def signal(self, number: signal.Signals):
