Split the balance of pools, the notices and the connections into modules of one job

No change of behaviour. Notices that are out of range have a failure of their own (NoticeInvalid); a refused order is recorded with record_order, so cancel_order is gone.

The rated load of a prefill pool is held to the target of 5 in 100, not to the constant in use, which had moved to a quarter; the small gain in an overload is tested on pools whose gain is small (the former condition never held); endless interim answers have the same limit of bytes as the others.

--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -25,7 +25,7 @@
     from gooseberrypost.gateway.directory import Feed
     from gooseberrypost.gateway.frontend import Decoder
     from gooseberrypost.gateway.peers import Registry
-    from gooseberrypost.gateway.stages import StageLock
+    from gooseberrypost.gateway.stagelock import StageLock
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
 
--- /dev/null
+++ b/src/gooseberrypost/gateway/notices.py
@@ -0,0 +1,128 @@
+"""Decodes and checks the load notices of other gateways.
+
+A notice comes from any sender that reaches the port, so a field may be
+missing or out of range. Such a notice is rejected as a whole.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from result import Err
+
+from gooseberrypost.errors import Failure
+from gooseberrypost.policy.enginememory import RunSize
+from gooseberrypost.policy.serverload import PeerLoad
+from gooseberrypost.wire.codec import LENGTH_BYTES, decode
+from gooseberrypost.wire.messages import idl
+
+if TYPE_CHECKING:
+    from gooseberrypost.policy.serverload import ServerLoad
+
+
+class NoticeInvalid(Failure):
+    """A datagram is no load notice, or has a field out of range."""
+
+    code = "notice_invalid"
+
+
+@dataclass(slots=True, frozen=True)
+class Notice:
+    """Load of one gateway, as it was at the time of sending."""
+
+    name: str
+    """Gateway that sent the notice."""
+    incarnation: int
+    """Random number of one start of the sender."""
+    sequence: int
+    """Increases with each notice of an incarnation."""
+    loads: dict[str, PeerLoad]
+    """Load of the sender on each server, by server identity."""
+    waiting: int
+    """Generations that wait for memory at the sender."""
+    outputs: dict[str, float]
+    """Typical output tokens by service."""
+    rank_ms: int | None
+    """Queue rank of the sender's first waiting generation."""
+    unreachable: tuple[str, ...]
+    """Identities of servers that the sender could not reach."""
+
+
+def decode_notice(data: bytes) -> Notice:
+    """Decode a datagram; raises ``NoticeInvalid``."""
+    decoded = decode(data[LENGTH_BYTES:])
+    if isinstance(decoded, Err):
+        raise NoticeInvalid(decoded.err_value.detail)
+    message = decoded.ok_value.message
+    if not isinstance(message, idl.LoadNotice):
+        raise NoticeInvalid(f"{type(message).__name__} instead of LoadNotice")
+    try:
+        return _notice(message)
+    except (TypeError, AttributeError) as exc:
+        raise NoticeInvalid(f"missing field: {exc}") from exc
+
+
+def encode_server_load(identity: str, load: ServerLoad) -> Any:
+    """Return the part of a notice that describes the load on one server."""
+    sizes = [run.size for run in load.runs]
+    return idl.ServerLoadNotice(
+        identity=identity,
+        outstanding=load.outstanding,
+        prefill_tokens=load.prefill_tokens,
+        run_tokens=[size.tokens for size in sizes],
+        run_produced=[size.produced for size in sizes],
+        run_expected=[size.expected for size in sizes],
+        run_limit=[size.max_output for size in sizes],
+    )
+
+
+def _notice(message: Any) -> Notice:
+    return Notice(
+        message.name,
+        message.incarnation,
+        message.sequence,
+        {
+            server.identity: PeerLoad(
+                _count(server.outstanding),
+                _count(server.prefill_tokens),
+                _run_sizes(server),
+            )
+            for server in message.servers
+        },
+        _count(message.waiting or 0),
+        {
+            output.service_name: _length(output.tokens)
+            for output in message.outputs or ()
+        },
+        message.turn_ms,
+        tuple(message.gone or ()),
+    )
+
+
+def _run_sizes(server: Any) -> list[RunSize]:
+    return [
+        RunSize(*map(_count, fields))
+        for fields in zip(
+            server.run_tokens,
+            server.run_produced,
+            server.run_expected,
+            server.run_limit,
+            strict=False,
+        )
+    ]
+
+
+def _count(value: int) -> int:
+    """Return a count; raises ``NoticeInvalid`` if it is negative."""
+    if value < 0:
+        raise NoticeInvalid(f"{value} is negative")
+    return value
+
+
+def _length(tokens: float) -> float:
+    """Return a length; raises ``NoticeInvalid`` if it is none."""
+    if not 0 <= tokens < math.inf:
+        raise NoticeInvalid(f"{tokens} is not a length")
+    return tokens
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -8,25 +8,24 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any, Final
 
 from absl import logging
 from mode import Service
-from result import Err
 
 from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.notices import (
+    NoticeInvalid,
+    decode_notice,
+    encode_server_load,
+)
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.identity import new_incarnation
-from gooseberrypost.policy.enginememory import RunSize
-from gooseberrypost.policy.serverload import PeerLoad
 from gooseberrypost.wire.codec import (
-    LENGTH_BYTES,
     MAX_CORRELATION,
     Frame,
-    decode,
     encode,
     peek_correlation,
 )
@@ -34,7 +33,6 @@
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.context import GatewayContext
-    from gooseberrypost.policy.serverload import ServerLoad
 
 NOTICE_INTERVAL_S: Final = 0.3
 """Interval of notices while the load does not change.
@@ -49,8 +47,6 @@
 UNREGISTERED_PEER_S: Final = 10.0
 """Time for which notices go to an unregistered gateway after its last notice,
 as registrations lapse while the store is unavailable."""
-
-
 INVALID_LOG_INTERVAL_S: Final = 1.0
 """Interval of log lines on invalid notices."""
 
@@ -168,59 +164,44 @@
             for sender, (data, received_s) in pending.items():
                 try:
                     self._process_notice(sender, data, received_s)
-                except (TypeError, ValueError, AttributeError) as exc:
-                    # A field is missing or has a value out of range.
-                    self._count_invalid(sender, exc)
+                except NoticeInvalid as failure:
+                    self._count_invalid(sender, failure)
 
-    def _count_invalid(self, sender: str, reason: object) -> None:
+    def _count_invalid(self, sender: str, failure: NoticeInvalid) -> None:
         """Count an invalid notice; one line is logged at each interval."""
         self._ctx.metrics.count("notices_invalid_total")
         now_s = time.monotonic()
         if now_s >= self._next_invalid_log_s:
             self._next_invalid_log_s = now_s + INVALID_LOG_INTERVAL_S
             logging.warning(
-                "event=notice_invalid sender=%s detail=%r", sender, reason
+                "event=notice_invalid sender=%s detail=%r",
+                sender,
+                failure.detail,
             )
 
     def _process_notice(
         self, sender: str, data: bytes, received_s: float
     ) -> None:
-        """Apply a notice unless a newer one from its sender was applied."""
-        decoded = decode(data[LENGTH_BYTES:])
-        if isinstance(decoded, Err):
-            self._count_invalid(sender, decoded.err_value.detail)
-            return
-        notice = decoded.ok_value.message
-        if not isinstance(notice, idl.LoadNotice):
-            self._count_invalid(sender, type(notice).__name__)
-            return
+        """Apply a notice unless a newer one from its sender was applied.
+
+        Raises ``NoticeInvalid``.
+        """
+        notice = decode_notice(data)
         incarnation, sequence = self._last_sequences.get(notice.name, (0, 0))
         # Incarnations are random: a different one means that the sender
         # restarted, whichever number is higher.
         if notice.incarnation == incarnation and notice.sequence <= sequence:
             return
-        loads = {
-            server.identity: PeerLoad(
-                _count(server.outstanding),
-                _count(server.prefill_tokens),
-                _run_sizes(server),
-            )
-            for server in notice.servers
-        }
-        outputs = {
-            output.service_name: _length(output.tokens)
-            for output in notice.outputs or ()
-        }
         self._last_sequences[notice.name] = notice.incarnation, notice.sequence
         self._last_seen[notice.name] = sender, received_s
         self._ctx.loads.update_peer(
             notice.name,
             received_s,
-            loads,
-            _count(notice.waiting or 0),
-            outputs,
-            notice.turn_ms,
-            notice.gone or (),
+            notice.loads,
+            notice.waiting,
+            notice.outputs,
+            notice.rank_ms,
+            notice.unreachable,
         )
 
     async def _send_notices(self) -> None:
@@ -271,7 +252,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             servers=[
-                _server_notice(identity, load)
+                encode_server_load(identity, load)
                 for identity, load in self._ctx.loads.items()
                 if load.outstanding or load.runs
             ],
@@ -317,43 +298,3 @@
                 if is_expired or isinstance(failure, RegistrationLapsed):
                     self.lease = 0
                 await self.sleep(REGISTRATION_RETRY_S)
-
-
-def _server_notice(identity: str, load: ServerLoad) -> Any:
-    sizes = [run.size for run in load.runs]
-    return idl.ServerLoadNotice(
-        identity=identity,
-        outstanding=load.outstanding,
-        prefill_tokens=load.prefill_tokens,
-        run_tokens=[size.tokens for size in sizes],
-        run_produced=[size.produced for size in sizes],
-        run_expected=[size.expected for size in sizes],
-        run_limit=[size.max_output for size in sizes],
-    )
-
-
-def _count(value: int) -> int:
-    """Return a count of a notice; raises ``ValueError`` if it is negative."""
-    if value < 0:
-        raise ValueError(f"{value} is negative")
-    return value
-
-
-def _length(tokens: float) -> float:
-    """Return a mean length; raises ``ValueError`` unless it is a length."""
-    if not 0 <= tokens < math.inf:
-        raise ValueError(f"{tokens} is no length")
-    return tokens
-
-
-def _run_sizes(notice: Any) -> list[RunSize]:
-    return [
-        RunSize(*map(_count, fields))
-        for fields in zip(
-            notice.run_tokens,
-            notice.run_produced,
-            notice.run_expected,
-            notice.run_limit,
-            strict=False,
-        )
-    ]
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -10,7 +10,7 @@
     RegistrationLapsed,
     Registry,
 )
-from gooseberrypost.gateway.stages import StageLock, StageLockLost
+from gooseberrypost.gateway.stagelock import StageLock, StageLockLost
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import encode_stage_order
 from gooseberrypost.platform.store import (
@@ -95,9 +95,3 @@
             )
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise StageLockLost(str(failure)) from failure
-
-    async def cancel_order(
-        self, fencing_token: int, lease: int, order: StageOrder
-    ) -> None:
-        """Replace the record of an order that was refused or not sent."""
-        await self.record_order(fencing_token, lease, order)
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -18,7 +18,7 @@
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.directory import FeedLost, HistoryLost
 from gooseberrypost.platform import names
-from gooseberrypost.platform.engines import new_tcp_socket
+from gooseberrypost.platform.connections import new_tcp_socket
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/src/gooseberrypost/policy/poolbalance.py
+++ b/src/gooseberrypost/policy/poolbalance.py
@@ -127,7 +127,7 @@
     decode_pool = [
         engine for engine in engines if engine.stage is not Stage.PREFILL
     ]
-    prefill = _prefill_pool_rate(prefill_pool, workload)
+    prefill = prefill_pool_rate(prefill_pool, workload)
     decode = _decode_pool_rate(decode_pool, workload)
     decode_prefill = DECODE_PREFILL_RATE_SHARE * sum(
         _prefill_rate(engine, workload) for engine in decode_pool
@@ -221,17 +221,21 @@
     return best, movable[0] if movable else None
 
 
-def _prefill_pool_rate(
-    engines: Sequence[PoolEngine], workload: Workload
+def prefill_pool_rate(
+    engines: Sequence[PoolEngine],
+    workload: Workload,
+    late_share: float = LATE_SHARE,
 ) -> float:
-    """Return the rate at which prompts are prefilled in time."""
+    """Return the rate at which ``late_share`` of the prompts are late."""
     if not engines:
         return 0.0
     rates = [_prefill_rate(engine, workload) for engine in engines]
     prefill_s = len(rates) / sum(rates)
     clump_s = (PROMPTS_PER_CLUMP - 1) * prefill_s / math.sqrt(len(rates))
     slack_s = _queueing_time_s(workload, prefill_s) - clump_s
-    return sum(rates) * rated_utilization(len(rates), prefill_s, slack_s)
+    return sum(rates) * rated_utilization(
+        len(rates), prefill_s, slack_s, late_share
+    )
 
 
 def _decode_pool_rate(
@@ -253,9 +257,12 @@
 
 
 def rated_utilization(
-    servers: float, service_s: float, slack_s: float
+    servers: float,
+    service_s: float,
+    slack_s: float,
+    late_share: float = LATE_SHARE,
 ) -> float:
-    """Return the utilization at which few requests wait too long in a queue.
+    """Return the utilization at which ``late_share`` of requests are late.
 
     ``service_s`` is the time that a request takes one of ``servers``, and
     ``slack_s`` the time that it may wait before. The probability to wait at
@@ -272,7 +279,7 @@
         late = _wait_probability(spare / math.sqrt(servers)) * math.exp(
             -spare * max(slack_s, 0.0) / service_s
         )
-        if late > LATE_SHARE:
+        if late > late_share:
             high = middle
         else:
             low = middle
--- a/tests/test_gateway_policy.py
+++ b/tests/test_gateway_policy.py
@@ -27,10 +27,12 @@
 from gooseberrypost.policy.membership import LAPSE_GRACE_S, ServerList
 from gooseberrypost.policy.migration import run_to_migrate
 from gooseberrypost.policy.poolbalance import (
-    LATE_SHARE,
+    MIN_GAIN,
+    MIN_GAIN_IN_OVERLOAD,
     PoolEngine,
     Workload,
     choose_stage_change,
+    prefill_pool_rate,
     service_rate,
 )
 from gooseberrypost.policy.queueorder import (
@@ -592,21 +594,21 @@
 def test_overloaded_pool_gets_an_engine_for_a_small_gain():
     """Guards against a burst in which the pools wait for a larger imbalance.
 
-    Pattern: three engines in each pool, 9 requests a second, of which the
-    decode pool has memory for 6.4; with one more engine it has for 8.9.
+    Pattern: two prefill and six decode engines are rated at 11.3 requests a
+    second, three and five at 12.7, a gain of 13 in 100.
     """
-    workload = Workload(3_000, 830, 3.07, 37_952, 0.9, demand_per_s=9.0)
-    change = choose_stage_change(chat_engines(3, 3), workload)
-    assert change is not None
-    assert change.stage is Stage.DECODE
-    calm = replace(workload, demand_per_s=7.0)
+    workload = chat_workload(37_952)
     rates = [
-        service_rate(chat_engines(*pools), workload)
-        for pools in ((3, 3), (2, 4))
+        service_rate(chat_engines(prefill, 8 - prefill), workload)
+        for prefill in (2, 3)
     ]
-    assert rates[0] < 9.0
-    if rates[1] < 1.15 * rates[0]:
-        assert choose_stage_change(chat_engines(3, 3), calm) is None
+    assert MIN_GAIN_IN_OVERLOAD < rates[1] / rates[0] < MIN_GAIN
+    overloaded = replace(workload, demand_per_s=rates[0] + 1)
+    change = choose_stage_change(chat_engines(2, 6), overloaded)
+    assert change is not None
+    assert change.stage is Stage.PREFILL
+    served = replace(workload, demand_per_s=rates[0] - 1)
+    assert choose_stage_change(chat_engines(2, 6), served) is None
 
 
 def late_share(engines: int, per_s: float, prefill_s: float) -> float:
@@ -625,19 +627,18 @@
 
 @given(st.integers(1, 6), st.floats(0.05, 0.3))
 @settings(max_examples=20, deadline=None)
-def test_rated_load_of_a_prefill_pool_meets_the_objective(engines, prefill_s):
-    """Guards against a rated load at which first events miss the objective.
+def test_rated_load_of_a_prefill_pool_keeps_its_late_share(engines, prefill_s):
+    """Guards against a rated load at which more first events are late.
 
-    Prompts arrive in pairs and go to the shortest queue.
+    The share is that of the target, 5 in 100. Prompts arrive in pairs and go
+    to the shortest queue.
     """
     pool = [
         PoolEngine(str(n), Stage.PREFILL, 64, 1_000 * prefill_s / 3_200)
         for n in range(engines)
     ]
-    # A decode engine with memory for any number of runs that prefills nothing.
-    pool += [PoolEngine("d", Stage.DECODE, 10**9, 10.0**6)]
-    per_s = service_rate(pool, chat_workload(10**12))
-    assert late_share(engines, per_s, prefill_s) <= LATE_SHARE
+    per_s = prefill_pool_rate(pool, chat_workload(37_952), late_share=0.05)
+    assert late_share(engines, per_s, prefill_s) <= 0.05
 
 
 def test_route_with_the_longest_prefix_is_chosen():
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -18,11 +18,11 @@
     AnswerFrame,
     FramingTooLarge,
 )
-from gooseberrypost.gateway import stages
 from gooseberrypost.gateway.context import GatewayContext
 from gooseberrypost.gateway.directory import Directory
 from gooseberrypost.gateway.model import Server, Stage, StageOrder
 from gooseberrypost.gateway.peers import Peers
+from gooseberrypost.gateway.stagelock import StageLock
 from gooseberrypost.gateway.stages import StageController
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.metrics import Metrics
@@ -235,7 +235,8 @@
     [
         ("peers", "_send_notice"),
         ("peers", "_expire_stale_peers"),
-        ("stages", "_observe_workload"),
+        ("pools", "observe"),
+        ("stages", "_ensure_lock"),
         ("stages", "_balance_pools"),
         ("queue", "_allocate"),
     ],
@@ -249,6 +250,7 @@
             found = {
                 "peers": daemon.peers,
                 "queue": daemon.context.reservation_queue,
+                "pools": daemon.stages._pools,
                 "stages": daemon.stages,
             }[service]
             original = getattr(found, method)
@@ -271,23 +273,20 @@
     asyncio.run(work())
 
 
-class SlowLock(stages.StageLock):
+class SlowLock(StageLock):
     """Stage lock whose confirmation arrives while the VM is suspended."""
 
     def __init__(self, clock: list[float], suspended_s: float):
         self.clock, self.suspended_s = clock, suspended_s
-        self.cancelled: list[str] = []
+        self.recorded: list[Stage] = []
 
     async def acquire(self, name, lease):
         return 7
 
     async def record_order(self, fencing_token, lease, order):
+        self.recorded.append(order.stage)
         self.clock[0] += self.suspended_s
 
-    async def cancel_order(self, fencing_token, lease, order):
-        assert order.stage is Stage.PREFILL
-        self.cancelled.append(order.instance)
-
 
 @pytest.mark.parametrize("suspended_s", [0.0, 5.0])
 def test_suspended_lock_holder_sends_no_order(suspended_s):
@@ -310,7 +309,9 @@
             engine = kit.engines["p"]
             orders = [one for one in engine.control if one.method == "POST"]
             assert len(orders) == (0 if suspended_s else 1)
-            assert lock.cancelled == (["p"] if suspended_s else [])
+            # An order that was not sent is replaced by the present stage.
+            kept = [Stage.PREFILL] if suspended_s else []
+            assert lock.recorded == [Stage.DECODE, *kept]
 
     asyncio.run(work())
 
--- a/tests/test_gateway_trouble.py
+++ b/tests/test_gateway_trouble.py
@@ -72,11 +72,8 @@
             )
             assert got.status in (502, 504)
             assert time.monotonic() - started_s < 4.0
-            sent = engine.sent_bytes
             await kit.until(lambda: not engine.tasks)
-            assert engine.sent_bytes <= max(sent, 1) + MAX_READ_BYTES
-            if mode != "endless_interim":
-                assert engine.sent_bytes <= MAX_READ_BYTES
+            assert engine.sent_bytes <= MAX_READ_BYTES
             engine.mode = "answer"
             assert (await kit.call("/safe/x")).status == (
                 200 if route == "once" else 503
