Log the content digest of a failed attempt

Hypotheses 1 and 2 on the request that crashes engines differ in which gateways sent the same content, and no log line told: a repetition has an id of its own. server_failed now names a digest of host, method, target and body. The test failed before, as the lines had no such field.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
 from gooseberrypost.gateway.reply import DeadlineExceeded
 from gooseberrypost.gateway.transport import WrongInstance
+from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.serverchoice import eligible_servers
 
 if TYPE_CHECKING:
@@ -100,6 +102,13 @@
     def cancels_on_disconnect(self) -> bool:
         """Whether to cancel the request when its client disconnects."""
 
+    @cached_property
+    def content(self) -> str:
+        """Digest of what a client sent, equal for each repetition of it."""
+        req = self.req
+        scope = f"{req.host.lower()} {req.method} {req.target}"
+        return content_digest(scope, req.body).hex()
+
     @property
     def events_sent(self) -> int:
         """Number of stream events forwarded to the client."""
@@ -223,6 +232,7 @@
             attempts=self.attempts,
             events=self.events_sent,
             code=failure.code,
+            content=self.content,
             detail=failure.detail,
         )
         self.ctx.metrics.count("server_failures_total", code=failure.code)
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -82,3 +82,22 @@
     assert events(found)[-2:] == ["server_failed", "failed"]
     assert "server=d" in found[-2]
     assert "events=1" in found[-2]
+
+
+def test_failures_of_the_same_content_are_related(lines):
+    """Guards against repetitions that no log line relates to each other."""
+
+    async def work():
+        async with serving(("a", "desk", "")) as kit:
+            kit.engines["a"].mode = "reset"
+            for body in (b"same", b"same", b"other"):
+                assert (await kit.call("/once/x", body=body)).status == 502
+
+    asyncio.run(work())
+    failed = [
+        re.search(r"event=server_failed .*content=(\w+)", line)[1]
+        for request in ("r1", "r2", "r3")
+        for line in lines(request)
+        if "event=server_failed" in line
+    ]
+    assert failed[0] == failed[1] != failed[2]
