--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import struct
+from collections.abc import Callable
 
 SIGNATURE = "X-Gooseberrypost-Server-Stamp: sig"
 NOT_EXECUTED = "X-Gooseberrypost-Not-Executed: 1"
@@ -61,6 +62,12 @@
         self.refuses_kv_sources = False
         """Whether requests that fetch KV from another engine get 503."""
         self.tasks: set[asyncio.Task] = set()
+        self.connections: set[asyncio.StreamWriter] = set()
+        self.crashes_on: Callable[[Received], bool] = lambda request: False
+        """Which requests end the server's process as their answer begins."""
+        self.crash_after_s = 0.02
+        """Time from the start of such a request to the end of the process."""
+        self.crashes = 0
 
     @property
     def address(self) -> str:
@@ -92,9 +99,22 @@
         for task in list(self.tasks):
             task.cancel()
 
+    def crash(self):
+        """Stop listening and reset every connection, as a killed process."""
+        self.crashes += 1
+        self.server.close()
+        for writer in list(self.connections):
+            reset_connection(writer)
+
+    async def restart(self, instance: str):
+        """Listen again at the same address, as another instance."""
+        self.instance = instance
+        await self.start(self.address)
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self.tasks.add(task)
+        self.connections.add(writer)
         try:
             request = await self._read(reader)
             if request is not None:
@@ -103,6 +123,7 @@
             return
         finally:
             self.tasks.discard(task)
+            self.connections.discard(writer)
             writer.close()
 
     async def _read(self, reader) -> Received | None:
@@ -151,6 +172,9 @@
             )
         else:
             self.executed.append(request_id)
+        if self.crashes_on(request):
+            await asyncio.sleep(self.crash_after_s)
+            return self.crash()
         execution = asyncio.ensure_future(
             getattr(self, f"_mode_{self.mode}")(request, writer)
         )
