Quarantine requests under which servers crash, at all gateways

Cause: the crash of a server told a gateway something about the server, and nothing about what the server was running. A repetition is a new attempt with a new id, so that no list of excluded servers, no limit of attempts and no retry budget covers it.

Change: a gateway that loses an answer asks whether the server has ended, and if so reports the content that it lost there. Reports and the verdicts drawn from them go to the other gateways with the load notices, and verdicts into the store, which outlasts the gateways.

An operator ends a wrong verdict by removing its key.

Also tested: restart of all gateways, a store that is down, release by the operator, answered content.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -11,6 +11,7 @@
 
 from gooseberrypost.gateway.buffering import BufferLimit
 from gooseberrypost.gateway.model import EngineSpec
+from gooseberrypost.gateway.quarantine import Quarantine
 from gooseberrypost.gateway.reservation_queue import ReservationQueue
 from gooseberrypost.logs import format_fields
 from gooseberrypost.metrics import Metrics
@@ -75,6 +76,7 @@
     reservation_queue: ReservationQueue = field(init=False)
     notify_loads_changed: Callable[[], None] = lambda: None
     """Callback to call when this gateway's load on the engines changes."""
+    quarantine: Quarantine = field(init=False)
     buffer_limit: BufferLimit = field(init=False)
     """Bounds the memory of answers that are buffered."""
     _output_lengths: dict[str, OutputLengths] = field(default_factory=dict)
@@ -88,6 +90,7 @@
 
     def __post_init__(self) -> None:
         self.reservation_queue = ReservationQueue(self)
+        self.quarantine = Quarantine(self)
         self.buffer_limit = BufferLimit(self.settings.answer_buffer_bytes)
 
     def budget(self, service: str) -> GatewayRetryBudget:
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -14,6 +14,7 @@
 from gooseberrypost.gateway.directory import FeedWatcher, add_directory
 from gooseberrypost.gateway.frontend import Frontend, MonitoringServer
 from gooseberrypost.gateway.peers import Peers
+from gooseberrypost.gateway.quarantine import ConvictionKeeper
 from gooseberrypost.gateway.stages import StageController
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.lifecycle import LifecycleController, State
@@ -25,6 +26,7 @@
     from gooseberrypost.gateway.directory import Feed
     from gooseberrypost.gateway.frontend import Decoder
     from gooseberrypost.gateway.peers import Registry
+    from gooseberrypost.gateway.quarantine import ConvictionStore
     from gooseberrypost.gateway.stagelock import StageLock
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
@@ -51,6 +53,7 @@
         feed: Feed,
         registry: Registry,
         stage_lock: StageLock,
+        convictions: ConvictionStore,
         decode: Decoder,
         rng: random.Random,
     ) -> None:
@@ -74,6 +77,7 @@
             ),
             self.peers,
             self.stages,
+            ConvictionKeeper(self.context, convictions),
         ):
             self.add_dependency(service)
 
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -95,6 +95,8 @@
     stage_orders: tuple[StageOrder, ...] = ()
     stage_orders_removed: tuple[str, ...] = ()
     """Engine instances whose records of stage orders were removed."""
+    convictions: Mapping[str, int | None] = field(default_factory=dict)
+    """Wall-clock time in ms of each conviction by content; None if removed."""
 
     @property
     def is_empty(self) -> bool:
@@ -106,6 +108,7 @@
             or self.gateways
             or self.stage_orders
             or self.stage_orders_removed
+            or self.convictions
             or self.stage_lock_holder is not None
         )
 
@@ -135,6 +138,7 @@
 
     __slots__ = (
         "configuration",
+        "convictions",
         "gateways",
         "last_stage_order_s",
         "servers",
@@ -148,6 +152,8 @@
         self.servers = ServerList()
         self.gateways: dict[str, str] = {}
         """Internal addresses of the registered gateways, by name."""
+        self.convictions: dict[str, int] = {}
+        """Time in ms of each conviction in the store, by content."""
         self.stage_lock_holder = ""
         """Gateway that holds the stage lock; empty if the lock is free."""
         self.last_stage_order_s: dict[str, float] = {}
@@ -286,6 +292,13 @@
                 directory.gateways.pop(name, None)
             else:
                 directory.gateways[name] = address
+        if update.is_snapshot:
+            directory.convictions.clear()
+        for content, convicted_ms in update.convictions.items():
+            if convicted_ms is None:
+                directory.convictions.pop(content, None)
+            else:
+                directory.convictions[content] = convicted_ms
         self._apply_stages(update, now_s)
         if not update.is_empty:
             directory.notify()
--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -127,6 +127,16 @@
             raise DeadlineExceeded("no time left for another attempt")
         raise NoServer("deadline reached before a server was available")
 
+    def check_quarantine(self) -> None:
+        """Raise ``Quarantined`` if servers crash under this request."""
+        if self.ctx.quarantine.is_active:
+            self.ctx.quarantine.check(self.content)
+
+    def record_answer(self) -> None:
+        """Record that a server answered the request completely."""
+        if self.ctx.quarantine.has_evidence:
+            self.ctx.quarantine.record_answer(self.content)
+
     def servers(self) -> list[Server]:
         """Return the servers of the service to choose from."""
         now_s = self.ctx.now_s()
@@ -180,6 +190,7 @@
         """
         now_s = self.ctx.now_s()
         self.ctx.loads.of(server.identity).record_failure(now_s)
+        self.ctx.quarantine.record_loss(server, self.content)
         self.excluded.add(server.identity)
         self._log_retry(server, failure)
         if self.remaining_s < MIN_REMAINING_S:
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -143,6 +143,7 @@
         try:
             while True:
                 self.check_deadline()
+                self.check_quarantine()
                 if await self._attempt():
                     return
         finally:
@@ -161,6 +162,7 @@
                 self._kv = await self._prefill(prefill_server)
                 if self._kv is None:
                     return False
+        self.check_quarantine()
         reservation, kv, self._reservation, self._kv = (
             self._reservation,
             self._kv,
@@ -502,6 +504,7 @@
             await self.reply.write(self._events.incomplete)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).record_success(0.0)
+        self.record_answer()
         self.ctx.record_generation(
             self.service,
             self._run.produced,
@@ -532,6 +535,7 @@
     ) -> None:
         """Forward an answer that is no stream, such as a server error."""
         buffered = await buffer_answer(answer, self.ctx.buffer_limit)
+        self.record_answer()
         if self.reply.is_started:
             raise AnswerLost(f"resumption failed with status {answer.status}")
         self._log_answer(server, answer)
--- a/src/gooseberrypost/gateway/notices.py
+++ b/src/gooseberrypost/gateway/notices.py
@@ -13,7 +13,9 @@
 from result import Err
 
 from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.quarantine import CrashReport
 from gooseberrypost.policy.enginememory import RunSize
+from gooseberrypost.policy.quarantine import MAX_DIGESTS_PER_CRASH
 from gooseberrypost.policy.serverload import PeerLoad
 from gooseberrypost.wire.codec import LENGTH_BYTES, decode
 from gooseberrypost.wire.messages import idl
@@ -48,6 +50,10 @@
     """Queue rank of the sender's first waiting generation."""
     unreachable: tuple[str, ...]
     """Identities of servers that the sender could not reach."""
+    crashes: tuple[CrashReport, ...]
+    """Recent reports of the sender on crashed servers."""
+    convictions: dict[str, int]
+    """Wall-clock time in ms at which content was convicted, by content."""
 
 
 def decode_notice(data: bytes) -> Notice:
@@ -98,9 +104,33 @@
         },
         message.turn_ms,
         tuple(message.gone or ()),
+        tuple(
+            CrashReport(
+                _text(crash.server), _texts(crash.lost), _texts(crash.cleared)
+            )
+            for crash in message.crashes or ()
+        ),
+        {
+            _text(conviction.content): _count(conviction.convicted_ms)
+            for conviction in message.convictions or ()
+        },
     )
 
 
+def encode_crash(report: CrashReport) -> Any:
+    """Return the part of a notice that describes a crash."""
+    return idl.CrashNotice(
+        server=report.server,
+        lost=sorted(report.lost)[:MAX_DIGESTS_PER_CRASH],
+        cleared=sorted(report.cleared)[:MAX_DIGESTS_PER_CRASH],
+    )
+
+
+def encode_conviction(content: str, convicted_ms: int) -> Any:
+    """Return the part of a notice that describes a conviction."""
+    return idl.ConvictionNotice(content=content, convicted_ms=convicted_ms)
+
+
 def _run_sizes(server: Any) -> list[RunSize]:
     return [
         RunSize(*map(_count, fields))
@@ -121,6 +151,17 @@
     return value
 
 
+def _texts(values: list[str]) -> set[str]:
+    return set(map(_text, values))
+
+
+def _text(value: str) -> str:
+    """Return a string; raises ``NoticeInvalid`` if it is missing or empty."""
+    if not value:
+        raise NoticeInvalid("empty identity or digest")
+    return value
+
+
 def _length(tokens: float) -> float:
     """Return a length; raises ``NoticeInvalid`` if it is none."""
     if not 0 <= tokens < math.inf:
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -19,6 +19,8 @@
 from gooseberrypost.gateway.notices import (
     NoticeInvalid,
     decode_notice,
+    encode_conviction,
+    encode_crash,
     encode_server_load,
 )
 from gooseberrypost.gateway.tasks import keep_running
@@ -203,6 +205,11 @@
             notice.rank_ms,
             notice.unreachable,
         )
+        quarantine = self._ctx.quarantine
+        if notice.crashes:
+            quarantine.apply_reports(notice.crashes)
+        if notice.convictions:
+            quarantine.apply_convictions(notice.convictions)
 
     async def _send_notices(self) -> None:
         while not self.should_stop:
@@ -247,6 +254,7 @@
 
     def _build_notice(self) -> Any:
         outputs = self._ctx.local_typical_outputs()
+        quarantine = self._ctx.quarantine
         return idl.LoadNotice(
             name=self._ctx.settings.name,
             incarnation=self._incarnation,
@@ -264,6 +272,13 @@
                 idl.OutputNotice(service_name=service, tokens=tokens)
                 for service, tokens in outputs.items()
             ],
+            crashes=[
+                encode_crash(report) for report in quarantine.recent_reports()
+            ],
+            convictions=[
+                encode_conviction(content, convicted_ms)
+                for content, convicted_ms in quarantine.newest_convictions()
+            ],
         )
 
     async def _keep_registered(self) -> None:
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -56,6 +56,7 @@
         """Return the answer of the first server that gives one."""
         while True:
             self.check_deadline()
+            self.check_quarantine()
             server = self._choose_server()
             try:
                 answer = await self._attempt(server)
@@ -105,6 +106,7 @@
             ) as answer:
                 buffered = await buffer_answer(answer, self.ctx.buffer_limit)
             took_ms = 1_000 * (self.ctx.now_s() - started_s)
+        self.record_answer()
         load = self.ctx.loads.of(server.identity)
         if buffered.is_server_error:
             load.record_server_error()
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -167,6 +167,13 @@
     async def fetch_report(self, server: Server) -> EngineReport:
         """Return an engine's state; raises ``ServerUnreachable``."""
 
+    @abstractmethod
+    async def has_ended(self, server: Server) -> bool:
+        """Whether the server's process has certainly ended.
+
+        A server that does not answer may only be cut off.
+        """
+
     @abstractmethod
     async def order_stage(
         self,
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -1,4 +1,8 @@
-"""Gateway registrations and the stage lock, as keys under store leases."""
+"""Gateway registrations, the stage lock and convictions as keys in the store.
+
+All but the convictions are removed with the lease of the gateway that wrote
+them.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +14,10 @@
     RegistrationLapsed,
     Registry,
 )
+from gooseberrypost.gateway.quarantine import (
+    ConvictionNotSaved,
+    ConvictionStore,
+)
 from gooseberrypost.gateway.stagelock import StageLock, StageLockLost
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import encode_stage_order
@@ -95,3 +103,26 @@
             )
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise StageLockLost(str(failure)) from failure
+
+
+class PlatformConvictionStore(ConvictionStore):
+    """Convictions as keys without a lease, so that they outlast gateways."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def save(self, content: str, convicted_ms: int) -> None:
+        """Write a conviction."""
+        key = f"{names.QUARANTINE_PREFIX}{content}"
+        try:
+            await self._store.write([Put(key, str(convicted_ms).encode())])
+        except (ConditionFailed, FeedLost, LeaseEnded) as failure:
+            raise ConvictionNotSaved(str(failure)) from failure
+
+    async def remove(self, content: str) -> None:
+        """Remove a conviction."""
+        key = f"{names.QUARANTINE_PREFIX}{content}"
+        try:
+            await self._store.write([], removed=[key])
+        except (ConditionFailed, FeedLost, LeaseEnded) as failure:
+            raise ConvictionNotSaved(str(failure)) from failure
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -156,6 +156,17 @@
             )
         return decoded.ok_value
 
+    async def has_ended(self, server: Server) -> bool:
+        """Whether nothing or another instance listens at the address."""
+        try:
+            status, _ = await self._control("GET", server, names.REPORT_PATH)
+        except ServerUnreachable as failure:
+            cause = failure.__cause__
+            return isinstance(
+                cause, aiohttp.ClientConnectorError
+            ) and isinstance(cause.os_error, ConnectionRefusedError)
+        return status == MISDIRECTED
+
     async def order_stage(
         self,
         server: Server,
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -64,6 +64,7 @@
     removed = []
     gateways: dict[str, str | None] = {}
     lock_holder: str | None = None
+    convictions: dict[str, int | None] = {}
     orders: list[StageOrder] = []
     removed_orders: list[str] = []
     for key, item in last_items.items():
@@ -81,6 +82,9 @@
         elif key.startswith(names.GATEWAYS_PREFIX):
             name = key.removeprefix(names.GATEWAYS_PREFIX)
             gateways[name] = _address(item)
+        elif key.startswith(names.QUARANTINE_PREFIX):
+            content = key.removeprefix(names.QUARANTINE_PREFIX)
+            convictions[content] = _convicted_ms(item)
         elif key == names.STAGE_HOLDER_KEY:
             lock_holder = (item.value or b"").decode("utf-8", "replace")
         elif key.startswith(names.STAGE_ORDERS_PREFIX):
@@ -100,6 +104,7 @@
         lock_holder,
         tuple(orders),
         tuple(removed_orders),
+        convictions,
     )
 
 
@@ -109,6 +114,14 @@
     return text if parse_address(text).is_ok() else None
 
 
+def _convicted_ms(item: Item) -> int | None:
+    """Return the time of a conviction; None if removed or invalid."""
+    try:
+        return int(item.value or b"")
+    except ValueError:
+        return None
+
+
 def _keep_valid(item: Item, decoded: Result[Any, Exception]) -> list[Any]:
     if isinstance(decoded, Err):
         logging.warning(
--- a/src/gooseberrypost/platform/gateway.py
+++ b/src/gooseberrypost/platform/gateway.py
@@ -9,7 +9,11 @@
 from result import Err
 
 from gooseberrypost.gateway.daemon import GatewayDaemon, serve_until_signal
-from gooseberrypost.platform.coordination import StoreRegistry, StoreStageLock
+from gooseberrypost.platform.coordination import (
+    PlatformConvictionStore,
+    StoreRegistry,
+    StoreStageLock,
+)
 from gooseberrypost.platform.engines import HttpTransport
 from gooseberrypost.platform.feeds import StoreFeed
 from gooseberrypost.platform.requests import decode_request
@@ -31,6 +35,7 @@
         StoreFeed(store),
         StoreRegistry(store),
         StoreStageLock(store),
+        PlatformConvictionStore(store),
         decode_request,
         random.Random(),
     )
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -287,6 +287,17 @@
   2: double tokens,            // typical output tokens per generation
 }
 
+struct CrashNotice {
+  1: string server,            // identity of one start of the backend server
+  2: list<string> lost,        // content that was running, as digests
+  3: list<string> cleared,     // content that was answered since, or elsewhere
+}
+
+struct ConvictionNotice {
+  1: string content,
+  2: i64 convicted_ms,         // wall clock
+}
+
 struct LoadNotice {
   1: string name,              // name of the sending gateway
   2: i64 incarnation,
@@ -297,4 +308,6 @@
   7: optional list<OutputNotice> outputs,
   8: optional i32 turn_ms,     // queue rank of the generation at the head of the queue
   9: optional list<string> gone,  // servers that the sender found to be gone
+  10: optional list<CrashNotice> crashes,  // recent reports of the sender
+  11: optional list<ConvictionNotice> convictions,
 }
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -11,7 +11,11 @@
 import aiohttp
 
 from gooseberrypost.gateway.daemon import GatewayDaemon
-from gooseberrypost.platform.coordination import StoreRegistry, StoreStageLock
+from gooseberrypost.platform.coordination import (
+    PlatformConvictionStore,
+    StoreRegistry,
+    StoreStageLock,
+)
 from gooseberrypost.platform.engines import HttpTransport
 from gooseberrypost.platform.feeds import StoreFeed
 from gooseberrypost.platform.requests import decode_request
@@ -118,6 +122,7 @@
             StoreFeed(client),
             StoreRegistry(client),
             StoreStageLock(client),
+            PlatformConvictionStore(client),
             decode_request,
             random.Random(1),
         )
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -56,6 +56,21 @@
             self.kit.store.put(f"servers/{engine.instance}", entry)
         await self.kit.until(lambda: all(map(self.knows_all, self.gateways)))
 
+    async def quarantine(self, path: str):
+        """Send poison through the first gateway until it is refused."""
+        for _ in range(CRASHES_BEFORE_LIMIT):
+            assert (await self.send(path, POISON)).status == 502
+            await self.restart_crashed()
+        assert (await self.send(path, POISON)).status == 503
+
+    async def add_gateway(self, stack: AsyncExitStack, name: str) -> int:
+        """Start another gateway and return its number."""
+        gateway = await self.kit.gateway(name)
+        stack.push_async_callback(gateway.stop)
+        await self.kit.until(lambda: gateway.lifecycle.state == "serving")
+        self.gateways.append(gateway)
+        return len(self.gateways) - 1
+
     def knows_all(self, gateway) -> bool:
         servers = gateway.context.directory.servers.all()
         known = {server.instance for server in servers}
@@ -71,7 +86,11 @@
         await kit.until(lambda: second.lifecycle.state == "serving")
         for engine in kit.engines.values():
             engine.crashes_on = is_poison
-        yield CrashKit(kit, second)
+        crash_kit = CrashKit(kit, second)
+        try:
+            yield crash_kit
+        finally:
+            kit.daemon = crash_kit.gateways[0]
 
 
 def has_poison_body(request) -> bool:
@@ -103,3 +122,106 @@
                 assert response.status == 200
 
     asyncio.run(work())
+
+
+def test_quarantine_outlasts_all_gateways():
+    """Guards against a crashing request that runs again after restarts."""
+
+    async def work():
+        async with AsyncExitStack() as stack:
+            crash_kit = await stack.enter_async_context(
+                crashing(*DESKS, is_poison=has_poison_body)
+            )
+            await crash_kit.quarantine("/once/x")
+            items = crash_kit.kit.store.items
+            prefix = "gooseberrypost/quarantine/"
+            await crash_kit.kit.until(
+                lambda: any(key.startswith(prefix) for key in items)
+            )
+            for gateway in crash_kit.gateways:
+                await gateway.stop()
+            number = await crash_kit.add_gateway(stack, "gateway-3")
+            response = await crash_kit.send("/once/x", POISON, number)
+            assert response.status == 503
+            await crash_kit.restart_crashed()
+            assert crash_kit.crashes == CRASHES_BEFORE_LIMIT
+
+    asyncio.run(work())
+
+
+def test_quarantine_reaches_other_gateways_without_the_store():
+    """Guards against gateways that agree only while the store answers."""
+
+    async def work():
+        async with crashing(*DESKS, is_poison=has_poison_body) as crash_kit:
+            second = crash_kit.gateways[1].context
+            await crash_kit.kit.until(lambda: second.directory.gateways)
+            crash_kit.kit.store.down = True
+            for engine in crash_kit.kit.engines.values():
+                # Only one server may crash until it is registered again.
+                engine.crashes_on = has_poison_body
+            for _ in range(CRASHES_BEFORE_LIMIT):
+                assert (await crash_kit.send("/once/x", POISON)).status == 502
+            await crash_kit.kit.until(
+                lambda: second.quarantine.evidence.convicted
+            )
+            assert (await crash_kit.send("/once/x", POISON, 1)).status == 503
+
+    asyncio.run(work())
+
+
+def test_operator_ends_a_quarantine():
+    """Guards against a wrong verdict that nobody can correct."""
+
+    async def work():
+        async with crashing(*DESKS, is_poison=has_poison_body) as crash_kit:
+            await crash_kit.quarantine("/once/x")
+            store = crash_kit.kit.store
+            prefix = "gooseberrypost/quarantine/"
+            first, second = (g.context for g in crash_kit.gateways)
+            for ctx in (first, second):
+                await crash_kit.kit.until(
+                    lambda c=ctx: c.directory.convictions
+                )
+            for engine in crash_kit.kit.engines.values():
+                engine.crashes_on = lambda request: False
+            for key in [key for key in store.items if key.startswith(prefix)]:
+                store.remove(key)
+            for ctx in (first, second):
+                await crash_kit.kit.until(
+                    lambda c=ctx: not c.quarantine.is_active
+                )
+            for gateway in range(2):
+                response = await crash_kit.send("/once/x", POISON, gateway)
+                assert response.status == 200
+
+    asyncio.run(work())
+
+
+def test_answered_request_is_not_quarantined():
+    """Guards against refusing requests that only ran beside others' crashes.
+
+    A server that crashes for its own reasons takes every request with it that
+    it runs, and the same call may be hit several times.
+    """
+
+    async def work():
+        async with crashing(*DESKS, is_poison=has_poison_body) as crash_kit:
+            for number in range(REPETITIONS):
+                path = f"/safe/{number % 2}"
+                # The first server of two attempts fails.
+                for engine in crash_kit.kit.engines.values():
+                    engine.crashes_on = fail_once(engine)
+                response = await crash_kit.send(path, b"sound", number % 2)
+                await crash_kit.restart_crashed()
+                for engine in crash_kit.kit.engines.values():
+                    engine.crashes_on = lambda request: False
+                response = await crash_kit.send(path, b"sound", number % 2)
+                assert response.status == 200
+
+    asyncio.run(work())
+
+
+def fail_once(engine):
+    """Return a condition under which only the first request crashes."""
+    return lambda request: not engine.crashes
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,6 +10,7 @@
 
 from gooseberrypost.policy.quarantine import (
     CONVICTION_RETENTION_MS,
+    MIN_CRASHES_WITHOUT_ISOLATION,
     SUSPECT_RETENTION_MS,
     Evidence,
     Suspicion,
@@ -164,3 +165,56 @@
 def test_malformed_evidence_is_a_typed_failure(text):
     """Guards against an owner that fails on a damaged stored value."""
     assert Evidence.parse(text).is_err()
+
+
+def test_parts_of_a_crash_from_several_reporters_add_up():
+    """Guards against a crash of which only the first report counts.
+
+    A request that was lost beside the poison is then the only repeated one
+    that some of the reporters know.
+    """
+    evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
+    for crash in ("c1", "c2", "c3"):
+        evidence.report(crash, {"victim"}, 0)
+        evidence.report(crash, {"p"}, 0)
+        if crash == "c2":
+            evidence.exonerate("victim", 0)
+    assert set(evidence.convicted) == {"p"}
+
+
+def test_an_answer_clears_content_at_every_gateway():
+    """Guards against convicting content that servers answer in between."""
+    first, second = Evidence(3), Evidence(3)
+    for number in range(6):
+        crash = f"c{number}"
+        for evidence in (first, second):
+            evidence.report(crash, {"popular"}, 0)
+        for cleared in first.exonerate("popular", 0):
+            second.clear(cleared, "popular", 0)
+            # A report of the same crash that arrives later changes nothing.
+            assert not second.report(cleared, {"popular"}, 0)
+    assert not first.convicted
+    assert not second.convicted
+    assert second.verdict("popular") is Suspicion.CLEAN
+
+
+def test_a_wrong_conviction_ends_with_an_answer():
+    """Guards against a conviction that peers keep alive after its release."""
+    evidence = Evidence(3)
+    assert evidence.convict("a", 0)
+    evidence.exonerate("a", 0)
+    assert evidence.verdict("a") is Suspicion.CLEAN
+    assert not evidence.convict("a", 0)
+    for crash in ("c1", "c2", "c3"):
+        evidence.report(crash, {"a"}, 0)
+    assert evidence.verdict("a") is Suspicion.CONVICTED
+
+
+def test_poison_is_found_among_more_requests_than_a_report_holds():
+    """Guards against a limit that always drops the same digest."""
+    evidence = Evidence(3)
+    for number in range(10):
+        crash = f"c{number}"
+        others = {f"{crash}-{other:03}" for other in range(100)}
+        evidence.report(crash, {"~poison", *others}, 0)
+    assert set(evidence.convicted) == {"~poison"}
