--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -204,6 +204,7 @@
             "reserved",
             server=reservation.server.instance,
             prompt=prompt.tokens,
+            parts=",".join(part for part, _ in prompt.parts),
             output=output,
             hint=prompt.output_hint,
             runs=self.ctx.loads.run_count(reservation.server.identity),
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -101,3 +101,15 @@
         if "event=server_failed" in line
     ]
     assert failed[0] == failed[1] != failed[2]
+
+
+def test_parts_of_a_prompt_are_logged(lines):
+    """Guards against requests whose common part no log line shows."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            assert (await kit.generate()).status == 200
+
+    asyncio.run(work())
+    (reserved,) = [line for line in lines("r1") if "event=reserved" in line]
+    assert " parts=ab " in reserved
