Reproduce the requests whose common prompt part crashes servers

Variants in which sound requests that share the other parts are answered before, between or not at all.

--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -1,7 +1,8 @@
 """Requests that crash each backend server that executes them.
 
 The bounds are those that the users state: after the third crash under a
-request, at most three more copies of it may reach servers.
+request, at most three more copies of it may reach servers, and after the fifth
+crash under a part of prompts, at most three more requests with it.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 CRASHES_BEFORE_LIMIT = 3
 MAX_SENDS_AFTER = 3
+CRASHES_BEFORE_PART_LIMIT = 5
 REPETITIONS = 12
 DESKS = tuple((f"desk-{n}", "desk", "") for n in range(3))
 POOLS = (("p", "llm", "prefill"), *((f"d{n}", "llm", "decode") for n in "12"))
@@ -97,6 +99,10 @@
     return request.body == POISON
 
 
+def has_poison_part(request) -> bool:
+    return "bad:" in (request.header("Prompt-Prefix") or "")
+
+
 @pytest.mark.parametrize(
     ("engines", "path"),
     [(DESKS, "/once/x"), (DESKS, "/safe/x"), (POOLS, "/text/x")],
@@ -225,3 +231,42 @@
 def fail_once(engine):
     """Return a condition under which only the first request crashes."""
     return lambda request: not engine.crashes
+
+
+@pytest.mark.parametrize("path", ["/text", "/again"])
+@pytest.mark.parametrize("sound_answers", ["none", "before", "between"])
+def test_requests_with_a_crashing_part_crash_few_servers(path, sound_answers):
+    """Guards against a part of prompts that crashes one server after another.
+
+    No two of the requests are equal. Sound ones share their other parts.
+    """
+
+    async def work():
+        async with crashing(*POOLS, is_poison=has_poison_part) as crash_kit:
+
+            async def send(number: int, part: str):
+                return await crash_kit.send(
+                    f"{path}/{part}{number}",
+                    f"{part} {number}".encode(),
+                    number % 2,
+                    X_Gooseberrypost_Prompt_Prefix=(
+                        f"first:20,{part}:20,last:20,own{number}:40"
+                    ),
+                )
+
+            if sound_answers == "before":
+                for number in range(2):
+                    assert (await send(number, "good")).status == 200
+            statuses = []
+            for number in range(REPETITIONS):
+                statuses.append((await send(number, "bad")).status)
+                await crash_kit.restart_crashed()
+                if sound_answers == "between":
+                    assert (await send(number, "good")).status == 200
+            most = CRASHES_BEFORE_PART_LIMIT + MAX_SENDS_AFTER
+            assert crash_kit.crashes <= most
+            assert statuses[-1] == 503
+            for number in range(2):
+                assert (await send(number, "good")).status == 200
+
+    asyncio.run(work())
