Keep the evidence of services apart

A route may be split between services. A request that one of them answers cleared the crashes that it caused at the other, or was refused at both once one had crashed three times. The digest of the content now names the service, as that of the entries does. The test failed before: in the last twelve of 36 copies no answer of the sound service was left.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -104,9 +104,12 @@
 
     @cached_property
     def content(self) -> str:
-        """Digest of what a client sent, equal for each repetition of it."""
+        """Digest of what a client sent, equal for each repetition of it.
+
+        Another service may well answer what crashes the servers of this one.
+        """
         req = self.req
-        scope = f"{req.host.lower()} {req.method} {req.target}"
+        scope = f"{self.service} {req.host.lower()} {req.method} {req.target}"
         return content_digest(scope, req.body).hex()
 
     @property
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.gateway_kit import serving
+from tests.gateway_kit import HOST, configuration, serving
 
 CRASHES_BEFORE_LIMIT = 3
 MAX_SENDS_AFTER = 3
@@ -228,6 +228,61 @@
     asyncio.run(work())
 
 
+def split_configuration(version: int) -> dict:
+    """Return a configuration with a route to two services."""
+    document = configuration(version)
+    services = [{"service": s, "weight": 1} for s in ("desk", "canary")]
+    document["routes"].append(
+        {
+            "name": "split",
+            "host": HOST,
+            "path_prefix": "/split/",
+            "kind": "non_idempotent",
+            "traffic_split": services,
+            "timeout_ms": 2_000,
+            "target_latency_ms": 900,
+            "max_attempts": 1,
+        }
+    )
+    document["services"].append({"name": "canary", "max_connections": 10})
+    return document
+
+
+def test_answers_of_one_service_do_not_clear_crashes_of_another():
+    """Guards against a new version that crashes on what the old one answers.
+
+    A route may be split between services, so that the same request comes to
+    either of them.
+    """
+
+    async def work():
+        canaries = tuple((f"canary-{n}", "canary", "") for n in range(2))
+        async with crashing(
+            *DESKS, *canaries, is_poison=has_poison_body
+        ) as crash_kit:
+            for name, engine in crash_kit.kit.engines.items():
+                if name.startswith("desk"):
+                    engine.crashes_on = lambda request: False
+                else:
+                    crash_kit.services[name] = "canary"
+            crash_kit.kit.store.put("op/config", split_configuration(9))
+            for gateway in crash_kit.gateways:
+                directory = gateway.context.directory
+                await crash_kit.kit.until(
+                    lambda d=directory: d.configuration.version == 9
+                )
+            statuses = []
+            for number in range(3 * REPETITIONS):
+                response = await crash_kit.send("/split/x", POISON, number % 2)
+                statuses.append(response.status)
+                await crash_kit.restart_crashed()
+            assert crash_kit.crashes <= CRASHES_BEFORE_LIMIT + MAX_SENDS_AFTER
+            # One service refuses the request, and the other still answers it.
+            assert set(statuses[-REPETITIONS:]) == {200, 503}
+
+    asyncio.run(work())
+
+
 def fail_once(engine):
     """Return a condition under which only the first request crashes."""
     return lambda request: not engine.crashes
