Quarantine the part of prompts that requests under crashes share

Cause: evidence was kept for whole requests only, so that a cause that many requests share never looked repeated.

Change: a report on a crash names the shared parts of each lost prompt (all but the last) and whether its answer had begun. policy/suspects finds the cause from that. A part needs three crashes of different requests. Parts that always came together are refused only together, so that sound requests which share some of them go on, and one answer to these narrows the verdict down. An answer clears its parts; earlier answers outweigh a few crashes, as popular parts are lost at every crash of an outage. Of several candidates the one that was mostly lost before its answer began is taken. A crash counts 0.35 s after its first report, when those of the other gateways have arrived: without that, a gateway that had only lost sound requests convicted their common part.

The tests now pause 0.25 s between two crashing requests, as copies that come within the settling time still run; their bounds are unchanged.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
+from gooseberrypost.gateway.quarantine import Content
 from gooseberrypost.gateway.reply import DeadlineExceeded
 from gooseberrypost.gateway.transport import WrongInstance
 from gooseberrypost.identity import content_digest
@@ -103,14 +104,22 @@
         """Whether to cancel the request when its client disconnects."""
 
     @cached_property
-    def content(self) -> str:
-        """Digest of what a client sent, equal for each repetition of it.
+    def content(self) -> Content:
+        """Digests by which crashes are counted against the request.
 
-        Another service may well answer what crashes the servers of this one.
+        They name the service, as another one may well answer what crashes the
+        servers of this one.
         """
         req = self.req
         scope = f"{self.service} {req.host.lower()} {req.method} {req.target}"
-        return content_digest(scope, req.body).hex()
+        return Content(
+            content_digest(scope, req.body).hex(), self.shared_parts
+        )
+
+    @property
+    def shared_parts(self) -> frozenset[str]:
+        """Digests of the parts of the prompt that other requests share."""
+        return frozenset()
 
     @property
     def events_sent(self) -> int:
@@ -130,6 +139,11 @@
             raise DeadlineExceeded("no time left for another attempt")
         raise NoServer("deadline reached before a server was available")
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether part of an answer arrived in the current attempt."""
+        return False
+
     def check_quarantine(self) -> None:
         """Raise ``Quarantined`` if servers crash under this request."""
         if self.ctx.quarantine.is_active:
@@ -137,7 +151,7 @@
 
     def record_answer(self) -> None:
         """Record that a server answered the request completely."""
-        if self.ctx.quarantine.has_evidence:
+        if self.ctx.quarantine.has_evidence or self.shared_parts:
             self.ctx.quarantine.record_answer(self.content)
 
     def servers(self) -> list[Server]:
@@ -193,7 +207,9 @@
         """
         now_s = self.ctx.now_s()
         self.ctx.loads.of(server.identity).record_failure(now_s)
-        self.ctx.quarantine.record_loss(server, self.content)
+        self.ctx.quarantine.record_loss(
+            server, self.content, has_begun=self.has_begun
+        )
         self.excluded.add(server.identity)
         self._log_retry(server, failure)
         if self.remaining_s < MIN_REMAINING_S:
@@ -246,7 +262,7 @@
             attempts=self.attempts,
             events=self.events_sent,
             code=failure.code,
-            content=self.content,
+            content=self.content.request,
             detail=failure.detail,
         )
         self.ctx.metrics.count("server_failures_total", code=failure.code)
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack, contextmanager
+from functools import cached_property
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 from gooseberrypost.errors import Failure
@@ -22,6 +23,7 @@
     ServerRefused,
     ServerUnreachable,
 )
+from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.enginememory import Run, predict_output_tokens
 from gooseberrypost.policy.queueorder import first_event_due_in_s
 from gooseberrypost.policy.serverchoice import (
@@ -105,6 +107,8 @@
         self._prompt = self.req.prompt or Prompt(1, 1)
         self._events = EventSplitter()
         self._events.last_id = self.req.resume_after
+        self._events_before = 0
+        """Number of events before the current attempt."""
         self._kv: KvHandle | None = None
         """Prefilled KV cache that no decode attempt has used yet."""
         self._run = Run(0, 0)
@@ -133,6 +137,20 @@
         """Always true: only this client can receive the stream."""
         return True
 
+    @cached_property
+    def shared_parts(self) -> frozenset[str]:
+        """Digests of all parts of the prompt but the last, its own one."""
+        scope = f"{self.service} part"
+        return frozenset(
+            content_digest(scope, part.encode()).hex()
+            for part, _ in self._prompt.parts[:-1]
+        )
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether an event arrived in the current attempt."""
+        return self._events.count > self._events_before
+
     @property
     def events_sent(self) -> int:
         """Number of complete events forwarded to the client."""
@@ -151,6 +169,7 @@
 
     async def _attempt(self) -> bool:
         """Make one attempt; returns whether the answer was delivered."""
+        self._events_before = self._events.count
         moved = self._migration.pop_moved()
         if moved is not None:
             return await self._decode(moved.server, moved.kv, None)
--- a/src/gooseberrypost/gateway/notices.py
+++ b/src/gooseberrypost/gateway/notices.py
@@ -8,21 +8,25 @@
 
 import math
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from itertools import zip_longest
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err
 
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.quarantine import CrashReport
 from gooseberrypost.policy.enginememory import RunSize
-from gooseberrypost.policy.quarantine import MAX_DIGESTS_PER_CRASH
 from gooseberrypost.policy.serverload import PeerLoad
+from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.wire.codec import LENGTH_BYTES, decode
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
     from gooseberrypost.policy.serverload import ServerLoad
 
+PART_SEPARATOR: Final = ","
+"""Separates the parts of one prompt in a notice."""
+
 
 class NoticeInvalid(Failure):
     """A datagram is no load notice, or has a field out of range."""
@@ -106,7 +110,9 @@
         tuple(message.gone or ()),
         tuple(
             CrashReport(
-                _text(crash.server), _texts(crash.lost), _texts(crash.cleared)
+                _text(crash.server),
+                _lost(crash),
+                set(map(_text, crash.cleared)),
             )
             for crash in message.crashes or ()
         ),
@@ -121,8 +127,17 @@
     """Return the part of a notice that describes a crash."""
     return idl.CrashNotice(
         server=report.server,
-        lost=sorted(report.lost)[:MAX_DIGESTS_PER_CRASH],
-        cleared=sorted(report.cleared)[:MAX_DIGESTS_PER_CRASH],
+        lost=list(report.lost),
+        parts=[
+            PART_SEPARATOR.join(sorted(suspect.parts))
+            for suspect in report.lost.values()
+        ],
+        begun=[
+            request
+            for request, suspect in report.lost.items()
+            if suspect.has_begun
+        ],
+        cleared=sorted(report.cleared),
     )
 
 
@@ -151,8 +166,18 @@
     return value
 
 
-def _texts(values: list[str]) -> set[str]:
-    return set(map(_text, values))
+def _lost(crash: Any) -> dict[str, Suspect]:
+    """Return the lost requests; without parts where the sender names none."""
+    begun = set(crash.begun or ())
+    return {
+        _text(request): Suspect(
+            frozenset(filter(None, parts.split(PART_SEPARATOR))),
+            request in begun,
+        )
+        for request, parts in zip_longest(
+            crash.lost, (crash.parts or ())[: len(crash.lost)], fillvalue=""
+        )
+    }
 
 
 def _text(value: str) -> str:
--- a/src/gooseberrypost/gateway/quarantine.py
+++ b/src/gooseberrypost/gateway/quarantine.py
@@ -21,9 +21,12 @@
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.policy.quarantine import (
     CONVICTION_RETENTION_MS,
+    KEY_SEPARATOR,
     MIN_CRASHES_WITHOUT_ISOLATION,
     Evidence,
+    find_key,
 )
+from gooseberrypost.policy.suspects import Suspect
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,8 +34,18 @@
     from gooseberrypost.gateway.context import GatewayContext
     from gooseberrypost.gateway.model import Server
 
+SETTLING_S: Final = 0.35
+"""Time in which the reports of all gateways on a crash arrive.
+
+It exceeds the interval of load notices, of which one may be lost.
+"""
 REPORT_S: Final = 3.0
 """Time for which load notices repeat a report, as datagrams may be lost."""
+MAX_NOTICE_DIGESTS: Final = 512
+"""Digests of reports in a load notice, which is one datagram.
+
+They take 20 KB of the 64 KB that it may hold.
+"""
 MAX_NOTICE_CONVICTIONS: Final = 64
 """Convictions in a load notice, which is one datagram; the store has all."""
 MAX_ENDED_SERVERS: Final = 64
@@ -59,16 +72,54 @@
         """Remove a conviction; raises ``ConvictionNotSaved``."""
 
 
+@dataclass(slots=True, frozen=True)
+class Content:
+    """What crashes are counted against: a request and parts of its prompt."""
+
+    request: str
+    """Digest, equal for each repetition of the request."""
+    parts: frozenset[str] = frozenset()
+    """Digests of the parts that other requests may share."""
+
+    @property
+    def digests(self) -> frozenset[str]:
+        """Digests of the request and of the parts."""
+        return self.parts | {self.request}
+
+
 @dataclass(slots=True)
 class CrashReport:
     """What one gateway knows of the crash of a server."""
 
     server: str
     """Identity of the server."""
-    lost: set[str] = field(default_factory=set)
-    """Content that was running."""
+    lost: dict[str, Suspect] = field(default_factory=dict)
+    """Requests that were running, by digest."""
     cleared: set[str] = field(default_factory=set)
-    """Content that a server has answered, so that it was not the cause."""
+    """Digests of what servers have answered, which was not the cause."""
+
+    def shortened(self, digests: int) -> CrashReport:
+        """Return as much of the report as fits into a number of digests.
+
+        The likely causes come first: requests whose answers had not begun.
+        """
+        short = CrashReport(self.server)
+        by_likelihood = sorted(
+            self.lost.items(), key=lambda item: item[1].has_begun
+        )
+        for request, suspect in by_likelihood:
+            digests -= 1 + len(suspect.parts)
+            if digests < 0:
+                return short
+            short.lost[request] = suspect
+        short.cleared.update(sorted(self.cleared)[:digests])
+        return short
+
+    @property
+    def size(self) -> int:
+        """Number of digests in the report."""
+        lost = sum(1 + len(suspect.parts) for suspect in self.lost.values())
+        return lost + len(self.cleared)
 
 
 class Quarantine:
@@ -87,13 +138,15 @@
 
     def __init__(self, ctx: GatewayContext) -> None:
         self._ctx = ctx
-        self.evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
+        self.evidence = Evidence(
+            MIN_CRASHES_WITHOUT_ISOLATION, round(1_000 * SETTLING_S)
+        )
         self.changed = asyncio.Event()
         """Set when there are changes in ``unsaved``."""
         self.unsaved: dict[str, int | None] = {}
-        """Time of conviction by content, None to remove a conviction."""
-        self._losses: dict[str, set[str]] = {}
-        """Content lost at each server that is being checked."""
+        """Time of conviction by key, None to remove a conviction."""
+        self._losses: dict[str, dict[str, Suspect]] = {}
+        """Requests lost at each server that is being checked."""
         self._ended: dict[str, None] = {}
         """Servers that were found to have ended, oldest first."""
         self._reports: dict[str, CrashReport] = {}
@@ -109,33 +162,40 @@
 
     @property
     def has_evidence(self) -> bool:
-        """Whether an answer may clear any content."""
-        return self.evidence.has_suspects or bool(
-            self._ctx.directory.convictions
-        )
+        """Whether an answer may clear a request."""
+        return self.evidence.has_suspects
 
-    def check(self, content: str) -> None:
+    def check(self, content: Content) -> None:
         """Raise ``Quarantined`` if servers crash under this content."""
-        convicted_ms = self.evidence.convicted.get(content)
-        if convicted_ms is None:
-            convicted_ms = self._ctx.directory.convictions.get(content)
-        if convicted_ms is None:
+        digests = content.digests
+        convicted = self.evidence.convicted
+        key = find_key(convicted, digests)
+        if key is None:
+            convicted = self._ctx.directory.convictions
+            key = find_key(convicted, digests)
+        if key is None:
             return
-        left_ms = convicted_ms + CONVICTION_RETENTION_MS - _wall_ms()
+        left_ms = convicted[key] + CONVICTION_RETENTION_MS - _wall_ms()
         if left_ms > 0:
             raise Quarantined(
-                "servers crashed under this request", retry_after_ms=left_ms
+                f"servers crashed under {key}", retry_after_ms=left_ms
             )
 
-    def record_loss(self, server: Server, content: str) -> None:
-        """Record a lost answer, which may show that the server crashed."""
+    def record_loss(
+        self, server: Server, content: Content, *, has_begun: bool
+    ) -> None:
+        """Record a lost answer, which may show that the server crashed.
+
+        ``has_begun`` tells whether a part of the answer had arrived.
+        """
         identity = server.identity
+        lost = {content.request: Suspect(content.parts, has_begun)}
         if identity in self._ended:
-            self._report(identity, {content})
-            return
-        is_being_checked = identity in self._losses
-        self._losses.setdefault(identity, set()).add(content)
-        if not is_being_checked:
+            self._report(identity, lost)
+        elif identity in self._losses:
+            self._losses[identity] |= lost
+        else:
+            self._losses[identity] = lost
             self._ctx.spawn(self._check_server(server))
 
     async def _check_server(self, server: Server) -> None:
@@ -151,18 +211,17 @@
             del self._ended[next(iter(self._ended))]
         self._report(server.identity, lost)
 
-    def record_answer(self, content: str) -> None:
+    def record_answer(self, content: Content) -> None:
         """Record a complete answer, which clears its content."""
-        for server in self.evidence.exonerate(content, _wall_ms()):
-            report = self._own_report(server)
-            report.lost.discard(content)
-            report.cleared.add(content)
-        self._withdraw(content)
+        convicted = set(self.evidence.convicted)
+        self.evidence.record_answer(content.request, content.parts, _wall_ms())
+        self._conclude(convicted)
 
-    def _report(self, server: str, lost: set[str]) -> None:
+    def _report(self, server: str, lost: dict[str, Suspect]) -> None:
         convicted = set(self.evidence.convicted)
         if not self.evidence.report(server, lost, _wall_ms()):
             return
+        self._evaluate_when_settled()
         self._own_report(server).lost |= lost
         logging.warning(
             "event=crash_reported server=%s lost=%s",
@@ -179,13 +238,19 @@
         return report
 
     def recent_reports(self) -> list[CrashReport]:
-        """Return the own reports that load notices are to carry."""
+        """Return the own reports that a load notice is to carry."""
         since_s = self._ctx.now_s() - REPORT_S
-        return [
-            report
-            for server, report in self._reports.items()
-            if self._reported_s[server] >= since_s
-        ]
+        newest = sorted(
+            (reported_s, server)
+            for server, reported_s in self._reported_s.items()
+            if reported_s >= since_s
+        )
+        reports, free = [], MAX_NOTICE_DIGESTS
+        for _, server in reversed(newest):
+            report = self._reports[server].shortened(free)
+            reports.append(report)
+            free -= report.size
+        return reports
 
     def newest_convictions(self) -> list[tuple[str, int]]:
         """Return the convictions that load notices are to carry."""
@@ -198,37 +263,62 @@
         convicted = set(self.evidence.convicted)
         now_ms = _wall_ms()
         for report in reports:
-            self.evidence.report(report.server, report.lost, now_ms)
-            for content in report.cleared:
-                self.evidence.clear(report.server, content, now_ms)
+            if self.evidence.report(report.server, report.lost, now_ms):
+                self._evaluate_when_settled()
+            self.evidence.clear(report.server, report.cleared, now_ms)
         self._conclude(convicted)
 
     def apply_convictions(self, convictions: dict[str, int]) -> None:
-        """Adopt the convictions of another gateway."""
-        for content, convicted_ms in convictions.items():
-            if self.evidence.convict(content, convicted_ms):
-                logging.info("event=quarantine_adopted content=%s", content)
+        """Adopt the convictions of another gateway or of the store."""
+        for key, convicted_ms in convictions.items():
+            if self.evidence.convict(key, convicted_ms):
+                logging.info("event=quarantine_adopted content=%s", key)
 
-    def release(self, content: str) -> None:
-        """Drop all evidence against content that left the store."""
-        self.evidence.exonerate(content, _wall_ms())
-        logging.info("event=quarantine_ended content=%s", content)
+    def release(self, key: str) -> None:
+        """Drop all evidence behind a conviction that left the store."""
+        convicted = set(self.evidence.convicted)
+        for digest in key.split(KEY_SEPARATOR):
+            self.evidence.exonerate(digest, _wall_ms())
+        self._conclude(convicted)
+
+    def _evaluate_when_settled(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(SETTLING_S, self._evaluate)
+
+    def _evaluate(self) -> None:
+        convicted = set(self.evidence.convicted)
+        self.evidence.evaluate(_wall_ms())
+        self._conclude(convicted)
 
     def _conclude(self, before: set[str]) -> None:
-        """Log and save the convictions that were not there before."""
-        for content in self.evidence.convicted.keys() - before:
-            logging.warning("event=quarantined content=%s", content)
+        """Pass on what changed in the evidence and in its convictions."""
+        for server, digest in self.evidence.take_clearances():
+            self._own_report(server).cleared.add(digest)
+        for key in before - self.evidence.convicted.keys():
+            logging.info("event=quarantine_ended content=%s", key)
+            if key in self._ctx.directory.convictions or key in self.unsaved:
+                self._save(key, None)
+        for key in self.evidence.convicted.keys() - before:
+            logging.warning("event=quarantined content=%s", key)
             self._ctx.metrics.count("quarantined_total")
-            # The gateways that lost the request write it to the store.
-            if any(content in r.lost for r in self._reports.values()):
-                self.unsaved[content] = self.evidence.convicted[content]
-                self.changed.set()
             self._ctx.notify_loads_changed()
+            if self._has_lost(key):
+                self._save(key, self.evidence.convicted[key])
+
+    def _has_lost(self, key: str) -> bool:
+        """Whether this gateway has recently lost a request of a key.
+
+        Such gateways write the conviction to the store.
+        """
+        return any(
+            find_key([key], {request, *suspect.parts})
+            for report in self._reports.values()
+            for request, suspect in report.lost.items()
+        )
 
-    def _withdraw(self, content: str) -> None:
-        if content in self._ctx.directory.convictions:
-            self.unsaved[content] = None
-            self.changed.set()
+    def _save(self, key: str, convicted_ms: int | None) -> None:
+        self.unsaved[key] = convicted_ms
+        self.changed.set()
 
     def expire(self) -> None:
         """Drop what is too old to count."""
--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -1,10 +1,13 @@
 """Quarantine: which content is suspected or convicted of crashing servers.
 
 Evidence consists of crashes, each with the digests of the requests that were
-running, and of the convictions drawn from them. Merging is a set union, so a
-report may arrive twice, late or through several owners, and several processes
-may each report the part of a crash that they saw. A complete answer clears its
-digest: crashes do not count against content that a server could answer.
+running, and of the convictions drawn from them. A request may also name parts
+of its prompt, which other requests share and which may be the cause.
+
+Merging is a set union, so a report may arrive twice, late or through several
+owners, and several processes may each report what they know of a crash. A
+complete answer clears its digests: crashes do not count against content that
+a server could answer.
 
 >>> evidence = Evidence()
 >>> evidence.report("c1", {"p", "a", "b"}, now_ms=0)
@@ -15,21 +18,32 @@
 True
 >>> [evidence.verdict(digest).value for digest in "pax"]
 ['convicted', 'suspect', 'suspect']
+
+A part is convicted when several requests that share it crash servers:
+
+>>> evidence = Evidence()
+>>> for crash, request in ("c1", "a"), ("c2", "b"):
+...     _ = evidence.report(crash, {request: Suspect({"part"})}, now_ms=0)
+>>> evidence.find_conviction({"c", "part"}), evidence.find_conviction({"c"})
+('part', None)
 """
 
 from __future__ import annotations
 
 import hashlib
 import json
+from collections import OrderedDict
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
 
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import Failure
+from gooseberrypost.policy.suspects import Suspect, common_cause, tally
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
 MAX_DIGESTS_PER_CRASH: Final = 64
 """Digests kept of one crash; an engine runs about twenty requests."""
@@ -54,6 +68,16 @@
 A request that was retried after an unrelated crash may be lost in a second
 one.
 """
+MAX_PROVEN_PARTS: Final = 2_048
+"""Parts of answered prompts that are remembered."""
+MAX_PROVEN_CRASHES: Final = 6
+"""Crashes that do not count against a part, however often it was answered.
+
+Each answer outweighs one crash, up to this number: in an outage popular parts
+are lost at every crash, and yet may crash a new version of the servers.
+"""
+KEY_SEPARATOR: Final = "+"
+"""Separates the digests in the key of a conviction."""
 
 
 class InvalidEvidence(Failure):
@@ -97,26 +121,53 @@
     """
 
     __slots__ = (
+        "_clearances",
         "_cleared",
-        "_counts",
         "_crashes",
+        "_crashes_by_digest",
+        "_evaluated_ms",
+        "_is_changed",
         "_min_crashes",
+        "_proven",
         "_released_ms",
         "_reported_ms",
+        "_settling_ms",
         "convicted",
     )
 
-    def __init__(self, min_crashes: int = MIN_CRASHES) -> None:
+    def __init__(
+        self, min_crashes: int = MIN_CRASHES, settling_ms: int = 0
+    ) -> None:
         self.convicted: dict[str, int] = {}
-        """Time of conviction by digest."""
+        """Time of conviction by key.
+
+        A key is one digest, or several parts of prompts joined by
+        ``KEY_SEPARATOR``: those of which every crash had all. Only requests
+        with all of them are refused.
+        """
         self._min_crashes = min_crashes
-        self._crashes: dict[str, frozenset[str]] = {}
+        self._settling_ms = settling_ms
+        """Time in which all reports on a crash arrive.
+
+        A crash counts only after it, as the part of a crash that is known
+        first may not hold the cause.
+        """
+        self._crashes: dict[str, dict[str, Suspect]] = {}
+        """Requests that were running, by digest and crash."""
+        self._is_changed = False
+        """Whether a crash or clearance was added since the last evaluation."""
+        self._evaluated_ms = 0
         self._cleared: dict[str, set[str]] = {}
         """Digests that do not count for a crash, by crash."""
+        self._clearances: list[tuple[str, str]] = []
+        """Crashes and digests cleared by answers that this process saw."""
+        self._proven: OrderedDict[str, int] = OrderedDict()
+        """Crashes that answers still outweigh, by part; latest answer last."""
         self._released_ms: dict[str, int] = {}
-        """Time at which a conviction was found to be wrong, by digest."""
+        """Time at which a conviction was found to be wrong, by key."""
         self._reported_ms: dict[str, int] = {}
-        self._counts: dict[str, int] = {}
+        self._crashes_by_digest: dict[str, set[str]] = {}
+        """Crashes that count against a digest, whether settled or not."""
 
     @classmethod
     def parse(cls, text: str) -> Result[Evidence, InvalidEvidence]:
@@ -125,7 +176,8 @@
         try:
             document = json.loads(text) if text else [[], {}]
             for crash, digests, at_ms in document[0]:
-                evidence._add(str(crash), frozenset(digests), int(at_ms))
+                suspects = dict.fromkeys(digests, Suspect())
+                evidence._add(str(crash), suspects, int(at_ms))
             for digest, at_ms in document[1].items():
                 evidence.convicted[digest] = int(at_ms)
         except (ValueError, TypeError, LookupError, AttributeError) as exc:
@@ -133,65 +185,103 @@
         return Ok(evidence)
 
     def text(self) -> str:
-        """Return the stored form; equal evidence gives equal text."""
+        """Return the stored form; equal evidence gives equal text.
+
+        It does not hold parts of prompts.
+        """
         crashes = [
             [crash, sorted(digests), self._reported_ms[crash]]
             for crash, digests in sorted(self._crashes.items())
         ]
         return json.dumps([crashes, dict(sorted(self.convicted.items()))])
 
-    def report(self, crash: str, digests: Iterable[str], now_ms: int) -> bool:
-        """Add a crash or part of one; returns whether any of it was new."""
-        known = self._crashes.get(crash, frozenset())
-        new = set(digests) - known - self._cleared.get(crash, set())
+    def report(
+        self,
+        crash: str,
+        suspects: Mapping[str, Suspect] | Iterable[str],
+        now_ms: int,
+    ) -> bool:
+        """Add a crash or part of one; returns whether any of it was new.
+
+        ``suspects`` are the requests that were running, by their digests.
+        """
+        if not isinstance(suspects, Mapping):
+            suspects = dict.fromkeys(suspects, Suspect())
+        known = self._crashes.get(crash, {})
         free = MAX_DIGESTS_PER_CRASH - len(known)
-        running = frozenset(self._rank(crash, new)[:free])
-        if not running:
+        new = self._rank(crash, suspects.keys() - known.keys())[:free]
+        if not new:
             return False
-        self._add(crash, running, now_ms)
-        self._convict(now_ms)
+        self._add(crash, {digest: suspects[digest] for digest in new}, now_ms)
+        self._clear_proven(crash, new)
+        self.evaluate(now_ms)
         return True
 
-    def clear(self, crash: str, digest: str, now_ms: int) -> None:
-        """Stop counting a crash against a digest, and end its conviction."""
-        if digest in self._cleared.get(crash, ()):
+    def record_answer(
+        self, request: str, parts: Collection[str], now_ms: int
+    ) -> None:
+        """Clear a request that was answered completely, and its parts."""
+        for part in parts:
+            answers = self._proven.get(part, 0) + 1
+            self._proven[part] = min(answers, MAX_PROVEN_CRASHES)
+            self._proven.move_to_end(part)
+        while len(self._proven) > MAX_PROVEN_PARTS:
+            self._proven.popitem(last=False)
+        for digest in (request, *parts):
+            self.exonerate(digest, now_ms)
+
+    def clear(self, crash: str, digests: Iterable[str], now_ms: int) -> None:
+        """Stop counting a crash against digests, as another process found."""
+        new = set(digests) - self._cleared.get(crash, set())
+        if not new:
             return
-        self._add(crash, frozenset(), now_ms)
-        if digest in self._crashes[crash]:
-            self._crashes[crash] -= {digest}
-            self._uncount(digest)
-        self._cleared.setdefault(crash, set()).add(digest)
-        self.release(digest, now_ms)
+        self._add(crash, {}, now_ms)
+        for digest in new:
+            self._clear(crash, digest)
+            self.release(digest, now_ms)
+        self.evaluate(now_ms)
+
+    def exonerate(self, digest: str, now_ms: int) -> None:
+        """Clear a digest of all crashes and end its convictions."""
+        crashes = sorted(self._crashes_by_digest.get(digest, ()))
+        for crash in crashes:
+            self._clear(crash, digest)
+            self._clearances.append((crash, digest))
+        if self.release(digest, now_ms) or crashes:
+            self.evaluate(now_ms)
 
-    def exonerate(self, digest: str, now_ms: int) -> list[str]:
-        """Clear a digest of all crashes, and return these.
+    def take_clearances(self) -> list[tuple[str, str]]:
+        """Return what answers that this process saw have cleared.
 
-        To be called when a request with the digest was answered completely.
+        Each is a crash and a digest; they are returned once.
         """
-        if self.verdict(digest) is Suspicion.CLEAN:
-            return []
-        crashes = [
-            c for c, running in self._crashes.items() if digest in running
-        ]
-        for crash in crashes:
-            self.clear(crash, digest, now_ms)
-        self.release(digest, now_ms)
-        return crashes
+        taken, self._clearances = self._clearances, []
+        return taken
 
-    def convict(self, digest: str, at_ms: int) -> bool:
+    def convict(self, key: str, at_ms: int) -> bool:
         """Adopt a conviction of another process; returns whether it is new.
 
         One that was released here is stale and not adopted again.
         """
-        if digest in self.convicted or digest in self._released_ms:
+        if key in self.convicted or key in self._released_ms:
             return False
-        self.convicted[digest] = at_ms
+        self.convicted[key] = at_ms
         return True
 
-    def release(self, digest: str, now_ms: int) -> None:
-        """End the conviction of a digest, if there is one."""
-        if self.convicted.pop(digest, None) is not None:
-            self._released_ms[digest] = now_ms
+    def release(self, digest: str, now_ms: int) -> bool:
+        """End the convictions that involve a digest, if there are any."""
+        keys = [k for k in self.convicted if digest in k.split(KEY_SEPARATOR)]
+        for key in keys:
+            del self.convicted[key]
+            self._released_ms[key] = now_ms
+        return bool(keys)
+
+    def find_conviction(self, digests: Iterable[str]) -> str | None:
+        """Return the key of a conviction that covers a request, if any.
+
+        ``digests`` are those of the request and of the parts of its prompt.
+        """
+        return find_key(self.convicted, digests)
 
     def merge(self, other: Evidence, now_ms: int) -> bool:
         """Add the evidence of another owner; returns whether any was new."""
@@ -199,10 +289,10 @@
         for digest, at_ms in other.convicted.items():
             known = self.convicted.get(digest, at_ms)
             self.convicted[digest] = min(known, at_ms)
-        for crash, digests in other._crashes.items():
+        for crash, suspects in other._crashes.items():
             if crash not in self._crashes:
-                self._add(crash, digests, other._reported_ms[crash])
-        self._convict(now_ms)
+                self._add(crash, suspects, other._reported_ms[crash])
+        self.evaluate(now_ms)
         return before != (len(self._crashes), len(self.convicted))
 
     def covers(self, other: Evidence) -> bool:
@@ -232,16 +322,56 @@
     @property
     def has_suspects(self) -> bool:
         """Whether the verdict on any digest is not clean."""
-        return bool(self._counts or self.convicted)
+        return bool(self._crashes_by_digest or self.convicted)
 
     def verdict(self, digest: str) -> Suspicion:
         """Return the verdict on a digest."""
         if digest in self.convicted:
             return Suspicion.CONVICTED
-        if digest in self._counts:
+        if digest in self._crashes_by_digest:
             return Suspicion.SUSPECT
         return Suspicion.CLEAN
 
+    def evaluate(self, now_ms: int) -> None:
+        """Convict what explains a crash that no conviction explains yet.
+
+        Where several causes are possible, none is convicted: the next crash
+        separates them. A conviction stays even if later crashes make it
+        ambiguous. Also called when a crash may have settled.
+        """
+        if not (
+            self._is_changed or self._has_settled_since_evaluation(now_ms)
+        ):
+            return
+        self._is_changed, self._evaluated_ms = False, now_ms
+        settled = {
+            crash: suspects
+            for crash, suspects in sorted(self._crashes.items())
+            if self._is_settled(crash, now_ms)
+        }
+        tallies = tally(settled, self._cleared)
+        for suspects in settled.values():
+            if any(
+                self.find_conviction({request, *suspect.parts})
+                for request, suspect in suspects.items()
+            ):
+                continue
+            cause = common_cause(suspects, tallies, self._min_crashes)
+            if cause is not None:
+                key = KEY_SEPARATOR.join(sorted(cause))
+                self.convicted[key] = now_ms
+                self._released_ms.pop(key, None)
+
+    def _is_settled(self, crash: str, now_ms: int) -> bool:
+        return now_ms - self._reported_ms[crash] >= self._settling_ms
+
+    def _has_settled_since_evaluation(self, now_ms: int) -> bool:
+        return any(
+            self._is_settled(crash, now_ms)
+            and not self._is_settled(crash, self._evaluated_ms)
+            for crash in self._crashes
+        )
+
     def _rank(self, crash: str, digests: Iterable[str]) -> list[str]:
         """Sort digests by the crashes they were running at, most first.
 
@@ -250,41 +380,55 @@
         """
 
         def key(digest: str) -> tuple[int, bytes]:
-            return -self._counts.get(digest, 0), _weight(crash, digest)
+            count = len(self._crashes_by_digest.get(digest, ()))
+            return -count, _weight(crash, digest)
 
         return sorted(digests, key=key)
 
-    def _add(self, crash: str, digests: frozenset[str], at_ms: int) -> None:
-        self._crashes[crash] = self._crashes.get(crash, frozenset()) | digests
+    def _add(
+        self, crash: str, suspects: Mapping[str, Suspect], at_ms: int
+    ) -> None:
+        self._crashes.setdefault(crash, {}).update(suspects)
         self._reported_ms.setdefault(crash, at_ms)
-        for digest in digests:
-            self._counts[digest] = self._counts.get(digest, 0) + 1
+        self._is_changed = True
+        cleared = self._cleared.get(crash, set())
+        for request, suspect in suspects.items():
+            for digest in {request, *suspect.parts} - cleared:
+                self._crashes_by_digest.setdefault(digest, set()).add(crash)
+
+    def _clear_proven(self, crash: str, requests: Iterable[str]) -> None:
+        """Clear the parts of lost requests that were answered before."""
+        suspects = self._crashes[crash]
+        parts = {part for r in requests for part in suspects[r].parts}
+        for part in sorted(parts - self._cleared.get(crash, set())):
+            answers = self._proven.get(part, 0)
+            if answers:
+                self._proven[part] = answers - 1
+                self._clear(crash, part)
+                self._clearances.append((crash, part))
+
+    def _clear(self, crash: str, digest: str) -> None:
+        self._is_changed = True
+        self._cleared.setdefault(crash, set()).add(digest)
+        self._forget(crash, digest)
 
     def _remove(self, crash: str) -> None:
         del self._reported_ms[crash]
         self._cleared.pop(crash, None)
-        for digest in self._crashes.pop(crash):
-            self._uncount(digest)
-
-    def _uncount(self, digest: str) -> None:
-        self._counts[digest] -= 1
-        if not self._counts[digest]:
-            del self._counts[digest]
-
-    def _convict(self, now_ms: int) -> None:
-        """Convict each digest that ran at more crashes than those beside it.
-
-        If two digests of a crash were running at the same number of crashes,
-        neither is convicted: the next crash separates them. A conviction
-        stays even if later crashes make it ambiguous.
-        """
-        for _, digests in sorted(self._crashes.items()):
-            if any(d in self.convicted for d in digests):
-                continue
-            most = max((self._counts[d] for d in digests), default=0)
-            if most < self._min_crashes:
-                continue
-            prime = [d for d in digests if self._counts[d] == most]
-            if len(prime) == 1:
-                self.convicted[prime[0]] = now_ms
-                self._released_ms.pop(prime[0], None)
+        for request, suspect in self._crashes.pop(crash).items():
+            for digest in (request, *suspect.parts):
+                self._forget(crash, digest)
+
+    def _forget(self, crash: str, digest: str) -> None:
+        crashes = self._crashes_by_digest.get(digest, set())
+        crashes.discard(crash)
+        if not crashes:
+            self._crashes_by_digest.pop(digest, None)
+
+
+def find_key(keys: Iterable[str], digests: Iterable[str]) -> str | None:
+    """Return the first key of which all digests are given, None without."""
+    given = set(digests)
+    return next(
+        (k for k in keys if given.issuperset(k.split(KEY_SEPARATOR))), None
+    )
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -289,12 +289,14 @@
 
 struct CrashNotice {
   1: string server,            // identity of one start of the backend server
-  2: list<string> lost,        // content that was running, as digests
-  3: list<string> cleared,     // content that was answered since, or elsewhere
+  2: list<string> lost,        // requests that were running, as digests
+  3: list<string> cleared,     // digests that were answered since, or elsewhere
+  4: optional list<string> parts,  // shared parts of each lost request, joined by commas
+  5: optional list<string> begun,  // lost requests of which part of the answer had arrived
 }
 
 struct ConvictionNotice {
-  1: string content,
+  1: string content,           // digest, or several joined by "+"
   2: i64 convicted_ms,         // wall clock
 }
 
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -12,12 +12,19 @@
 
 import pytest
 
+from gooseberrypost.gateway.notices import decode_notice, encode_crash
+from gooseberrypost.gateway.quarantine import CrashReport
+from gooseberrypost.policy.suspects import Suspect
+from gooseberrypost.wire.codec import Frame, encode
+from gooseberrypost.wire.messages import idl
 from tests.gateway_kit import HOST, configuration, serving
 
 CRASHES_BEFORE_LIMIT = 3
 MAX_SENDS_AFTER = 3
 CRASHES_BEFORE_PART_LIMIT = 5
 REPETITIONS = 12
+PAUSE_S = 0.25
+"""Time between two crashing requests; it was a second in the incidents."""
 DESKS = tuple((f"desk-{n}", "desk", "") for n in range(3))
 POOLS = (("p", "llm", "prefill"), *((f"d{n}", "llm", "decode") for n in "12"))
 POISON = b"poison"
@@ -63,6 +70,8 @@
         for _ in range(CRASHES_BEFORE_LIMIT):
             assert (await self.send(path, POISON)).status == 502
             await self.restart_crashed()
+        quarantine = self.gateways[0].context.quarantine
+        await self.kit.until(lambda: quarantine.evidence.convicted)
         assert (await self.send(path, POISON)).status == 503
 
     async def add_gateway(self, stack: AsyncExitStack, name: str) -> int:
@@ -120,6 +129,7 @@
                 response = await crash_kit.send(path, POISON, number % 2)
                 statuses.append(response.status)
                 await crash_kit.restart_crashed()
+                await asyncio.sleep(PAUSE_S)
             assert crash_kit.crashes <= CRASHES_BEFORE_LIMIT + MAX_SENDS_AFTER
             # The refusal states that the request was not executed.
             assert statuses[-1] == 503
@@ -276,6 +286,7 @@
                 response = await crash_kit.send("/split/x", POISON, number % 2)
                 statuses.append(response.status)
                 await crash_kit.restart_crashed()
+                await asyncio.sleep(PAUSE_S)
             assert crash_kit.crashes <= CRASHES_BEFORE_LIMIT + MAX_SENDS_AFTER
             # One service refuses the request, and the other still answers it.
             assert set(statuses[-REPETITIONS:]) == {200, 503}
@@ -316,6 +327,7 @@
             for number in range(REPETITIONS):
                 statuses.append((await send(number, "bad")).status)
                 await crash_kit.restart_crashed()
+                await asyncio.sleep(PAUSE_S)
                 if sound_answers == "between":
                     assert (await send(number, "good")).status == 200
             most = CRASHES_BEFORE_PART_LIMIT + MAX_SENDS_AFTER
@@ -325,3 +337,57 @@
                 assert (await send(number, "good")).status == 200
 
     asyncio.run(work())
+
+
+def test_reports_of_many_crashes_fit_into_a_notice():
+    """Guards against load notices that are too long for a datagram.
+
+    A notice that cannot be sent also hides the sender's load.
+    """
+
+    async def work():
+        async with serving(*DESKS) as kit:
+            quarantine = kit.daemon.context.quarantine
+            for crash in range(20):
+                lost = {
+                    f"{crash:016}{n:016}": Suspect(
+                        frozenset(f"{part:016}{n:016}" for part in range(8)),
+                        has_begun=n != 7,
+                    )
+                    for n in range(60)
+                }
+                quarantine._report(f"server-{crash}@1", lost)
+            reports = quarantine.recent_reports()
+            convictions = quarantine.newest_convictions()
+            assert sum(report.size for report in reports) <= 512
+            assert f"{19:016}{7:016}" in reports[0].lost
+            message = idl.LoadNotice(
+                name="g",
+                incarnation=1,
+                sequence=1,
+                servers=[],
+                configuration_version=1,
+                crashes=[encode_crash(report) for report in reports],
+            )
+            data = encode(Frame(1, message))
+            assert len(data) < 32_768
+            assert list(decode_notice(data).crashes) == reports
+            assert not convictions
+
+    asyncio.run(work())
+
+
+def test_report_without_parts_is_understood():
+    """Guards against reports of an older gateway that are dropped."""
+    report = CrashReport("server@1", {"a": Suspect(), "b": Suspect()})
+    crash = encode_crash(report)
+    crash.parts = crash.begun = None
+    message = idl.LoadNotice(
+        name="g",
+        incarnation=1,
+        sequence=1,
+        servers=[],
+        configuration_version=1,
+        crashes=[crash],
+    )
+    assert decode_notice(encode(Frame(1, message))).crashes == (report,)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -189,8 +189,9 @@
         crash = f"c{number}"
         for evidence in (first, second):
             evidence.report(crash, {"popular"}, 0)
-        for cleared in first.exonerate("popular", 0):
-            second.clear(cleared, "popular", 0)
+        first.exonerate("popular", 0)
+        for cleared, digest in first.take_clearances():
+            second.clear(cleared, {digest}, 0)
             # A report of the same crash that arrives later changes nothing.
             assert not second.report(cleared, {"popular"}, 0)
     assert not first.convicted
