Treat a stream that ends inside an event as broken off

An engine may stream without a length or chunks and end with its connection. Such a stream that was closed properly inside an event, or before the first one, reached its client as a complete answer, and a resumable one was not resumed. For the quarantine it looked like an answer, which clears what had just crashed the engine.

The end of a stream now has to be the end of an event, and an answer whose framing does not show its end clears no content.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -520,11 +520,11 @@
                 if await self._migration.move_if_memory_low(server, self._run):
                     await self._forward_remaining(chunks, stride)
                     raise GenerationMoved(server.address)
-        if self._events.incomplete:
-            await self.reply.write(self._events.incomplete)
+        self._check_end(server, answer)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).record_success(0.0)
-        self.record_answer()
+        if answer.is_framed:
+            self.record_answer()
         self.ctx.record_generation(
             self.service,
             self._run.produced,
@@ -533,6 +533,17 @@
         self.ctx.record_pause(self.service, self._progress.longest_pause_s)
         self._log_answer(server, answer)
 
+    def _check_end(self, server: Server, answer: Answer) -> None:
+        """Raise ``AnswerLost`` if a stream that ended was broken off.
+
+        Where the end of the connection is the end of the answer, only the
+        events show that.
+        """
+        if self._events.incomplete:
+            raise AnswerLost(f"{server.address}: ended inside an event")
+        if not (answer.is_framed or self.has_begun):
+            raise AnswerLost(f"{server.address}: ended without an event")
+
     def _feed(self, chunk: bytes, stride: int) -> bytes:
         """Return the events that a chunk completes, and record progress."""
         events_before = self._events.count
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -97,6 +97,8 @@
     chunks: AsyncIterator[bytes]
     """Parts of the body; raises ``AnswerLost`` if it does not end properly."""
     is_event_stream: bool = False
+    is_framed: bool = True
+    """Whether the body has a length or chunks, so that its end is certain."""
 
 
 @dataclass(slots=True)
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -54,6 +54,7 @@
 """Headers that aiohttp must not add to a forwarded request by itself."""
 STAGE_PREFILL: Final = "prefill"
 EVENT_STREAM: Final = "text/event-stream"
+FRAMING_HEADERS: Final = ("Content-Length", "Transfer-Encoding")
 
 
 class HttpTransport(Transport):
@@ -286,6 +287,7 @@
         is_signed=names.SIGNATURE in response.headers,
         chunks=_chunks(response),
         is_event_stream=response.content_type == EVENT_STREAM,
+        is_framed=any(name in response.headers for name in FRAMING_HEADERS),
     )
 
 
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -285,6 +285,28 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    async def _mode_unframed(self, request, writer):
+        """Stream without a length or chunks, ended by its connection."""
+        await self._stream_unframed(request, writer, self.events, b"")
+
+    async def _mode_unframed_cut(self, request, writer):
+        """Stream likewise, and close properly inside the second event."""
+        await self._stream_unframed(request, writer, 1, b"id: 2")
+
+    async def _mode_unframed_empty(self, request, writer):
+        """Stream likewise, and close properly before the first event."""
+        await self._stream_unframed(request, writer, 0, b"")
+
+    async def _stream_unframed(self, request, writer, events, rest):
+        writer.write(self._head(request, "Content-Type: text/event-stream"))
+        first = int(request.headers.get("last-event-id") or 0)
+        for number in range(first + 1, events + 1):
+            writer.write(f"id: {number}\ndata: {number}\n\n".encode())
+            await writer.drain()
+        writer.write(rest)
+        await writer.drain()
+        writer.write_eof()
+
     async def _mode_truncate(self, request, writer):
         if self.stage:
             return await self._stream(request, writer)
--- a/tests/test_gateway_trouble.py
+++ b/tests/test_gateway_trouble.py
@@ -16,6 +16,8 @@
 """Bytes that may be sent before the gateway closes: the largest answer and
 what the sockets of both sides buffer."""
 
+POOLS = (("p", "llm", "prefill"), ("d", "llm", "decode"))
+
 
 def run(work):
     return asyncio.run(work())
@@ -235,3 +237,52 @@
             await store.stop()
 
     run(work)
+
+
+STREAM_EVENTS = b"".join(
+    f"id: {number}\ndata: {number}\n\n".encode() for number in (1, 2, 3)
+)
+
+
+def test_stream_without_framing_is_complete():
+    """Guards against losing a stream that ends with its connection."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            kit.engines["d"].mode = "unframed"
+            response = await kit.generate()
+            assert response.complete
+            assert response.body == STREAM_EVENTS
+
+    run(work)
+
+
+@pytest.mark.parametrize("mode", ["unframed_cut", "unframed_empty"])
+def test_stream_that_ends_inside_an_event_looks_broken_off(mode):
+    """Guards against a stream that was broken off and looks complete.
+
+    The engine closes the connection properly, without a length or chunks.
+    """
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            kit.engines["d"].mode = mode
+            response = await kit.generate()
+            assert response.status != 200 or not response.complete
+
+    run(work)
+
+
+@pytest.mark.parametrize("mode", ["unframed_cut", "unframed_empty"])
+def test_stream_that_ends_inside_an_event_is_resumed(mode):
+    """Guards against half an event in the middle of a resumed stream."""
+
+    async def work():
+        async with serving(*POOLS, ("e", "llm", "decode")) as kit:
+            kit.engines["d"].mode = mode
+            for _ in range(4):
+                response = await kit.generate("/again/x")
+                assert response.complete
+                assert response.body == STREAM_EVENTS
+
+    run(work)
