Send crashing requests in the gateway soak

Two clients send a body and a prompt part that end the server which runs them; servers come back as other instances. After the faults the soak checks that at most three more such requests reach servers, and that sound ones with the same first part are served. The clients draw from a generator of their own, so that the faults of earlier seeds stay the same.

--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -4,8 +4,9 @@
 from outside the processes: signals, relays to the store that cut or stall
 connections, faults of the store (503, no answers, watches without events, a
 compacted history, expired leases) and the failure modes of the fake backend
-servers. Faults overlap. Responses that clients received and requests that
-servers executed are checked against the gateway's guarantees.
+servers. Faults overlap. Some requests crash each server that executes them.
+Responses that clients received and requests that servers executed are checked
+against the gateway's guarantees.
 """
 
 from __future__ import annotations
@@ -48,6 +49,14 @@
 """Estimated output tokens of a stream, far below the 2,400 that it has, so
 that engines with a capacity of 10,000 tokens run out of memory and the gateway
 moves generations."""
+POISON_BODY = b"poison"
+POISON_PART = "bad:20"
+SOUND_PARTS = "first:20,good:20,own:60"
+POISON_ROUTES = ("once", "text")
+CRASHES_BEFORE_LIMIT = 5
+MAX_SENDS_AFTER = 3
+STABLE_WINDOW_S = 3.0
+"""Time after the last crash from which on ``MAX_SENDS_AFTER`` holds."""
 MAX_ACTIVE_FAULTS = 4
 INTERPRETER_START_S = 0.2
 """Time in which the Python interpreter starts, before the gateway's code."""
@@ -77,6 +86,10 @@
         self.violations: list[str] = []
         self.restarting: set[Process] = set()
         """Gateways that a fault is restarting now."""
+        self.poison_rng = random.Random(f"poison {seed}")
+        """Separate, so that the faults of a seed stay the same."""
+        self.poison_sent = 0
+        self.crashes = dict.fromkeys(POISON_ROUTES, 0)
 
     async def run(self) -> list[str]:
         async with AsyncExitStack() as stack:
@@ -85,11 +98,18 @@
                 asyncio.create_task(self._client(number))
                 for number in range(CLIENTS)
             ]
+            clients += [
+                asyncio.create_task(self._poison_client(route))
+                for route in POISON_ROUTES
+            ]
+            restarts = asyncio.create_task(self._restart_crashed())
             await self._faults()
             for client in clients:
                 client.cancel()
             await asyncio.gather(*clients, return_exceptions=True)
             await self._recover()
+            await self._check_quarantine()
+            restarts.cancel()
             self._check()
         return self.violations
 
@@ -108,6 +128,7 @@
             stack.push_async_callback(engine.stop)
             engine.event_s, engine.events = 0.02, STREAM_EVENTS
             engine.supports_moves = True
+            engine.crashes_on = is_poison
             self.engines.append(engine)
             self._register(engine)
         self.relays, self.gateways = [], []
@@ -174,6 +195,7 @@
         if ROUTES[route]["kind"] == "streaming":
             headers["X-Gooseberrypost-Token-Usage"] = STREAM_USAGE
             headers["X-Gooseberrypost-Length-Hint"] = STREAM_LENGTH_HINT
+            headers["X-Gooseberrypost-Prompt-Prefix"] = SOUND_PARTS
         try:
             async with session.post(
                 f"http://{address}/{route}/{request}",
@@ -186,6 +208,82 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
 
+    async def _poison_client(self, route: str):
+        """Send requests that crash servers, again and again."""
+        while True:
+            await asyncio.sleep(self.poison_rng.uniform(0.3, 1.0))
+            await self._send_poison(route)
+
+    async def _send_poison(self, route: str):
+        """Send one request with a crashing body or prompt part."""
+        gateway = self.poison_rng.choice(self.gateways)
+        address = gateway.settings["listen"]["frontend"]
+        self.poison_sent += 1
+        request = f"poison-{self.poison_sent}"
+        headers = {
+            "Host": HOST,
+            "X-Gooseberrypost-Attempt-Id": request,
+            "X-Gooseberrypost-Deadline-Ms": "2000",
+        }
+        body, target = POISON_BODY, "poison"
+        if ROUTES[route]["kind"] == "streaming":
+            headers["X-Gooseberrypost-Token-Usage"] = STREAM_USAGE
+            headers["X-Gooseberrypost-Prompt-Prefix"] = (
+                f"first:20,{POISON_PART},{request}:60"
+            )
+            body, target = request.encode(), request
+        timeout = aiohttp.ClientTimeout(total=4)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(
+                    f"http://{address}/{route}/{target}",
+                    headers=headers,
+                    data=body,
+                ) as response,
+            ):
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def _restart_crashed(self):
+        """Restart each crashed server, as another instance."""
+        while True:
+            await asyncio.sleep(0.02)
+            for engine in self.engines:
+                if engine.crashes:
+                    engine.crashes = 0
+                    route = "text" if engine.stage else "once"
+                    self.crashes[route] += 1
+                    self._record_fault("crash", engine.instance)
+                    self.store.remove(f"servers/{engine.instance}")
+                    await asyncio.sleep(self.poison_rng.uniform(0, 0.5))
+                    number = sum(self.crashes.values())
+                    first = engine.instance.partition(".")[0]
+                    await engine.restart(f"{first}.{number}")
+                    self._register(engine)
+
+    async def _check_quarantine(self):
+        """Check the limits on crashing requests, without other faults."""
+        for route in POISON_ROUTES:
+            for _ in range(CRASHES_BEFORE_LIMIT):
+                if self.crashes[route] < CRASHES_BEFORE_LIMIT:
+                    await self._send_poison(route)
+                    await asyncio.sleep(0.5)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        before = dict(self.crashes)
+        for route in POISON_ROUTES:
+            for _ in range(4 * MAX_SENDS_AFTER):
+                await self._send_poison(route)
+                await asyncio.sleep(0.1)
+            crashes = self.crashes[route] - before[route]
+            if crashes > MAX_SENDS_AFTER:
+                self.violations.append(
+                    f"{route}: {crashes} crashes more, after {before[route]}"
+                )
+        await asyncio.sleep(1.0)
+        await self._wait_for(self._all_serve, "sound requests served beside")
+
     async def _faults(self):
         loop = asyncio.get_running_loop()
         end_s = loop.time() + self.seconds
@@ -380,6 +478,12 @@
             )
 
 
+def is_poison(request) -> bool:
+    """Whether a request crashes the server that executes it."""
+    prompt = request.header("Prompt-Prefix") or ""
+    return request.body == POISON_BODY or POISON_PART in prompt
+
+
 def configuration_with_long_events(version: int) -> dict:
     """Return a configuration of engines with 200 tokens per stream event."""
     document = configuration(version)
@@ -422,6 +526,7 @@
         click.echo(
             f"seed {number}: {len(run.sent)} sent, {served} served, "
             f"{run.moved} moved, {len(run.trace)} faults, "
+            f"{sum(run.crashes.values())} crashes, "
             f"{len(run.violations)} violations"
         )
         for violation in run.violations:
