Count crashes against leading parts of prompts at entries too

Twelve prompts that share 129 leading words, one of which crashes the engine, crashed 24 engines.

Entries now name digests of the leading parts of a prompt (its prefixes at block boundaries) in claims, reservations and prefills, agents name them in crash reports with whether the answer had begun, and claim owners refuse what policy/suspects finds. A part always needs three crashes of different requests, as requests with a suspect part are not isolated. A completed claim clears its parts. Messages without the new fields are understood, and the stored form of the evidence is as before.

test_prompts_that_share_a_crashing_part_crash_few_engines failed with 24 crashes; eight are allowed. It also checks that sound prompts with the same beginning are answered.

--- a/src/gooseberrypost/agent/crash.py
+++ b/src/gooseberrypost/agent/crash.py
@@ -123,13 +123,18 @@
         self._crashes += 1
         self._lifecycle.record_crash()
         jobs = [self._attempts.jobs.get(attempt) for attempt in lost]
-        digests = sorted({job.digest for job in jobs if job and job.digest})
+        by_digest = {job.digest: job for job in jobs if job and job.digest}
+        digests = sorted(by_digest)
         crash_id = (
             f"{self._process_id.name}-{self._process_id.incarnation}"
             f"-{self._crashes}"
         )
         message = idl.CrashReport(
-            crash_id=crash_id, server=self._process_id.name, digests=digests
+            crash_id=crash_id,
+            server=self._process_id.name,
+            digests=digests,
+            parts=[list(by_digest[digest].parts) for digest in digests],
+            begun=[by_digest[digest].has_begun for digest in digests],
         )
         owners = sorted(self._claim_owners)
         tasks = [
--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -134,6 +134,7 @@
             ttl_ms=ttl_ms,
             suspect=req.suspect,
             digest=req.digest,
+            parts=tuple(req.parts or ()),
             transfer_kb=req.transfer_kb,
             expected_start_ms=req.expected_start_ms,
         )
@@ -170,7 +171,11 @@
             "admit", key=req.key, attempt=req.attempt, phase=Phase.DECODE
         )
         job = DecodeJob(
-            attempt, session, allocation.digest, req.first_sequence
+            attempt,
+            session,
+            allocation.digest,
+            req.first_sequence,
+            allocation.parts,
         )
         context.attempts.jobs[attempt] = job
         coroutine = self._decode_runner.run(job, req, allocation.booking)
--- a/src/gooseberrypost/agent/jobs.py
+++ b/src/gooseberrypost/agent/jobs.py
@@ -10,6 +10,8 @@
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from gooseberrypost.errors import Failure
     from gooseberrypost.identity import Attempt
     from gooseberrypost.wire.listener import Session
@@ -22,23 +24,36 @@
         "attempt",
         "digest",
         "orphaned_ms",
+        "parts",
         "phase",
         "session",
         "task",
     )
 
     def __init__(
-        self, attempt: Attempt, phase: Phase, session: Session, digest: bytes
+        self,
+        attempt: Attempt,
+        phase: Phase,
+        session: Session,
+        digest: bytes,
+        parts: Sequence[bytes] = (),
     ) -> None:
         self.attempt = attempt
         self.phase = phase
         self.session = session
         """Newest connection of the entry that owns the job."""
         self.digest = digest
+        self.parts = parts
+        """Digests of the parts of the prompt that others may share."""
         self.orphaned_ms: int | None = None
         """Clock time at which the connection broke; ``None`` if it is open."""
         self.task: asyncio.Task[Any] | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether part of the answer was produced."""
+        return False
+
 
 class DecodeJob(Job):
     """A token stream that retains its tokens so that entries can reattach."""
@@ -58,8 +73,9 @@
         session: Session,
         digest: bytes,
         first_sequence: int,
+        parts: Sequence[bytes] = (),
     ) -> None:
-        super().__init__(attempt, Phase.DECODE, session, digest)
+        super().__init__(attempt, Phase.DECODE, session, digest, parts)
         self.first_sequence = first_sequence
         """Sequence number of the first retained token."""
         self.token_texts: list[str] = []
@@ -69,6 +85,11 @@
         self._changed = asyncio.Event()
         self._latest_sender = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the engine has produced a token."""
+        return bool(self.token_texts)
+
     @property
     def next_sequence(self) -> int:
         """Sequence number of the next token expected from the engine."""
--- a/src/gooseberrypost/agent/prefilling.py
+++ b/src/gooseberrypost/agent/prefilling.py
@@ -63,7 +63,7 @@
             phase=Phase.PREFILL,
             tokens=tokens,
         )
-        job = Job(attempt, Phase.PREFILL, session, req.digest)
+        job = Job(attempt, Phase.PREFILL, session, req.digest, req.parts or ())
         job.task = asyncio.create_task(self._run(attempt, req, prompt))
         context.attempts.jobs[attempt] = job
         context.capacity_controller.adjust_queue(tokens)
--- a/src/gooseberrypost/claims/_handlers.py
+++ b/src/gooseberrypost/claims/_handlers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import suppress
+from itertools import zip_longest
 from typing import TYPE_CHECKING, Any, Final
 
 from result import Err
@@ -13,6 +14,7 @@
 from gooseberrypost.claims.shard import ClaimResult, NotOwner
 from gooseberrypost.errors import ClaimsUnavailable, Superseded
 from gooseberrypost.identity import check_key
+from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.state.claim import GrantRequest, Verdict
 from gooseberrypost.wire.listener import refusal_message
 from gooseberrypost.wire.messages import idl
@@ -57,7 +59,13 @@
             return refusal_message(failure)
     max_ms = owner.cfg.claims.retention_ms
     deadline_ms = max(0, min(msg.deadline_ms, max_ms))
-    request = GrantRequest(msg.key, msg.digest, msg.idempotent, deadline_ms)
+    request = GrantRequest(
+        msg.key,
+        msg.digest,
+        msg.idempotent,
+        deadline_ms,
+        tuple(msg.parts or ()),
+    )
     result = await owner.claim(
         request, msg.service_name, holder, min(msg.wait_ms, max_ms)
     )
@@ -93,7 +101,18 @@
     owner: ClaimOwnerController, msg: Any, holder: str
 ) -> Any:
     """Record crash evidence, which takes effect before it is stored."""
-    owner.evidence_store.report(msg.crash_id, msg.server, msg.digests)
+    suspects = {
+        digest: Suspect(
+            frozenset(part.hex() for part in parts), bool(has_begun)
+        )
+        for digest, parts, has_begun in zip_longest(
+            msg.digests,
+            (msg.parts or ())[: len(msg.digests)],
+            (msg.begun or ())[: len(msg.digests)],
+            fillvalue=(),
+        )
+    }
+    owner.evidence_store.report(msg.crash_id, msg.server, suspects)
     with suppress(TimeoutError):
         async with asyncio.timeout(EVIDENCE_SYNC_TIMEOUT_MS / 1_000):
             await owner.evidence_store.sync()
--- a/src/gooseberrypost/claims/client.py
+++ b/src/gooseberrypost/claims/client.py
@@ -43,6 +43,8 @@
     """How long to wait for the answer if another attempt is running."""
     fresh: bool = False
     """The key was minted for this call, so it was never sent before."""
+    parts: tuple[bytes, ...] = ()
+    """Digests of the parts of the prompt that other requests may share."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gooseberrypost/claims/evidence.py
+++ b/src/gooseberrypost/claims/evidence.py
@@ -12,9 +12,10 @@
 from gooseberrypost.stores.keyvalue import Conflict, KeyValueUnknown
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from gooseberrypost.errors import Failure
+    from gooseberrypost.policy.suspects import Suspect
     from gooseberrypost.stores.keyvalue import KeyValueStore
 
 EVIDENCE_KEY: Final = "claims/evidence"
@@ -35,11 +36,20 @@
         """Suspicion of a content digest by the evidence in memory."""
         return self.evidence.verdict(digest.hex())
 
+    def is_convicted(self, digest: bytes, parts: Iterable[bytes]) -> bool:
+        """Whether a request, or parts of its prompt, crash servers."""
+        digests = {digest.hex(), *(part.hex() for part in parts)}
+        return self.evidence.find_conviction(digests) is not None
+
+    def record_answer(self, parts: Iterable[bytes]) -> None:
+        """Clear the parts of a prompt that was answered completely."""
+        self.evidence.clear_parts([p.hex() for p in parts], self._wall_ms())
+
     def report(
-        self, crash: str, server: str, digests: Iterable[bytes]
+        self, crash: str, server: str, suspects: Mapping[bytes, Suspect]
     ) -> None:
         """Add a crash to the evidence in memory."""
-        running = [digest.hex() for digest in digests]
+        running = {digest.hex(): s for digest, s in suspects.items()}
         convicted = set(self.evidence.convicted)
         if not self.evidence.report(crash, running, self._wall_ms()):
             return
--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -150,6 +150,7 @@
             deadline_ms=req.deadline_ms,
             wait_ms=req.wait_ms,
             fresh=req.fresh,
+            parts=list(req.parts),
         )
         reply = await self._call_owner(
             message,
--- a/src/gooseberrypost/claims/shard.py
+++ b/src/gooseberrypost/claims/shard.py
@@ -118,12 +118,13 @@
             refusal = self._refuse_in_outage(request, keep_in_memory)
             if refusal is not None:
                 return refusal
-            suspicion = self._evidence_store.suspicion(request.digest)
             decision = self.claims.claim(
                 request,
                 holder,
                 self._clock_ms(),
-                suspicion is Suspicion.CONVICTED,
+                self._evidence_store.is_convicted(
+                    request.digest, request.parts
+                ),
             )
             self._wake_writer()
             left_ms = wait_end_ms - self._clock_ms()
@@ -140,8 +141,8 @@
         suspicion = Suspicion.CLEAN
         if claim is not None:
             suspicion = self._evidence_store.suspicion(claim.digest)
-        if suspicion is Suspicion.CONVICTED:
-            return ClaimResult(Verdict.QUARANTINED)
+            if self._evidence_store.is_convicted(claim.digest, claim.parts):
+                return ClaimResult(Verdict.QUARANTINED)
         decision = self.claims.renew(key, attempt, self._clock_ms())
         self._wake_writer()
         return ClaimResult(
@@ -170,6 +171,9 @@
                     NotOwner(f"shard {self.log.shard} is no longer owned")
                 )
             return Err(CompletionUnconfirmed(key))
+        claim = self.claims.claims.get(key)
+        if claim is not None:
+            self._evidence_store.record_answer(claim.parts)
         self._notify_waiters()
         return Ok(None)
 
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -119,6 +119,7 @@
             priority=view.priority,
             deadline_ms=remaining_ms,
             digest=self._state.digest,
+            parts=list(self._state.parts),
             suspect=view.suspect,
             generated=self._state.stream.text or None,
         )
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -178,7 +178,7 @@
         self.grant: Grant | None = None
 
     async def acquire(
-        self, digest: bytes, idempotent: bool
+        self, digest: bytes, idempotent: bool, parts: tuple[bytes, ...] = ()
     ) -> Result[Grant, Failure]:
         """Claim the idempotency key; mint one if the caller sent none."""
         live = self._live
@@ -192,6 +192,7 @@
         req = ClaimRequest(
             key=live.key,
             digest=digest,
+            parts=parts,
             service=live.service,
             idempotent=idempotent,
             deadline_ms=remaining_ms,
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -21,8 +21,13 @@
     Superseded,
     TargetUnreachable,
 )
+from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.views import AgentView, RequestView
-from gooseberrypost.state.prefix import prefix_hashes, shared_prefix_hash
+from gooseberrypost.state.prefix import (
+    prefix_hashes,
+    shared_part_hashes,
+    shared_prefix_hash,
+)
 from gooseberrypost.state.records import EngineRole
 from gooseberrypost.state.streams import TokenStream
 
@@ -110,7 +115,9 @@
     ) -> Result[Grant, Failure]:
         """Claim the idempotency key, and probe stale loads concurrently."""
         granted, _ = await asyncio.gather(
-            self._claim.acquire(self._digest, idempotent=True),
+            self._claim.acquire(
+                self._digest, idempotent=True, parts=self._parts(view)
+            ),
             self._probe_pools(view),
         )
         return granted
@@ -188,6 +195,13 @@
             )
         )
 
+    def _parts(self, view: RequestView) -> tuple[bytes, ...]:
+        """Digests of the parts of the prompt that others may share."""
+        return tuple(
+            content_digest(view.service, str(part).encode())
+            for part in shared_part_hashes(view.prefix_hashes)
+        )
+
     def _pool_views(self, view: RequestView, role: str) -> list[AgentView]:
         fleet, service, model = self._ctx.fleet, view.service, view.model
         views = fleet.candidates(service, role, model)
@@ -209,6 +223,7 @@
             answer=self._answer,
             retries=self._retries,
             failed_engines=set(),
+            parts=self._parts(view),
         )
         while True:
             _apply_grant(state, grant)
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -53,6 +53,8 @@
     retries: RetryBudget
     failed_engines: set[str]
     """Names of engines on which earlier attempts failed."""
+    parts: tuple[bytes, ...] = ()
+    """Digests of the parts of the prompt that others may share."""
 
 
 @dataclass(slots=True)
@@ -192,6 +194,7 @@
             priority=int(effective_priority(view, self._ctx.now_ms())),
             suspect=view.suspect,
             digest=self._state.digest,
+            parts=list(self._state.parts),
             transfer_kb=transfer_kb(view.prompt_tokens),
         )
 
--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -22,9 +22,9 @@
 A part is convicted when several requests that share it crash servers:
 
 >>> evidence = Evidence()
->>> for crash, request in ("c1", "a"), ("c2", "b"):
+>>> for crash, request in ("c1", "a"), ("c2", "b"), ("c3", "c"):
 ...     _ = evidence.report(crash, {request: Suspect({"part"})}, now_ms=0)
->>> evidence.find_conviction({"c", "part"}), evidence.find_conviction({"c"})
+>>> evidence.find_conviction({"d", "part"}), evidence.find_conviction({"c"})
 ('part', None)
 """
 
@@ -32,7 +32,7 @@
 
 import hashlib
 import json
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Mapping
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
@@ -43,7 +43,7 @@
 from gooseberrypost.policy.suspects import Suspect, common_cause, tally
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
 MAX_DIGESTS_PER_CRASH: Final = 64
 """Digests kept of one crash; an engine runs about twenty requests."""
@@ -76,6 +76,8 @@
 Each answer outweighs one crash, up to this number: in an outage popular parts
 are lost at every crash, and yet may crash a new version of the servers.
 """
+MAX_CLEARANCES: Final = 1_024
+"""Clearances kept until they are taken."""
 KEY_SEPARATOR: Final = "+"
 """Separates the digests in the key of a conviction."""
 
@@ -159,7 +161,7 @@
         self._evaluated_ms = 0
         self._cleared: dict[str, set[str]] = {}
         """Digests that do not count for a crash, by crash."""
-        self._clearances: list[tuple[str, str]] = []
+        self._clearances: deque[tuple[str, str]] = deque(maxlen=MAX_CLEARANCES)
         """Crashes and digests cleared by answers that this process saw."""
         self._proven: OrderedDict[str, int] = OrderedDict()
         """Crashes that answers still outweigh, by part; latest answer last."""
@@ -210,6 +212,12 @@
         known = self._crashes.get(crash, {})
         free = MAX_DIGESTS_PER_CRASH - len(known)
         new = self._rank(crash, suspects.keys() - known.keys())[:free]
+        # Evidence that was read from the store does not tell the parts.
+        new += [
+            d
+            for d in known
+            if not known[d].parts and d in suspects and suspects[d].parts
+        ]
         if not new:
             return False
         self._add(crash, {digest: suspects[digest] for digest in new}, now_ms)
@@ -218,17 +226,21 @@
         return True
 
     def record_answer(
-        self, request: str, parts: Collection[str], now_ms: int
+        self, request: str, parts: Iterable[str], now_ms: int
     ) -> None:
         """Clear a request that was answered completely, and its parts."""
+        self.clear_parts(parts, now_ms)
+        self.exonerate(request, now_ms)
+
+    def clear_parts(self, parts: Iterable[str], now_ms: int) -> None:
+        """Clear the parts of a prompt that was answered completely."""
         for part in parts:
             answers = self._proven.get(part, 0) + 1
             self._proven[part] = min(answers, MAX_PROVEN_CRASHES)
             self._proven.move_to_end(part)
+            self.exonerate(part, now_ms)
         while len(self._proven) > MAX_PROVEN_PARTS:
             self._proven.popitem(last=False)
-        for digest in (request, *parts):
-            self.exonerate(digest, now_ms)
 
     def clear(self, crash: str, digests: Iterable[str], now_ms: int) -> None:
         """Stop counting a crash against digests, as another process found."""
@@ -255,7 +267,8 @@
 
         Each is a crash and a digest; they are returned once.
         """
-        taken, self._clearances = self._clearances, []
+        taken = list(self._clearances)
+        self._clearances.clear()
         return taken
 
     def convict(self, key: str, at_ms: int) -> bool:
@@ -356,7 +369,12 @@
                 for request, suspect in suspects.items()
             ):
                 continue
-            cause = common_cause(suspects, tallies, self._min_crashes)
+            cause = common_cause(
+                suspects,
+                tallies,
+                self._min_crashes,
+                MIN_CRASHES_WITHOUT_ISOLATION,
+            )
             if cause is not None:
                 key = KEY_SEPARATOR.join(sorted(cause))
                 self.convicted[key] = now_ms
--- a/src/gooseberrypost/policy/suspects.py
+++ b/src/gooseberrypost/policy/suspects.py
@@ -4,7 +4,7 @@
 ...     "c1": {"a": Suspect({"p", "x"}), "b": Suspect({"y"})},
 ...     "c2": {"c": Suspect({"p", "z"})},
 ... }
->>> sorted(common_cause(crashes["c1"], tally(crashes), min_crashes=2))
+>>> sorted(common_cause(crashes["c1"], tally(crashes), 2, 2))
 ['p']
 """
 
@@ -87,14 +87,16 @@
     suspects: Mapping[str, Suspect],
     tallies: Mapping[str, Tally],
     min_crashes: int,
+    min_part_crashes: int,
 ) -> frozenset[str] | None:
     """Return the digests that explain a crash, None if that is ambiguous.
 
-    A digest needs ``min_crashes``, or twice as many if most of the answers
-    had begun. Of those the ones with the most crashes are taken, and of these
-    the ones with the most crashes before an answer began. Where they do not
-    differ, the result is what refuses the fewest requests: a request rather
-    than parts, and parts that came together rather than one of them.
+    A request needs ``min_crashes``. A part needs ``min_part_crashes``, or
+    twice as many if most of the answers had begun. Of those the ones with the
+    most crashes are taken, and of these the ones with the most crashes before
+    an answer began. Where they do not differ, the result is what refuses the
+    fewest requests: a request rather than parts, and parts that came together
+    rather than one of them.
     """
     counts = {
         digest: tallies[digest].count(digest)
@@ -102,11 +104,15 @@
         for digest in (request, *suspect.parts)
         if digest in tallies
     }
+
+    def needed(digest: str) -> int:
+        if digest in suspects:
+            return min_crashes
+        is_early = tallies[digest].early_count > 0
+        return min_part_crashes if is_early else 2 * min_part_crashes
+
     likely = {
-        digest
-        for digest, count in counts.items()
-        if count >= 2 * min_crashes
-        or (count >= min_crashes and tallies[digest].early_count)
+        digest for digest, count in counts.items() if count >= needed(digest)
     }
     ranks = {
         digest: (counts[digest], tallies[digest].early_count)
--- a/src/gooseberrypost/state/claim.py
+++ b/src/gooseberrypost/state/claim.py
@@ -61,6 +61,8 @@
     idempotent: bool
     deadline_ms: int
     """Time left until the deadline of the request."""
+    parts: tuple[bytes, ...] = ()
+    """Digests of the parts of its prompt that other requests may share."""
 
 
 class Decision(NamedTuple):
@@ -96,6 +98,7 @@
         "may_have_run_before",
         "minted",
         "orphan_at_ms",
+        "parts",
         "replayed",
         "state",
     )
@@ -106,6 +109,8 @@
         self.key = key
         self.digest = digest
         """Digest of the content; empty if unknown."""
+        self.parts: tuple[bytes, ...] = ()
+        """Digests of shared parts of the prompt; not kept in the log."""
         self.idempotent = idempotent
         self.holder = holder
         """Entry that runs the current attempt."""
--- a/src/gooseberrypost/state/claims.py
+++ b/src/gooseberrypost/state/claims.py
@@ -218,6 +218,7 @@
         if convicted:
             return Decision(Verdict.QUARANTINED, requires_lease=minted is None)
         claim = Claim(request.key, request.digest, request.idempotent, holder)
+        claim.parts = request.parts
         claim.minted = minted is not None
         claim.attempt = self._next_attempt(0)
         self.claims[request.key] = claim
@@ -259,6 +260,7 @@
         claim.attempt = self._next_attempt(claim.attempt)
         claim.holder = holder
         claim.digest = request.digest
+        claim.parts = request.parts
         claim.may_have_run_before = claim.may_have_run
         self._start_attempt(claim, now_ms + request.deadline_ms)
         required_sequence = self._append_claim_record(claim, now_ms)
--- a/src/gooseberrypost/state/ledger.py
+++ b/src/gooseberrypost/state/ledger.py
@@ -51,6 +51,8 @@
     """Size of the KV cache to import; 0: no transfer is booked."""
     expected_start_ms: int = 0
     """Time until the transfer can start."""
+    parts: tuple[bytes, ...] = ()
+    """Digests of the parts of the prompt that others may share."""
 
 
 class LinkBooking(NamedTuple):
@@ -81,6 +83,8 @@
     """Whether a slot is occupied; a finished prefill occupies none."""
     held_by_server: bool = False
     """Started, so the backend server may hold memory for the attempt."""
+    parts: tuple[bytes, ...] = ()
+    """Digests of the parts of the prompt that others may share."""
 
 
 class Ledger:
@@ -255,6 +259,7 @@
             expires_ms=now_ms + request.ttl_ms,
             suspect=request.suspect,
             digest=request.digest,
+            parts=request.parts,
             booking=booking,
         )
         self._allocations[request.holder] = allocation
--- a/src/gooseberrypost/state/prefix.py
+++ b/src/gooseberrypost/state/prefix.py
@@ -16,6 +16,8 @@
 
 BLOCK_TOKENS: Final = 64
 """Size of one prefix cache block."""
+DENSE_BLOCKS: Final = 8
+"""Blocks of which each prefix is a part that prompts may share."""
 
 
 def shared_prefix_hash(hashes: Sequence[int]) -> int | None:
@@ -33,6 +35,22 @@
     return hashes[(1 << (len(hashes).bit_length() - 1)) - 1]
 
 
+def shared_part_hashes(hashes: Sequence[int]) -> list[int]:
+    """Hashes of the leading parts that other prompts may share.
+
+    Each block boundary counts up to ``DENSE_BLOCKS`` blocks, and one at every
+    half more beyond that.
+
+    >>> shared_part_hashes(range(1, 31))
+    [1, 2, 3, 4, 5, 6, 7, 8, 12, 18, 27]
+    """
+    chosen, blocks = [], 1
+    while blocks <= len(hashes):
+        chosen.append(hashes[blocks - 1])
+        blocks += 1 if blocks < DENSE_BLOCKS else blocks // 2
+    return chosen
+
+
 def prefix_hashes(prompt: str, block_tokens: int = BLOCK_TOKENS) -> list[int]:
     """Signed 64-bit hash of each prefix that ends at a block boundary."""
     words = prompt.split()
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -66,6 +66,7 @@
   9: bool suspect,
   10: binary digest,
   11: i32 transfer_kb,         // size of the KV cache transfer to book on the server's import link
+  12: optional list<binary> parts,  // digests of the parts of the prompt that others may share
 }
 
 struct Reserved {
@@ -88,6 +89,7 @@
   8: binary digest,
   9: bool suspect,
   10: optional string generated,  // when resuming: output already sent to the caller
+  11: optional list<binary> parts,
 }
 
 struct Prefilled {
@@ -218,6 +220,7 @@
   5: i32 deadline_ms,          // relative to receipt; a claim still running then is orphaned
   6: i32 wait_ms,              // longest time to wait for the result of a running claim
   7: bool fresh,               // the entry minted the key for this call
+  8: optional list<binary> parts,
 }
 
 struct ClaimReply {
@@ -252,6 +255,8 @@
   1: string crash_id,
   2: string server,
   3: list<binary> digests,
+  4: optional list<list<binary>> parts,  // of each digest
+  5: optional list<bool> begun,  // whether a part of each answer had been produced
 }
 
 // ---- configuration ----
--- a/tests/test_entry_integration.py
+++ b/tests/test_entry_integration.py
@@ -256,6 +256,34 @@
     run(scenario)
 
 
+def test_prompts_that_share_a_crashing_part_crash_few_engines():
+    """Guards against a part of prompts that crashes one engine after another.
+
+    No two prompts are equal, so that no digest of a request is repeated.
+    After the fifth crash, at most three more may reach engines.
+    """
+
+    async def scenario(deployment):
+        words = " ".join(f"word{n}" for n in range(64))
+        for number in range(12):
+            async with deployment.complete(
+                f"{words} CRASH-DECODE {words} question {number}", number % 2
+            ) as response:
+                await response.read()
+            await asyncio.sleep(0.2)
+        crashes = sum(deployment.servers[n].crashes for n in ("d1", "d2"))
+        assert crashes <= 5 + 3
+        # Sound prompts begin with the same words.
+        for entry in range(2):
+            prompt = f"{words} how is the rig levelled? {entry}"
+            async with deployment.complete(prompt, entry) as response:
+                assert response.status == 200
+                body = await response.text()
+            assert text_of(body, "length") == answer(prompt, 20)
+
+    run(scenario)
+
+
 def test_broken_connections_to_agents_lose_no_token():
     """Guards against lost or repeated tokens after a reattachment (P3)."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,6 +16,7 @@
     Suspicion,
     isolation_order,
 )
+from gooseberrypost.policy.suspects import Suspect
 
 SLOTS = 20
 DIGESTS = st.sets(st.sampled_from("abcdefgh"), min_size=1)
@@ -219,3 +220,40 @@
         others = {f"{crash}-{other:03}" for other in range(100)}
         evidence.report(crash, {"~poison", *others}, 0)
     assert set(evidence.convicted) == {"~poison"}
+
+
+def test_parts_are_added_to_a_crash_that_was_read_from_the_store():
+    """Guards against a report that is ignored because the crash is known.
+
+    Stored evidence has no parts, and may be read before the report arrives.
+    """
+    evidence = Evidence()
+    for crash, request in (("c1", "a"), ("c2", "b"), ("c3", "c")):
+        stored = Evidence.parse(f'[[["{crash}", ["{request}"], 0]], {{}}]')
+        evidence.merge(stored.unwrap(), 0)
+        assert evidence.report(crash, {request: Suspect({"part"})}, 0)
+        assert not evidence.report(crash, {request: Suspect({"part"})}, 0)
+    assert evidence.find_conviction({"d", "part"}) == "part"
+
+
+def test_part_of_one_repeated_request_is_not_convicted():
+    """Guards against refusing sound requests for a part of a crashing one."""
+    evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
+    for crash in ("c1", "c2", "c3", "c4"):
+        evidence.report(crash, {"poison": Suspect({"shared"})}, 0)
+    assert evidence.find_conviction({"poison", "shared"}) == "poison"
+    assert evidence.find_conviction({"other", "shared"}) is None
+
+
+def test_popular_part_is_not_convicted_in_an_outage():
+    """Guards against refusing all requests when every engine goes down."""
+    evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
+    for number in range(10):
+        evidence.record_answer(f"answered{number}", {"popular"}, 0)
+    for number in range(5):
+        lost = {
+            f"r{number}.{n}": Suspect({"popular"}, has_begun=n > 0)
+            for n in range(3)
+        }
+        evidence.report(f"c{number}", lost, 0)
+    assert not evidence.convicted
