Write to the store what an answer leaves of a verdict

A verdict on parts that came together is narrowed down when one of them is answered. The new verdict was written only by gateways that had lost such a request in the last seconds, so that it was in memory only when the answer came later; and every gateway removed the old key. The gateway that saw the answer now does both. An evaluation also no longer misses a crash by the rounding of clocks, or because a clock was set back.

--- a/src/gooseberrypost/errors.py
+++ b/src/gooseberrypost/errors.py
@@ -108,7 +108,7 @@
 
 
 class Quarantined(NotRun):
-    """The request body crashed two backend servers and is now refused."""
+    """Servers crashed under the request, or under parts of its prompt."""
 
     code = "quarantined"
     http_status = 422
--- a/src/gooseberrypost/gateway/quarantine.py
+++ b/src/gooseberrypost/gateway/quarantine.py
@@ -39,6 +39,8 @@
 
 It exceeds the interval of load notices, of which one may be lost.
 """
+SETTLING_MARGIN_S: Final = 0.02
+"""Covers the rounding of clocks."""
 REPORT_S: Final = 3.0
 """Time for which load notices repeat a report, as datagrams may be lost."""
 MAX_NOTICE_DIGESTS: Final = 512
@@ -215,7 +217,7 @@
         """Record a complete answer, which clears its content."""
         convicted = set(self.evidence.convicted)
         self.evidence.record_answer(content.request, content.parts, _wall_ms())
-        self._conclude(convicted)
+        self._conclude(convicted, saves_changes=True)
 
     def _report(self, server: str, lost: dict[str, Suspect]) -> None:
         convicted = set(self.evidence.convicted)
@@ -283,33 +285,37 @@
 
     def _evaluate_when_settled(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(SETTLING_S, self._evaluate)
+        loop.call_later(SETTLING_S + SETTLING_MARGIN_S, self._evaluate)
 
     def _evaluate(self) -> None:
         convicted = set(self.evidence.convicted)
         self.evidence.evaluate(_wall_ms())
         self._conclude(convicted)
 
-    def _conclude(self, before: set[str]) -> None:
-        """Pass on what changed in the evidence and in its convictions."""
+    def _conclude(
+        self, before: set[str], *, saves_changes: bool = False
+    ) -> None:
+        """Pass on what changed in the evidence and in its convictions.
+
+        Of all gateways only those write a change to the store that lost a
+        request or, with ``saves_changes``, saw the answer that led to it.
+        """
         for server, digest in self.evidence.take_clearances():
             self._own_report(server).cleared.add(digest)
-        for key in before - self.evidence.convicted.keys():
+        after = self.evidence.convicted
+        for key in before - after.keys():
             logging.info("event=quarantine_ended content=%s", key)
-            if key in self._ctx.directory.convictions or key in self.unsaved:
+            if saves_changes:
                 self._save(key, None)
-        for key in self.evidence.convicted.keys() - before:
+        for key in after.keys() - before:
             logging.warning("event=quarantined content=%s", key)
             self._ctx.metrics.count("quarantined_total")
             self._ctx.notify_loads_changed()
-            if self._has_lost(key):
-                self._save(key, self.evidence.convicted[key])
+            if self._has_lost(key) or saves_changes:
+                self._save(key, after[key])
 
     def _has_lost(self, key: str) -> bool:
-        """Whether this gateway has recently lost a request of a key.
-
-        Such gateways write the conviction to the store.
-        """
+        """Whether this gateway has recently lost a request of a key."""
         return any(
             find_key([key], {request, *suspect.parts})
             for report in self._reports.values()
@@ -322,6 +328,8 @@
 
     def expire(self) -> None:
         """Drop what is too old to count."""
+        # A clock that was set back may have kept a crash from settling.
+        self._evaluate()
         self.evidence.expire(_wall_ms())
         since_s = self._ctx.now_s() - REPORT_S
         for server, reported_s in list(self._reported_s.items()):
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -13,7 +13,7 @@
 import pytest
 
 from gooseberrypost.gateway.notices import decode_notice, encode_crash
-from gooseberrypost.gateway.quarantine import CrashReport
+from gooseberrypost.gateway.quarantine import Content, CrashReport
 from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.wire.codec import Frame, encode
 from gooseberrypost.wire.messages import idl
@@ -214,6 +214,38 @@
     asyncio.run(work())
 
 
+def test_answer_narrows_a_quarantine_down_in_the_store():
+    """Guards against a verdict that only the gateways' memory has.
+
+    The parts of the first verdict always came together. An answer to one of
+    them, long after the crashes, leaves the other.
+    """
+
+    async def work():
+        async with crashing(*DESKS, is_poison=has_poison_body) as crash_kit:
+            kit, gateway = crash_kit.kit, crash_kit.gateways[0]
+            quarantine = gateway.context.quarantine
+            for number in range(CRASHES_BEFORE_LIMIT):
+                lost = {f"r{number}": Suspect(frozenset(("a", "b")))}
+                quarantine._report(f"server-{number}@1", lost)
+            prefix = "gooseberrypost/quarantine/"
+            await kit.until(lambda: f"{prefix}a+b" in kit.store.items)
+            for peer in crash_kit.gateways:
+                await kit.until(
+                    lambda p=peer: p.context.quarantine.evidence.convicted
+                )
+                peer.context.quarantine._reports.clear()
+                peer.context.quarantine._reported_s.clear()
+            quarantine.record_answer(Content("other", frozenset(("a",))))
+            await kit.until(lambda: f"{prefix}b" in kit.store.items)
+            await kit.until(lambda: f"{prefix}a+b" not in kit.store.items)
+            for peer in crash_kit.gateways:
+                evidence = peer.context.quarantine.evidence
+                await kit.until(lambda e=evidence: set(e.convicted) == {"b"})
+
+    asyncio.run(work())
+
+
 def test_answered_request_is_not_quarantined():
     """Guards against refusing requests that only ran beside others' crashes.
 
