Keep a released verdict from coming back with the stored evidence

A claim owner that saw an answer to a part under a verdict released it, and read it again with the next merge of the stored evidence. The new test failed before.

--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -299,9 +299,10 @@
     def merge(self, other: Evidence, now_ms: int) -> bool:
         """Add the evidence of another owner; returns whether any was new."""
         before = len(self._crashes), len(self.convicted)
-        for digest, at_ms in other.convicted.items():
-            known = self.convicted.get(digest, at_ms)
-            self.convicted[digest] = min(known, at_ms)
+        for key, at_ms in other.convicted.items():
+            if key not in self._released_ms:
+                known = self.convicted.get(key, at_ms)
+                self.convicted[key] = min(known, at_ms)
         for crash, suspects in other._crashes.items():
             if crash not in self._crashes:
                 self._add(crash, suspects, other._reported_ms[crash])
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -257,3 +257,18 @@
         }
         evidence.report(f"c{number}", lost, 0)
     assert not evidence.convicted
+
+
+def test_stored_evidence_does_not_bring_a_released_verdict_back():
+    """Guards against refusals that continue after an answer showed them wrong.
+
+    The stored value still holds the verdict when it is read again.
+    """
+    evidence = Evidence()
+    for crash, request in (("c1", "a"), ("c2", "b"), ("c3", "c")):
+        evidence.report(crash, {request: Suspect({"part"})}, 0)
+    stored = Evidence.parse(evidence.text()).unwrap()
+    assert evidence.find_conviction({"part"})
+    evidence.clear_parts(["part"], 0)
+    evidence.merge(stored, 0)
+    assert evidence.find_conviction({"part"}) is None
