--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -77,7 +77,14 @@
 class Soak:
     """Processes, fakes, clients and faults of one seed."""
 
-    def __init__(self, seed: int, seconds: float):
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        gateways: int = GATEWAYS,
+        clients: int = CLIENTS,
+    ):
+        self.gateway_count, self.client_count = gateways, clients
         self.rng = random.Random(seed)
         self.seed, self.seconds = seed, seconds
         self.sent: list[SentRequest] = []
@@ -96,7 +103,7 @@
             await self._start(stack)
             clients = [
                 asyncio.create_task(self._client(number))
-                for number in range(CLIENTS)
+                for number in range(self.client_count)
             ]
             clients += [
                 asyncio.create_task(self._poison_client(route))
@@ -132,7 +139,7 @@
             self.engines.append(engine)
             self._register(engine)
         self.relays, self.gateways = [], []
-        for number in range(GATEWAYS):
+        for number in range(self.gateway_count):
             relay = await stack.enter_async_context(
                 Relay.serving(self.store.address)
             )
@@ -502,8 +509,13 @@
         return sock.getsockname()[1]
 
 
-async def soak(seed: int, seconds: float) -> Soak:
-    run = Soak(seed, seconds)
+async def soak(
+    seed: int,
+    seconds: float,
+    gateways: int = GATEWAYS,
+    clients: int = CLIENTS,
+) -> Soak:
+    run = Soak(seed, seconds, gateways, clients)
     await run.run()
     return run
 
@@ -517,11 +529,13 @@
     help="Number of seeds to run, counted up from --seed.",
 )
 @click.option("--seconds", type=float, default=20.0)
-def main(seed: int, seeds: int, seconds: float):
+@click.option("--gateways", type=int, default=GATEWAYS)
+@click.option("--clients", type=int, default=CLIENTS)
+def main(seed: int, seeds: int, seconds: float, gateways: int, clients: int):
     """Run the seeds; the exit status is 1 if a guarantee was violated."""
     failed = False
     for number in range(seed, seed + seeds):
-        run = asyncio.run(soak(number, seconds))
+        run = asyncio.run(soak(number, seconds, gateways, clients))
         served = sum(s.status == 200 and s.complete for s in run.sent)
         click.echo(
             f"seed {number}: {len(run.sent)} sent, {served} served, "
