Clear no content for a plain answer without framing

An answer without a length or chunks ends with its connection, so it may be the end of the server instead. On streaming routes such an answer cleared nothing any more, on plain ones it still did. One of the four cases of the new test failed before.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -20,6 +20,7 @@
     from gooseberrypost.gateway.reply import Reply
     from gooseberrypost.gateway.request import ClientRequest
     from gooseberrypost.gateway.transport import (
+        Answer,
         AnswerLost,
         ServerRefused,
         ServerUnreachable,
@@ -149,10 +150,15 @@
         if self.ctx.quarantine.is_active:
             self.ctx.quarantine.check(self.content)
 
-    def record_answer(self) -> None:
-        """Record that a server answered the request completely."""
-        if self.ctx.quarantine.has_evidence or self.shared_parts:
-            self.ctx.quarantine.record_answer(self.content)
+    def record_answer(self, answer: Answer) -> None:
+        """Record that a server has answered the request.
+
+        An answer whose framing does not show its end may have been cut by a
+        crash, so it clears nothing.
+        """
+        quarantine = self.ctx.quarantine
+        if answer.is_framed and (quarantine.has_evidence or self.shared_parts):
+            quarantine.record_answer(self.content)
 
     def servers(self) -> list[Server]:
         """Return the servers of the service to choose from."""
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -523,8 +523,7 @@
         self._check_end(server, answer)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).record_success(0.0)
-        if answer.is_framed:
-            self.record_answer()
+        self.record_answer(answer)
         self.ctx.record_generation(
             self.service,
             self._run.produced,
@@ -566,7 +565,7 @@
     ) -> None:
         """Forward an answer that is no stream, such as a server error."""
         buffered = await buffer_answer(answer, self.ctx.buffer_limit)
-        self.record_answer()
+        self.record_answer(answer)
         if self.reply.is_started:
             raise AnswerLost(f"resumption failed with status {answer.status}")
         self._log_answer(server, answer)
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -286,8 +286,12 @@
         await writer.drain()
 
     async def _mode_unframed(self, request, writer):
-        """Stream without a length or chunks, ended by its connection."""
-        await self._stream_unframed(request, writer, self.events, b"")
+        """Answer without a length or chunks, ended by its connection."""
+        if self.stage:
+            await self._stream_unframed(request, writer, self.events, b"")
+        else:
+            writer.write(self._head(request) + b"whole")
+            writer.write_eof()
 
     async def _mode_unframed_cut(self, request, writer):
         """Stream likewise, and close properly inside the second event."""
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -326,6 +326,34 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize(
+    ("mode", "is_cleared"), [("answer", True), ("unframed", False)]
+)
+@pytest.mark.parametrize(
+    ("engines", "path"), [(DESKS, "/safe/x"), (POOLS, "/text/x")]
+)
+def test_only_an_answer_with_a_certain_end_clears_content(
+    engines, path, mode, is_cleared
+):
+    """Guards against a crash that cuts an answer and looks like its end."""
+
+    async def work():
+        async with crashing(*engines, is_poison=has_poison_body) as crash_kit:
+            assert (await crash_kit.send(path, POISON)).status >= 500
+            await crash_kit.restart_crashed()
+            quarantine = crash_kit.gateways[0].context.quarantine
+            await crash_kit.kit.until(lambda: quarantine.has_evidence)
+            for engine in crash_kit.kit.engines.values():
+                engine.crashes_on = lambda request: False
+                engine.mode = mode
+            response = await crash_kit.send(path, POISON)
+            assert response.status == 200
+            assert response.complete
+            assert quarantine.has_evidence is not is_cleared
+
+    asyncio.run(work())
+
+
 def fail_once(engine):
     """Return a condition under which only the first request crashes."""
     return lambda request: not engine.crashes
