Withdraw a verdict in the store without dropping the ones it left

When an answer narrowed a verdict down, its key was removed from the store, which every gateway took for an operator's release: they dropped the evidence behind all parts of the old verdict, and with it the narrower verdict.

A withdrawn verdict now keeps its key, with a negative time, until it would have expired; only a removed key is an operator's release.

--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -96,7 +96,10 @@
     stage_orders_removed: tuple[str, ...] = ()
     """Engine instances whose records of stage orders were removed."""
     convictions: Mapping[str, int | None] = field(default_factory=dict)
-    """Wall-clock time in ms of each conviction by content; None if removed."""
+    """Wall-clock time in ms of each conviction by key; None if removed.
+
+    A negative one stands for a conviction that was withdrawn at that time.
+    """
 
     @property
     def is_empty(self) -> bool:
@@ -144,6 +147,7 @@
         "servers",
         "stage_lock_holder",
         "stage_orders",
+        "withdrawn",
     )
 
     def __init__(self) -> None:
@@ -153,7 +157,9 @@
         self.gateways: dict[str, str] = {}
         """Internal addresses of the registered gateways, by name."""
         self.convictions: dict[str, int] = {}
-        """Time in ms of each conviction in the store, by content."""
+        """Time in ms of each conviction in the store, by key."""
+        self.withdrawn: dict[str, int] = {}
+        """Time in ms at which convictions in the store were withdrawn."""
         self.stage_lock_holder = ""
         """Gateway that holds the stage lock; empty if the lock is free."""
         self.last_stage_order_s: dict[str, float] = {}
@@ -292,17 +298,24 @@
                 directory.gateways.pop(name, None)
             else:
                 directory.gateways[name] = address
-        if update.is_snapshot:
-            directory.convictions.clear()
-        for content, convicted_ms in update.convictions.items():
-            if convicted_ms is None:
-                directory.convictions.pop(content, None)
-            else:
-                directory.convictions[content] = convicted_ms
+        self._apply_convictions(update)
         self._apply_stages(update, now_s)
         if not update.is_empty:
             directory.notify()
 
+    def _apply_convictions(self, update: FeedUpdate) -> None:
+        directory = self._directory
+        if update.is_snapshot:
+            directory.convictions.clear()
+            directory.withdrawn.clear()
+        for key, at_ms in update.convictions.items():
+            directory.convictions.pop(key, None)
+            directory.withdrawn.pop(key, None)
+            if at_ms is not None and at_ms >= 0:
+                directory.convictions[key] = at_ms
+            elif at_ms is not None:
+                directory.withdrawn[key] = -at_ms
+
     def _apply_stages(self, update: FeedUpdate, now_s: float) -> None:
         directory = self._directory
         if update.is_snapshot:
--- a/src/gooseberrypost/gateway/quarantine.py
+++ b/src/gooseberrypost/gateway/quarantine.py
@@ -66,11 +66,14 @@
     """Convictions that outlast the gateways."""
 
     @abstractmethod
-    async def save(self, content: str, convicted_ms: int) -> None:
-        """Write a conviction; raises ``ConvictionNotSaved``."""
+    async def save(self, key: str, at_ms: int) -> None:
+        """Write a conviction; raises ``ConvictionNotSaved``.
+
+        A negative time withdraws it.
+        """
 
     @abstractmethod
-    async def remove(self, content: str) -> None:
+    async def remove(self, key: str) -> None:
         """Remove a conviction; raises ``ConvictionNotSaved``."""
 
 
@@ -146,7 +149,10 @@
         self.changed = asyncio.Event()
         """Set when there are changes in ``unsaved``."""
         self.unsaved: dict[str, int | None] = {}
-        """Time of conviction by key, None to remove a conviction."""
+        """Time of conviction by key.
+
+        It is negative to withdraw a conviction, and None to remove its key.
+        """
         self._losses: dict[str, dict[str, Suspect]] = {}
         """Requests lost at each server that is being checked."""
         self._ended: dict[str, None] = {}
@@ -276,6 +282,11 @@
             if self.evidence.convict(key, convicted_ms):
                 logging.info("event=quarantine_adopted content=%s", key)
 
+    def withdraw(self, key: str) -> None:
+        """End a conviction that another gateway has withdrawn."""
+        if self.evidence.withdraw(key, _wall_ms()):
+            logging.info("event=quarantine_ended content=%s", key)
+
     def release(self, key: str) -> None:
         """Drop all evidence behind a conviction that left the store."""
         convicted = set(self.evidence.convicted)
@@ -306,7 +317,7 @@
         for key in before - after.keys():
             logging.info("event=quarantine_ended content=%s", key)
             if saves_changes:
-                self._save(key, None)
+                self._save(key, -_wall_ms())
         for key in after.keys() - before:
             logging.warning("event=quarantined content=%s", key)
             self._ctx.metrics.count("quarantined_total")
@@ -322,8 +333,8 @@
             for request, suspect in report.lost.items()
         )
 
-    def _save(self, key: str, convicted_ms: int | None) -> None:
-        self.unsaved[key] = convicted_ms
+    def _save(self, key: str, at_ms: int | None) -> None:
+        self.unsaved[key] = at_ms
         self.changed.set()
 
     def expire(self) -> None:
@@ -369,25 +380,30 @@
                 quarantine.changed.set()
 
     async def _save(self, unsaved: dict[str, int | None]) -> None:
-        for content, convicted_ms in list(unsaved.items()):
-            if convicted_ms is None:
-                await self._store.remove(content)
+        for key, at_ms in list(unsaved.items()):
+            if at_ms is None:
+                await self._store.remove(key)
             else:
-                await self._store.save(content, convicted_ms)
-            if unsaved.get(content) == convicted_ms:
-                del unsaved[content]
+                await self._store.save(key, at_ms)
+            if unsaved.get(key) == at_ms:
+                del unsaved[key]
 
     async def _follow_store(self) -> None:
         directory = self._ctx.directory
         while not self.should_stop:
-            self._apply_stored(directory.convictions)
+            self._apply_stored()
             await directory.changed()
 
-    def _apply_stored(self, stored: dict[str, int]) -> None:
-        quarantine = self._ctx.quarantine
+    def _apply_stored(self) -> None:
+        directory, quarantine = self._ctx.directory, self._ctx.quarantine
+        stored = directory.convictions
+        for key in directory.withdrawn:
+            quarantine.withdraw(key)
         quarantine.apply_convictions(stored)
-        for content in self._stored - stored.keys():
-            quarantine.release(content)
+        # An operator removes a key. Gateways withdraw a conviction without
+        # that, as others may remain from the same evidence.
+        for key in self._stored - stored.keys() - directory.withdrawn.keys():
+            quarantine.release(key)
         self._stored = set(stored)
 
     async def _expire(self) -> None:
@@ -397,14 +413,16 @@
             self._remove_expired()
 
     def _remove_expired(self) -> None:
-        """Remove expired convictions from the store, at one gateway."""
+        """Remove expired keys from the store, at one gateway."""
         directory = self._ctx.directory
         if self._ctx.settings.name != min(directory.gateways, default=""):
             return
         oldest_ms = _wall_ms() - CONVICTION_RETENTION_MS
-        for content, convicted_ms in directory.convictions.items():
-            if convicted_ms < oldest_ms:
-                self._ctx.quarantine.unsaved[content] = None
+        for key, at_ms in (
+            directory.convictions | directory.withdrawn
+        ).items():
+            if at_ms < oldest_ms:
+                self._ctx.quarantine.unsaved[key] = None
                 self._ctx.quarantine.changed.set()
 
 
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -111,18 +111,18 @@
     def __init__(self, store: PlatformStore) -> None:
         self._store = store
 
-    async def save(self, content: str, convicted_ms: int) -> None:
-        """Write a conviction."""
-        key = f"{names.QUARANTINE_PREFIX}{content}"
+    async def save(self, key: str, at_ms: int) -> None:
+        """Write a conviction, or that it was withdrawn."""
+        put = Put(f"{names.QUARANTINE_PREFIX}{key}", str(at_ms).encode())
         try:
-            await self._store.write([Put(key, str(convicted_ms).encode())])
+            await self._store.write([put])
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise ConvictionNotSaved(str(failure)) from failure
 
-    async def remove(self, content: str) -> None:
+    async def remove(self, key: str) -> None:
         """Remove a conviction."""
-        key = f"{names.QUARANTINE_PREFIX}{content}"
+        removed = [f"{names.QUARANTINE_PREFIX}{key}"]
         try:
-            await self._store.write([], removed=[key])
+            await self._store.write([], removed=removed)
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise ConvictionNotSaved(str(failure)) from failure
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -115,7 +115,10 @@
 
 
 def _convicted_ms(item: Item) -> int | None:
-    """Return the time of a conviction; None if removed or invalid."""
+    """Return the time of a conviction; None if removed or invalid.
+
+    It is negative for one that was withdrawn.
+    """
     try:
         return int(item.value or b"")
     except ValueError:
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -82,6 +82,9 @@
 GATEWAYS_PREFIX: Final = "gooseberrypost/gateways/"
 """Registrations of Gooseberrypost gateways, by name."""
 QUARANTINE_PREFIX: Final = "gooseberrypost/quarantine/"
-"""Content under which servers crashed, by its digest."""
+"""Content under which servers crashed, by its digest.
+
+The value is the time of the verdict in ms, negative if it was withdrawn.
+"""
 STAGE_HOLDER_KEY: Final = "gooseberrypost/stage-holder"
 STAGE_ORDERS_PREFIX: Final = "gooseberrypost/stage-orders/"
--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -289,6 +289,13 @@
             self._released_ms[key] = now_ms
         return bool(keys)
 
+    def withdraw(self, key: str, now_ms: int) -> bool:
+        """End one conviction; returns whether it was in force."""
+        if self.convicted.pop(key, None) is None:
+            return False
+        self._released_ms[key] = now_ms
+        return True
+
     def find_conviction(self, digests: Iterable[str]) -> str | None:
         """Return the key of a conviction that covers a request, if any.
 
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -238,10 +238,16 @@
                 peer.context.quarantine._reported_s.clear()
             quarantine.record_answer(Content("other", frozenset(("a",))))
             await kit.until(lambda: f"{prefix}b" in kit.store.items)
-            await kit.until(lambda: f"{prefix}a+b" not in kit.store.items)
             for peer in crash_kit.gateways:
+                directory = peer.context.directory
+                await kit.until(lambda d=directory: "a+b" in d.withdrawn)
                 evidence = peer.context.quarantine.evidence
                 await kit.until(lambda e=evidence: set(e.convicted) == {"b"})
+            # Nor does the end of the first verdict take the second with it.
+            await asyncio.sleep(1.0)
+            for peer in crash_kit.gateways:
+                assert set(peer.context.quarantine.evidence.convicted) == {"b"}
+                assert set(peer.context.directory.convictions) == {"b"}
 
     asyncio.run(work())
 
