Accept a generation late in a drain only if its longest output fits

Cause: a draining gateway accepts what its estimate says will end in time. Once the balancer has taken the gateway out of rotation, a refused client finds another one, so the gateway now plans with the longest output.

The new test failed before: the stream was accepted and cut off.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -72,6 +72,11 @@
 
     Generations that are not expected to end before it are refused.
     """
+    out_of_rotation_s: float = float("inf")
+    """Monotonic time at which the balancer sends no more connections.
+
+    A generation is then accepted only if its longest output fits.
+    """
     now_s: Callable[[], float] = time.monotonic
     reservation_queue: ReservationQueue = field(init=False)
     notify_loads_changed: Callable[[], None] = lambda: None
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -121,6 +121,7 @@
         ctx.shutdown_at_s = (
             now_s + self.settings.grace_ms / 1_000 - EXIT_MARGIN_S
         )
+        ctx.out_of_rotation_s = now_s + DRAIN_ACCEPT_S
         # The balancer may have no other gateway for its clients, so new
         # requests are accepted until the remaining time is needed to finish
         # those in flight.
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -147,9 +147,12 @@
 
     def _refuse_if_shutting_down(self, pending: PendingReservation) -> None:
         ctx = self._ctx
-        end_s = ctx.now_s() + ctx.expected_decode_s(
-            pending.service, pending.output
-        )
+        now_s = ctx.now_s()
+        # Estimates are often far off. From then on a refused client finds
+        # another gateway.
+        is_out = now_s >= ctx.out_of_rotation_s
+        output = pending.run.max_output if is_out else pending.output
+        end_s = now_s + ctx.expected_decode_s(pending.service, output)
         if end_s > ctx.shutdown_at_s:
             raise NoDecodeCapacity(
                 "gateway shuts down in "
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.gateway_kit import configuration, serving
 
 POOLS = (("p", "llm", "prefill"), ("d", "llm", "decode"))
@@ -54,3 +56,46 @@
             await drain
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize(("max_output", "status"), [(100, 503), (10, 200)])
+def test_generation_late_in_a_drain_must_fit_at_its_longest(
+    max_output, status
+):
+    """Guards against streams that are cut off because they became long.
+
+    An estimate of the output is often far off. Once the balancer has left the
+    gateway, a refused client finds another one.
+    """
+
+    async def work():
+        async with serving(*POOLS, grace_ms=6_000) as kit:
+            kit.store.put("op/config", configuration(9, timeout_ms=9_000))
+            ctx = kit.daemon.context
+            await kit.until(lambda: ctx.directory.configuration.version == 9)
+            engine = kit.engines["d"]
+            engine.events, engine.event_s = 80, 0.05
+            # A stream in flight keeps the gateway from stopping at once.
+            stream = asyncio.create_task(generate(kit, 80))
+            await kit.until(lambda: engine.executed)
+            ctx.record_generation("llm", 20, 1.0)
+            drain = asyncio.create_task(kit.daemon.drain())
+            await asyncio.sleep(2.6)
+            engine.events = max_output
+            got = await generate(kit, max_output)
+            assert got.status == status
+            assert got.complete
+            assert (await stream).complete
+            await drain
+
+    asyncio.run(work())
+
+
+async def generate(kit, max_output: int):
+    """Send a generation whose estimated output is far too short."""
+    return await kit.call(
+        "/text/x",
+        X_Gooseberrypost_Token_Usage=f"100,{max_output}",
+        X_Gooseberrypost_Length_Hint="1",
+        X_Gooseberrypost_Deadline_Ms="9000",
+    )
