Apply a withdrawal once, when it is new in the store

Each change of the directory applied all withdrawn verdicts again, which would end a verdict that had been found again since and was not in the store yet. The new test failed before.

--- a/src/gooseberrypost/gateway/quarantine.py
+++ b/src/gooseberrypost/gateway/quarantine.py
@@ -357,6 +357,8 @@
         self._store = store
         self._stored: set[str] = set()
         """Convictions in the store, as last seen."""
+        self._withdrawn: set[str] = set()
+        """Withdrawn ones, as last seen."""
 
     async def on_started(self) -> None:
         """Keep the convictions until the service stops."""
@@ -397,8 +399,9 @@
     def _apply_stored(self) -> None:
         directory, quarantine = self._ctx.directory, self._ctx.quarantine
         stored = directory.convictions
-        for key in directory.withdrawn:
+        for key in directory.withdrawn.keys() - self._withdrawn:
             quarantine.withdraw(key)
+        self._withdrawn = set(directory.withdrawn)
         quarantine.apply_convictions(stored)
         # An operator removes a key. Gateways withdraw a conviction without
         # that, as others may remain from the same evidence.
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -252,6 +252,36 @@
     asyncio.run(work())
 
 
+def test_withdrawn_verdict_may_be_found_again():
+    """Guards against new evidence that an old withdrawal overrules.
+
+    The withdrawal stays in the store, and the directory changes for other
+    reasons.
+    """
+
+    async def work():
+        async with crashing(*DESKS, is_poison=has_poison_body) as crash_kit:
+            kit, ctx = crash_kit.kit, crash_kit.gateways[0].context
+            kit.store.put("gooseberrypost/quarantine/poison", b"-1")
+            await kit.until(lambda: "poison" in ctx.directory.withdrawn)
+            # The store takes no new verdict for a while.
+            ctx.quarantine.changed = asyncio.Event()
+            for number in range(CRASHES_BEFORE_LIMIT):
+                lost = {"poison": Suspect()}
+                ctx.quarantine._report(f"server-{number}@1", lost)
+            evidence = ctx.quarantine.evidence
+            await kit.until(lambda: evidence.convicted)
+            version = ctx.directory.configuration.version
+            kit.store.put("op/config", configuration(version + 1))
+            await kit.until(
+                lambda: ctx.directory.configuration.version > version
+            )
+            await asyncio.sleep(0.1)
+            assert set(evidence.convicted) == {"poison"}
+
+    asyncio.run(work())
+
+
 def test_answered_request_is_not_quarantined():
     """Guards against refusing requests that only ran beside others' crashes.
 
