--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -11,10 +11,10 @@
 
 from gooseberrypost.blackboard import Blackboard
 from gooseberrypost.gateway.context import GatewayContext
+from gooseberrypost.gateway.convictions import ConvictionKeeper
 from gooseberrypost.gateway.directory import FeedWatcher, add_directory
 from gooseberrypost.gateway.frontend import Frontend, MonitoringServer
 from gooseberrypost.gateway.peers import Peers
-from gooseberrypost.gateway.quarantine import ConvictionKeeper
 from gooseberrypost.gateway.stages import StageController
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.lifecycle import LifecycleController, State
@@ -23,10 +23,10 @@
     import random
     from collections.abc import Callable
 
+    from gooseberrypost.gateway.convictions import ConvictionStore
     from gooseberrypost.gateway.directory import Feed
     from gooseberrypost.gateway.frontend import Decoder
     from gooseberrypost.gateway.peers import Registry
-    from gooseberrypost.gateway.quarantine import ConvictionStore
     from gooseberrypost.gateway.stagelock import StageLock
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
--- a/src/gooseberrypost/gateway/quarantine.py
+++ b/src/gooseberrypost/gateway/quarantine.py
@@ -10,15 +10,12 @@
 
 import asyncio
 import time
-from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from absl import logging
-from mode import Service
 
-from gooseberrypost.errors import Failure, Quarantined
-from gooseberrypost.gateway.tasks import keep_running
+from gooseberrypost.errors import Quarantined
 from gooseberrypost.policy.quarantine import (
     CONVICTION_RETENTION_MS,
     KEY_SEPARATOR,
@@ -52,29 +49,6 @@
 """Convictions in a load notice, which is one datagram; the store has all."""
 MAX_ENDED_SERVERS: Final = 64
 """Crashed servers to which late losses are still attributed."""
-SAVE_RETRY_S: Final = 0.5
-EXPIRY_INTERVAL_S: Final = 5.0
-
-
-class ConvictionNotSaved(Failure):
-    """The store did not take a change to the saved convictions."""
-
-    code = "conviction_not_saved"
-
-
-class ConvictionStore(ABC):
-    """Convictions that outlast the gateways."""
-
-    @abstractmethod
-    async def save(self, key: str, at_ms: int) -> None:
-        """Write a conviction; raises ``ConvictionNotSaved``.
-
-        A negative time withdraws it.
-        """
-
-    @abstractmethod
-    async def remove(self, key: str) -> None:
-        """Remove a conviction; raises ``ConvictionNotSaved``."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -183,7 +157,7 @@
             key = find_key(convicted, digests)
         if key is None:
             return
-        left_ms = convicted[key] + CONVICTION_RETENTION_MS - _wall_ms()
+        left_ms = convicted[key] + CONVICTION_RETENTION_MS - wall_ms()
         if left_ms > 0:
             raise Quarantined(
                 f"servers crashed under {key}", retry_after_ms=left_ms
@@ -222,12 +196,12 @@
     def record_answer(self, content: Content) -> None:
         """Record a complete answer, which clears its content."""
         convicted = set(self.evidence.convicted)
-        self.evidence.record_answer(content.request, content.parts, _wall_ms())
+        self.evidence.record_answer(content.request, content.parts, wall_ms())
         self._conclude(convicted, saves_changes=True)
 
     def _report(self, server: str, lost: dict[str, Suspect]) -> None:
         convicted = set(self.evidence.convicted)
-        if not self.evidence.report(server, lost, _wall_ms()):
+        if not self.evidence.report(server, lost, wall_ms()):
             return
         self._evaluate_when_settled()
         self._own_report(server).lost |= lost
@@ -269,7 +243,7 @@
     def apply_reports(self, reports: Iterable[CrashReport]) -> None:
         """Add the reports of another gateway to the evidence."""
         convicted = set(self.evidence.convicted)
-        now_ms = _wall_ms()
+        now_ms = wall_ms()
         for report in reports:
             if self.evidence.report(report.server, report.lost, now_ms):
                 self._evaluate_when_settled()
@@ -284,14 +258,14 @@
 
     def withdraw(self, key: str) -> None:
         """End a conviction that another gateway has withdrawn."""
-        if self.evidence.withdraw(key, _wall_ms()):
+        if self.evidence.withdraw(key, wall_ms()):
             logging.info("event=quarantine_ended content=%s", key)
 
     def release(self, key: str) -> None:
         """Drop all evidence behind a conviction that left the store."""
         convicted = set(self.evidence.convicted)
         for digest in key.split(KEY_SEPARATOR):
-            self.evidence.exonerate(digest, _wall_ms())
+            self.evidence.exonerate(digest, wall_ms())
         self._conclude(convicted)
 
     def _evaluate_when_settled(self) -> None:
@@ -300,7 +274,7 @@
 
     def _evaluate(self) -> None:
         convicted = set(self.evidence.convicted)
-        self.evidence.evaluate(_wall_ms())
+        self.evidence.evaluate(wall_ms())
         self._conclude(convicted)
 
     def _conclude(
@@ -317,7 +291,7 @@
         for key in before - after.keys():
             logging.info("event=quarantine_ended content=%s", key)
             if saves_changes:
-                self._save(key, -_wall_ms())
+                self._save(key, -wall_ms())
         for key in after.keys() - before:
             logging.warning("event=quarantined content=%s", key)
             self._ctx.metrics.count("quarantined_total")
@@ -341,93 +315,13 @@
         """Drop what is too old to count."""
         # A clock that was set back may have kept a crash from settling.
         self._evaluate()
-        self.evidence.expire(_wall_ms())
+        self.evidence.expire(wall_ms())
         since_s = self._ctx.now_s() - REPORT_S
         for server, reported_s in list(self._reported_s.items()):
             if reported_s < since_s:
                 del self._reports[server], self._reported_s[server]
 
 
-class ConvictionKeeper(Service):
-    """Writes convictions to the store and adopts those that are there."""
-
-    def __init__(self, ctx: GatewayContext, store: ConvictionStore) -> None:
-        super().__init__()
-        self._ctx = ctx
-        self._store = store
-        self._stored: set[str] = set()
-        """Convictions in the store, as last seen."""
-        self._withdrawn: set[str] = set()
-        """Withdrawn ones, as last seen."""
-
-    async def on_started(self) -> None:
-        """Keep the convictions until the service stops."""
-        metrics = self._ctx.metrics
-        self.add_future(keep_running(self, self._save_changes, metrics))
-        self.add_future(keep_running(self, self._follow_store, metrics))
-        self.add_future(keep_running(self, self._expire, metrics))
-
-    async def _save_changes(self) -> None:
-        quarantine = self._ctx.quarantine
-        while not self.should_stop:
-            await quarantine.changed.wait()
-            quarantine.changed.clear()
-            try:
-                await self._save(quarantine.unsaved)
-            except ConvictionNotSaved as failure:
-                logging.warning(
-                    "event=conviction_not_saved detail=%r", failure.detail
-                )
-                await self.sleep(SAVE_RETRY_S)
-                quarantine.changed.set()
-
-    async def _save(self, unsaved: dict[str, int | None]) -> None:
-        for key, at_ms in list(unsaved.items()):
-            if at_ms is None:
-                await self._store.remove(key)
-            else:
-                await self._store.save(key, at_ms)
-            if unsaved.get(key) == at_ms:
-                del unsaved[key]
-
-    async def _follow_store(self) -> None:
-        directory = self._ctx.directory
-        while not self.should_stop:
-            self._apply_stored()
-            await directory.changed()
-
-    def _apply_stored(self) -> None:
-        directory, quarantine = self._ctx.directory, self._ctx.quarantine
-        stored = directory.convictions
-        for key in directory.withdrawn.keys() - self._withdrawn:
-            quarantine.withdraw(key)
-        self._withdrawn = set(directory.withdrawn)
-        quarantine.apply_convictions(stored)
-        # An operator removes a key. Gateways withdraw a conviction without
-        # that, as others may remain from the same evidence.
-        for key in self._stored - stored.keys() - directory.withdrawn.keys():
-            quarantine.release(key)
-        self._stored = set(stored)
-
-    async def _expire(self) -> None:
-        while not self.should_stop:
-            await self.sleep(EXPIRY_INTERVAL_S)
-            self._ctx.quarantine.expire()
-            self._remove_expired()
-
-    def _remove_expired(self) -> None:
-        """Remove expired keys from the store, at one gateway."""
-        directory = self._ctx.directory
-        if self._ctx.settings.name != min(directory.gateways, default=""):
-            return
-        oldest_ms = _wall_ms() - CONVICTION_RETENTION_MS
-        for key, at_ms in (
-            directory.convictions | directory.withdrawn
-        ).items():
-            if at_ms < oldest_ms:
-                self._ctx.quarantine.unsaved[key] = None
-                self._ctx.quarantine.changed.set()
-
-
-def _wall_ms() -> int:
+def wall_ms() -> int:
+    """Return the time of day in ms."""
     return round(1_000 * time.time())
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -8,16 +8,16 @@
 
 from typing import TYPE_CHECKING, Final
 
+from gooseberrypost.gateway.convictions import (
+    ConvictionNotSaved,
+    ConvictionStore,
+)
 from gooseberrypost.gateway.directory import FeedLost
 from gooseberrypost.gateway.peers import (
     RegistrationFailed,
     RegistrationLapsed,
     Registry,
 )
-from gooseberrypost.gateway.quarantine import (
-    ConvictionNotSaved,
-    ConvictionStore,
-)
 from gooseberrypost.gateway.stagelock import StageLock, StageLockLost
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import encode_stage_order
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -272,3 +272,14 @@
     evidence.clear_parts(["part"], 0)
     evidence.merge(stored, 0)
     assert evidence.find_conviction({"part"}) is None
+
+
+def test_crash_settles_after_its_clock_was_set_back():
+    """Guards against evidence that waits for a clock that went back."""
+    evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION, settling_ms=350)
+    for crash in ("c1", "c2", "c3"):
+        evidence.report(crash, {"poison"}, 10_000)
+    evidence.evaluate(8_400)
+    assert not evidence.convicted
+    evidence.evaluate(10_350)
+    assert set(evidence.convicted) == {"poison"}
