Log and count the rate limits that servers name

Logs and metrics could not show whether a gateway knew a server's limit when it chose the server. Each change is one line now, and the line of a choice has the limit that was known. Routing is unchanged.

Answers of another instance and malformed limits change nothing. Only a signed answer shows that a server has no limit, as control calls and refusals may not name it.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -22,6 +22,7 @@
     RetryBreaker,
 )
 from gooseberrypost.policy.outputlengths import OutputLengths
+from gooseberrypost.policy.serverlimit import ServerLimits
 from gooseberrypost.policy.serverload import ServerLoads
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
     from typing import Any
 
     from gooseberrypost.gateway.directory import Directory
+    from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.request import ClientRequest
     from gooseberrypost.gateway.transport import Transport
     from gooseberrypost.settings.gateway import GatewaySettings
@@ -82,6 +84,8 @@
     notify_loads_changed: Callable[[], None] = lambda: None
     """Callback to call when this gateway's load on the engines changes."""
     quarantine: Quarantine = field(init=False)
+    limits: ServerLimits = field(default_factory=ServerLimits)
+    """Rate limits that servers named."""
     buffer_limit: BufferLimit = field(init=False)
     """Bounds the memory of answers that are buffered."""
     _output_lengths: dict[str, OutputLengths] = field(default_factory=dict)
@@ -97,6 +101,19 @@
         self.reservation_queue = ReservationQueue(self)
         self.quarantine = Quarantine(self)
         self.buffer_limit = BufferLimit(self.settings.answer_buffer_bytes)
+        self.transport.on_rate_limit = self._record_rate_limit
+
+    def _record_rate_limit(self, server: Server, per_s: float | None) -> None:
+        before = self.limits.per_s(server.identity)
+        if self.limits.record(server.identity, per_s):
+            logging.info(
+                "event=server_limit server=%s service=%s per_s=%s before=%s",
+                server.instance,
+                server.service,
+                per_s,
+                before,
+            )
+            self.metrics.count("server_limit_changes_total")
 
     def budget(self, service: str) -> GatewayRetryBudget:
         """Return the retry budget of a service."""
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -92,6 +92,7 @@
             "routed",
             server=server.instance,
             outstanding=self.ctx.loads.of(server.identity).outstanding,
+            limit_per_s=self.ctx.limits.per_s(server.identity),
             left_ms=round(1_000 * remaining_s),
         )
         options = SendOptions(
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -13,7 +13,7 @@
 from gooseberrypost.errors import NotRun, UnknownOutcome
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
     from contextlib import AbstractAsyncContextManager
 
     from gooseberrypost.gateway.model import EngineReport, Server, Stage
@@ -119,6 +119,15 @@
 class Transport(ABC):
     """Calls to backend servers."""
 
+    on_rate_limit: Callable[[Server, float | None], None] = staticmethod(
+        lambda server, per_s: None
+    )
+    """Callback for the rate limit that a server names in an answer.
+
+    It is in requests per second over all gateways; None if a complete answer
+    of the server names none.
+    """
+
     @abstractmethod
     def open(
         self, server: Server, req: ClientRequest, options: SendOptions
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -5,15 +5,17 @@
 import asyncio
 import functools
 import json
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 from absl import logging
-from result import Err
+from result import Err, Ok, Result
 from yarl import URL
 
 from gooseberrypost.boundedread import MAX_CONTROL_BYTES, read_bounded
+from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.transport import (
     Answer,
     AnswerLost,
@@ -222,6 +224,8 @@
                 method, url, json=body, timeout=timeout, headers=headers
             ) as response:
                 content = await read_bounded(response, MAX_CONTROL_BYTES)
+                if response.status != MISDIRECTED:
+                    self._report_limit(server, response)
                 return response.status, content
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
@@ -271,9 +275,49 @@
             raise ForeignAnswer(f"{server.address} answered request {echoed}")
         if response.status == MISDIRECTED:
             raise WrongInstance(server.address, status=MISDIRECTED)
+        self._report_limit(server, response)
         if names.NOT_EXECUTED in headers:
             raise ServerRefused(server.address, status=response.status)
 
+    def _report_limit(
+        self, server: Server, response: aiohttp.ClientResponse
+    ) -> None:
+        """Report the rate limit that an answer names.
+
+        Only a signed answer shows that there is none: control calls and
+        refusals may not name it.
+        """
+        text = response.headers.get(names.SERVER_LIMIT)
+        if text is None:
+            if names.SIGNATURE in response.headers:
+                self.on_rate_limit(server, None)
+            return
+        decoded = _requests_per_s(text)
+        if isinstance(decoded, Err):
+            logging.warning(
+                "event=invalid_server_limit server=%s detail=%r",
+                server.instance,
+                decoded.err_value.detail,
+            )
+            return
+        self.on_rate_limit(server, decoded.ok_value)
+
+
+class InvalidLimit(Failure):
+    """A server names a rate limit that is not a decimal number."""
+
+    code = "invalid_limit"
+
+
+def _requests_per_s(text: str) -> Result[float, InvalidLimit]:
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = -1.0
+    if not 0 <= per_s < math.inf:
+        return Err(InvalidLimit(f"{names.SERVER_LIMIT}: {text[:40]}"))
+    return Ok(per_s)
+
 
 def _answer(response: aiohttp.ClientResponse) -> Answer:
     headers = [
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -68,6 +68,10 @@
         self.crash_after_s = 0.02
         """Time from the start of such a request to the end of the process."""
         self.crashes = 0
+        self.limit_per_s: str | None = None
+        """Rate limit that each answer names."""
+        self.arrivals_s: list[float] = []
+        """Monotonic time at which each request was received."""
 
     @property
     def address(self) -> str:
@@ -146,6 +150,7 @@
             status, body = self._control(request)
             return await self._json(writer, status, body)
         self.received.append(request)
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         if request.header("Expect-Instance") != self.instance:
             return await self._send(writer, "421 Misdirected", [NOT_EXECUTED])
         if request.header("Inference-Stage") == "prefill":
@@ -239,10 +244,16 @@
             writer, f"{status} X", ["Content-Type: application/json"], content
         )
 
+    def _limit_headers(self) -> list[str]:
+        if self.limit_per_s is None:
+            return []
+        return [f"Server-Limit: {self.limit_per_s}"]
+
     async def _send(self, writer, status, headers, body=b""):
         lines = [
             f"HTTP/1.1 {status}",
             *headers,
+            *self._limit_headers(),
             f"Content-Length: {len(body)}",
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
@@ -253,6 +264,7 @@
             "HTTP/1.1 200 OK",
             f"X-Gooseberrypost-Attempt-Id: {request.header('Attempt-Id')}",
             SIGNATURE,
+            *self._limit_headers(),
             *headers,
         ]
         return "\r\n".join([*lines, "", ""]).encode()
