--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -8,12 +8,86 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 
 from tests.gateway_kit import serving
 
 DESKS = tuple((f"desk-{n}", "desk", "") for n in range(3))
+GATEWAYS = 4
+STABLE_WINDOW_S = 3.0
+WINDOW_S = 4.0
+ALLOWED_SHARE = 1.5
+ALLOWED_EXTRA = 5
+
+
+class Fleet:
+    """Several gateways that share the traffic for the same servers."""
+
+    def __init__(self, kit, gateways):
+        self.kit = kit
+        self.gateways = gateways
+        self.responses: list = []
+
+    async def send(self, rate_per_s: float, for_s: float, paths):
+        """Send requests at a constant rate, to one gateway after another."""
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        async with asyncio.TaskGroup() as group:
+            for number in range(round(rate_per_s * for_s)):
+                await asyncio.sleep(
+                    begun_s + number / rate_per_s - loop.time()
+                )
+                self.kit.daemon = self.gateways[number % len(self.gateways)]
+                path = paths[number % len(paths)]
+                group.create_task(self._call(path))
+
+    async def _call(self, path: str):
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        send = self.kit.generate if "text" in path else self.kit.call
+        response = await send(path)
+        self.responses.append((response, loop.time() - begun_s))
+
+    def statuses(self) -> list[int]:
+        return [response.status for response, _ in self.responses]
+
+
+@asynccontextmanager
+async def fleet(*engines, gateways: int = GATEWAYS):
+    async with AsyncExitStack() as stack:
+        kit = await stack.enter_async_context(serving(*engines))
+        daemons = [kit.daemon]
+        for number in range(2, gateways + 1):
+            daemon = await kit.gateway(f"gateway-{number}")
+            stack.push_async_callback(daemon.stop)
+            daemons.append(daemon)
+        await kit.until(
+            lambda: all(
+                daemon.lifecycle.state == "serving"
+                and len(daemon.context.directory.gateways) == gateways
+                for daemon in daemons
+            )
+        )
+        try:
+            yield Fleet(kit, daemons)
+        finally:
+            kit.daemon = daemons[0]
+
+
+def most_in_window(times_s: list[float], begin_s: float) -> int:
+    """Return the largest number of arrivals in a window after a time."""
+    late = [at_s for at_s in times_s if at_s >= begin_s]
+    return max(
+        (sum(at_s <= t < at_s + WINDOW_S for t in late) for at_s in late),
+        default=0,
+    )
+
+
+def allowed(limit_per_s: float) -> float:
+    """Return the number of requests that a server may get in a window."""
+    return ALLOWED_SHARE * limit_per_s * WINDOW_S + ALLOWED_EXTRA
 
 
 def test_a_limit_is_counted_when_it_changes():
@@ -45,3 +119,28 @@
                 assert limits.per_s("desk-0@1") == known
 
     asyncio.run(work())
+
+
+def test_gateways_together_keep_the_limit_of_a_server():
+    """Guards against a fast server that gets what it can no longer take.
+
+    It asked for 2 requests/s in its answers and got 40, as the gateways choose
+    servers by their speed.
+    """
+
+    async def work():
+        async with fleet(*DESKS) as gateways:
+            limited = gateways.kit.engines["desk-0"]
+            limited.limit_per_s = "2.0"
+            begun_s = asyncio.get_running_loop().time()
+            await gateways.send(40, 7.5, ["/safe/x", "/once/x"])
+            most = most_in_window(
+                limited.arrivals_s, begun_s + STABLE_WINDOW_S
+            )
+            assert most <= allowed(2.0)
+            # The others have room for the rest.
+            assert set(gateways.statuses()) == {200}
+            # The limit is used, too, not only kept.
+            assert len(limited.arrivals_s) >= 0.5 * 2.0 * 7.5
+
+    asyncio.run(work())
