Keep the rate limits that servers name, summed over all gateways

Cause: the gateways did not read the limit. A server was chosen by its expected time and the requests outstanding there; a server that asks for less and still answers fast got as much as before. The class: a server states its need in an answer, and no decision has that as an input.

Change: each gateway has a token bucket for each limited server. It takes from it what it sends itself and what the others report in their load notices, so that all buckets follow the same sum and any gateway may use the whole limit. While notices of registered gateways are missing, a gateway uses its share. The newest answer to any gateway counts; only answers of a gateway's own are passed on. A limited server is chosen last while it has no token. If all are limited, a request waits if its turn comes within its objective, otherwise it is refused at once with the time to come back. Prefills, streams and resumed runs count as well.

--- a/scripts/capacity/gateway.py
+++ b/scripts/capacity/gateway.py
@@ -147,7 +147,7 @@
 def _prefill_engine_choice(size: int) -> Callable[[], object]:
     servers, loads = _servers_and_loads(size)
     rng = random.Random(1)
-    return lambda: choose_prefill(servers, loads, 5_000, rng)
+    return lambda: choose_prefill(servers, loads, 5_000, 0.0, rng)
 
 
 def _registration_decoder(size: int) -> Callable[[], object]:
--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -22,7 +22,6 @@
     RetryBreaker,
 )
 from gooseberrypost.policy.outputlengths import OutputLengths
-from gooseberrypost.policy.serverlimit import ServerLimits
 from gooseberrypost.policy.serverload import ServerLoads
 
 if TYPE_CHECKING:
@@ -84,8 +83,6 @@
     notify_loads_changed: Callable[[], None] = lambda: None
     """Callback to call when this gateway's load on the engines changes."""
     quarantine: Quarantine = field(init=False)
-    limits: ServerLimits = field(default_factory=ServerLimits)
-    """Rate limits that servers named."""
     buffer_limit: BufferLimit = field(init=False)
     """Bounds the memory of answers that are buffered."""
     _output_lengths: dict[str, OutputLengths] = field(default_factory=dict)
@@ -101,11 +98,16 @@
         self.reservation_queue = ReservationQueue(self)
         self.quarantine = Quarantine(self)
         self.buffer_limit = BufferLimit(self.settings.answer_buffer_bytes)
-        self.transport.on_rate_limit = self._record_rate_limit
 
-    def _record_rate_limit(self, server: Server, per_s: float | None) -> None:
-        before = self.limits.per_s(server.identity)
-        if self.limits.record(server.identity, per_s):
+    def record_rate_limit(self, server: Server, per_s: float | None) -> None:
+        """Record the rate limit that an answer of a server named.
+
+        None if the answer shows that there is no limit.
+        """
+        limits = self.loads.limits
+        before = limits.per_s(server.identity)
+        if limits.record(server.identity, per_s, self.now_s()):
+            self.notify_loads_changed()
             logging.info(
                 "event=server_limit server=%s service=%s per_s=%s before=%s",
                 server.instance,
@@ -126,17 +128,28 @@
                 cfg.retry_budget_window_ms / 1_000,
             )
             self._budgets[service] = budget
-        # The allowance is divided among the gateways that are registered or
-        # that send load notices.
-        gateways = max(
-            1 + self.loads.peer_count(self.now_s()),
-            len(self.directory.gateways),
-        )
         budget.allowance = (
-            BUDGET_UTILIZATION * cfg.retry_budget_allowance / gateways
+            BUDGET_UTILIZATION
+            * cfg.retry_budget_allowance
+            / self.gateway_count()
         )
         return budget
 
+    def gateway_count(self) -> int:
+        """Return the number of gateways, this one included.
+
+        These are the ones that are registered or that send load notices.
+        """
+        return max(
+            1 + self.loads.peer_count(self.now_s()),
+            len(self.directory.gateways),
+        )
+
+    def count_send(self, server: Server) -> None:
+        """Count a request against the server's rate limit, if it has one."""
+        if self.loads.limits.record_send(server.identity, self.now_s()):
+            self.notify_loads_changed()
+
     def retry_breaker(self, service: str) -> RetryBreaker:
         """Return the breaker for retries of a service's server errors."""
         breaker = self._retry_breakers.get(service)
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -63,6 +63,7 @@
         self.lifecycle = LifecycleController(board)
         directory = add_directory(board, DIRECTORY_OWNER)
         self.context = GatewayContext(cfg, directory, transport, rng)
+        transport.on_rate_limit = self.context.record_rate_limit
         section = self.lifecycle.section
         self.peers = Peers(self.context, registry)
         self.stages = StageController(self.context, stage_lock, self.peers)
--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
@@ -46,6 +47,12 @@
     code = "no_server"
 
 
+class ServersLimited(NotRun):
+    """The rate limits of all servers permit the request only too late."""
+
+    code = "servers_limited"
+
+
 class ServerFailed(Failure):
     """A server answered with an error, which is kept to be forwarded."""
 
@@ -170,6 +177,28 @@
         # Once every server is excluded, the healthiest are tried again.
         return candidates or eligible_servers(serving, self.ctx.loads, now_s)
 
+    async def take_turn(self, server: Server) -> bool:
+        """Wait until the server's rate limit permits the request.
+
+        Returns whether the request may then be sent: the server may have left
+        meanwhile. Raises ``Quarantined`` as ``check_quarantine`` does.
+        """
+        ctx = self.ctx
+        wait_s = ctx.loads.limit_wait_s(server.identity, ctx.now_s())
+        ctx.count_send(server)
+        if wait_s <= 0:
+            return True
+        ctx.metrics.observe(
+            "server_limit_wait_ms", 1_000 * wait_s, service=self.service
+        )
+        await asyncio.sleep(wait_s)
+        self.check_quarantine()
+        serving = ctx.directory.available_servers(self.service, ctx.now_s())
+        return any(
+            other.identity == server.identity and not other.draining
+            for other in serving
+        )
+
     def handle_unreachable(
         self, server: Server, failure: ServerUnreachable
     ) -> None:
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -16,7 +16,10 @@
 )
 from gooseberrypost.gateway.migration import Migration
 from gooseberrypost.gateway.request import Prompt
-from gooseberrypost.gateway.reservation_queue import PendingReservation
+from gooseberrypost.gateway.reservation_queue import (
+    RESERVATION_TTL_MS,
+    PendingReservation,
+)
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     SendOptions,
@@ -50,6 +53,11 @@
 """Multiple of the predicted prefill time after which a prefill times out."""
 MIN_PREFILL_TIMEOUT_S: Final = 1.0
 """Lower bound of the prefill timeout."""
+MAX_PREFILL_WAIT_S: Final = RESERVATION_TTL_MS / 2_000
+"""Longest wait for the rate limit of a prefill engine.
+
+Half of a reservation's lifetime is left for the prefill.
+"""
 KV_REUSE_SHARE: Final = 0.7
 """Share of the engine's KV cache retention time during which reuse is tried.
 
@@ -172,12 +180,16 @@
         self._events_before = self._events.count
         moved = self._migration.pop_moved()
         if moved is not None:
+            # The run is stopped and can only continue there.
+            self.ctx.count_send(moved.server)
             return await self._decode(moved.server, moved.kv, None)
         if self._reservation is None:
             self._reservation = await self._reserve()
         if self._kv is None:
             prefill_server = self._prefill_server(self._reservation.server)
             if prefill_server is not None:
+                if not await self.take_turn(prefill_server):
+                    return False
                 self._kv = await self._prefill(prefill_server)
                 if self._kv is None:
                     return False
@@ -248,12 +260,17 @@
     def _prefill_server(self, decode: Server) -> Server | None:
         """Choose a prefill engine; None to prefill on the decode engine."""
         tokens = self._prompt.tokens
-        loads = self.ctx.loads
-        prefill = choose_prefill(self.servers(), loads, tokens, self.ctx.rng)
+        loads, now_s = self.ctx.loads, self.ctx.now_s()
+        servers = [
+            server
+            for server in self.servers()
+            if loads.limit_wait_s(server.identity, now_s) <= MAX_PREFILL_WAIT_S
+        ]
+        prefill = choose_prefill(servers, loads, tokens, now_s, self.ctx.rng)
         cfg = self.ctx.directory.configuration
         objective_ms = 1_000 * cfg.first_event_objective_s(self.service)
         if should_prefill_on_decode(
-            prefill, decode, loads, tokens, objective_ms
+            prefill, decode, loads, tokens, objective_ms, now_s
         ):
             return None
         return prefill
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -137,10 +137,12 @@
         return targets[0] if targets else server
 
     def _other_servers(self, server: Server) -> list[Server]:
+        ctx = self._exchange.ctx
         return [
             other
             for other in self._exchange.servers()
             if other.identity != server.identity
+            and not ctx.loads.limit_wait_s(other.identity, ctx.now_s())
         ]
 
     async def _stop_and_copy(
--- a/src/gooseberrypost/gateway/notices.py
+++ b/src/gooseberrypost/gateway/notices.py
@@ -16,6 +16,7 @@
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.quarantine import CrashReport
 from gooseberrypost.policy.enginememory import RunSize
+from gooseberrypost.policy.serverlimit import LimitNotice
 from gooseberrypost.policy.serverload import PeerLoad
 from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.wire.codec import LENGTH_BYTES, decode
@@ -58,6 +59,8 @@
     """Recent reports of the sender on crashed servers."""
     convictions: dict[str, int]
     """Wall-clock time in ms at which content was convicted, by content."""
+    limits: tuple[LimitNotice, ...]
+    """Rate limits of servers that the sender got from answers."""
 
 
 def decode_notice(data: bytes) -> Notice:
@@ -103,7 +106,7 @@
         },
         _count(message.waiting or 0),
         {
-            output.service_name: _length(output.tokens)
+            output.service_name: _non_negative(output.tokens)
             for output in message.outputs or ()
         },
         message.turn_ms,
@@ -120,6 +123,7 @@
             _text(conviction.content): _count(conviction.convicted_ms)
             for conviction in message.convictions or ()
         },
+        tuple(map(_limit, message.limits or ())),
     )
 
 
@@ -146,6 +150,27 @@
     return idl.ConvictionNotice(content=content, convicted_ms=convicted_ms)
 
 
+def encode_limit(notice: LimitNotice) -> Any:
+    """Return the part of a notice that describes a server's rate limit."""
+    return idl.ServerLimitNotice(
+        identity=notice.identity,
+        per_s=notice.per_s,
+        age_ms=notice.age_ms,
+        sent=notice.sent,
+        counted_ms=notice.counted_ms,
+    )
+
+
+def _limit(limit: Any) -> LimitNotice:
+    return LimitNotice(
+        _text(limit.identity),
+        None if limit.per_s is None else _non_negative(limit.per_s),
+        None if limit.age_ms is None else _count(limit.age_ms),
+        _count(limit.sent),
+        _count(limit.counted_ms),
+    )
+
+
 def _run_sizes(server: Any) -> list[RunSize]:
     return [
         RunSize(*map(_count, fields))
@@ -187,8 +212,8 @@
     return value
 
 
-def _length(tokens: float) -> float:
-    """Return a length; raises ``NoticeInvalid`` if it is none."""
-    if not 0 <= tokens < math.inf:
-        raise NoticeInvalid(f"{tokens} is not a length")
-    return tokens
+def _non_negative(value: float) -> float:
+    """Return a number; raises ``NoticeInvalid`` if below 0 or infinite."""
+    if not 0 <= value < math.inf:
+        raise NoticeInvalid(f"{value} is out of range")
+    return value
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -21,6 +21,7 @@
     decode_notice,
     encode_conviction,
     encode_crash,
+    encode_limit,
     encode_server_load,
 )
 from gooseberrypost.gateway.tasks import keep_running
@@ -210,6 +211,8 @@
             quarantine.apply_reports(notice.crashes)
         if notice.convictions:
             quarantine.apply_convictions(notice.convictions)
+        for limit in notice.limits:
+            self._ctx.loads.limits.record_peer(notice.name, limit, received_s)
 
     async def _send_notices(self) -> None:
         while not self.should_stop:
@@ -230,6 +233,8 @@
             self._last_expiry_s = now_s
             self._process_pending()
             self._ctx.loads.drop_stale_peers(now_s)
+            heard = 1 + self._ctx.loads.peer_count(now_s)
+            self._ctx.loads.limits.set_share(heard / self._ctx.gateway_count())
 
     def _send_notice(self) -> None:
         addresses = self._peer_addresses()
@@ -279,6 +284,10 @@
                 encode_conviction(content, convicted_ms)
                 for content, convicted_ms in quarantine.newest_convictions()
             ],
+            limits=[
+                encode_limit(notice)
+                for notice in self._ctx.loads.limits.notices(time.monotonic())
+            ],
         )
 
     async def _keep_registered(self) -> None:
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -14,6 +14,7 @@
     CONNECT_TIMEOUT_S,
     Exchange,
     NoServer,
+    ServersLimited,
 )
 from gooseberrypost.gateway.model import RequestKind
 from gooseberrypost.gateway.transport import (
@@ -22,6 +23,10 @@
     ServerRefused,
     ServerUnreachable,
 )
+from gooseberrypost.policy.queueorder import (
+    first_event_due_in_s,
+    retry_after_s,
+)
 from gooseberrypost.policy.serverchoice import choose_plain
 
 if TYPE_CHECKING:
@@ -58,6 +63,8 @@
             self.check_deadline()
             self.check_quarantine()
             server = self._choose_server()
+            if not await self.take_turn(server):
+                continue
             try:
                 answer = await self._attempt(server)
             except ServerUnreachable as failure:
@@ -81,18 +88,47 @@
     def _choose_server(self) -> Server:
         servers = self.servers()
         cfg = self.ctx.settings
-        server = choose_plain(servers, self.ctx.loads, cfg.zone, self.ctx.rng)
+        loads, now_s = self.ctx.loads, self.ctx.now_s()
+        server = choose_plain(servers, loads, cfg.zone, now_s, self.ctx.rng)
         if server is None:
             raise NoServer(f"no usable server for service {self.service}")
+        wait_s = loads.limit_wait_s(server.identity, now_s)
+        usual_s = loads.of(server.identity).service_ms / 1_000
+        if wait_s and now_s + wait_s + usual_s > self._answer_due_s:
+            after_s = retry_after_s(
+                wait_s, self.req.deadline_s - now_s, self.ctx.rng.random()
+            )
+            raise ServersLimited(
+                f"all servers of {self.service} are at their rate limits, "
+                f"the first for {wait_s:.2f} s",
+                retry_after_ms=round(1_000 * after_s),
+            )
         return server
 
+    @property
+    def _answer_due_s(self) -> float:
+        """Time by which an answer is due for which the request may wait.
+
+        A client that has returned after a refusal is late already, and waits
+        until its deadline.
+        """
+        req, route = self.req, self.route
+        due_in_s = first_event_due_in_s(
+            req.deadline_s - req.arrived_s,
+            route.timeout_ms / 1_000,
+            route.target_latency_ms / 1_000,
+        )
+        if due_in_s <= 0:
+            return self.deadline_s
+        return min(req.arrived_s + due_in_s, self.deadline_s)
+
     async def _attempt(self, server: Server) -> BufferedAnswer:
         remaining_s = self.remaining_s
         self.log(
             "routed",
             server=server.instance,
             outstanding=self.ctx.loads.of(server.identity).outstanding,
-            limit_per_s=self.ctx.limits.per_s(server.identity),
+            limit_per_s=self.ctx.loads.limits.per_s(server.identity),
             left_ms=round(1_000 * remaining_s),
         )
         options = SendOptions(
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -16,6 +16,7 @@
 from mode import Service
 
 from gooseberrypost.errors import NotRun
+from gooseberrypost.gateway.model import Stage
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
 from gooseberrypost.policy.enginememory import Run, must_release_reservation
@@ -193,8 +194,19 @@
             ctx.loads.run_count(server.identity) for server in servers
         )
         waiting = self.waiting_count + ctx.loads.queued_at_peers()
-        return expected_wait_s(
-            waiting, running, ctx.mean_decode_s(pending.service)
+        limited_s = ctx.loads.limits.expected_wait_s(
+            [
+                server.identity
+                for server in servers
+                if server.stage is not Stage.PREFILL and not server.draining
+            ],
+            waiting,
+        )
+        return max(
+            limited_s,
+            expected_wait_s(
+                waiting, running, ctx.mean_decode_s(pending.service)
+            ),
         )
 
     def wake(self) -> None:
@@ -334,6 +346,7 @@
                 continue
             if pending in self._queue and not pending.granted.done():
                 self._queue.remove(pending)
+                ctx.count_send(server)
                 pending.granted.set_result(reservation)
             else:
                 self._remove_run(server, pending)
@@ -373,7 +386,11 @@
         )
         spec = ctx.engine_spec(pending.service)
         return rank_decode_engines(
-            servers,
+            [
+                server
+                for server in servers
+                if not ctx.loads.limit_wait_s(server.identity, now_s)
+            ],
             ctx.loads,
             pending.run.size,
             spec.kv_tokens,
--- a/src/gooseberrypost/policy/limits.py
+++ b/src/gooseberrypost/policy/limits.py
@@ -71,6 +71,21 @@
         self._tokens -= 1
         return True
 
+    def debit(self, count: int, now_ms: int) -> None:
+        """Take tokens whether they are available or not.
+
+        A bucket in debt has no token until it is refilled.
+        """
+        self._refill(now_ms)
+        self._tokens -= count
+
+    def set_rate(self, rate_per_s: float, burst: float, now_ms: int) -> None:
+        """Change rate and burst; tokens above the new burst are lost."""
+        self._refill(now_ms)
+        self._rate_per_ms = rate_per_s / 1_000
+        self._burst = max(1.0, burst)
+        self._tokens = min(self._burst, self._tokens)
+
     def refund(self) -> None:
         """Return a token that was taken but not used."""
         self._tokens = min(self._burst, self._tokens + 1)
--- a/src/gooseberrypost/policy/serverchoice.py
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -47,8 +47,9 @@
     """Return the servers to choose from.
 
     Draining and excluded servers are never eligible. Servers that recently
-    refused a request are eligible only if no other healthy server is left,
-    and suspect servers only if no healthy server is left at all.
+    refused a request, or whose rate limit permits none at the moment, are
+    eligible only if no other healthy server is left, and suspect servers only
+    if no healthy server is left at all.
     """
     present = [
         server
@@ -64,6 +65,7 @@
         server
         for server in healthy
         if not loads.of(server.identity).is_full(now_s)
+        and not loads.limit_wait_s(server.identity, now_s)
     ]
     return free or healthy or present
 
@@ -72,12 +74,13 @@
     servers: Sequence[Server],
     loads: ServerLoads,
     zone: str,
+    now_s: float,
     rng: random.Random,
 ) -> Server | None:
     """Return the server with the shortest expected time for a plain request.
 
-    A plain request is one that is not a generation. None if there are no
-    servers.
+    A plain request is one that is not a generation. The time includes the
+    wait for the server's rate limit. None if there are no servers.
     """
 
     def expected_ms(server: Server) -> tuple[float, float]:
@@ -85,6 +88,7 @@
         service_ms = load.service_ms or DEFAULT_SERVICE_MS
         queued = loads.outstanding(server.identity) / max(server.slots, 1)
         penalty_ms = CROSS_ZONE_PENALTY_MS if server.zone != zone else 0.0
+        penalty_ms += 1_000 * loads.limit_wait_s(server.identity, now_s)
         return service_ms * (1 + queued) + penalty_ms, rng.random()
 
     return min(servers, key=expected_ms, default=None)
@@ -94,6 +98,7 @@
     servers: Iterable[Server],
     loads: ServerLoads,
     tokens: int,
+    now_s: float,
     rng: random.Random,
 ) -> Server | None:
     """Return the prefill engine expected to finish a prompt first.
@@ -103,7 +108,8 @@
     return min(
         (server for server in servers if server.stage is Stage.PREFILL),
         key=lambda server: (
-            prefill_time_ms(server, loads, tokens),
+            prefill_time_ms(server, loads, tokens)
+            + 1_000 * loads.limit_wait_s(server.identity, now_s),
             rng.random(),
         ),
         default=None,
@@ -193,6 +199,7 @@
     loads: ServerLoads,
     tokens: int,
     objective_ms: float,
+    now_s: float,
 ) -> bool:
     """Whether to prefill a prompt on the decode engine itself.
 
@@ -203,6 +210,7 @@
     if prefill is None:
         return True
     prefill_ms = prefill_time_ms(prefill, loads, tokens)
+    prefill_ms += 1_000 * loads.limit_wait_s(prefill.identity, now_s)
     if prefill_ms <= objective_ms:
         return False
     return (
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.policy.enginememory import RunSize, predict_peak_tokens
+from gooseberrypost.policy.serverlimit import ServerLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -191,6 +192,7 @@
         "_queue_ranks",
         "_queued",
         "_unreachable",
+        "limits",
         "refresh",
         "tokens_per_s",
     )
@@ -198,6 +200,7 @@
     def __init__(self) -> None:
         self.tokens_per_s = 0.0
         """Output rate of a single run; 0 before the first one has ended."""
+        self.limits = ServerLimits()
         self.refresh: Callable[[], None] = _no_op
         """Applies pending load notices of peers; called before each read."""
         self._loads: dict[str, ServerLoad] = {}
@@ -320,6 +323,11 @@
         self.refresh()
         return sum(self._queued.values())
 
+    def limit_wait_s(self, identity: str, now_s: float) -> float:
+        """Return the time until a server's rate limit permits a request."""
+        self.refresh()
+        return self.limits.wait_s(identity, now_s)
+
     def outstanding(self, identity: str) -> int:
         """Return the outstanding requests of all gateways at a server."""
         return self.of(identity).outstanding + sum(
@@ -373,6 +381,7 @@
         for identity in list(self._loads):
             if identity not in kept and not self._loads[identity].outstanding:
                 del self._loads[identity]
+        self.limits.retain(kept)
 
     def drop_stale_peers(self, now_s: float) -> None:
         """Drop peers without a load notice for ``PEER_TIMEOUT_S``."""
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -287,6 +287,14 @@
   7: list<i32> run_limit,      // maximum output tokens of each generation
 }
 
+struct ServerLimitNotice {
+  1: string identity,          // identity of one start of the backend server
+  2: optional double per_s,    // requests per second over all gateways; unset if withdrawn
+  3: optional i64 age_ms,      // since the answer that named or withdrew it; unset without one
+  4: i64 sent,                 // requests of the sender since it first knew of a limit
+  5: i64 counted_ms,           // time since then
+}
+
 struct OutputNotice {
   1: string service_name,
   2: double tokens,            // typical output tokens per generation
@@ -317,4 +325,5 @@
   9: optional list<string> gone,  // servers that the sender found to be gone
   10: optional list<CrashNotice> crashes,  // recent reports of the sender
   11: optional list<ConvictionNotice> convictions,
+  12: optional list<ServerLimitNotice> limits,
 }
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -49,6 +49,14 @@
     run_expected=COUNTS,
     run_limit=COUNTS,
 )
+LIMIT_NOTICES = st.builds(
+    idl.ServerLimitNotice,
+    identity=st.one_of(st.sampled_from(["e@1", "f@1"]), st.text(max_size=5)),
+    per_s=st.one_of(st.none(), st.floats()),
+    age_ms=st.one_of(st.none(), NUMBERS),
+    sent=NUMBERS,
+    counted_ms=NUMBERS,
+)
 NOTICES = st.builds(
     idl.LoadNotice,
     name=st.sampled_from(["g1", "g2"]),
@@ -69,6 +77,7 @@
             max_size=2,
         ),
     ),
+    limits=st.one_of(st.none(), st.lists(LIMIT_NOTICES, max_size=3)),
 )
 
 
@@ -92,6 +101,7 @@
     assert loads.queued_at_peers() >= 0
     assert loads.outstanding("e@1") >= 0
     assert loads.prefill_tokens("e@1") >= 0
+    assert 0 <= loads.limit_wait_s("e@1", 1.0) < math.inf
 
 
 @given(st.lists(NOTICES, max_size=3), st.data())
