--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import socket
 from contextlib import asynccontextmanager
@@ -106,9 +107,9 @@
                 "name": name,
                 "zone": "a",
                 "client_address": "127.0.0.1:0",
-                "readiness_address": f"127.0.0.1:{free_port()}",
+                "readiness_address": own_address(),
                 "store_address": self.store.address,
-                "internal_address": f"127.0.0.1:{free_port()}",
+                "internal_address": own_address(),
                 "retry_budget_ratio": 0.2,
                 "retry_budget_allowance": 54.0,
                 **changes,
@@ -166,10 +167,21 @@
         )
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def own_address() -> str:
+    """Return a free address on a loopback host of this process.
+
+    On 127.0.0.1 another process may take the port before it is bound here.
+    """
+    high, low = divmod(os.getpid() % 62_500, 250)
+    host = f"127.{high + 2}.{low + 1}.1"
+    with (
+        socket.socket() as stream,
+        socket.socket(type=socket.SOCK_DGRAM) as datagram,
+    ):
+        stream.bind((host, 0))
+        port = stream.getsockname()[1]
+        datagram.bind((host, port))
+    return f"{host}:{port}"
 
 
 @asynccontextmanager
