Reject a load notice without a name, incarnation or sequence

A fuzz run found a notice whose sequence had been lost on the way: the comparison with the known sequence raised TypeError in whoever read the loads next, such as a request. It has been possible since notices exist.

test_notice_without_a_field_is_invalid failed three of three times before.

--- a/src/gooseberrypost/gateway/notices.py
+++ b/src/gooseberrypost/gateway/notices.py
@@ -93,9 +93,9 @@
 
 def _notice(message: Any) -> Notice:
     return Notice(
-        message.name,
-        message.incarnation,
-        message.sequence,
+        _text(message.name),
+        _number(message.incarnation),
+        _number(message.sequence),
         {
             server.identity: PeerLoad(
                 _count(server.outstanding),
@@ -184,6 +184,13 @@
     ]
 
 
+def _number(value: int | None) -> int:
+    """Return a number; raises ``NoticeInvalid`` if it is missing."""
+    if value is None:
+        raise NoticeInvalid("missing number")
+    return value
+
+
 def _count(value: int) -> int:
     """Return a count; raises ``NoticeInvalid`` if it is negative."""
     if value < 0:
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -145,6 +145,29 @@
     assert peers._ctx.loads.outstanding("e@1") >= 2
 
 
+@pytest.mark.parametrize("field", ["name", "incarnation", "sequence"])
+def test_notice_without_a_field_is_invalid(field):
+    """Guards against a missing number that is compared with a known one.
+
+    The error would reach whoever reads the loads, such as a request.
+    """
+    peers = new_peers()
+    for number in range(2):
+        notice = idl.LoadNotice(
+            name="g1",
+            incarnation=1,
+            sequence=number + 1,
+            servers=[],
+            configuration_version=1,
+        )
+        if number:
+            setattr(notice, field, None)
+        data = encode(Frame(number, notice))
+        peers.datagram_received(data, ("10.0.0.1", 1))
+        use_loads(peers)
+    assert peers._ctx.metrics.value("notices_invalid_total") == 1
+
+
 @given(st.lists(st.binary(max_size=300), max_size=5))
 @settings(max_examples=EXAMPLES, deadline=None)
 def test_any_datagram_is_survived(datagrams):
