Keep the rate limit that a backend server names to its agent

The same cause as at the gateways: the agent did not read the limit. A plain service that named 5 calls/s got 84 in 2 s, 16 allowed, an engine 83 prefills. The agent is the only way to its server and so keeps the limit with one bucket. A request beyond it is refused as not run with the time to come back, and its entry tries another server.

Claim owners and the distribution of the configuration send nothing to backend servers, and read no answers of theirs.

--- a/src/gooseberrypost/agent/backend.py
+++ b/src/gooseberrypost/agent/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
@@ -11,22 +12,28 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.agent.http import open_session
+from gooseberrypost.agent.log import log_decision, log_refusal
 from gooseberrypost.boundedread import MAX_REPLY_BYTES, read_bounded
 from gooseberrypost.errors import (
     ConnectionLost,
     Failure,
     PeerUnreachable,
     ProtocolFailure,
+    ServerLimited,
     TimedOut,
     failure_from_code,
 )
 
+from gooseberrypost.policy.serverlimit import ServerLimits, parse_limit
+
 if TYPE_CHECKING:
     from gooseberrypost.settings.agent import BackendSettings
 
 SHORT_CALL_TIMEOUT_MS: Final = 2_000
 """Timeout of requests that run no model, such as the load report."""
 HTTP_NOT_FOUND: Final = 404
+SERVER_LIMIT_HEADER: Final = "Server-Limit"
+"""Requests per second that the server accepts."""
 MIN_HTTP_ERROR_STATUS: Final = 400
 """Lowest HTTP status that reports an error."""
 
@@ -62,6 +69,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._session: aiohttp.ClientSession | None = None
+        self._limits = ServerLimits()
 
     @classmethod
     def from_config(cls, cfg: BackendSettings) -> Backend:
@@ -80,6 +88,46 @@
         if self._session is not None:
             await self._session.close()
 
+    def limit_refusal(self) -> ServerLimited | None:
+        """Return the refusal of a request now; None if it may be sent.
+
+        The server may name a rate limit in its answers. An agent is the only
+        way to its server, so that it alone keeps the limit.
+        """
+        wait_s = self._limits.wait_s(self.address, time.monotonic())
+        if wait_s <= 0:
+            return None
+        return ServerLimited(
+            f"the server accepts {self._limits.per_s(self.address):g} "
+            "requests/s",
+            retry_after_ms=round(1_000 * wait_s),
+        )
+
+    def count_request(self) -> None:
+        """Count a request against the server's rate limit."""
+        self._limits.record_send(self.address, time.monotonic())
+
+    def record_limit(
+        self, reply: aiohttp.ClientResponse, *, is_run: bool = False
+    ) -> None:
+        """Record the rate limit that a reply names.
+
+        A successful reply to a run shows that there is none; other replies
+        may not name it.
+        """
+        text = reply.headers.get(SERVER_LIMIT_HEADER)
+        per_s = None
+        if text is not None:
+            parsed = parse_limit(text)
+            if isinstance(parsed, Err):
+                log_refusal("invalid_limit", parsed.err_value)
+                return
+            per_s = parsed.ok_value
+        elif not is_run or reply.status >= MIN_HTTP_ERROR_STATUS:
+            return
+        if self._limits.record(self.address, per_s, time.monotonic()):
+            log_decision("server_limit", per_s=per_s)
+
     @abstractmethod
     async def load(
         self, timeout_ms: int = SHORT_CALL_TIMEOUT_MS
@@ -92,13 +140,19 @@
         path: str,
         body: Any = None,
         timeout_ms: float = SHORT_CALL_TIMEOUT_MS,
+        *,
+        is_run: bool = False,
     ) -> Result[Any, Failure]:
-        """Send a JSON request and return the JSON reply or the failure."""
+        """Send a JSON request and return the JSON reply or the failure.
+
+        ``is_run`` tells that the server runs a model for it.
+        """
         timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
         try:
             async with self.session.request(
                 method, path, json=body, timeout=timeout
             ) as reply:
+                self.record_limit(reply, is_run=is_run)
                 if reply.status >= MIN_HTTP_ERROR_STATUS:
                     return Err(await failure_from_reply(reply))
                 content = await read_bounded(reply, MAX_REPLY_BYTES)
--- a/src/gooseberrypost/agent/calls.py
+++ b/src/gooseberrypost/agent/calls.py
@@ -100,6 +100,7 @@
         refusal = lifecycle.refusal(EngineRole.PLAIN)
         if refusal is None and not isinstance(context.backend, PlainClient):
             refusal = NotRun("the backend server is not a plain service")
+        refusal = refusal or context.backend.limit_refusal()
         if refusal is not None:
             return refusal
         now_ms = context.now_ms()
@@ -114,6 +115,7 @@
         reserved = context.capacity_controller.reserve(request, now_ms)
         if isinstance(reserved, Err):
             return reserved.err_value
+        context.backend.count_request()
         number = reserved.ok_value.number
         return error_or_none(
             context.capacity_controller.start_reservation(
--- a/src/gooseberrypost/agent/engine.py
+++ b/src/gooseberrypost/agent/engine.py
@@ -116,7 +116,9 @@
             "prompt": prompt,
             "priority": priority,
         }
-        reply = await self.request_json("POST", "/prefill", body, timeout_ms)
+        reply = await self.request_json(
+            "POST", "/prefill", body, timeout_ms, is_run=True
+        )
         if isinstance(reply, Err):
             return reply
         document = reply.ok_value
@@ -202,6 +204,7 @@
         except TRANSPORT_ERRORS as exc:
             raise failure_from_exception(exc) from exc
         try:
+            self.record_limit(reply, is_run=True)
             if reply.status >= MIN_HTTP_ERROR_STATUS:
                 raise await failure_from_reply(reply)
             yield TokenStream(reply)
--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -123,6 +123,11 @@
         refusal = lifecycle.refusal(
             EngineRole.DECODE, req.model
         ) or error_or_none(table.check(attempt, Phase.DECODE))
+        if refusal is not None:
+            return refusal
+        # A repeated message gets the reservation that the attempt has.
+        is_new = context.capacity.ledger.find(attempt) is None
+        refusal = context.backend.limit_refusal() if is_new else None
         if refusal is not None:
             return refusal
         now_ms = context.now_ms()
@@ -141,6 +146,8 @@
         reserved = context.capacity_controller.reserve(request, now_ms)
         if isinstance(reserved, Err):
             return reserved.err_value
+        if is_new:
+            context.backend.count_request()
         table.reserve(attempt, now_ms + ttl_ms + RECORD_RETENTION_MS)
         return reserved.ok_value
 
--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -99,6 +99,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as reply:
+                self.record_limit(reply, is_run=True)
                 body = await read_bounded(reply, MAX_REPLY_BYTES)
                 response_headers = forwarded_headers(reply.headers.items())
                 return Ok(PlainResponse(reply.status, response_headers, body))
--- a/src/gooseberrypost/agent/prefilling.py
+++ b/src/gooseberrypost/agent/prefilling.py
@@ -107,6 +107,9 @@
             return NoCapacity(
                 "the attempt already has an allocation on this server"
             )
+        limited = context.backend.limit_refusal()
+        if limited is not None:
+            return limited
         now_ms = context.now_ms()
         request = ReservationRequest(
             holder=attempt,
@@ -119,6 +122,7 @@
         reserved = context.capacity_controller.reserve(request, now_ms)
         if isinstance(reserved, Err):
             return reserved.err_value
+        context.backend.count_request()
         number = reserved.ok_value.number
         stale = error_or_none(
             context.capacity_controller.start_reservation(
--- a/src/gooseberrypost/errors.py
+++ b/src/gooseberrypost/errors.py
@@ -128,6 +128,12 @@
     http_status = 429
 
 
+class ServerLimited(NotRun):
+    """The backend servers are at the rate limits that they named."""
+
+    code = "server_limited"
+
+
 class TargetUnreachable(NotRun):
     """Admission predicts that the latency targets cannot be met."""
 
--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -47,12 +47,6 @@
     code = "no_server"
 
 
-class ServersLimited(NotRun):
-    """The rate limits of all servers permit the request only too late."""
-
-    code = "servers_limited"
-
-
 class ServerFailed(Failure):
     """A server answered with an error, which is kept to be forwarded."""
 
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -9,12 +9,12 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from gooseberrypost.errors import ServerLimited
 from gooseberrypost.gateway.buffering import buffer_answer
 from gooseberrypost.gateway.exchange import (
     CONNECT_TIMEOUT_S,
     Exchange,
     NoServer,
-    ServersLimited,
 )
 from gooseberrypost.gateway.model import RequestKind
 from gooseberrypost.gateway.transport import (
@@ -98,7 +98,7 @@
             after_s = retry_after_s(
                 wait_s, self.req.deadline_s - now_s, self.ctx.rng.random()
             )
-            raise ServersLimited(
+            raise ServerLimited(
                 f"all servers of {self.service} are at their rate limits, "
                 f"the first for {wait_s:.2f} s",
                 retry_after_ms=round(1_000 * after_s),
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -5,17 +5,15 @@
 import asyncio
 import functools
 import json
-import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
 from absl import logging
-from result import Err, Ok, Result
+from result import Err
 from yarl import URL
 
 from gooseberrypost.boundedread import MAX_CONTROL_BYTES, read_bounded
-from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.transport import (
     Answer,
     AnswerLost,
@@ -36,6 +34,7 @@
 )
 from gooseberrypost.platform.documents import decode_report
 from gooseberrypost.platform.requests import encode_headers
+from gooseberrypost.policy.serverlimit import parse_limit
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -292,7 +291,7 @@
             if names.SIGNATURE in response.headers:
                 self.on_rate_limit(server, None)
             return
-        decoded = _requests_per_s(text)
+        decoded = parse_limit(text)
         if isinstance(decoded, Err):
             logging.warning(
                 "event=invalid_server_limit server=%s detail=%r",
@@ -303,22 +302,6 @@
         self.on_rate_limit(server, decoded.ok_value)
 
 
-class InvalidLimit(Failure):
-    """A server names a rate limit that is not a decimal number."""
-
-    code = "invalid_limit"
-
-
-def _requests_per_s(text: str) -> Result[float, InvalidLimit]:
-    try:
-        per_s = float(text)
-    except ValueError:
-        per_s = -1.0
-    if not 0 <= per_s < math.inf:
-        return Err(InvalidLimit(f"{names.SERVER_LIMIT}: {text[:40]}"))
-    return Ok(per_s)
-
-
 def _answer(response: aiohttp.ClientResponse) -> Answer:
     headers = [
         (name, value)
--- a/src/gooseberrypost/policy/serverlimit.py
+++ b/src/gooseberrypost/policy/serverlimit.py
@@ -21,9 +21,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from result import Err, Ok, Result
+
+from gooseberrypost.errors import Failure
 from gooseberrypost.policy.limits import SERVICE_BURST_S, TokenBucket
 
 if TYPE_CHECKING:
@@ -40,6 +44,27 @@
 """Limits in one load notice, the newest first; a datagram has 64 KB."""
 
 
+class InvalidLimit(Failure):
+    """A server names a rate limit that is not a decimal number."""
+
+    code = "invalid_limit"
+
+
+def parse_limit(text: str) -> Result[float, InvalidLimit]:
+    """Read the requests per second that a server names.
+
+    >>> parse_limit("2.5"), parse_limit("-1").is_err()
+    (Ok(2.5), True)
+    """
+    try:
+        per_s = float(text)
+    except ValueError:
+        per_s = -1.0
+    if not 0 <= per_s < math.inf:
+        return Err(InvalidLimit(f"rate limit {text[:40]!r}"))
+    return Ok(per_s)
+
+
 @dataclass(slots=True, frozen=True)
 class LimitNotice:
     """What one gateway knows first-hand of a server's limit."""
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -16,6 +16,9 @@
     def __init__(self):
         self.app = web.Application(client_max_size=64 * 1024 * 1024)
         self.app.router.add_post("/_test/{switch}", self._switch)
+        self.app.on_response_prepare.append(self._name_limit)
+        self.limit_per_s: str | None = None
+        """Rate limit that each answer names."""
         self.host, self.port = "127.0.0.1", 0
         self.tasks: set[asyncio.Task] = set()
 
@@ -74,6 +77,10 @@
         await asyncio.sleep(after_ms / 1_000)
         await self.listen()
 
+    async def _name_limit(self, request, response):
+        if self.limit_per_s is not None:
+            response.headers["Server-Limit"] = self.limit_per_s
+
     async def _switch(self, request):
         body = await request.json()
         self.switch(request.match_info["switch"], body["value"])
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -169,7 +169,7 @@
             assert executed == statuses.count(200)
             for response, took_s in gateways.responses:
                 if response.status == 503:
-                    assert response.headers["X-Failure"] == "servers_limited"
+                    assert response.headers["X-Failure"] == "server_limited"
                     assert float(response.headers["Retry-After"]) > 0
                     assert took_s < 0.5
 
