Use a single prefill engine in the test of its limit

With one, every prompt beyond its limit has to be prefilled by a decode engine. Also sort the imports of the agent's backend.

--- a/src/gooseberrypost/agent/backend.py
+++ b/src/gooseberrypost/agent/backend.py
@@ -23,7 +23,6 @@
     TimedOut,
     failure_from_code,
 )
-
 from gooseberrypost.policy.serverlimit import ServerLimits, parse_limit
 
 if TYPE_CHECKING:
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -179,7 +179,7 @@
 @pytest.mark.parametrize("limited", ["p0", "d0"])
 def test_generations_keep_the_limit_of_an_engine(limited):
     """Guards against prefills and streams that ignore an engine's limit."""
-    engines = [(f"p{n}", "llm", "prefill") for n in range(2)]
+    engines = [("p0", "llm", "prefill")]
     engines += [(f"d{n}", "llm", "decode") for n in range(3)]
 
     async def work():
