--- a/src/gooseberrypost/policy/serverchoice.py
+++ b/src/gooseberrypost/policy/serverchoice.py
@@ -65,8 +65,13 @@
         server
         for server in healthy
         if not loads.of(server.identity).is_full(now_s)
-        and not loads.limit_wait_s(server.identity, now_s)
     ]
+    if loads.limits:
+        free = [
+            server
+            for server in free
+            if not loads.limit_wait_s(server.identity, now_s)
+        ]
     return free or healthy or present
 
 
@@ -88,7 +93,8 @@
         service_ms = load.service_ms or DEFAULT_SERVICE_MS
         queued = loads.outstanding(server.identity) / max(server.slots, 1)
         penalty_ms = CROSS_ZONE_PENALTY_MS if server.zone != zone else 0.0
-        penalty_ms += 1_000 * loads.limit_wait_s(server.identity, now_s)
+        if loads.limits:
+            penalty_ms += 1_000 * loads.limit_wait_s(server.identity, now_s)
         return service_ms * (1 + queued) + penalty_ms, rng.random()
 
     return min(servers, key=expected_ms, default=None)
--- a/src/gooseberrypost/policy/serverlimit.py
+++ b/src/gooseberrypost/policy/serverlimit.py
@@ -123,6 +123,10 @@
         self._limits: dict[str, _Limit] = {}
         self._share = 1.0
 
+    def __bool__(self) -> bool:
+        """Whether any server has named a limit."""
+        return bool(self._limits)
+
     def per_s(self, identity: str) -> float | None:
         """Return a server's limit in requests per second; None without."""
         limit = self._limits.get(identity)
