Log when the store has come back from an older copy

Its return from an outage without loss looked the same. Nothing is decided by it yet. The stand-in of the store can be restored from a copy.

--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -76,6 +76,13 @@
 LEASE_RENEW_PATH: Final = "/-/kv-keep/"
 LEASE_REVOKE_PATH: Final = "/-/kv-lease-end/"
 
+STORE_ERA: Final = "Store-Era"
+"""Number in each answer of the store.
+
+It rises when the store has come back from an older copy, which has lost what
+was written since, and gives out the same revisions again.
+"""
+
 CONFIGURATION_PREFIX: Final = "op/"
 CONFIGURATION_KEY: Final = "op/config"
 SERVERS_PREFIX: Final = "servers/"
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
+from absl import logging
 from yarl import URL
 
 from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
@@ -98,10 +99,12 @@
     ``LeaseEnded`` or ``ConditionFailed`` as answered by the store.
     """
 
-    __slots__ = ("_response_timeout_s", "_session", "address")
+    __slots__ = ("_response_timeout_s", "_session", "address", "era")
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.era = 0
+        """Era that the newest answer named; 0 before the first one."""
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         # Each call has a new connection. After a network fault every pooled
         # connection may be dead, and each would cost one call's timeout.
@@ -225,8 +228,24 @@
             )
             raise StoreUnavailable(f"{path}: {exc!r}") from exc
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        self._record_era(path, response.headers.get(names.STORE_ERA, ""))
         return _decode_response(path, status, content)
 
+    def _record_era(self, path: str, text: str) -> None:
+        try:
+            era = int(text or self.era)
+        except ValueError as exc:
+            raise StoreUnavailable(f"{path}: era {text[:40]!r}") from exc
+        if era != self.era:
+            if self.era:
+                logging.warning(
+                    "event=store_restored era=%d before=%d call=%s",
+                    era,
+                    self.era,
+                    path,
+                )
+            self.era = era
+
 
 def _decode_response(path: str, status: int, content: bytes) -> dict[str, Any]:
     if status == 410:
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -17,6 +17,8 @@
     def __init__(self):
         super().__init__()
         self.revision = 1
+        self.era = 1
+        """Rises each time the store comes back from an older copy."""
         self.items: dict[str, dict] = {}
         self.history: list[dict] = []
         self.leases: dict[int, asyncio.TimerHandle] = {}
@@ -44,6 +46,7 @@
         router.add_post("/-/kv-keep/{lease}", self._keep_alive)
         router.add_delete("/-/kv-lease-end/{lease}", self._revoke_lease)
         self.app.middlewares.append(self._inject_faults)
+        self.app.on_response_prepare.append(self._name_era)
 
     @web.middleware
     async def _inject_faults(self, request, handler):
@@ -56,6 +59,40 @@
             return web.json_response({}, status=503)
         return await handler(request)
 
+    async def _name_era(self, request, response):
+        response.headers["Store-Era"] = str(self.era)
+
+    def copy(self) -> tuple:
+        """Return a copy of the contents, from which to restore."""
+        return (
+            self.revision,
+            dict(self.items),
+            list(self.history),
+            set(self.leases),
+            dict(self.ttl_ms),
+        )
+
+    def restore(self, copy: tuple):
+        """Lose what was written since a copy; leases too.
+
+        Open calls are cut. Revisions and leases since then are given out
+        again.
+        """
+        self.era += 1
+        self.revision, self.items, self.history = (
+            copy[0],
+            dict(copy[1]),
+            list(copy[2]),
+        )
+        for lease in set(self.leases) | copy[3]:
+            handle = self.leases.pop(lease, None)
+            if handle is not None:
+                handle.cancel()
+        self.ttl_ms = dict(copy[4])
+        for lease in copy[3]:
+            self._schedule_expiry(lease)
+        self.abort_connections()
+
     async def _send_endlessly(self, request):
         response = web.StreamResponse()
         await response.prepare(request)
@@ -110,7 +147,7 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + int(request.query["wait_ms"]) / 1_000
         while True:
-            if after < self.compacted:
+            if after < self.compacted or after > self.revision:
                 return web.json_response({}, status=410)
             changed = self.changed
             events = [
