--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -48,6 +48,8 @@
         self.event_s = 0.0
         self.has_room = True
         self.orders = 0
+        self.registrations = 0
+        """Number of times that the entry in the store was written."""
         self.refuses_orders = False
         self.stopped = 0
         """Number of runs that were stopped in order to move."""
@@ -78,6 +80,7 @@
         return f"{self.host}:{self.port}"
 
     def registration(self, service: str, **changes) -> dict:
+        self.registrations += 1
         return {
             "service": service,
             "address": self.address,
@@ -87,7 +90,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "stage": self.stage,
-            "sequence": 7,
+            "sequence": self.registrations,
             "born": 1,
             **changes,
         }
@@ -112,7 +115,7 @@
 
     async def restart(self, instance: str):
         """Listen again at the same address, as another instance."""
-        self.instance = instance
+        self.instance, self.registrations = instance, 0
         await self.start(self.address)
 
     async def _serve(self, reader, writer):
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -72,11 +72,11 @@
             dict(self.ttl_ms),
         )
 
-    def restore(self, copy: tuple):
+    def restore(self, copy: tuple, *, cut: bool = True):
         """Lose what was written since a copy; leases too.
 
-        Open calls are cut. Revisions and leases since then are given out
-        again.
+        Open calls are cut, unless there are none. Revisions and leases since
+        then are given out again.
         """
         self.era += 1
         self.revision, self.items, self.history = (
@@ -91,7 +91,8 @@
         self.ttl_ms = dict(copy[4])
         for lease in copy[3]:
             self._schedule_expiry(lease)
-        self.abort_connections()
+        if cut:
+            self.abort_connections()
 
     async def _send_endlessly(self, request):
         response = web.StreamResponse()
