Read the store again when it has come back from an older copy

What callers saw on such systems: a confirmed change that is not in force. Cause: a watch went on from a revision of the history that was lost. If that revision had been given out again, what was written before it was missed, and no call had to fail for that.

The store names its era in each answer, which rises at each such return. Servers whose registrations were lost stay in use until they had time to write them again, also if no call failed.

--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -100,6 +100,11 @@
 
     A negative one stands for a conviction that was withdrawn at that time.
     """
+    era: int = 0
+    """Rises when the store has come back from an older copy.
+
+    Revisions of different eras cannot be compared.
+    """
 
     @property
     def is_empty(self) -> bool:
@@ -142,6 +147,7 @@
     __slots__ = (
         "configuration",
         "convictions",
+        "era",
         "gateways",
         "last_stage_order_s",
         "servers",
@@ -153,6 +159,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.configuration = Configuration()
+        self.era = 0
+        """Era of the store in which the snapshot was read."""
         self.servers = ServerList()
         self.gateways: dict[str, str] = {}
         """Internal addresses of the registered gateways, by name."""
@@ -237,6 +245,10 @@
                 await self._handle_feed_lost(lost)
                 continue
             self._handle_answer()
+            if update.era != self._directory.era and not update.is_snapshot:
+                # The revision belongs to a history that the store has lost.
+                self._revision = 0
+                continue
             try:
                 self.apply(update, time.monotonic())
             except Exception:
@@ -278,6 +290,18 @@
     def apply(self, update: FeedUpdate, now_s: float) -> None:
         """Apply an update to the directory and log each change."""
         directory = self._directory
+        if update.era != directory.era:
+            if directory.is_loaded:
+                logging.warning(
+                    "event=feed_restored era=%d before=%d at=%d",
+                    update.era,
+                    directory.era,
+                    update.revision,
+                )
+                self._metrics.count("store_restores_total")
+                # Servers whose registrations were lost write them again.
+                directory.servers.record_reconnect(now_s)
+            directory.era = update.era
         for cfg in update.configurations:
             # Ignore a configuration that is not newer than the current one.
             if cfg.version > directory.configuration.version:
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from absl import logging
@@ -15,6 +16,7 @@
     decode_server,
     decode_stage_order,
 )
+from gooseberrypost.platform.store import StoreUnavailable
 
 if TYPE_CHECKING:
     from typing import Any
@@ -44,21 +46,20 @@
         # The ranges are read one after the other. The first watch starts from
         # the earliest revision and repeats the changes made in between.
         items = (*configuration.items, *servers.items, *product.items)
-        return _update(items, configuration.revision, is_snapshot=True)
+        if not configuration.era == servers.era == product.era:
+            raise StoreUnavailable("restored while it was read")
+        read = replace(configuration, items=items)
+        return _update(read, is_snapshot=True)
 
     async def watch(self, after_revision: int, wait_ms: int) -> FeedUpdate:
         """Return the changes after a revision."""
-        changes: Items = await self._store.watch(
-            ALL_KEYS, after_revision, wait_ms
-        )
-        return _update(changes.items, changes.revision, is_snapshot=False)
+        changes = await self._store.watch(ALL_KEYS, after_revision, wait_ms)
+        return _update(changes, is_snapshot=False)
 
 
-def _update(
-    items: tuple[Item, ...], revision: int, *, is_snapshot: bool
-) -> FeedUpdate:
+def _update(read: Items, *, is_snapshot: bool) -> FeedUpdate:
     # Only the last change of each key counts.
-    last_items = {item.key: item for item in items}
+    last_items = {item.key: item for item in read.items}
     configurations: list[Configuration] = []
     servers: list[Server] = []
     removed = []
@@ -98,13 +99,14 @@
         tuple(configurations),
         tuple(servers),
         tuple(removed),
-        revision,
+        read.revision,
         is_snapshot,
         gateways,
         lock_holder,
         tuple(orders),
         tuple(removed_orders),
         convictions,
+        read.era,
     )
 
 
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -86,10 +86,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Items:
-    """Items and the store revision at which they were read."""
+    """Items, and the revision and era of the store when they were read."""
 
     items: tuple[Item, ...]
     revision: int
+    era: int
 
 
 class PlatformStore:
@@ -97,14 +98,17 @@
 
     Calls raise ``StoreUnavailable`` on a failure, and ``HistoryLost``,
     ``LeaseEnded`` or ``ConditionFailed`` as answered by the store.
+
+    A store that comes back from an older copy begins a new era. An answer from
+    an earlier era counts as a failure: what it says is lost.
     """
 
-    __slots__ = ("_response_timeout_s", "_session", "address", "era")
+    __slots__ = ("_address", "_era", "_response_timeout_s", "_session")
 
     def __init__(self, address: str) -> None:
-        self.address = address
-        self.era = 0
-        """Era that the newest answer named; 0 before the first one."""
+        self._address = address
+        self._era = 0
+        """Newest era that an answer named; 0 before the first one."""
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         # Each call has a new connection. After a network fault every pooled
         # connection may be dead, and each would cost one call's timeout.
@@ -115,27 +119,42 @@
             connector=connector, cookie_jar=aiohttp.DummyCookieJar()
         )
 
+    @property
+    def address(self) -> str:
+        """Address of the store; another address may mean another store."""
+        return self._address
+
+    @address.setter
+    def address(self, address: str) -> None:
+        if address != self._address:
+            self._address, self._era = address, 0
+
     async def range(self, prefix: str) -> Items:
         """Read all items under a prefix, page by page.
 
         The pages are not one snapshot. The result has the revision of the
         first page, so that a watch from there repeats the changes made while
-        the pages were read.
+        the pages were read. They are of one era.
         """
         items: list[Item] = []
-        revision, after = 0, ""
+        revision, after, era = 0, "", 0
         for _ in range(MAX_PAGES):
             query = {"path_prefix": prefix}
             if after:
                 query["after"] = after
-            answer = await self._call("GET", names.RANGE_PATH, query)
+            answer, page_era = await self._call("GET", names.RANGE_PATH, query)
+            if items and page_era != era:
+                raise StoreUnavailable(
+                    f"{names.RANGE_PATH}: era {page_era} after {era}"
+                )
+            era = page_era
             page = _items(answer, "items")
             items += page
             revision = revision or _integer(answer, "at")
             if not answer.get("has_more") or not page:
                 break
             after = page[-1].key
-        return Items(tuple(items), revision)
+        return Items(tuple(items), revision, era)
 
     async def watch(
         self, prefix: str, after_revision: int, wait_ms: int
@@ -146,10 +165,11 @@
             "after": str(after_revision),
             "wait_ms": str(wait_ms),
         }
-        answer = await self._call(
+        answer, era = await self._call(
             "GET", names.WATCH_PATH, query, wait_s=wait_ms / 1_000
         )
-        return Items(tuple(_items(answer, "events")), _integer(answer, "at"))
+        events = tuple(_items(answer, "events"))
+        return Items(events, _integer(answer, "at"), era)
 
     async def write(
         self,
@@ -178,14 +198,14 @@
             ],
             "remove": list(removed),
         }
-        answer = await self._call(
+        answer, _ = await self._call(
             "POST", names.TXN_PATH, body=body, timeout_s=timeout_s
         )
         return _integer(answer, "revision")
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its id."""
-        answer = await self._call(
+        answer, _ = await self._call(
             "POST", names.LEASE_PATH, body={"ttl_ms": ttl_ms}
         )
         return _integer(answer, "lease")
@@ -210,8 +230,9 @@
         body: Any = None,
         wait_s: float = 0.0,
         timeout_s: float = 0.0,
-    ) -> dict[str, Any]:
-        url = URL(f"http://{self.address}{path}")
+    ) -> tuple[dict[str, Any], int]:
+        """Make a call and return its answer and the answer's era."""
+        url = URL(f"http://{self._address}{path}")
         timeout = aiohttp.ClientTimeout(
             total=(timeout_s or self._response_timeout_s) + wait_s,
             sock_connect=CONNECT_TIMEOUT_S,
@@ -228,23 +249,26 @@
             )
             raise StoreUnavailable(f"{path}: {exc!r}") from exc
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
-        self._record_era(path, response.headers.get(names.STORE_ERA, ""))
-        return _decode_response(path, status, content)
+        era = self._record_era(path, response.headers.get(names.STORE_ERA))
+        return _decode_response(path, status, content), era
 
-    def _record_era(self, path: str, text: str) -> None:
+    def _record_era(self, path: str, text: str | None) -> int:
+        """Return the era of an answer; 0 from a store that names none."""
         try:
-            era = int(text or self.era)
+            era = int(text or 0)
         except ValueError as exc:
-            raise StoreUnavailable(f"{path}: era {text[:40]!r}") from exc
-        if era != self.era:
-            if self.era:
-                logging.warning(
-                    "event=store_restored era=%d before=%d call=%s",
-                    era,
-                    self.era,
-                    path,
-                )
-            self.era = era
+            raise StoreUnavailable(f"{path}: era {text!r:.40}") from exc
+        if era < self._era:
+            raise StoreUnavailable(f"{path}: era {era} after {self._era}")
+        if self._era and era > self._era:
+            logging.warning(
+                "event=store_restored era=%d before=%d call=%s",
+                era,
+                self._era,
+                path,
+            )
+        self._era = era
+        return era
 
 
 def _decode_response(path: str, status: int, content: bytes) -> dict[str, Any]:
