Compare registrations of different eras by their servers' writes

What callers saw on such systems: requests to servers that drain or have left. Cause: a registration with a lower revision than the known one was ignored. After the return of an older copy all that is written is lower, so that a server that drained later went on getting requests; and a server that had left was taken from the copy as a new one.

Within an era revisions are compared as before, between two the start of the server and the number of its writes. What is older by that is held back for four heartbeats, in which a living server that has changed writes again and the store removes a silent one. After that the store is believed: the entry of a living server may stay as it is in the copy.

--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -62,6 +62,7 @@
         self.settings = cfg
         self.lifecycle = LifecycleController(board)
         directory = add_directory(board, DIRECTORY_OWNER)
+        directory.servers.heartbeat_s = cfg.heartbeat_ms / 1_000
         self.context = GatewayContext(cfg, directory, transport, rng)
         transport.on_rate_limit = self.context.record_rate_limit
         section = self.lifecycle.section
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -200,8 +200,25 @@
     """Unix time of the server's start in ms; 0 if unknown."""
     revision: int = 0
     """Store revision at which the registration was written."""
+    era: int = 0
+    """Era of that revision; a restored store gives out revisions again."""
+    writes: int = 0
+    """Number of times that the server has written it since its start."""
 
     @property
     def identity(self) -> str:
         """Instance and start time, as an instance may restart."""
         return f"{self.instance}@{self.started_ms}"
+
+    def is_older_than(self, other: Server) -> bool:
+        """Whether this registration was written before another one.
+
+        Both are of one instance. In a later era the store may return an
+        older registration at any revision.
+        """
+        if self.era == other.era:
+            return self.revision < other.revision
+        return (self.started_ms, self.writes) < (
+            other.started_ms,
+            other.writes,
+        )
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -59,9 +59,9 @@
 
 
 def decode_server(
-    instance: str, content: bytes, revision: int
+    instance: str, content: bytes, revision: int, era: int = 0
 ) -> Result[Server, InvalidDocument]:
-    """Decode a server's registration."""
+    """Decode a server's registration, read in an era of the store."""
     try:
         document = json.loads(content)
         state = document["state"]
@@ -89,6 +89,8 @@
                 stage=Stage(document.get("stage") or ""),
                 started_ms=int(document.get("born") or 0),
                 revision=revision,
+                era=era,
+                writes=int(document.get("sequence") or 0),
             )
         )
     except (ValueError, TypeError, LookupError, AttributeError) as exc:
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -78,7 +78,9 @@
             if item.value is None:
                 removed.append(instance)
             else:
-                decoded = decode_server(instance, item.value, item.revision)
+                decoded = decode_server(
+                    instance, item.value, item.revision, read.era
+                )
                 servers += _keep_valid(item, decoded)
         elif key.startswith(names.GATEWAYS_PREFIX):
             name = key.removeprefix(names.GATEWAYS_PREFIX)
--- a/src/gooseberrypost/platform/settings.py
+++ b/src/gooseberrypost/platform/settings.py
@@ -133,6 +133,7 @@
         # A number of retries per window, not a time.
         retry_budget_allowance=reader.number("bounds.budget_slack", 0),
         lease_ms=round(reader.number("bounds.lease_ms", 3_000)),
+        heartbeat_ms=round(reader.number("heartbeat_ms", 1_200)),
         answer_buffer_bytes=round(
             ANSWER_BUFFER_SHARE
             * BYTES_PER_MB
--- a/src/gooseberrypost/policy/membership.py
+++ b/src/gooseberrypost/policy/membership.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -32,6 +33,14 @@
 """
 RECONNECT_WINDOW_S: Final = 0.3
 """Time after a reconnect to the store in which any removal may be a lapse."""
+DEFAULT_HEARTBEAT_S: Final = 1.2
+HOLD_HEARTBEATS: Final = 4
+"""Heartbeats for which an outdated registration is held back.
+
+The store removes that of a server that is silent for three heartbeats.
+"""
+MAX_LEFT: Final = 1_024
+"""Servers that have left and that an older copy of the store may list."""
 MIN_LAPSE_COUNT: Final = 3
 """Minimum number of servers removed at once to be treated as a lapse.
 
@@ -74,9 +83,12 @@
 
     __slots__ = (
         "_by_service",
+        "_held_back",
         "_lapsed_s",
+        "_left",
         "_reconnected_s",
         "_servers",
+        "heartbeat_s",
         "is_loaded",
     )
 
@@ -85,7 +97,13 @@
         self._by_service: dict[str, tuple[Server, ...]] = {}
         self._lapsed_s: dict[str, float] = {}
         """Time at which the registration of a server still in use lapsed."""
+        self._held_back: dict[str, tuple[Server, float]] = {}
+        """Registrations that seem to be outdated, and when they were read."""
+        self._left: OrderedDict[str, Server] = OrderedDict()
+        """Last registration of the latest servers that left."""
         self._reconnected_s = float("-inf")
+        self.heartbeat_s = DEFAULT_HEARTBEAT_S
+        """Interval at which servers write their registrations."""
         self.is_loaded = False
         """Whether the list has been read from the store at least once."""
 
@@ -113,27 +131,39 @@
 
         With ``is_snapshot``, ``written`` is the complete list and servers
         that are not in it are removed. A registration older than the known
-        one is ignored.
+        one is ignored. If an older copy of the store has brought it back, it
+        is held back until its server had time to write it again, or the
+        store to remove it; it also counts if its server has left meanwhile.
         """
         changes = []
         written = list(written)
         for server in written:
-            change = self._register(server)
+            change = self._register(server, now_s)
             if change:
                 changes.append(ServerChange(change, server))
+        for key in removed:
+            self._held_back.pop(key, None)
         missing = [key for key in removed if key in self._servers]
         if is_snapshot:
             present = {server.instance for server in written}
+            for key in self._held_back.keys() - present:
+                del self._held_back[key]
             missing += [key for key in self._servers if key not in present]
         changes += self._remove(missing, now_s)
         self._index()
         self.is_loaded = True
         return changes
 
-    def _register(self, server: Server) -> str:
+    def _register(self, server: Server, now_s: float) -> str:
         known = self._servers.get(server.instance)
-        if known is not None and server.revision < known.revision:
-            return ""
+        newest = known or self._left.get(server.instance)
+        if newest is not None and self._is_outdated(server, newest):
+            if server.era == newest.era or server.instance in self._held_back:
+                return ""
+            self._held_back[server.instance] = server, now_s
+            return "held_back"
+        self._held_back.pop(server.instance, None)
+        self._left.pop(server.instance, None)
         self._servers[server.instance] = server
         lapsed = self._lapsed_s.pop(server.instance, None) is not None
         if known is None:
@@ -148,6 +178,18 @@
             return "stage"
         return ""
 
+    def _is_outdated(self, server: Server, newest: Server) -> bool:
+        """Whether a registration is older than the newest one known.
+
+        That of a server that has left is outdated in a later era as it was.
+        """
+        has_left = server.instance not in self._servers
+        if has_left and server.era == newest.era:
+            return False
+        return server.is_older_than(newest) or (
+            has_left and not newest.is_older_than(server)
+        )
+
     def _remove(self, removed: list[str], now_s: float) -> list[ServerChange]:
         changes = []
         for key in removed:
@@ -161,6 +203,10 @@
                 changes.append(ServerChange("lapsed", server))
                 continue
             del self._servers[key]
+            self._left[key] = server
+            self._left.move_to_end(key)
+            if len(self._left) > MAX_LEFT:
+                self._left.popitem(last=False)
             changes.append(ServerChange("left", server))
         return changes
 
@@ -180,6 +226,8 @@
         )
 
     def _expire(self, now_s: float) -> None:
+        if self._held_back:
+            self._release_held_back(now_s)
         if not self._lapsed_s:
             return
         expired = [
@@ -193,6 +241,21 @@
         if expired:
             self._index()
 
+    def _release_held_back(self, now_s: float) -> None:
+        """Use registrations that the store has kept listing."""
+        hold_s = HOLD_HEARTBEATS * self.heartbeat_s
+        due = [
+            server
+            for server, since_s in self._held_back.values()
+            if now_s - since_s > hold_s
+        ]
+        for server in due:
+            del self._held_back[server.instance]
+            self._left.pop(server.instance, None)
+            self._servers[server.instance] = server
+        if due:
+            self._index()
+
     def _index(self) -> None:
         by_service: dict[str, list[Server]] = {}
         for server in self._servers.values():
--- a/src/gooseberrypost/settings/gateway.py
+++ b/src/gooseberrypost/settings/gateway.py
@@ -41,5 +41,10 @@
 
     A holder of the stage lock that fails is replaced when its lease expires.
     """
+    heartbeat_ms: int = 1_200
+    """Interval at which servers write their registrations.
+
+    One that is silent for three intervals is removed by the store.
+    """
     answer_buffer_bytes: int = 32 * 1024 * 1024
     """Memory for answers that are buffered before they are forwarded."""
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -142,6 +142,24 @@
     run(work)
 
 
+def test_server_that_the_copy_keeps_listing_is_used_again():
+    """Guards against a living server that is left out for ever.
+
+    It was removed for its silence while it was cut off. Its heartbeats change
+    nothing in the entry that the copy brought back, so no event tells.
+    """
+
+    async def work():
+        async with serving(*PLAIN, heartbeat_ms=200) as kit:
+            copy = kit.store.copy()
+            kit.store.remove("servers/a")
+            await kit.until(lambda: "a" not in servers(kit))
+            kit.store.restore(copy)
+            await kit.until(lambda: "a" in servers(kit), 4 * 0.2 + 2.0)
+
+    run(work)
+
+
 def test_server_whose_entry_was_lost_stays_in_use():
     """Guards against losing servers until they have registered again."""
 
