--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -317,6 +317,8 @@
             update.servers, update.removed, update.is_snapshot, now_s
         ):
             logging.info("%s", change.log_line(update.revision))
+        if update.is_snapshot:
+            directory.gateways.clear()
         for name, address in update.gateways.items():
             if address is None:
                 directory.gateways.pop(name, None)
