Give up leases of an earlier era of the store

What it leads to: a gateway that others no longer know, as its registration was lost and renewals of its lease succeed: the id has been given out again, to another gateway. It also keeps the other's keys alive. Likewise a lock that came back with the copy was kept alive by the renewals for the registration, so that nobody held it and nobody could get it.

A lease belongs to the era in which it was granted. In a later one it counts as ended: the gateway registers anew under a new lease, and what is left under the old one lapses.

test_registration_is_written_again and test_lock_in_the_copy_is_released failed before.

--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -103,12 +103,21 @@
     an earlier era counts as a failure: what it says is lost.
     """
 
-    __slots__ = ("_address", "_era", "_response_timeout_s", "_session")
+    __slots__ = (
+        "_address",
+        "_era",
+        "_lease_eras",
+        "_response_timeout_s",
+        "_session",
+    )
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._era = 0
         """Newest era that an answer named; 0 before the first one."""
+        self._lease_eras: dict[int, int] = {}
+        """Era in which each lease was granted; its id may be given out again
+        in a later one."""
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         # Each call has a new connection. After a network fault every pooled
         # connection may be dead, and each would cost one call's timeout.
@@ -181,8 +190,12 @@
         """Write and remove keys in a transaction and return its revision.
 
         ``conditions`` maps keys to their required revisions, 0 for a key that
-        must not exist. Raises ``ConditionFailed`` if a revision differs.
+        must not exist. Raises ``ConditionFailed`` if a revision differs, and
+        ``LeaseEnded`` if a lease has been lost with its era.
         """
+        leases = [put.lease for put in puts if put.lease]
+        for lease in leases:
+            self._check_lease(lease)
         body = {
             "precondition": [
                 {"key": key, "revision": revision}
@@ -201,21 +214,43 @@
         answer, _ = await self._call(
             "POST", names.TXN_PATH, body=body, timeout_s=timeout_s
         )
+        for lease in leases:
+            self._check_lease(lease)
         return _integer(answer, "revision")
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its id."""
-        answer, _ = await self._call(
+        answer, era = await self._call(
             "POST", names.LEASE_PATH, body={"ttl_ms": ttl_ms}
         )
-        return _integer(answer, "lease")
+        lease = _integer(answer, "lease")
+        self._lease_eras = {
+            known: known_era
+            for known, known_era in self._lease_eras.items()
+            if known_era == era
+        }
+        self._lease_eras[lease] = era
+        return lease
 
     async def renew_lease(self, lease: int) -> None:
-        """Renew a lease; raises ``LeaseEnded`` if it has expired."""
+        """Renew a lease.
+
+        Raises ``LeaseEnded`` if it has expired or was lost with its era.
+        """
+        self._check_lease(lease)
         await self._call("POST", f"{names.LEASE_RENEW_PATH}{lease}")
+        self._check_lease(lease)
+
+    def _check_lease(self, lease: int) -> None:
+        if self._lease_eras.get(lease) != self._era:
+            raise LeaseEnded(f"lease {lease} is not of era {self._era}")
 
     async def revoke_lease(self, lease: int) -> None:
-        """Revoke a lease, which removes its keys."""
+        """Revoke a lease, which removes its keys.
+
+        Raises ``LeaseEnded`` likewise.
+        """
+        self._check_lease(lease)
         await self._call("DELETE", f"{names.LEASE_REVOKE_PATH}{lease}")
 
     async def close(self) -> None:
