Count the era of the store into fencing tokens

A fencing token was the revision of the lock's key. A restored store gives out revisions again: a later holder got a lower token, 9 after 28 in the test, or the same one as an earlier holder, and the condition on the revision then confirmed the orders of both.

The token has the era above the revision, so that tokens rise across eras. A confirmation from another era than that of the lock counts as the loss of the lock.

test_fencing_tokens_rise_across_a_restore failed before; test_order_is_not_confirmed_by_a_repeated_revision fails without the comparison of eras. test_engine_is_ordered_once_with_a_fencing_token expects the era in the token now, as exactly as before.

--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -33,6 +33,8 @@
 
 CONFIRM_TIMEOUT_S: Final = 0.3
 """Short, as an order is sent only right after its confirmation."""
+REVISION_BITS: Final = 40
+"""Bits of a fencing token that hold the revision; the era is above them."""
 
 
 class StoreRegistry(Registry):
@@ -71,8 +73,9 @@
 class StoreStageLock(StageLock):
     """Stage lock as a key that is written only if it does not exist.
 
-    The key's revision is the fencing token. The key is removed with its
-    holder's lease.
+    The fencing token is the key's revision, with the store's era above it: a
+    restored store gives out the same revisions again. The key is removed with
+    its holder's lease.
     """
 
     def __init__(self, store: PlatformStore) -> None:
@@ -82,9 +85,12 @@
         """Acquire the lock if it is free and return its fencing token."""
         put = Put(names.STAGE_HOLDER_KEY, name.encode(), lease)
         try:
-            return await self._store.write([put], {names.STAGE_HOLDER_KEY: 0})
+            commit = await self._store.write(
+                [put], {names.STAGE_HOLDER_KEY: 0}
+            )
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise StageLockLost(str(failure)) from failure
+        return commit.era << REVISION_BITS | commit.revision
 
     async def record_order(
         self, fencing_token: int, lease: int, order: StageOrder
@@ -95,14 +101,17 @@
             encode_stage_order(order),
             lease,
         )
+        era, revision = divmod(fencing_token, 1 << REVISION_BITS)
         try:
-            await self._store.write(
+            commit = await self._store.write(
                 [put],
-                {names.STAGE_HOLDER_KEY: fencing_token},
+                {names.STAGE_HOLDER_KEY: revision},
                 timeout_s=CONFIRM_TIMEOUT_S,
             )
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise StageLockLost(str(failure)) from failure
+        if commit.era != era:
+            raise StageLockLost(f"acquired in era {era}, now {commit.era}")
 
 
 class PlatformConvictionStore(ConvictionStore):
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -93,6 +93,14 @@
     era: int
 
 
+@dataclass(slots=True, frozen=True)
+class Commit:
+    """Revision of a transaction, and the era that the revision belongs to."""
+
+    revision: int
+    era: int
+
+
 class PlatformStore:
     """Client of the store.
 
@@ -186,8 +194,8 @@
         conditions: Mapping[str, int] | None = None,
         removed: Sequence[str] = (),
         timeout_s: float = 0.0,
-    ) -> int:
-        """Write and remove keys in a transaction and return its revision.
+    ) -> Commit:
+        """Write and remove keys in a transaction.
 
         ``conditions`` maps keys to their required revisions, 0 for a key that
         must not exist. Raises ``ConditionFailed`` if a revision differs, and
@@ -211,12 +219,12 @@
             ],
             "remove": list(removed),
         }
-        answer, _ = await self._call(
+        answer, era = await self._call(
             "POST", names.TXN_PATH, body=body, timeout_s=timeout_s
         )
         for lease in leases:
             self._check_lease(lease)
-        return _integer(answer, "revision")
+        return Commit(_integer(answer, "revision"), era)
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its id."""
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import replace
 
+from gooseberrypost.platform.coordination import REVISION_BITS
 from gooseberrypost.policy.enginememory import Run
 from gooseberrypost.policy.engineroster import EngineRoster
 from gooseberrypost.policy.serverload import MIN_PREFILLS
@@ -58,10 +59,11 @@
             order = orders(kit)[0]
             body = json.loads(order.body)
             revision = kit.store.items[LOCK_KEY]["revision"]
+            token = kit.store.era << REVISION_BITS | revision
             assert body["operation"] == "stage"
             assert body["stage"] == "decode"
             assert body["holder"] == "gateway-1"
-            assert body["fencing_token"] == revision
+            assert body["fencing_token"] == token
             assert body["precondition"] == 0
             assert order.header("Expect-Instance") in ("p", "q", "r")
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -11,6 +11,9 @@
 
 import pytest
 
+from gooseberrypost.gateway.model import Stage, StageOrder
+from gooseberrypost.gateway.stagelock import StageLockLost
+from gooseberrypost.platform.coordination import StoreStageLock
 from gooseberrypost.platform.store import PlatformStore
 from gooseberrypost.policy.suspects import Suspect
 from tests.gateway_kit import configuration, serving
@@ -250,6 +253,34 @@
     run(work)
 
 
+def test_order_is_not_confirmed_by_a_repeated_revision():
+    """Guards against an order between the restore and the next watch.
+
+    The store confirms that the key has the revision of the lock, and it is
+    another holder's. No answer has told of the restore before.
+    """
+
+    async def work():
+        async with serving(*POOLS, lease_ms=60_000) as kit:
+            client = PlatformStore(kit.store.address)
+            lock = StoreStageLock(client)
+            kit.store.remove(LOCK_KEY)
+            copy = kit.store.copy()
+            lease = await client.grant_lease(60_000)
+            token = await lock.acquire("first", lease)
+            order = StageOrder("p", Stage.DECODE, "first")
+            await lock.record_order(token, lease, order)
+            kit.store.restore(copy, cut=False)
+            kit.store.put(LOCK_KEY, b"another")
+            assert kit.store.items[LOCK_KEY]["revision"] == token % 2**40
+            for _ in range(2):
+                with pytest.raises(StageLockLost):
+                    await lock.record_order(token, 0, order)
+            await client.close()
+
+    run(work)
+
+
 def test_fencing_tokens_rise_across_a_restore():
     """Guards against an order whose token is lower than an earlier one."""
 
