Write convictions to a restored store again instead of dropping them

The other way round, a conviction that had been withdrawn came back and refused sound requests.

At a new era of the store nothing counts as removed. Gateways write again what they have and the store lacks, and the withdrawals that the copy does not know, after a random pause and only if no other one has. A withdrawal in the copy that is older than a conviction is not applied.

--- a/src/gooseberrypost/gateway/convictions.py
+++ b/src/gooseberrypost/gateway/convictions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
@@ -22,6 +23,8 @@
 SAVE_RETRY_S: Final = 0.5
 """Time before a change that the store did not take is written again."""
 EXPIRY_INTERVAL_S: Final = 5.0
+REWRITE_SPREAD_S: Final = 0.5
+"""Time over which gateways spread what they write to a restored store."""
 
 
 class ConvictionNotSaved(Failure):
@@ -56,6 +59,8 @@
         """Convictions in the store, as last seen."""
         self._withdrawn: set[str] = set()
         """Withdrawn ones, as last seen."""
+        self._era = 0
+        """Era of the store in which they were seen."""
 
     async def on_started(self) -> None:
         """Keep the convictions until the service stops."""
@@ -95,6 +100,13 @@
 
     def _apply_stored(self) -> None:
         directory, quarantine = self._ctx.directory, self._ctx.quarantine
+        if directory.era != self._era:
+            self._era = directory.era
+            # What an older copy lacks was lost, not removed; and what it
+            # lists may have been withdrawn since.
+            self._stored.clear()
+            self._withdrawn = set(self._outdated_withdrawals())
+            self._ctx.spawn(self._write_again())
         stored = directory.convictions
         for key in directory.withdrawn.keys() - self._withdrawn:
             quarantine.withdraw(key)
@@ -106,6 +118,35 @@
             quarantine.release(key)
         self._stored = set(stored)
 
+    def _outdated_withdrawals(self) -> list[str]:
+        """Return stored withdrawals that are older than a conviction here."""
+        convicted = self._ctx.quarantine.evidence.convicted
+        return [
+            key
+            for key, withdrawn_ms in self._ctx.directory.withdrawn.items()
+            if convicted.get(key, 0) > withdrawn_ms
+        ]
+
+    async def _write_again(self) -> None:
+        """Write what a restored store has lost, unless another one has."""
+        await asyncio.sleep(self._ctx.rng.uniform(0, REWRITE_SPREAD_S))
+        directory, quarantine = self._ctx.directory, self._ctx.quarantine
+        evidence = quarantine.evidence
+        lost = {
+            key: at_ms
+            for key, at_ms in evidence.convicted.items()
+            if key not in directory.convictions
+        }
+        lost |= {
+            key: -released_ms
+            for key, released_ms in evidence.released.items()
+            if directory.convictions.get(key, released_ms) < released_ms
+        }
+        if lost:
+            logging.info("event=quarantine_rewritten keys=%d", len(lost))
+            quarantine.unsaved.update(lost)
+            quarantine.changed.set()
+
     async def _expire(self) -> None:
         while not self.should_stop:
             await self.sleep(EXPIRY_INTERVAL_S)
--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -296,6 +296,11 @@
         self._released_ms[key] = now_ms
         return True
 
+    @property
+    def released(self) -> Mapping[str, int]:
+        """Time in ms at which convictions ended here, by key."""
+        return self._released_ms
+
     def find_conviction(self, digests: Iterable[str]) -> str | None:
         """Return the key of a conviction that covers a request, if any.
 
