Never take a lower epoch than before from the key-value service

A service that came back from an older copy gave out an epoch again, 1 after 1 in the test, and the engine refused the orders of its agent as old once another process had had the higher epoch.

test_epochs_rise_although_the_store_comes_back_older failed before. An agent that was restarted meanwhile knows only the stored epoch.

--- a/src/gooseberrypost/agent/lease.py
+++ b/src/gooseberrypost/agent/lease.py
@@ -151,7 +151,9 @@
         if isinstance(current, Err):
             return current
         found: Versioned = current.ok_value
-        epoch = _int_field(found.value, "epoch") + 1
+        # A store that was restored from an older copy may have lost the epoch
+        # of the last lease.
+        epoch = max(_int_field(found.value, "epoch"), self.epoch) + 1
         self.fencing = max(self.fencing, _int_field(found.value, "fencing"))
         written = await self._write(
             store, key, self._document(epoch), found.version
--- a/tests/test_agent_orders.py
+++ b/tests/test_agent_orders.py
@@ -82,6 +82,34 @@
     asyncio.run(run())
 
 
+def test_epochs_rise_although_the_store_comes_back_older():
+    """Guards against an agent whose orders its own server refuses as old.
+
+    The store has lost the epoch of the agent's lease, and the lease.
+    """
+
+    async def run():
+        store = MemoryStore()
+        async with (
+            Engine.serving() as engine,
+            agent_and_entry(engine, store) as (agent, channel),
+        ):
+            copy, leases = dict(store.values), set(store.leases)
+            await until(agent.lease.remaining_ms)
+            assert await ask(channel, order_message(7)) == idl.Ok()
+            epoch = agent.lease.epoch
+            store.values, store.leases = copy, leases
+            store.lapse(agent.lease._lease_id)
+            for key in list(store.values):
+                del store.values[key]
+            await agent.lease.refresh()
+            assert (await agent.lease.refresh()).is_ok()
+            assert agent.lease.epoch > epoch
+            assert await ask(channel, order_message(8)) == idl.Ok()
+
+    asyncio.run(run())
+
+
 def test_a_paused_agent_orders_nothing_after_its_lease():
     """Guards against an order sent after a pause longer than the lease."""
 
