Put back a configuration that the key-value service has lost

After a failed watch an entry reads the stored configuration. If it lacks what is in force, the entry writes it back: of each record the later change counts, and where the stored one counts it gets a new version. Entries write under the condition of what they read, so one of them succeeds.

--- a/src/gooseberrypost/configsync/controller.py
+++ b/src/gooseberrypost/configsync/controller.py
@@ -24,7 +24,8 @@
 )
 from gooseberrypost.errors import NotRun
 from gooseberrypost.state.configuration import HEAD_KEY, Configuration
-from gooseberrypost.state.document import parse_head
+from gooseberrypost.state.document import format_document, parse_head
+from gooseberrypost.stores.keyvalue import Versioned
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.listener import refusal_message
 from gooseberrypost.wire.messages import idl
@@ -33,7 +34,8 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from gooseberrypost.blackboard import Blackboard
-    from gooseberrypost.stores.keyvalue import KeyValueStore, Versioned
+    from gooseberrypost.state.configuration import Document
+    from gooseberrypost.stores.keyvalue import KeyValueStore
     from gooseberrypost.wire.dispatch import Dispatcher
     from gooseberrypost.wire.listener import Session
 
@@ -98,7 +100,8 @@
         self._zone_members = ZoneMembers(
             hello.name, hello.zone, MEMBER_TIMEOUT_PULLS * pull_interval_ms
         )
-        self._head_version = 0
+        self._head = Versioned("", 0)
+        """Stored configuration as last read."""
 
     def register(self, dispatcher: Dispatcher) -> None:
         """Register the handlers of pulls, pushes and new sessions."""
@@ -156,6 +159,9 @@
                     WATCH_RETRY_MS / 2, WATCH_RETRY_MS
                 )
                 await self._pause(delay_ms / 1_000)
+                # The service may have come back with a lower version, for
+                # which a watch would wait.
+                await self._read_head(store)
 
     async def pull_once(self) -> None:
         """Pull from two random peers, one a likely watcher if any is known.
@@ -220,27 +226,50 @@
         except TimeoutError:
             return False
         if isinstance(read, Ok):
-            self._apply_head(read.ok_value)
+            await self._apply_head(store, read.ok_value)
         return isinstance(read, Ok)
 
     async def _watch(self, store: KeyValueStore) -> bool:
-        read = await store.watch(HEAD_KEY, self._head_version, WATCH_WAIT_MS)
+        read = await store.watch(HEAD_KEY, self._head.version, WATCH_WAIT_MS)
         if isinstance(read, Ok):
-            self._apply_head(read.ok_value)
+            await self._apply_head(store, read.ok_value)
         return isinstance(read, Ok)
 
-    def _apply_head(self, head: Versioned) -> None:
+    async def _apply_head(self, store: KeyValueStore, head: Versioned) -> None:
         self._record_contact()
-        if head.version == self._head_version:
+        if head == self._head:
             return
-        self._head_version = head.version
+        self._head = head
         match parse_head(head.value):
             case Ok(document):
                 if self._section.apply_document(document):
                     self._log_change("key-value service")
+                elif document.has_lost_part_of(self._section.document):
+                    await self._put_back(store, head, document)
             case Err(failure):
                 logging.error("event=configuration_invalid %s", failure)
 
+    async def _put_back(
+        self, store: KeyValueStore, head: Versioned, stored: Document
+    ) -> None:
+        """Store again what a service restored from an older copy has lost.
+
+        Of several entries one succeeds, as each expects the head it has read.
+        The next watch delivers the result.
+        """
+        document = self._section.document.put_back_into(stored)
+        formatted = format_document(document)
+        if isinstance(formatted, Err):
+            logging.error("event=configuration_lost %s", formatted.err_value)
+            return
+        written = await store.put(HEAD_KEY, formatted.ok_value, head.version)
+        logging.warning(
+            "event=configuration_put_back version=%d stored=%d outcome=%s",
+            document.version,
+            stored.version,
+            "written" if isinstance(written, Ok) else written.err_value.code,
+        )
+
     async def _handle_pull(
         self, session: Session, correlation: int, message: Any
     ) -> None:
--- a/src/gooseberrypost/state/configuration.py
+++ b/src/gooseberrypost/state/configuration.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from result import Err, Ok, Result
@@ -230,6 +230,53 @@
             (),
         )
 
+    def has_lost_part_of(self, known: Document) -> bool:
+        """Whether a stored document lacks what is known to be in force."""
+        if self.version == known.version:
+            return self.entries != known.entries
+        return self.version < known.version
+
+    def put_back_into(self, stored: Document) -> Document:
+        """Return what to store after an older copy has lost this document.
+
+        Of each record the later change counts, and of two with one version
+        the stored one: it was made after the loss. Where that differs from
+        this document, it gets a new version, so that all processes adopt it.
+        """
+        merged = _merge_document(
+            self.version,
+            dict(self.entries)
+            | {
+                key: entry
+                for key, entry in stored.entries.items()
+                if key not in self.entries
+                or entry.version >= self.entries[key].version
+            },
+            {
+                key: max(
+                    self.tombstones.get(key, 0), stored.tombstones.get(key, 0)
+                )
+                for key in {**self.tombstones, **stored.tombstones}
+            },
+            max(self.tombstone_floor, stored.tombstone_floor),
+            stored.applied_changes,
+        )
+        desired = {
+            key: merged.text_of(key)
+            for key in {**self.entries, **merged.entries}
+            if merged.text_of(key) != self.text_of(key)
+        }
+        if not desired:
+            return replace(merged, version=self.version)
+        version = self.version + 1
+        return _merge_document(
+            version,
+            {**merged.entries, **_updated_entries(desired, version)},
+            {**merged.tombstones, **_new_tombstones(desired, version)},
+            merged.tombstone_floor,
+            merged.applied_changes,
+        )
+
 
 def _updated_entries(
     desired: Mapping[str, str | None], version: int
