--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -5,7 +5,7 @@
 connections, faults of the store (503, no answers, watches without events, a
 compacted history, expired leases) and the failure modes of the fake backend
 servers. Faults overlap. Some requests crash each server that executes them,
-and servers name rate limits.
+servers name rate limits, and the store comes back from older copies.
 Responses that clients received and requests that servers executed are checked
 against the gateway's guarantees.
 """
@@ -103,6 +103,7 @@
         """Gateways that a fault is restarting now."""
         self.poison_rng = random.Random(f"poison {seed}")
         """Separate, so that the faults of a seed stay the same."""
+        self.restore_rng = random.Random(f"restore {seed}")
         self.limit_rng = random.Random(f"limit {seed}")
         self.poison_sent = 0
         self.crashes = dict.fromkeys(POISON_ROUTES, 0)
@@ -119,6 +120,7 @@
                 for route in POISON_ROUTES
             ]
             clients.append(asyncio.create_task(self._limit_servers()))
+            clients.append(asyncio.create_task(self._restore_store()))
             restarts = asyncio.create_task(self._restart_crashed())
             await self._faults()
             for client in clients:
@@ -302,6 +304,35 @@
         await asyncio.sleep(1.0)
         await self._wait_for(self._all_serve, "sound requests served beside")
 
+    async def _restore_store(self):
+        """Let the store come back from copies of some seconds before."""
+        rng = self.restore_rng
+        while True:
+            copy = self.store.copy()
+            await asyncio.sleep(rng.uniform(1.0, 6.0))
+            self._record_fault("store restored")
+            self.store.restore(copy)
+            try:
+                await asyncio.sleep(rng.uniform(0, 1.0))
+            finally:
+                self._write_again()
+            await asyncio.sleep(rng.uniform(0, 3.0))
+
+    def _write_again(self):
+        """Write what the operator and the servers had written.
+
+        Entries of servers that have ended are removed for their silence.
+        """
+        self.store.put(
+            "op/config", configuration_with_long_events(self.version)
+        )
+        alive = {f"servers/{engine.instance}" for engine in self.engines}
+        for key in list(self.store.items):
+            if key.startswith("servers/") and key not in alive:
+                self.store.remove(key)
+        for engine in self.engines:
+            self._register(engine)
+
     async def _limit_servers(self):
         """Let one server after the other name a limit for some seconds."""
         rng = self.limit_rng
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -129,6 +129,26 @@
     run(work)
 
 
+def test_holder_that_gave_up_the_lock_gets_it_back():
+    """Guards against a lock that nobody holds and nobody can get.
+
+    The answer to a record of an order was lost, so that the holder gave up.
+    Its key stays, as its lease is renewed for the registration.
+    """
+
+    async def work():
+        async with serving(*POOLS, lease_ms=1_000) as kit:
+            stages = kit.daemon.stages
+            await kit.until(lambda: stages._fencing_token)
+            before = stages._fencing_token
+            stages._fencing_token = 0
+            await kit.until(lambda: stages._fencing_token > before, 5.0)
+            load_pools(kit.daemon)
+            await kit.until(lambda: orders(kit), wait_s=10.0)
+
+    run(work)
+
+
 def test_only_one_of_two_gateways_sends_orders():
     """Guards against two gateways that send orders to the same engine."""
 
