Let a gateway take back the stage lock that it gave up

A holder gives the lock up when the answer to a record of an order is lost. Its key stayed in the store, as the gateway renews the same lease for its registration: from then on no gateway could get the lock, and no pool was balanced. Found while looking for locks that a restored store leaves behind.

The store's answer to a failed condition names the key's state. A gateway that finds its own name there writes the key again under the condition of that revision, which gives a higher fencing token.

--- a/src/gooseberrypost/gateway/stagelock.py
+++ b/src/gooseberrypost/gateway/stagelock.py
@@ -22,7 +22,9 @@
 
     @abstractmethod
     async def acquire(self, name: str, lease: int) -> int:
-        """Acquire the lock if it is free and return its fencing token.
+        """Acquire the lock and return its fencing token.
+
+        The lock must be free, or held by this gateway from before.
 
         The lock is released when the lease ends. Raises ``StageLockLost``.
         """
--- a/src/gooseberrypost/gateway/stages.py
+++ b/src/gooseberrypost/gateway/stages.py
@@ -109,7 +109,8 @@
         ):
             raise StageLockLost(f"lock holder {holder!r}, own lease {lease}")
         if not self._fencing_token:
-            if holder or not lease:
+            # The key of this gateway itself remains if it gave up the lock.
+            if holder not in ("", name) or not lease:
                 return False
             self._fencing_token = await self._lock.acquire(name, lease)
             self._lease = lease
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -22,6 +22,7 @@
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import encode_stage_order
 from gooseberrypost.platform.store import (
+    Commit,
     ConditionFailed,
     LeaseEnded,
     Put,
@@ -82,16 +83,30 @@
         self._store = store
 
     async def acquire(self, name: str, lease: int) -> int:
-        """Acquire the lock if it is free and return its fencing token."""
+        """Acquire the lock and return its fencing token.
+
+        It must be free, or held by this gateway itself, whose key remains
+        when the answer to a call was lost.
+        """
         put = Put(names.STAGE_HOLDER_KEY, name.encode(), lease)
+        revision = 0
         try:
-            commit = await self._store.write(
-                [put], {names.STAGE_HOLDER_KEY: 0}
-            )
+            try:
+                commit = await self._put_holder(put, revision)
+            except ConditionFailed as failure:
+                revision = _revision_held_by(name, failure)
+                if not revision:
+                    raise
+                commit = await self._put_holder(put, revision)
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise StageLockLost(str(failure)) from failure
         return commit.era << REVISION_BITS | commit.revision
 
+    async def _put_holder(self, put: Put, revision: int) -> Commit:
+        return await self._store.write(
+            [put], {names.STAGE_HOLDER_KEY: revision}
+        )
+
     async def record_order(
         self, fencing_token: int, lease: int, order: StageOrder
     ) -> None:
@@ -114,6 +129,14 @@
             raise StageLockLost(f"acquired in era {era}, now {commit.era}")
 
 
+def _revision_held_by(name: str, failure: ConditionFailed) -> int:
+    """Return the revision of the lock's key if a gateway holds it, else 0."""
+    for item in failure.items:
+        if item.key == names.STAGE_HOLDER_KEY and item.value == name.encode():
+            return item.revision
+    return 0
+
+
 class PlatformConvictionStore(ConvictionStore):
     """Convictions as keys without a lease, so that they outlast gateways."""
 
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -59,6 +59,11 @@
 
     code = "condition_failed"
 
+    def __init__(self, detail: str = "", items: Sequence[Item] = ()) -> None:
+        super().__init__(detail)
+        self.items = items
+        """Current state of the keys of the condition."""
+
 
 @dataclass(slots=True, frozen=True)
 class Item:
@@ -318,14 +323,18 @@
     if status == 410:
         raise HistoryLost(path)
     if status == 412:
-        raise ConditionFailed(path)
+        raise ConditionFailed(
+            path, _items(_decode_object(path, content), "items")
+        )
     if status == 404:
         # The store answers 404 only to calls that name a lease.
         raise LeaseEnded(path)
     if status != 200:
         raise StoreUnavailable(f"{path}: status {status}")
-    if not content:
-        return {}
+    return _decode_object(path, content) if content else {}
+
+
+def _decode_object(path: str, content: bytes) -> dict[str, Any]:
     try:
         answer = json.loads(content)
     except ValueError as exc:
@@ -335,6 +344,18 @@
     return answer
 
 
+def _current_items(path: str, content: bytes) -> list[Item]:
+    """Return the keys of a failed condition that exist."""
+    answer = _decode_object(path, content)
+    listed = answer.get("items")
+    existing = [
+        item
+        for item in (listed if isinstance(listed, list) else ())
+        if isinstance(item, dict) and "value" in item
+    ]
+    return _items({"items": existing}, "items")
+
+
 def _items(answer: Mapping[str, Any], field: str) -> list[Item]:
     try:
         return [_item(entry) for entry in answer[field]]
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -172,7 +172,9 @@
         for row in body["precondition"]:
             current = self.items.get(row["key"], {}).get("revision", 0)
             if current != row["revision"]:
-                return web.json_response({"items": []}, status=412)
+                rows = [row["key"] for row in body["precondition"]]
+                items = [self.items[key] for key in rows if key in self.items]
+                return web.json_response({"items": items}, status=412)
         for put in body["puts"]:
             if put["lease"] and put["lease"] not in self.leases:
                 return web.json_response({}, status=404)
