--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -323,9 +323,7 @@
     if status == 410:
         raise HistoryLost(path)
     if status == 412:
-        raise ConditionFailed(
-            path, _items(_decode_object(path, content), "items")
-        )
+        raise ConditionFailed(path, _current_items(path, content))
     if status == 404:
         # The store answers 404 only to calls that name a lease.
         raise LeaseEnded(path)
