--- a/src/gooseberrypost/gateway/convictions.py
+++ b/src/gooseberrypost/gateway/convictions.py
@@ -102,8 +102,8 @@
         directory, quarantine = self._ctx.directory, self._ctx.quarantine
         if directory.era != self._era:
             self._era = directory.era
-            # What an older copy lacks was lost, not removed; and what it
-            # lists may have been withdrawn since.
+            # A conviction that an older copy lacks was lost, not removed, and
+            # one that it lists may have been withdrawn since.
             self._stored.clear()
             self._withdrawn = set(self._outdated_withdrawals())
             self._ctx.spawn(self._write_again())
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -129,8 +129,10 @@
         self._era = 0
         """Newest era that an answer named; 0 before the first one."""
         self._lease_eras: dict[int, int] = {}
-        """Era in which each lease was granted; its id may be given out again
-        in a later one."""
+        """Era in which each lease was granted.
+
+        Its id may be given out again in a later one.
+        """
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         # Each call has a new connection. After a network fault every pooled
         # connection may be dead, and each would cost one call's timeout.
--- a/src/gooseberrypost/policy/membership.py
+++ b/src/gooseberrypost/policy/membership.py
@@ -98,7 +98,7 @@
         self._lapsed_s: dict[str, float] = {}
         """Time at which the registration of a server still in use lapsed."""
         self._held_back: dict[str, tuple[Server, float]] = {}
-        """Registrations that seem to be outdated, and when they were read."""
+        """Outdated registrations of a later era, and when they were read."""
         self._left: OrderedDict[str, Server] = OrderedDict()
         """Last registration of the latest servers that left."""
         self._reconnected_s = float("-inf")
@@ -130,10 +130,12 @@
         """Apply registrations and removals, and return the resulting changes.
 
         With ``is_snapshot``, ``written`` is the complete list and servers
-        that are not in it are removed. A registration older than the known
-        one is ignored. If an older copy of the store has brought it back, it
-        is held back until its server had time to write it again, or the
-        store to remove it; it also counts if its server has left meanwhile.
+        that are not in it are removed.
+
+        A registration older than the known one is ignored. One that an older
+        copy of the store has brought back is held back, until its server had
+        time to write a newer one or the store to remove it. So is that of a
+        server that has left.
         """
         changes = []
         written = list(written)
@@ -181,7 +183,8 @@
     def _is_outdated(self, server: Server, newest: Server) -> bool:
         """Whether a registration is older than the newest one known.
 
-        That of a server that has left is outdated in a later era as it was.
+        In a later era, that of a server that has left is also outdated if it
+        has not been written again since.
         """
         has_left = server.instance not in self._servers
         if has_left and server.era == newest.era:
--- a/src/gooseberrypost/policy/serverlimit.py
+++ b/src/gooseberrypost/policy/serverlimit.py
@@ -2,7 +2,7 @@
 
 A limit applies to the sum over all gateways. Each gateway has a bucket for
 each limited server, and takes from it what it sends itself and what the
-others report to have sent. All buckets so follow the same sum, and any
+others report to have sent. All buckets thus follow the same sum, and any
 gateway may use the whole limit.
 
 >>> limits = ServerLimits()
