Refill a bucket at the rate of the limit as soon as the limit is known

With 420 gateways and 40 requests/s, a server with a limit of 20/s got three quarters of it: each gateway looks at its bucket every ten seconds, and until its first look the bucket was refilled at the lowest rate.

--- a/src/gooseberrypost/policy/serverlimit.py
+++ b/src/gooseberrypost/policy/serverlimit.py
@@ -6,7 +6,7 @@
 gateway may use the whole limit.
 
 >>> limits = ServerLimits()
->>> limits.record("i@0", 2.0, now_s=0.0), limits.record("i@0", 2.0, now_s=0.1)
+>>> limits.record("i@0", 2.0, now_s=0.0), limits.record("i@0", 2.0, now_s=0.0)
 (True, False)
 >>> limits.wait_s("i@0", now_s=0.0), limits.wait_s("other@0", now_s=0.0)
 (0.5, 0.0)
@@ -138,7 +138,7 @@
             return False
         limit = self._limit(identity, now_s)
         limit.own_per_s, limit.own_answered_s = per_s, now_s
-        return _apply(limit, per_s, now_s)
+        return self._apply(limit, per_s, now_s, now_s)
 
     def record_peer(
         self, name: str, notice: LimitNotice, received_s: float
@@ -156,7 +156,7 @@
         answered_s = received_s - notice.age_ms / 1_000
         if answered_s <= limit.answered_s:
             return False
-        return _apply(limit, notice.per_s, answered_s)
+        return self._apply(limit, notice.per_s, answered_s, received_s)
 
     def _record_sends(
         self, limit: _Limit, name: str, notice: LimitNotice, now_s: float
@@ -189,10 +189,7 @@
         limit = self._limits.get(identity)
         if limit is None or limit.per_s is None:
             return 0.0
-        rate_per_s = max(limit.per_s * self._share, MIN_RATE_PER_S)
-        limit.bucket.set_rate(
-            rate_per_s, rate_per_s * SERVICE_BURST_S, _ms(now_s)
-        )
+        self._set_rate(limit, limit.per_s, now_s)
         return limit.bucket.wait_ms(_ms(now_s)) / 1_000
 
     def expected_wait_s(
@@ -257,11 +254,25 @@
             limit = self._limits[identity] = _Limit(now_s)
         return limit
 
-
-def _apply(limit: _Limit, per_s: float | None, answered_s: float) -> bool:
-    is_change = per_s != limit.per_s
-    limit.per_s, limit.answered_s = per_s, answered_s
-    return is_change
+    def _apply(
+        self,
+        limit: _Limit,
+        per_s: float | None,
+        answered_s: float,
+        now_s: float,
+    ) -> bool:
+        is_change = per_s != limit.per_s
+        limit.per_s, limit.answered_s = per_s, answered_s
+        if per_s is not None:
+            # A gateway with few requests looks at the bucket only much later.
+            self._set_rate(limit, per_s, now_s)
+        return is_change
+
+    def _set_rate(self, limit: _Limit, per_s: float, now_s: float) -> None:
+        rate_per_s = max(per_s * self._share, MIN_RATE_PER_S)
+        limit.bucket.set_rate(
+            rate_per_s, rate_per_s * SERVICE_BURST_S, _ms(now_s)
+        )
 
 
 def _ms(time_s: float) -> int:
