--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -70,6 +70,8 @@
         self.crash_after_s = 0.02
         """Time from the start of such a request to the end of the process."""
         self.crashes = 0
+        self.control_delay_s = 0.0
+        """Time before a control call is answered."""
         self.limit_per_s: str | None = None
         """Rate limit that each answer names."""
         self.arrivals_s: list[float] = []
@@ -149,6 +151,7 @@
 
     async def _handle(self, request, reader, writer):
         if request.target.startswith("/-/"):
+            await asyncio.sleep(self.control_delay_s)
             self.control.append(request)
             status, body = self._control(request)
             return await self._json(writer, status, body)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -234,3 +234,22 @@
             assert set(gateways.statuses()) == {200}
 
     asyncio.run(work())
+
+
+def test_generations_are_served_while_reservations_are_slow():
+    """Guards against refusals for lack of memory where engines are empty.
+
+    The queue's estimate takes generations whose reservation is under way for
+    waiting ones, and assumes that memory becomes free only as others end.
+    """
+    engines = [("p0", "llm", "prefill")]
+    engines += [(f"d{n}", "llm", "decode") for n in range(3)]
+
+    async def work():
+        async with fleet(*engines) as gateways:
+            for engine in gateways.kit.engines.values():
+                engine.control_delay_s = 0.24
+            await gateways.send(15, 3.0, ["/text/x", "/again/text"])
+            assert set(gateways.statuses()) == {200}
+
+    asyncio.run(work())
