Log whether the end of an answer was declared by its framing

The line answered did not tell a stream whose last chunk arrived from one that ended with its connection. The test failed before, for both kinds of answers.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -610,6 +610,7 @@
             "answered",
             server=server.instance,
             status=answer.status,
+            framed=answer.is_framed,
             attempts=self.attempts,
             events=self._events.count,
             first_event_ms=self._since_arrival_ms(self._first_event_s),
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -153,6 +153,7 @@
             "answered",
             server=server.instance,
             status=buffered.status,
+            framed=answer.is_framed,
             server_ms=round(took_ms),
             attempts=self.attempts,
         )
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -113,3 +113,22 @@
     asyncio.run(work())
     (reserved,) = [line for line in lines("r1") if "event=reserved" in line]
     assert " parts=ab " in reserved
+
+
+@pytest.mark.parametrize("mode", ["answer", "unframed"])
+def test_answers_that_end_with_their_connection_are_told_apart(mode, lines):
+    """Guards against an end that nothing declared and no log line shows."""
+
+    async def work():
+        async with serving(("a", "desk", ""), *POOLS) as kit:
+            for engine in kit.engines.values():
+                engine.mode = mode
+            assert (await kit.call("/once/x")).status == 200
+            assert (await kit.generate()).status == 200
+
+    asyncio.run(work())
+    for request in ("r1", "r2"):
+        (answered,) = [
+            line for line in lines(request) if "event=answered" in line
+        ]
+        assert f" framed={mode == 'answer'} " in answered
