Reproduce the cut stream that looks complete, in tests that fail

An engine that sends no length and no chunks ends between two events, and the kernel closes its connection properly: the client gets the last chunk. The same for a resumable stream, which is too short, and for a plain answer, which gets a length.

--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -43,7 +43,10 @@
         self.closed_early: list[str] = []
         self.mode = "answer"
         """How requests are answered: answer, refuse, reset, hang,
-        unframed_reset, foreign, truncate, unsigned, error."""
+        unframed_reset, unframed_exit, unframed_restart, foreign, truncate,
+        unsigned, error."""
+        self.born = 1
+        """Start of the process in ms, as reports and entries state it."""
         self.events = 3
         self.event_s = 0.0
         self.has_room = True
@@ -93,7 +96,7 @@
             "cold_remaining_ms": 0,
             "stage": self.stage,
             "sequence": self.registrations,
-            "born": 1,
+            "born": self.born,
             **changes,
         }
 
@@ -221,6 +224,7 @@
                 "stage": self.stage,
                 "busy": False,
                 "sequence": self.orders,
+                "born": self.born,
             }
         if path == "/-/kv-move" and self.supports_moves:
             return self._stop_run(json.loads(request.body)["id"])
@@ -319,6 +323,26 @@
         """Stream likewise, and close properly before the first event."""
         await self._stream_unframed(request, writer, 0, b"")
 
+    async def _mode_unframed_exit(self, request, writer):
+        """Answer likewise in part, as the process ends.
+
+        The kernel then closes its connections properly.
+        """
+        self.server.close()
+        await self._answer_unframed_in_part(request, writer)
+
+    async def _mode_unframed_restart(self, request, writer):
+        """Answer likewise in part, as the process ends and starts again."""
+        self.born += 1
+        await self._answer_unframed_in_part(request, writer)
+
+    async def _answer_unframed_in_part(self, request, writer):
+        if self.stage:
+            await self._stream_unframed(request, writer, 2, b"")
+        else:
+            writer.write(self._head(request) + b"part")
+            writer.write_eof()
+
     async def _stream_unframed(self, request, writer, events, rest):
         writer.write(self._head(request, "Content-Type: text/event-stream"))
         first = int(request.headers.get("last-event-id") or 0)
--- a/tests/test_gateway_trouble.py
+++ b/tests/test_gateway_trouble.py
@@ -286,3 +286,74 @@
                 assert response.body == STREAM_EVENTS
 
     run(work)
+
+
+ENDS_OF_PROCESSES = ["unframed_exit", "unframed_restart"]
+
+
+@pytest.mark.parametrize("mode", ENDS_OF_PROCESSES)
+def test_stream_whose_engine_ended_between_events_looks_broken_off(mode):
+    """Guards against the last chunk after a stream that its engine's end cut.
+
+    Nothing but the end of its connection declares the end of the stream.
+    """
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            kit.engines["d"].mode = mode
+            response = await kit.generate()
+            assert response.status == 200
+            assert not response.complete
+
+    run(work)
+
+
+@pytest.mark.parametrize("mode", ENDS_OF_PROCESSES)
+def test_stream_whose_engine_ended_between_events_is_resumed(mode):
+    """Guards against a resumable stream that such an end makes too short."""
+
+    async def work():
+        async with serving(*POOLS, ("e", "llm", "decode")) as kit:
+            kit.engines["d"].mode = mode
+            for _ in range(4):
+                response = await kit.generate("/again/x")
+                assert response.complete
+                assert response.body == STREAM_EVENTS
+
+    run(work)
+
+
+@pytest.mark.parametrize("mode", ENDS_OF_PROCESSES)
+def test_plain_answer_that_the_end_of_its_server_cut_is_lost(mode):
+    """Guards against a length that declares part of an answer as the whole."""
+
+    async def work():
+        async with serving(("a", "desk", ""), ("b", "desk", "")) as kit:
+            kit.engines["a"].mode = mode
+            for _ in range(4):
+                response = await kit.call("/safe/x")
+                assert response.status == 200
+                assert response.body != b"part"
+            kit.engines["b"].mode = mode
+            response = await kit.call("/once/x")
+            assert response.status == 502
+
+    run(work)
+
+
+def test_answer_without_framing_of_a_busy_server_is_complete():
+    """Guards against sound answers that count as cut while reports are slow.
+
+    The server answers no report in the time of one call, but lives.
+    """
+
+    async def work():
+        async with serving(("a", "desk", ""), *POOLS) as kit:
+            for engine in kit.engines.values():
+                engine.mode = "unframed"
+            kit.engines["a"].control_delay_s = 0.4
+            response = await kit.call("/once/x")
+            assert (response.status, response.body) == (200, b"whole")
+            assert (await kit.generate()).body == STREAM_EVENTS
+
+    run(work)
