Call an answer without framing complete only if its server still runs

Callers got status 200, the signature of an engine and a body that was framed as complete and short.

Cause: an answer without a length or chunks ends with its connection. When an engine ends between two events, the kernel closes its connection properly, and the gateway took that for the end of the stream and wrote its own last chunk. The class: the absence of a sign of failure is turned into a statement that nobody made. A plain answer got a length likewise.

Change: after such an end the gateway asks the server for its report. If nothing listens there, another process does, or it has started anew, or no answer comes within two seconds, the answer counts as lost: a stream that may be resumed goes on elsewhere, another one is broken off visibly. A transfer coding other than chunked no longer counts as framing; answers that have no body do.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -10,7 +10,11 @@
 from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
 from gooseberrypost.gateway.quarantine import Content
 from gooseberrypost.gateway.reply import DeadlineExceeded
-from gooseberrypost.gateway.transport import WrongInstance
+from gooseberrypost.gateway.transport import (
+    AnswerLost,
+    ProcessState,
+    WrongInstance,
+)
 from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.serverchoice import eligible_servers
 
@@ -22,7 +26,6 @@
     from gooseberrypost.gateway.request import ClientRequest
     from gooseberrypost.gateway.transport import (
         Answer,
-        AnswerLost,
         ServerRefused,
         ServerUnreachable,
     )
@@ -35,6 +38,10 @@
 """Maximum number of refusals; one more fails the request."""
 MIN_REMAINING_S: Final = 0.01
 """Remaining time below which no server is tried any more."""
+PROCESS_CHECKS: Final = 2
+"""Maximum number of calls to learn whether a server still runs."""
+PROCESS_CHECK_TIMEOUT_S: Final = 1.0
+"""Timeout of such a call, which a busy server may answer late."""
 DEFAULT_RETRY_AFTER_S: Final = 0.25
 """``Retry-After`` for failures that state no delay of their own."""
 UNKNOWN_OUTCOME_STATUS: Final = 502
@@ -151,6 +158,28 @@
         if self.ctx.quarantine.is_active:
             self.ctx.quarantine.check(self.content)
 
+    async def confirm_end(self, server: Server, answer: Answer) -> None:
+        """Raise ``AnswerLost`` if an answer that ended may have been cut.
+
+        An answer without framing ends with its connection, which is closed in
+        the same way when the process ends. So it is complete only if the
+        process still runs afterwards.
+        """
+        if answer.is_framed:
+            return
+        state = ProcessState.UNKNOWN
+        for _ in range(PROCESS_CHECKS):
+            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
+            if state is not ProcessState.UNKNOWN or timeout_s <= 0:
+                break
+            state = await self.ctx.transport.process_state(server, timeout_s)
+        self.log("unframed_end", server=server.instance, process=state)
+        self.ctx.metrics.count("unframed_ends_total", process=state)
+        if state is not ProcessState.RUNNING:
+            raise AnswerLost(
+                f"{server.address}: ended without framing, process {state}"
+            )
+
     def record_answer(self, answer: Answer) -> None:
         """Record that a server has answered the request.
 
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -537,7 +537,7 @@
                 if await self._migration.move_if_memory_low(server, self._run):
                     await self._forward_remaining(chunks, stride)
                     raise GenerationMoved(server.address)
-        self._check_end(server, answer)
+        await self._check_end(server, answer)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).record_success(0.0)
         self.record_answer(answer)
@@ -549,16 +549,13 @@
         self.ctx.record_pause(self.service, self._progress.longest_pause_s)
         self._log_answer(server, answer)
 
-    def _check_end(self, server: Server, answer: Answer) -> None:
-        """Raise ``AnswerLost`` if a stream that ended was broken off.
-
-        Where the end of the connection is the end of the answer, only the
-        events show that.
-        """
+    async def _check_end(self, server: Server, answer: Answer) -> None:
+        """Raise ``AnswerLost`` if a stream that ended was broken off."""
         if self._events.incomplete:
             raise AnswerLost(f"{server.address}: ended inside an event")
         if not (answer.is_framed or self.has_begun):
             raise AnswerLost(f"{server.address}: ended without an event")
+        await self.confirm_end(server, answer)
 
     def _feed(self, chunk: bytes, stride: int) -> bytes:
         """Return the events that a chunk completes, and record progress."""
@@ -582,6 +579,7 @@
     ) -> None:
         """Forward an answer that is no stream, such as a server error."""
         buffered = await buffer_answer(answer, self.ctx.buffer_limit)
+        await self.confirm_end(server, answer)
         self.record_answer(answer)
         if self.reply.is_started:
             raise AnswerLost(f"resumption failed with status {answer.status}")
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -61,6 +61,8 @@
     """Whether the engine is executing an order."""
     accepted_orders: int
     """Number of orders accepted since the engine's start."""
+    started_ms: int = 0
+    """Unix time of the engine's start in ms; 0 if unknown."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -143,6 +143,7 @@
             ) as answer:
                 buffered = await buffer_answer(answer, self.ctx.buffer_limit)
             took_ms = 1_000 * (self.ctx.now_s() - started_s)
+            await self.confirm_end(server, answer)
         self.record_answer(answer)
         load = self.ctx.loads.of(server.identity)
         if buffered.is_server_error:
--- a/src/gooseberrypost/gateway/quarantine.py
+++ b/src/gooseberrypost/gateway/quarantine.py
@@ -16,6 +16,7 @@
 from absl import logging
 
 from gooseberrypost.errors import Quarantined
+from gooseberrypost.gateway.transport import ProcessState
 from gooseberrypost.policy.quarantine import (
     CONVICTION_RETENTION_MS,
     KEY_SEPARATOR,
@@ -47,6 +48,8 @@
 """
 MAX_NOTICE_CONVICTIONS: Final = 64
 """Convictions in a load notice, which is one datagram; the store has all."""
+CRASH_CHECK_TIMEOUT_S: Final = 0.25
+"""Timeout of the call by which a crash is told from a lost connection."""
 MAX_ENDED_SERVERS: Final = 64
 """Crashed servers to which late losses are still attributed."""
 
@@ -183,7 +186,10 @@
     async def _check_server(self, server: Server) -> None:
         has_ended = False
         try:
-            has_ended = await self._ctx.transport.has_ended(server)
+            state = await self._ctx.transport.process_state(
+                server, CRASH_CHECK_TIMEOUT_S
+            )
+            has_ended = state is ProcessState.ENDED
         finally:
             lost = self._losses.pop(server.identity)
         if not has_ended:
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -8,6 +8,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from gooseberrypost.errors import NotRun, UnknownOutcome
@@ -57,6 +58,16 @@
     code = "foreign_answer"
 
 
+class ProcessState(StrEnum):
+    """What a call to a server shows of the process that it is known by."""
+
+    RUNNING = "running"
+    ENDED = "ended"
+    """Nothing listens at its address, or another process does."""
+    UNKNOWN = "unknown"
+    """No answer; the server may be cut off or busy."""
+
+
 @dataclass(slots=True, frozen=True)
 class KvHandle:
     """KV cache of a prefilled prompt, held by an engine for transfer."""
@@ -179,11 +190,10 @@
         """Return an engine's state; raises ``ServerUnreachable``."""
 
     @abstractmethod
-    async def has_ended(self, server: Server) -> bool:
-        """Whether the server's process has certainly ended.
-
-        A server that does not answer may only be cut off.
-        """
+    async def process_state(
+        self, server: Server, timeout_s: float
+    ) -> ProcessState:
+        """Ask whether the server's process still runs."""
 
     @abstractmethod
     async def order_stage(
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -172,6 +172,7 @@
                 stage=Stage(document.get("stage") or ""),
                 is_busy=bool(document.get("busy")),
                 accepted_orders=int(document["sequence"]),
+                started_ms=int(document.get("born") or 0),
             )
         )
     except (ValueError, TypeError, LookupError, AttributeError) as exc:
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -20,6 +20,7 @@
     ForeignAnswer,
     KvHandle,
     MovedRun,
+    ProcessState,
     Reservation,
     SendOptions,
     ServerRefused,
@@ -55,7 +56,7 @@
 """Headers that aiohttp must not add to a forwarded request by itself."""
 STAGE_PREFILL: Final = "prefill"
 EVENT_STREAM: Final = "text/event-stream"
-FRAMING_HEADERS: Final = ("Content-Length", "Transfer-Encoding")
+STATUSES_WITHOUT_BODY: Final = (204, 304)
 
 
 class HttpTransport(Transport):
@@ -158,16 +159,30 @@
             )
         return decoded.ok_value
 
-    async def has_ended(self, server: Server) -> bool:
-        """Whether nothing or another instance listens at the address."""
+    async def process_state(
+        self, server: Server, timeout_s: float
+    ) -> ProcessState:
+        """Ask for the server's report, which servers without one refuse."""
         try:
-            status, _ = await self._control("GET", server, names.REPORT_PATH)
+            status, content = await self._control(
+                "GET", server, names.REPORT_PATH, timeout_s=timeout_s
+            )
         except ServerUnreachable as failure:
             cause = failure.__cause__
-            return isinstance(
+            is_refused = isinstance(
                 cause, aiohttp.ClientConnectorError
             ) and isinstance(cause.os_error, ConnectionRefusedError)
-        return status == MISDIRECTED
+            return ProcessState.ENDED if is_refused else ProcessState.UNKNOWN
+        if status == MISDIRECTED:
+            return ProcessState.ENDED
+        report = decode_report(content)
+        started_ms = (
+            0 if isinstance(report, Err) else report.ok_value.started_ms
+        )
+        known = started_ms and server.started_ms
+        if known and started_ms != server.started_ms:
+            return ProcessState.ENDED
+        return ProcessState.RUNNING
 
     async def order_stage(
         self,
@@ -314,7 +329,23 @@
         is_signed=names.SIGNATURE in response.headers,
         chunks=_chunks(response),
         is_event_stream=response.content_type == EVENT_STREAM,
-        is_framed=any(name in response.headers for name in FRAMING_HEADERS),
+        is_framed=_is_framed(response),
+    )
+
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether an answer declares where it ends.
+
+    A transfer coding does so only if the last one is chunked.
+    """
+    headers = response.headers
+    codings = headers.get("Transfer-Encoding")
+    if codings is not None:
+        return codings.lower().rpartition(",")[2].strip() == "chunked"
+    return (
+        "Content-Length" in headers
+        or response.method == "HEAD"
+        or response.status in STATUSES_WITHOUT_BODY
     )
 
 
