Tell cut answers of plain services from complete ones in agents too

A caller got a part of an answer as the whole when a plain service that sends neither a length nor chunks reset the connection or ended: aiohttp takes any loss of the connection for the end of such a body.

The protocol by which gateways recognise resets moves from the adapter to a module that agents use as well, and an agent asks the service for its load before it reports such an answer as complete. Entries and claim owners get answers from agents in frames of their own; token streams of engines have a last line that names the number of tokens.

--- a/src/gooseberrypost/agent/http.py
+++ b/src/gooseberrypost/agent/http.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from gooseberrypost.answerprotocol import new_connector
 from gooseberrypost.errors import ConnectionLost
 
 if TYPE_CHECKING:
@@ -31,14 +32,10 @@
 
 
 def open_session(address: str) -> aiohttp.ClientSession:
-    """Open a session whose paths are relative to ``host:port``.
-
-    Each request opens its own connection. On a kept-alive connection that the
-    server has just closed, a request would fail without having been received.
-    """
+    """Open a session whose paths are relative to ``host:port``."""
     return aiohttp.ClientSession(
         base_url=f"http://{address}",
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=new_connector(),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000
         ),
--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -17,8 +17,14 @@
     LoadReport,
     failure_from_exception,
 )
+from gooseberrypost.answerprotocol import is_framed
 from gooseberrypost.boundedread import MAX_REPLY_BYTES, read_bounded
-from gooseberrypost.errors import Failure, MalformedRequest
+from gooseberrypost.errors import (
+    ConnectionLost,
+    Failure,
+    MalformedRequest,
+    ProtocolFailure,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -101,11 +107,25 @@
             ) as reply:
                 self.record_limit(reply, is_run=True)
                 body = await read_bounded(reply, MAX_REPLY_BYTES)
+                if not is_framed(reply) and not await self._is_running():
+                    return Err(
+                        ConnectionLost(
+                            "response ended without framing and its server "
+                            "does not respond"
+                        )
+                    )
                 response_headers = forwarded_headers(reply.headers.items())
                 return Ok(PlainResponse(reply.status, response_headers, body))
         except (*TRANSPORT_ERRORS, ValueError) as exc:
             return Err(failure_from_exception(exc))
 
+    async def _is_running(self) -> bool:
+        """Whether the service responds, with a load report or without."""
+        loaded = await self.load()
+        return isinstance(loaded, Ok) or isinstance(
+            loaded.err_value, ProtocolFailure
+        )
+
 
 def forwarded_headers(
     headers: Iterable[tuple[str, str]],
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import functools
 import json
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
@@ -13,6 +11,7 @@
 from result import Err
 from yarl import URL
 
+from gooseberrypost.answerprotocol import is_framed, new_connector
 from gooseberrypost.boundedread import MAX_CONTROL_BYTES, read_bounded
 from gooseberrypost.gateway.transport import (
     Answer,
@@ -29,10 +28,7 @@
     WrongInstance,
 )
 from gooseberrypost.platform import names
-from gooseberrypost.platform.connections import (
-    EngineProtocol,
-    new_tcp_socket,
-)
+from gooseberrypost.platform.connections import new_tcp_socket
 from gooseberrypost.platform.documents import decode_report
 from gooseberrypost.platform.requests import encode_headers
 from gooseberrypost.policy.serverlimit import parse_limit
@@ -56,7 +52,6 @@
 """Headers that aiohttp must not add to a forwarded request by itself."""
 STAGE_PREFILL: Final = "prefill"
 EVENT_STREAM: Final = "text/event-stream"
-STATUSES_WITHOUT_BODY: Final = (204, 304)
 
 
 class HttpTransport(Transport):
@@ -67,14 +62,8 @@
     """
 
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=new_tcp_socket
-        )
-        connector._factory = functools.partial(
-            EngineProtocol, loop=asyncio.get_running_loop()
-        )
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=new_connector(socket_factory=new_tcp_socket),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
@@ -329,23 +318,7 @@
         is_signed=names.SIGNATURE in response.headers,
         chunks=_chunks(response),
         is_event_stream=response.content_type == EVENT_STREAM,
-        is_framed=_is_framed(response),
-    )
-
-
-def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Whether an answer declares where it ends.
-
-    A transfer coding does so only if the last one is chunked.
-    """
-    headers = response.headers
-    codings = headers.get("Transfer-Encoding")
-    if codings is not None:
-        return codings.lower().rpartition(",")[2].strip() == "chunked"
-    return (
-        "Content-Length" in headers
-        or response.method == "HEAD"
-        or response.status in STATUSES_WITHOUT_BODY
+        is_framed=is_framed(response),
     )
 
 
--- a/tests/standins/plain.py
+++ b/tests/standins/plain.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import Counter
 
 from aiohttp import web
@@ -19,6 +21,8 @@
         """Idempotency key and event loop time of each execution."""
         self.slow_ms, self.fail, self.drop = 0, False, False
         self.leaving = False
+        self.unframed = ""
+        """End of answers without length or chunks: closed, exit or reset."""
         self.running = 0
         self.app.router.add_get("/load", self.load)
         self.app.router.add_get("/_test/executions", self.report)
@@ -38,6 +42,8 @@
         if self.drop:
             # The call was executed, but its response is lost.
             request.transport.abort()
+        if self.unframed:
+            await self.answer_unframed(request)
         return web.json_response(
             {
                 "path": request.path_qs,
@@ -47,6 +53,20 @@
             status=500 if self.fail else 200,
         )
 
+    async def answer_unframed(self, request):
+        """Answer without framing, and end the connection as told."""
+        transport = request.transport
+        if self.unframed == "exit":
+            await self.site.stop()
+        transport.write(b"HTTP/1.1 200 OK\r\n\r\nunframed")
+        if self.unframed == "reset":
+            await asyncio.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            transport.abort()
+        transport.close()
+
     async def load(self, request):
         return web.json_response(
             {"slots_used": self.running, "leaving": self.leaving}
--- a/tests/test_agent_failures.py
+++ b/tests/test_agent_failures.py
@@ -213,6 +213,39 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(
+    ("end", "code"),
+    [
+        ("closed", ""),
+        ("exit", "outcome_unknown"),
+        ("reset", "connection_lost"),
+    ],
+)
+def test_an_answer_without_framing_is_complete_only_if_its_server_runs(
+    end, code
+):
+    """Guards against a part of an answer that its caller gets as the whole.
+
+    The answer has neither a length nor chunks and ends with its connection,
+    which a server that ends closes properly as well.
+    """
+
+    async def run():
+        async with (
+            PlainService.serving() as service,
+            running(settings(service, "plain")) as agent,
+            entry(agent) as channel,
+        ):
+            service.unframed = end
+            reply = await ask(channel, call())
+            if code:
+                assert reply.code == code
+            else:
+                assert (reply.status, reply.body) == (200, b"unframed")
+
+    asyncio.run(run())
+
+
 def test_a_stalled_transfer_is_abandoned():
     """Guards against a slot occupied by a transfer without progress."""
 
