--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -317,6 +317,7 @@
         self.log(
             "server_failed",
             server=server.instance,
+            version=server.version,
             attempts=self.attempts,
             events=self.events_sent,
             code=failure.code,
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -166,6 +166,12 @@
 
     async def serve(self) -> None:
         """Answer the client, retrying on other engines."""
+        if self.req.resume_after:
+            self.log(
+                "taken_up",
+                begun_by=self.req.begun_by,
+                after=self.req.resume_after,
+            )
         try:
             while True:
                 self.check_deadline()
@@ -607,6 +613,7 @@
         self.log(
             "answered",
             server=server.instance,
+            version=server.version,
             status=answer.status,
             framed=answer.is_framed,
             attempts=self.attempts,
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -206,6 +206,9 @@
     """Era of that revision; a restored store gives out revisions again."""
     writes: int = 0
     """Number of times that the server has written it since its start."""
+    version: str = ""
+    """Version of the server's software; what two of them write in one stream
+    does not fit together."""
 
     @property
     def identity(self) -> str:
--- a/src/gooseberrypost/gateway/request.py
+++ b/src/gooseberrypost/gateway/request.py
@@ -40,6 +40,8 @@
     prompt: Prompt | None = None
     resume_after: str = ""
     """Id of the last event the client received; empty for a new stream."""
+    begun_by: str = ""
+    """Id of the attempt that brought the first event of a resumed stream."""
 
     @property
     def path(self) -> str:
--- a/src/gooseberrypost/platform/documents.py
+++ b/src/gooseberrypost/platform/documents.py
@@ -91,6 +91,7 @@
                 revision=revision,
                 era=era,
                 writes=int(document.get("sequence") or 0),
+                version=str(document.get("version") or ""),
             )
         )
     except (ValueError, TypeError, LookupError, AttributeError) as exc:
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -25,6 +25,8 @@
 PIN_MS: Final = "X-Gooseberrypost-Pin-Ms"
 EXPECT_VERSION: Final = "X-Gooseberrypost-Expect-Version"
 LAST_EVENT_ID: Final = "Last-Event-Id"
+RESUMES: Final = "Resumes"
+"""Id of the client's attempt that brought the first event of its stream."""
 SERVER_LIMIT: Final = "Server-Limit"
 """Requests per second that a server in need accepts from all gateways."""
 
--- a/src/gooseberrypost/platform/requests.py
+++ b/src/gooseberrypost/platform/requests.py
@@ -50,6 +50,7 @@
             deadline_s=arrived_s + deadline / 1_000,
             prompt=prompt.ok_value,
             resume_after=headers.get(names.LAST_EVENT_ID, ""),
+            begun_by=headers.get(names.RESUMES, ""),
         )
     )
 
--- a/src/gooseberrypost/policy/membership.py
+++ b/src/gooseberrypost/policy/membership.py
@@ -72,6 +72,7 @@
                 ("service", server.service),
                 ("address", server.address),
                 ("stage", server.stage.value),
+                ("version", server.version),
                 ("revision", server.revision),
                 ("at", at),
             ]
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -115,6 +115,27 @@
     assert " parts=ab " in reserved
 
 
+def test_versions_of_a_stream_that_goes_on_are_logged(lines):
+    """Guards against a stream of two versions that no log line shows."""
+
+    async def work():
+        async with serving(*POOLS) as kit:
+            kit.engines["d"].mode = "truncate"
+            kit.engines["d"].event_s = 0.05
+            assert not (await kit.generate()).complete
+            kit.engines["d"].mode = "answer"
+            resumed = {"Last_Event_Id": "1", "Resumes": "r1"}
+            assert (await kit.generate("/again/x", **resumed)).complete
+
+    asyncio.run(work())
+    (failed,) = [x for x in lines("r1") if "event=server_failed" in x]
+    assert " server=d version=v1 " in failed
+    (taken_up,) = [x for x in lines("r2") if "event=taken_up" in x]
+    assert " begun_by=r1 after=1 " in taken_up
+    (answered,) = [x for x in lines("r2") if "event=answered" in x]
+    assert " server=d version=v1 " in answered
+
+
 @pytest.mark.parametrize("mode", ["answer", "unframed"])
 def test_answers_that_end_with_their_connection_are_told_apart(mode, lines):
     """Guards against an end that nothing declared and no log line shows."""
