--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -90,9 +90,14 @@
         self.requests = 0
 
     async def add(
-        self, instance: str, service: str = "desk", stage: str = "", **changes
+        self,
+        instance: str,
+        service: str = "desk",
+        stage: str = "",
+        kind: type[FakePlatformEngine] = FakePlatformEngine,
+        **changes,
     ) -> FakePlatformEngine:
-        engine = await FakePlatformEngine(instance, stage).start()
+        engine = await kind(instance, stage).start()
         self.engines[instance] = engine
         self.register(instance, service, **changes)
         return engine
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -36,6 +36,8 @@
     def __init__(self, instance: str, stage: str = ""):
         self.instance = instance
         self.stage = stage
+        self.version = "v1"
+        """Version of the software."""
         self.host, self.port = "127.0.0.1", 0
         self.received: list[Received] = []
         self.executed: list[str] = []
@@ -90,7 +92,7 @@
             "service": service,
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": 4,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -296,7 +298,7 @@
         writer.write(head)
         first = int(request.headers.get("last-event-id") or 0)
         for number in range(first + 1, self.events + 1):
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            event = self._event(number)
             if self.mode == "truncate" and number == 2:
                 event = event[:6]
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
@@ -307,6 +309,9 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def _event(self, number: int) -> bytes:
+        return f"id: {number}\ndata: {number}\n\n".encode()
+
     async def _mode_unframed(self, request, writer):
         """Answer without a length or chunks, ended by its connection."""
         if self.stage:
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,250 @@
+"""Streams while servers of several software versions serve side by side."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager, suppress
+
+import aiohttp
+import pytest
+
+from tests.gateway_kit import HOST, serving
+from tests.standins.versioned_engine import (
+    VersionedEngine,
+    numbers_and_versions,
+)
+
+STREAMS = 24
+"""Streams of the tests in which all gateways die."""
+
+
+def run(work):
+    asyncio.run(work())
+
+
+@asynccontextmanager
+async def serving_versions(*versions: str, **changes):
+    """Run a gateway with a decode engine of each version, ``d0`` and on."""
+    async with serving(("p", "llm", "prefill"), **changes) as kit:
+        for number, version in enumerate(versions):
+            await add_engine(kit, f"d{number}", version)
+        yield kit
+
+
+async def add_engine(kit, instance: str, version: str) -> VersionedEngine:
+    engine = await kit.add(
+        instance,
+        "llm",
+        "decode",
+        VersionedEngine,
+        version=version,
+        slots=2 * STREAMS,
+    )
+    engine.version = version
+    servers = kit.daemon.context.directory.servers
+    await kit.until(lambda: is_listed(servers, instance))
+    return engine
+
+
+def is_listed(servers, instance: str) -> bool:
+    return any(server.instance == instance for server in servers.all())
+
+
+async def begin(kit, request: str, gateway=None) -> bytes:
+    """Begin a stream and leave it after its first event."""
+    url = f"http://{(gateway or kit.daemon).frontend.address}/again/x"
+    async with aiohttp.request(
+        "POST", url, headers=headers(request), data=b"body"
+    ) as response:
+        assert response.status == 200
+        body = b""
+        while not body.endswith(b"\n\n"):
+            body += await response.content.readany()
+        return body
+
+
+async def take_up(kit, request: str, begun_by: str, body: bytes):
+    """Take a stream up; return the status and all bytes of the stream."""
+    numbers, _ = numbers_and_versions(body)
+    resumed = {"Last-Event-Id": str(numbers[-1]), "Resumes": begun_by}
+    url = f"http://{kit.daemon.frontend.address}/again/x"
+    async with aiohttp.request(
+        "POST", url, headers=headers(request) | resumed, data=b"body"
+    ) as response:
+        rest = b""
+        with suppress(aiohttp.ClientError):
+            rest = await response.read()
+        return response.status, body + (rest if response.ok else b"")
+
+
+def headers(request: str) -> dict[str, str]:
+    return {
+        "Host": HOST,
+        "X-Gooseberrypost-Attempt-Id": request,
+        "X-Gooseberrypost-Deadline-Ms": "2000",
+        "X-Gooseberrypost-Token-Usage": "100,10",
+        "X-Gooseberrypost-Prompt-Prefix": "ab:100",
+    }
+
+
+async def replace_gateway(kit, name: str):
+    """Let the only gateway die, and start one that knows nothing of it."""
+    await kit.daemon.stop()
+    kit.daemon = await kit.gateway(name)
+    await kit.until(lambda: kit.daemon.lifecycle.state == "serving")
+
+
+@pytest.mark.parametrize("has_other", [False, True])
+def test_broken_stream_goes_on_at_its_version_only(has_other):
+    """Guards against a retry that joins events of two versions."""
+
+    async def work():
+        versions = ["v1", "v2", "v2"] + ["v1"] * has_other
+        async with serving_versions(*versions) as kit:
+            kit.engines["d0"].breaks_after = 1
+            for engine in ("d1", "d2", "d3")[: len(versions) - 1]:
+                kit.engines[engine].has_room = False
+            task = asyncio.create_task(kit.generate("/again/x"))
+            await kit.until(lambda: kit.engines["d0"].executed)
+            for engine in ("d1", "d2", "d3")[: len(versions) - 1]:
+                kit.engines[engine].has_room = True
+            got = await task
+            assert got.complete == has_other
+            if has_other:
+                numbers, found = numbers_and_versions(got.body)
+                assert (numbers, found) == ([1, 2, 3], {"v1"})
+
+    run(work)
+
+
+def test_stalled_run_moves_to_its_version_only():
+    """Guards against a failover that joins events of two versions."""
+
+    async def work():
+        async with serving_versions("v1") as kit:
+            stalled = kit.engines["d0"]
+            stalled.supports_moves = True
+            stalled.event_s = 3_600.0
+            task = asyncio.create_task(kit.generate("/text/x"))
+            await kit.until(lambda: stalled.executed)
+            await add_engine(kit, "d1", "v2")
+            await add_engine(kit, "d2", "v1")
+            got = await task
+            assert numbers_and_versions(got.body) == ([1, 2, 3], {"v1"})
+            assert not kit.engines["d1"].resumed
+
+    run(work)
+
+
+def test_client_takes_a_stream_up_at_its_version():
+    """Guards against events of two versions over the tries of a client."""
+
+    async def work():
+        async with serving_versions("v1", "v2") as kit:
+            for number in range(STREAMS):
+                body = await begin(kit, f"a{number}")
+                status, body = await take_up(
+                    kit, f"b{number}", f"a{number}", body
+                )
+                numbers, versions = numbers_and_versions(body)
+                assert status == 200
+                assert numbers == [1, 2, 3]
+                assert len(versions) == 1
+
+    run(work)
+
+
+def test_stream_is_taken_up_at_another_gateway():
+    """Guards against a version that only the stream's gateway knows."""
+
+    async def work():
+        async with serving_versions("v1", "v2") as kit:
+            other = await kit.gateway("gateway-2")
+            try:
+                await kit.until(lambda: other.lifecycle.state == "serving")
+                for number in range(STREAMS):
+                    body = await begin(kit, f"a{number}", other)
+                    status, body = await take_up(
+                        kit, f"b{number}", f"a{number}", body
+                    )
+                    numbers, versions = numbers_and_versions(body)
+                    assert status == 200
+                    assert numbers == [1, 2, 3]
+                    assert len(versions) == 1
+            finally:
+                await other.stop()
+
+    run(work)
+
+
+def test_streams_outlast_all_gateways():
+    """Guards against versions that are forgotten with the gateways.
+
+    Each stream goes on, at the version that began it.
+    """
+
+    async def work():
+        async with serving_versions("v1") as kit:
+            before = {
+                f"a{number}": await begin(kit, f"a{number}")
+                for number in range(STREAMS // 2)
+            }
+            await add_engine(kit, "d1", "v2")
+            before |= {
+                f"c{number}": await begin(kit, f"c{number}")
+                for number in range(STREAMS)
+            }
+            await replace_gateway(kit, "gateway-2")
+            for begun_by, body in before.items():
+                status, body = await take_up(
+                    kit, f"b{begun_by}", begun_by, body
+                )
+                numbers, versions = numbers_and_versions(body)
+                assert status == 200
+                assert numbers == [1, 2, 3]
+                assert len(versions) == 1
+
+    run(work)
+
+
+def test_stream_of_a_version_that_has_left_is_refused_at_once():
+    """Guards against a wait, and against joining, when its servers left."""
+
+    async def work():
+        async with serving_versions("v1") as kit:
+            body = await begin(kit, "a")
+            await add_engine(kit, "d1", "v2")
+            kit.store.remove("servers/d0")
+            servers = kit.daemon.context.directory.servers
+            await kit.until(lambda: not is_listed(servers, "d0"))
+            for replaces in (False, True):
+                if replaces:
+                    await replace_gateway(kit, "gateway-2")
+                began_s = asyncio.get_running_loop().time()
+                status, _ = await take_up(kit, f"b{replaces}", "a", body)
+                assert status == 503
+                assert asyncio.get_running_loop().time() - began_s < 0.5
+
+    run(work)
+
+
+def test_no_versions_are_joined_while_the_store_is_away():
+    """Guards against a guess where the store cannot tell.
+
+    A gateway that has lost the store takes up what it knows of.
+    """
+
+    async def work():
+        async with serving_versions("v1", "v2") as kit:
+            kit.store.down = True
+            for number in range(STREAMS):
+                body = await begin(kit, f"a{number}")
+                status, body = await take_up(
+                    kit, f"b{number}", f"a{number}", body
+                )
+                numbers, versions = numbers_and_versions(body)
+                assert status == 200
+                assert numbers == [1, 2, 3]
+                assert len(versions) == 1
+
+    run(work)
