Keep a stream within one answer at the version that began it

Clients got streams that begin at one software version and go on at another, after a crash of the engine or when a stalled run was moved.

Cause: no choice of an engine had its version as an input. The version that brought the first event now bounds where the stream may be resumed, moved or copied to. Such a generation waits in a line of its own, so that full engines of one version do not hold up the others, and is given up at once when no engine of its version is left.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -117,6 +117,8 @@
         self._events.last_id = self.req.resume_after
         self._events_before = 0
         """Number of events before the current attempt."""
+        self._version: str | None = None
+        """Software version that began the stream; None before that."""
         self._kv: KvHandle | None = None
         """Prefilled KV cache that no decode attempt has used yet."""
         self._run = Run(0, 0)
@@ -234,6 +236,7 @@
             deadline_s=self.req.deadline_s,
             excluded=self.excluded,
             run=self._run,
+            version=self._version,
         )
         reservation = await self.ctx.reservation_queue.acquire(pending)
         self._reserved_at_s = self.ctx.now_s()
@@ -539,6 +542,8 @@
         ):
             complete = self._feed(chunk, stride)
             if complete:
+                if self._events.count and self._version is None:
+                    self._version = server.version
                 await self.reply.write(complete)
                 if await self._migration.move_if_memory_low(server, self._run):
                     await self._forward_remaining(chunks, stride)
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -137,11 +137,16 @@
         return targets[0] if targets else server
 
     def _other_servers(self, server: Server) -> list[Server]:
+        """Return the servers to which a run at ``server`` may move.
+
+        A stream goes on only at the software version that began it.
+        """
         ctx = self._exchange.ctx
         return [
             other
             for other in self._exchange.servers()
             if other.identity != server.identity
+            and other.version == server.version
             and not ctx.loads.limit_wait_s(other.identity, ctx.now_s())
         ]
 
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -70,6 +70,12 @@
 """
 
 
+class VersionGone(NotRun):
+    """No server of the version that began the stream is left."""
+
+    code = "version_gone"
+
+
 class NoDecodeCapacity(NotRun):
     """No decode engine can take the generation before its client times out.
 
@@ -91,11 +97,21 @@
     excluded: set[str] = field(default_factory=set)
     """Identities of servers that are not tried."""
     run: Run = field(default_factory=lambda: Run(0, 0))
+    version: str | None = None
+    """Software version at which the stream must go on; None for any."""
     granted: asyncio.Future[Reservation] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
     """Result of the wait: the reservation or a refusal."""
 
+    @property
+    def line(self) -> tuple[str, str | None]:
+        """Service and version.
+
+        Only generations that share both wait for each other.
+        """
+        return self.service, self.version
+
 
 class ReservationQueue(Service):
     """Reserves decode memory for the queued generations of one gateway."""
@@ -105,21 +121,24 @@
         self._ctx = ctx
         self._queue: list[PendingReservation] = []
         self._wakeup = asyncio.Event()
-        self._capacity_since_s: dict[str, float] = {}
-        """Time since which memory is free for a queue's head, by service."""
+        self._capacity_since_s: dict[tuple[str, str | None], float] = {}
+        """Time since which memory is free for the head of each line."""
 
     async def on_started(self) -> None:
         """Process the queue until the service stops."""
         self.add_future(keep_running(self, self._process, self._ctx.metrics))
 
     async def acquire(self, pending: PendingReservation) -> Reservation:
-        """Wait for a reservation; raises ``NoDecodeCapacity``.
+        """Wait for a reservation.
 
-        A generation whose expected queueing delay exceeds its objective is
-        refused at once, so that its client can retry later instead of waiting
-        for a late answer.
+        Raises ``NoDecodeCapacity``, or ``VersionGone`` if the generation can
+        go on nowhere. A generation whose expected queueing delay exceeds its
+        objective is refused at once, so that its client can retry later
+        instead of waiting for a late answer.
         """
         self._refuse_if_shutting_down(pending)
+        if self._is_version_gone(pending):
+            raise self._version_gone(pending)
         self._refuse_if_late(pending)
         self._queue.append(pending)
         self._wakeup.set()
@@ -189,7 +208,7 @@
         ctx = self._ctx
         if not self._queue and self._candidates(pending):
             return 0.0
-        servers = ctx.directory.available_servers(pending.service, ctx.now_s())
+        servers = self._servers(pending)
         running = sum(
             ctx.loads.run_count(server.identity) for server in servers
         )
@@ -209,6 +228,29 @@
             ),
         )
 
+    def _servers(self, pending: PendingReservation) -> list[Server]:
+        """Return the servers at which the generation may run."""
+        ctx = self._ctx
+        servers = ctx.directory.available_servers(pending.service, ctx.now_s())
+        if pending.version is None:
+            return servers
+        return [
+            server for server in servers if server.version == pending.version
+        ]
+
+    def _is_version_gone(self, pending: PendingReservation) -> bool:
+        return pending.version is not None and not any(
+            server.stage is not Stage.PREFILL and not server.draining
+            for server in self._servers(pending)
+        )
+
+    def _version_gone(self, pending: PendingReservation) -> VersionGone:
+        # A server that has crashed registers again when it is back.
+        return VersionGone(
+            f"no server of {pending.service} has version {pending.version}",
+            retry_after_ms=self._ctx.settings.heartbeat_ms,
+        )
+
     def wake(self) -> None:
         """Request an allocation pass, as engine loads have changed."""
         self._wakeup.set()
@@ -246,26 +288,28 @@
         """Refuse generations that are too late, then reserve for the rest."""
         now_s = self._ctx.now_s()
         for pending in list(self._queue):
-            if is_abandoned_before_start(
+            if self._is_version_gone(pending):
+                self._refuse(pending, self._version_gone(pending))
+            elif is_abandoned_before_start(
                 pending, now_s, self._first_event_delay_s(pending)
             ):
-                self._refuse(pending)
-        for service in {pending.service for pending in self._queue}:
-            while pending := self._head(service):
-                # The rest of the queue waits for its head. Otherwise small
+                self._refuse(pending, self._no_capacity(pending))
+        for line in {pending.line for pending in self._queue}:
+            while pending := self._head(line):
+                # The rest of the line waits for its head. Otherwise small
                 # generations would starve large ones.
                 if not self._may_reserve(pending):
                     break
                 if not await self._reserve(pending):
                     break
-                self._capacity_since_s.pop(service, None)
+                self._capacity_since_s.pop(line, None)
 
-    def _head(self, service: str | None = None) -> PendingReservation | None:
-        """Return the head of the queue of one service, or of all services."""
+    def _head(
+        self, line: tuple[str, str | None] | None = None
+    ) -> PendingReservation | None:
+        """Return the head of one line, or of the whole queue."""
         waiting = [
-            pending
-            for pending in self._queue
-            if service in (None, pending.service)
+            pending for pending in self._queue if line in (None, pending.line)
         ]
         if not waiting:
             return None
@@ -282,9 +326,9 @@
         ctx = self._ctx
         now_s = ctx.now_s()
         if not self._candidates(pending):
-            self._capacity_since_s.pop(pending.service, None)
+            self._capacity_since_s.pop(pending.line, None)
             return False
-        since_s = self._capacity_since_s.setdefault(pending.service, now_s)
+        since_s = self._capacity_since_s.setdefault(pending.line, now_s)
         rank_ms = queue_rank_ms(
             pending, now_s, self._first_event_delay_s(pending)
         )
@@ -310,15 +354,16 @@
     def _first_event_delay_s(self, pending: PendingReservation) -> float:
         return self._ctx.first_event_delay_s(pending.service)
 
-    def _refuse(self, pending: PendingReservation) -> None:
+    def _refuse(self, pending: PendingReservation, refusal: NotRun) -> None:
         self._queue.remove(pending)
         if not pending.granted.done():
-            pending.granted.set_exception(
-                NoDecodeCapacity(
-                    f"no decode memory in {pending.service} in time",
-                    retry_after_ms=round(1_000 * self._retry_after_s(pending)),
-                )
-            )
+            pending.granted.set_exception(refusal)
+
+    def _no_capacity(self, pending: PendingReservation) -> NoDecodeCapacity:
+        return NoDecodeCapacity(
+            f"no decode memory in {pending.service} in time",
+            retry_after_ms=round(1_000 * self._retry_after_s(pending)),
+        )
 
     def _retry_after_s(
         self, pending: PendingReservation, wait_s: float = 0.0
@@ -379,7 +424,7 @@
         ctx = self._ctx
         now_s = ctx.now_s()
         servers = eligible_servers(
-            ctx.directory.available_servers(pending.service, now_s),
+            self._servers(pending),
             ctx.loads,
             now_s,
             excluded,
