Remember in the store which software version began a stream

A client whose stream broke off took it up at any engine, and got events of two versions.

Cause: nothing remembered who began a stream; the client names only the attempt that brought its first event. The class: what the next try of a client needs is kept in the process that served the one before, or nowhere.

Change: each service has a default version in the store. A stream that begins at another one is recorded there before its first event goes out; one without a record is of the default version. The default changes only when no client can hold a stream of it any more. So all gateways may die, and in a fleet of one version a stream costs no call to the store. Records have no lease, as these may lapse while the store is away. Gateways name recent streams to each other in load notices while versions are mixed, for times at which the store does not answer. A stream of a version that has left, or whose version cannot be told, is refused at once.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -33,6 +33,7 @@
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.request import ClientRequest
     from gooseberrypost.gateway.transport import Transport
+    from gooseberrypost.gateway.versions import VersionKeeper
     from gooseberrypost.settings.gateway import GatewaySettings
 
 MEAN_SMOOTHING: Final = 0.05
@@ -83,6 +84,8 @@
     notify_loads_changed: Callable[[], None] = lambda: None
     """Callback to call when this gateway's load on the engines changes."""
     quarantine: Quarantine = field(init=False)
+    versions: VersionKeeper = field(init=False)
+    """Software versions of streams; set by the daemon."""
     buffer_limit: BufferLimit = field(init=False)
     """Bounds the memory of answers that are buffered."""
     _output_lengths: dict[str, OutputLengths] = field(default_factory=dict)
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -17,6 +17,7 @@
 from gooseberrypost.gateway.peers import Peers
 from gooseberrypost.gateway.stages import StageController
 from gooseberrypost.gateway.tasks import keep_running
+from gooseberrypost.gateway.versions import VersionKeeper
 from gooseberrypost.lifecycle import LifecycleController, State
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from gooseberrypost.gateway.peers import Registry
     from gooseberrypost.gateway.stagelock import StageLock
     from gooseberrypost.gateway.transport import Transport
+    from gooseberrypost.gateway.versions import VersionStore
     from gooseberrypost.settings.gateway import GatewaySettings
 
 DIRECTORY_OWNER: Final = "GatewayDaemon"
@@ -54,6 +56,7 @@
         registry: Registry,
         stage_lock: StageLock,
         convictions: ConvictionStore,
+        versions: VersionStore,
         decode: Decoder,
         rng: random.Random,
     ) -> None:
@@ -65,6 +68,7 @@
         directory.servers.heartbeat_s = cfg.heartbeat_ms / 1_000
         self.context = GatewayContext(cfg, directory, transport, rng)
         transport.on_rate_limit = self.context.record_rate_limit
+        self.context.versions = VersionKeeper(self.context, versions)
         section = self.lifecycle.section
         self.peers = Peers(self.context, registry)
         self.stages = StageController(self.context, stage_lock, self.peers)
@@ -80,6 +84,7 @@
             self.peers,
             self.stages,
             ConvictionKeeper(self.context, convictions),
+            self.context.versions,
         ):
             self.add_dependency(service)
 
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -19,6 +19,7 @@
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.model import (
     Configuration,
+    DefaultVersion,
     Server,
     Stage,
     StageOrder,
@@ -35,6 +36,9 @@
 COALESCE_SHARE: Final = 0.075
 """Pause after a change, so that changes in quick succession share one call,
 as a fraction of the time limit for a change to take effect."""
+STREAMS_COALESCE_SHARE: Final = 0.2
+"""The same after records of streams alone, which are looked up in the store
+if they are not known here."""
 WATCH_WAIT_SHARE: Final = 0.6
 """Duration of one watch call, as a fraction of the time limit for a change to
 take effect.
@@ -100,6 +104,12 @@
 
     A negative one stands for a conviction that was withdrawn at that time.
     """
+    stream_versions: Mapping[str, str | None] = field(default_factory=dict)
+    """Recorded version of each stream by key; None if removed."""
+    default_versions: Mapping[str, DefaultVersion | None] = field(
+        default_factory=dict
+    )
+    """Default version of each service's streams; None if removed."""
     era: int = 0
     """Rises when the store has come back from an older copy.
 
@@ -109,7 +119,12 @@
     @property
     def is_empty(self) -> bool:
         """Whether the update contains no change."""
-        return not (
+        return not (self.stream_versions or self.is_urgent)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the update changes more than the records of streams."""
+        return bool(
             self.configurations
             or self.servers
             or self.removed
@@ -117,6 +132,7 @@
             or self.stage_orders
             or self.stage_orders_removed
             or self.convictions
+            or self.default_versions
             or self.stage_lock_holder is not None
         )
 
@@ -145,14 +161,17 @@
     """
 
     __slots__ = (
+        "_streams_seen_s",
         "configuration",
         "convictions",
+        "default_versions",
         "era",
         "gateways",
         "last_stage_order_s",
         "servers",
         "stage_lock_holder",
         "stage_orders",
+        "stream_versions",
         "withdrawn",
     )
 
@@ -168,6 +187,12 @@
         """Time in ms of each conviction in the store, by key."""
         self.withdrawn: dict[str, int] = {}
         """Time in ms at which convictions in the store were withdrawn."""
+        self.stream_versions: dict[str, str] = {}
+        """Recorded version of each stream, by key."""
+        self._streams_seen_s: dict[str, float] = {}
+        """Monotonic time at which each record was first seen."""
+        self.default_versions: dict[str, DefaultVersion] = {}
+        """Version of the streams without a record, by service."""
         self.stage_lock_holder = ""
         """Gateway that holds the stage lock; empty if the lock is free."""
         self.last_stage_order_s: dict[str, float] = {}
@@ -198,6 +223,37 @@
             and now_s - since_s < STAGE_ORDER_TIMEOUT_S
         )
 
+    def apply_versions(self, update: FeedUpdate, now_s: float) -> None:
+        """Apply the versions of streams that an update names."""
+        if update.is_snapshot:
+            self.stream_versions.clear()
+            self.default_versions.clear()
+        for stream, version in update.stream_versions.items():
+            if version is None:
+                self.stream_versions.pop(stream, None)
+            else:
+                self.stream_versions[stream] = version
+                self._streams_seen_s.setdefault(stream, now_s)
+        if len(self._streams_seen_s) > len(self.stream_versions):
+            self._streams_seen_s = {
+                stream: seen_s
+                for stream, seen_s in self._streams_seen_s.items()
+                if stream in self.stream_versions
+            }
+        for service, default in update.default_versions.items():
+            if default is None:
+                self.default_versions.pop(service, None)
+            else:
+                self.default_versions[service] = default
+
+    def streams_before(self, oldest_s: float) -> list[str]:
+        """Return the recorded streams that were first seen earlier."""
+        return [
+            stream
+            for stream, seen_s in self._streams_seen_s.items()
+            if seen_s < oldest_s
+        ]
+
     @property
     def is_loaded(self) -> bool:
         """Whether the configuration and the servers have been read once."""
@@ -219,6 +275,9 @@
         self._feed = feed
         self._watch_wait_ms = round(WATCH_WAIT_SHARE * propagation_ms)
         self._coalesce_s = COALESCE_SHARE * propagation_ms / 1_000
+        self._streams_coalesce_s = (
+            STREAMS_COALESCE_SHARE * propagation_ms / 1_000
+        )
         self._directory = directory
         self._revision = 0
         """Revision to watch from; 0 to read a snapshot next."""
@@ -259,7 +318,11 @@
                 # missed a change may still return a revision later than that
                 # change, and watching from there would skip it.
                 self._revision = update.revision
-                await self.sleep(self._coalesce_s)
+                await self.sleep(
+                    self._coalesce_s
+                    if update.is_urgent
+                    else self._streams_coalesce_s
+                )
 
     async def _next_update(self) -> FeedUpdate:
         if self._revision:
@@ -325,6 +388,7 @@
             else:
                 directory.gateways[name] = address
         self._apply_convictions(update)
+        directory.apply_versions(update, now_s)
         self._apply_stages(update, now_s)
         if not update.is_empty:
             directory.notify()
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -169,11 +169,7 @@
     async def serve(self) -> None:
         """Answer the client, retrying on other engines."""
         if self.req.resume_after:
-            self.log(
-                "taken_up",
-                begun_by=self.req.begun_by,
-                after=self.req.resume_after,
-            )
+            await self._take_up()
         try:
             while True:
                 self.check_deadline()
@@ -183,6 +179,15 @@
         finally:
             self._release_unused()
 
+    async def _take_up(self) -> None:
+        """Find the version that began the stream which the client resumes."""
+        req = self.req
+        self.log("taken_up", begun_by=req.begun_by, after=req.resume_after)
+        if self.route.resumable:
+            self._version = await self.ctx.versions.find(
+                self.service, req.begun_by
+            )
+
     async def _attempt(self) -> bool:
         """Make one attempt; returns whether the answer was delivered."""
         self._events_before = self._events.count
@@ -193,6 +198,11 @@
             return await self._decode(moved.server, moved.kv, None)
         if self._reservation is None:
             self._reservation = await self._reserve()
+        if self._version is None and self.route.resumable:
+            # The record is saved during the prefill.
+            self.ctx.versions.begin(
+                self.service, self.req.id, self._reservation.server.version
+            )
         if self._kv is None:
             prefill_server = self._prefill_server(self._reservation.server)
             if prefill_server is not None:
@@ -543,7 +553,7 @@
             complete = self._feed(chunk, stride)
             if complete:
                 if self._events.count and self._version is None:
-                    self._version = server.version
+                    await self._begin_stream(server)
                 await self.reply.write(complete)
                 if await self._migration.move_if_memory_low(server, self._run):
                     await self._forward_remaining(chunks, stride)
@@ -560,6 +570,14 @@
         self.ctx.record_pause(self.service, self._progress.longest_pause_s)
         self._log_answer(server, answer)
 
+    async def _begin_stream(self, server: Server) -> None:
+        """Bind the stream to the version that brings its first event."""
+        self._version = server.version
+        if self.route.resumable:
+            versions = self.ctx.versions
+            versions.begin(self.service, self.req.id, server.version)
+            await versions.saved(self.service, self.req.id)
+
     async def _check_end(self, server: Server, answer: Answer) -> None:
         """Raise ``AnswerLost`` if a stream that ended was broken off."""
         if self._events.incomplete:
--- a/src/gooseberrypost/gateway/model.py
+++ b/src/gooseberrypost/gateway/model.py
@@ -65,6 +65,15 @@
     """Unix time of the engine's start in ms; 0 if unknown."""
 
 
+@dataclass(slots=True, frozen=True)
+class DefaultVersion:
+    """Software version of a service's streams that no record names."""
+
+    version: str
+    revision: int
+    """Store revision at which it was written."""
+
+
 @dataclass(slots=True, frozen=True)
 class Target:
     """A service that a route sends requests to, and its relative weight."""
--- a/src/gooseberrypost/gateway/notices.py
+++ b/src/gooseberrypost/gateway/notices.py
@@ -61,6 +61,8 @@
     """Wall-clock time in ms at which content was convicted, by content."""
     limits: tuple[LimitNotice, ...]
     """Rate limits of servers that the sender got from answers."""
+    streams: dict[str, str]
+    """Software version that began each of the sender's recent streams."""
 
 
 def decode_notice(data: bytes) -> Notice:
@@ -124,9 +126,25 @@
             for conviction in message.convictions or ()
         },
         tuple(map(_limit, message.limits or ())),
+        {
+            _text(stream.stream): _version(stream)
+            for stream in message.streams or ()
+        },
     )
 
 
+def _version(stream: Any) -> str:
+    """Return the version of a stream; raises if it is missing."""
+    if stream.version is None:
+        raise NoticeInvalid("stream without a version")
+    return stream.version
+
+
+def encode_stream(stream: str, version: str) -> Any:
+    """Return the part of a notice that describes a stream."""
+    return idl.StreamNotice(stream=stream, version=version)
+
+
 def encode_crash(report: CrashReport) -> Any:
     """Return the part of a notice that describes a crash."""
     return idl.CrashNotice(
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -23,6 +23,7 @@
     encode_crash,
     encode_limit,
     encode_server_load,
+    encode_stream,
 )
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.identity import new_incarnation
@@ -211,6 +212,8 @@
             quarantine.apply_reports(notice.crashes)
         if notice.convictions:
             quarantine.apply_convictions(notice.convictions)
+        if notice.streams:
+            self._ctx.versions.apply_notice(notice.streams)
         for limit in notice.limits:
             self._ctx.loads.limits.record_peer(notice.name, limit, received_s)
 
@@ -288,6 +291,12 @@
                 encode_limit(notice)
                 for notice in self._ctx.loads.limits.notices(time.monotonic())
             ],
+            streams=[
+                encode_stream(stream, version)
+                for stream, version in (
+                    self._ctx.versions.recent_streams().items()
+                )
+            ],
         )
 
     async def _keep_registered(self) -> None:
--- /dev/null
+++ b/src/gooseberrypost/gateway/versions.py
@@ -0,0 +1,353 @@
+"""Which software version began each stream that clients may take up.
+
+Each service has a default version in the store, which holds for every stream
+without a record. A stream that begins at another version is recorded in the
+store before its first event reaches the client. So the versions outlast all
+gateways, and while all servers have one version no stream costs a call.
+
+Gateways also tell each other the streams that they begin, for times at which
+the store does not answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING, Final
+
+from absl import logging
+from mode import Service
+
+from gooseberrypost.errors import Failure, NotRun
+from gooseberrypost.gateway.tasks import keep_running
+from gooseberrypost.identity import content_digest
+from gooseberrypost.policy.streamversions import (
+    ServingVersions,
+    StreamVersions,
+    default_version,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from gooseberrypost.gateway.context import GatewayContext
+    from gooseberrypost.gateway.directory import DefaultVersion
+
+MIN_RETENTION_S: Final = 60.0
+"""Shortest time for which the version of a stream is kept."""
+RETENTION_FACTOR: Final = 2.0
+"""Multiple of the longest route timeout for which it is kept at least.
+
+The deadline of a client may exceed the timeout of its route.
+"""
+SAVE_BATCH: Final = 32
+"""Records in one transaction."""
+SAVE_TIMEOUT_S: Final = 0.25
+"""Time for which the first event of a stream waits for its record."""
+SAVE_RETRY_S: Final = 0.2
+MAINTENANCE_INTERVAL_S: Final = 1.0
+MAX_NOTICE_STREAMS: Final = 64
+"""Streams in a load notice; the oldest are dropped."""
+NOTICE_S: Final = 3.0
+"""Time for which notices name a stream; one of them may be lost."""
+
+
+class VersionUnknown(NotRun):
+    """Which version began the stream cannot be told at the moment."""
+
+    code = "version_unknown"
+
+
+class VersionNotSaved(Failure):
+    """The store did not answer, or another gateway was first."""
+
+    code = "version_not_saved"
+
+
+class VersionStore(ABC):
+    """Versions of streams in a store that outlasts the gateways."""
+
+    @abstractmethod
+    async def save(self, streams: Mapping[str, str]) -> None:
+        """Record the versions of streams; raises ``VersionNotSaved``."""
+
+    @abstractmethod
+    async def find(self, stream: str) -> str | None:
+        """Return the recorded version of a stream; None if there is none.
+
+        Raises ``VersionNotSaved`` if the store does not answer.
+        """
+
+    @abstractmethod
+    async def remove(self, streams: Collection[str]) -> None:
+        """Remove records; raises ``VersionNotSaved``."""
+
+    @abstractmethod
+    async def set_default(
+        self, service: str, version: str, replaced: DefaultVersion | None
+    ) -> None:
+        """Set the default version of a service in place of the known one.
+
+        Raises ``VersionNotSaved``, also if it has changed meanwhile.
+        """
+
+
+def stream_key(service: str, attempt: str) -> str:
+    """Return the key of the stream that a client's attempt began."""
+    return content_digest(f"stream {service}", attempt.encode()).hex()
+
+
+class VersionKeeper(Service):
+    """Records the versions of streams and finds those of earlier ones."""
+
+    def __init__(self, ctx: GatewayContext, store: VersionStore) -> None:
+        super().__init__()
+        self._ctx = ctx
+        self._store = store
+        self._streams = StreamVersions(MIN_RETENTION_S)
+        """Streams that this gateway began, or was told of."""
+        self._own = StreamVersions(MIN_RETENTION_S)
+        self._saved = StreamVersions(MIN_RETENTION_S)
+        """Own streams that the store has."""
+        self._serving = ServingVersions()
+        self._defaults: dict[str, str] = {}
+        """Default versions as last seen, which a restored store may lack."""
+        self._is_mixed = False
+        """Whether clients may take up streams of several versions."""
+        self._unsaved: dict[str, str] = {}
+        self._waiting: dict[str, asyncio.Future[None]] = {}
+        """Streams whose first event waits for the record."""
+        self._has_unsaved = asyncio.Event()
+        self._is_store_failing = False
+        self._era = 0
+        """Era of the store in which the records were saved."""
+
+    async def on_started(self) -> None:
+        """Save records and keep the defaults until the service stops."""
+        metrics = self._ctx.metrics
+        self.add_future(keep_running(self, self._save_records, metrics))
+        self.add_future(keep_running(self, self._maintain, metrics))
+
+    def begin(self, service: str, attempt: str, version: str) -> None:
+        """Record that a stream begins at a version."""
+        ctx = self._ctx
+        stream, now_s = stream_key(service, attempt), ctx.now_s()
+        if self._own.version_of(stream, now_s) == version:
+            return
+        self._own.record(stream, version, now_s)
+        self._streams.record(stream, version, now_s)
+        ctx.notify_loads_changed()
+        default = ctx.directory.default_versions.get(service)
+        is_default = default is not None and default.version == version
+        was_saved = self._saved.version_of(stream, now_s) is not None
+        if is_default and not was_saved and stream not in self._unsaved:
+            return
+        self._unsaved[stream] = version
+        self._has_unsaved.set()
+
+    async def saved(self, service: str, attempt: str) -> None:
+        """Wait until the record of a stream is saved.
+
+        The stream goes on without it if the store does not answer in time.
+        """
+        stream = stream_key(service, attempt)
+        if stream not in self._unsaved:
+            return
+        if not self._is_store_failing:
+            fut = self._waiting.setdefault(
+                stream, asyncio.get_running_loop().create_future()
+            )
+            await asyncio.wait({fut}, timeout=SAVE_TIMEOUT_S)
+        if stream in self._unsaved:
+            self._ctx.metrics.count("streams_unrecorded_total")
+            logging.warning(
+                "event=stream_unrecorded attempt=%s version=%s",
+                attempt,
+                self._unsaved[stream],
+            )
+
+    async def find(self, service: str, attempt: str) -> str:
+        """Return the version that began a stream.
+
+        Raises ``VersionUnknown`` if that cannot be told.
+        """
+        ctx = self._ctx
+        stream, now_s = stream_key(service, attempt), ctx.now_s()
+        known = self._streams.version_of(stream, now_s)
+        if known is None:
+            known = ctx.directory.stream_versions.get(stream)
+        if known is not None:
+            return known
+        default = ctx.directory.default_versions.get(service)
+        recent = self._recent(service)
+        try:
+            if not attempt:
+                raise VersionNotSaved("no attempt named")
+            recorded = await self._store.find(stream)
+        except VersionNotSaved as failure:
+            # The record may be of any version that this gateway knows of.
+            if len(recent) == 1:
+                return recent.pop()
+            raise self._unknown(service, failure.detail) from failure
+        if recorded is not None:
+            return recorded
+        if default is not None:
+            return default.version
+        if len(recent) == 1:
+            return recent.pop()
+        raise self._unknown(service, "no default version")
+
+    def _unknown(self, service: str, detail: str) -> VersionUnknown:
+        return VersionUnknown(f"stream of {service}: {detail}")
+
+    def apply_notice(self, streams: Mapping[str, str]) -> None:
+        """Record the streams that another gateway began."""
+        now_s = self._ctx.now_s()
+        for stream, version in streams.items():
+            if self._own.version_of(stream, now_s) is None:
+                self._streams.record(stream, version, now_s)
+
+    def recent_streams(self) -> dict[str, str]:
+        """Return the own streams that load notices are to name."""
+        if not self._is_mixed:
+            return {}
+        since_s = self._ctx.now_s() - NOTICE_S
+        return self._own.since(since_s, MAX_NOTICE_STREAMS)
+
+    async def _save_records(self) -> None:
+        while not self.should_stop:
+            await self._has_unsaved.wait()
+            self._has_unsaved.clear()
+            try:
+                while batch := dict(list(self._unsaved.items())[:SAVE_BATCH]):
+                    await self._store.save(batch)
+                    self._is_store_failing = False
+                    self._finish(batch)
+            except VersionNotSaved as failure:
+                if not self._is_store_failing:
+                    logging.warning(
+                        "event=stream_versions_not_saved streams=%d detail=%r",
+                        len(self._unsaved),
+                        failure.detail,
+                    )
+                self._is_store_failing = True
+                self._drop_expired()
+                await self.sleep(SAVE_RETRY_S)
+                self._has_unsaved.set()
+
+    def _finish(self, batch: Mapping[str, str]) -> None:
+        now_s = self._ctx.now_s()
+        self._ctx.metrics.count("streams_recorded_total", len(batch))
+        for stream, version in batch.items():
+            self._saved.record(stream, version, now_s)
+            if self._unsaved.get(stream) != version:
+                continue
+            del self._unsaved[stream]
+            fut = self._waiting.pop(stream, None)
+            if fut is not None and not fut.done():
+                fut.set_result(None)
+
+    def _drop_expired(self) -> None:
+        """Drop records of streams that no client can take up any more."""
+        now_s = self._ctx.now_s()
+        for stream in list(self._unsaved):
+            if self._own.version_of(stream, now_s) is None:
+                del self._unsaved[stream]
+                self._waiting.pop(stream, None)
+
+    async def _maintain(self) -> None:
+        # Gateways that start together would all set the same default.
+        await self.sleep(self._ctx.rng.uniform(0, MAINTENANCE_INTERVAL_S))
+        while not self.should_stop:
+            directory = self._ctx.directory
+            if directory.is_loaded:
+                self._set_retention()
+                self._serving.record(
+                    directory.servers.all(), self._ctx.now_s()
+                )
+                self._save_again_after_restore()
+                try:
+                    await self._set_defaults()
+                    await self._remove_expired()
+                except VersionNotSaved as failure:
+                    logging.info(
+                        "event=default_version_not_set detail=%r",
+                        failure.detail,
+                    )
+            await self.sleep(MAINTENANCE_INTERVAL_S)
+
+    def _set_retention(self) -> None:
+        timeouts_ms = [
+            route.timeout_ms
+            for route in self._ctx.directory.configuration.routes
+            if route.resumable
+        ]
+        longest_s = max(timeouts_ms, default=0) / 1_000
+        retention_s = max(MIN_RETENTION_S, RETENTION_FACTOR * longest_s)
+        for streams in (self._streams, self._own, self._saved):
+            streams.retention_s = retention_s
+
+    def _recent(self, service: str) -> set[str]:
+        """Return the versions whose streams clients may still take up."""
+        ctx = self._ctx
+        now_s = ctx.now_s()
+        self._serving.record(ctx.directory.servers.all(), now_s)
+        default = ctx.directory.default_versions.get(service)
+        if default is not None:
+            # A gateway that has just started has not seen its servers leave.
+            self._serving.add(service, default.version, now_s)
+        return self._serving.recent(service, self._own.retention_s, now_s)
+
+    async def _set_defaults(self) -> None:
+        """Set the default versions that are missing or out of use."""
+        ctx = self._ctx
+        directory = ctx.directory
+        services = {
+            target.service
+            for route in directory.configuration.routes
+            if route.resumable
+            for target in route.targets
+        }
+        self._is_mixed = any(
+            len(self._recent(service)) > 1 for service in services
+        )
+        for service in services:
+            known = directory.default_versions.get(service)
+            if known is not None:
+                self._defaults[service] = known.version
+            current = self._defaults.get(service)
+            servers = directory.servers.of(service, ctx.now_s())
+            version = default_version(servers, self._recent(service), current)
+            if version is None or (known and version == known.version):
+                continue
+            await self._store.set_default(service, version, known)
+            logging.info(
+                "event=default_version service=%s version=%s before=%s",
+                service,
+                version,
+                current,
+            )
+
+    def _save_again_after_restore(self) -> None:
+        """Save the records that a restored store has lost."""
+        era = self._ctx.directory.era
+        if era != self._era:
+            if self._era:
+                now_s = self._ctx.now_s()
+                since_s = now_s - self._saved.retention_s
+                self._unsaved = (
+                    self._saved.since(since_s, len(self._saved))
+                    | self._unsaved
+                )
+                self._has_unsaved.set()
+            self._era = era
+
+    async def _remove_expired(self) -> None:
+        """Remove expired records from the store, at one gateway."""
+        directory = self._ctx.directory
+        if self._ctx.settings.name != min(directory.gateways, default=""):
+            return
+        oldest_s = self._ctx.now_s() - self._own.retention_s
+        expired = directory.streams_before(oldest_s)
+        for start in range(0, len(expired), SAVE_BATCH):
+            await self._store.remove(expired[start : start + SAVE_BATCH])
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -1,7 +1,7 @@
-"""Gateway registrations, the stage lock and convictions as keys in the store.
+"""Records of gateways as keys in the store.
 
-All but the convictions are removed with the lease of the gateway that wrote
-them.
+Registrations, the stage lock and stage orders are removed with the lease of
+the gateway that wrote them; convictions and versions of streams stay.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
     Registry,
 )
 from gooseberrypost.gateway.stagelock import StageLock, StageLockLost
+from gooseberrypost.gateway.versions import VersionNotSaved, VersionStore
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import encode_stage_order
 from gooseberrypost.platform.store import (
@@ -29,7 +30,9 @@
 )
 
 if TYPE_CHECKING:
-    from gooseberrypost.gateway.model import StageOrder
+    from collections.abc import Collection, Mapping
+
+    from gooseberrypost.gateway.model import DefaultVersion, StageOrder
     from gooseberrypost.platform.store import PlatformStore
 
 CONFIRM_TIMEOUT_S: Final = 0.3
@@ -158,3 +161,63 @@
             await self._store.write([], removed=removed)
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise ConvictionNotSaved(str(failure)) from failure
+
+
+class PlatformVersionStore(VersionStore):
+    """Versions of streams as keys without a lease, which may lapse early."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def save(self, streams: Mapping[str, str]) -> None:
+        """Write the records in one transaction."""
+        await self._write(
+            [
+                Put(
+                    f"{names.STREAM_VERSIONS_PREFIX}{stream}", version.encode()
+                )
+                for stream, version in streams.items()
+            ]
+        )
+
+    async def find(self, stream: str) -> str | None:
+        """Read the record of a stream."""
+        key = f"{names.STREAM_VERSIONS_PREFIX}{stream}"
+        try:
+            found = await self._store.range(key)
+        except FeedLost as failure:
+            raise VersionNotSaved(str(failure)) from failure
+        for item in found.items:
+            if item.key == key and item.value is not None:
+                return item.value.decode("utf-8", "replace")
+        return None
+
+    async def remove(self, streams: Collection[str]) -> None:
+        """Remove records."""
+        await self._write(
+            [],
+            removed=[
+                f"{names.STREAM_VERSIONS_PREFIX}{stream}" for stream in streams
+            ],
+        )
+
+    async def set_default(
+        self, service: str, version: str, replaced: DefaultVersion | None
+    ) -> None:
+        """Write a default version if the known one is still there."""
+        key = f"{names.DEFAULT_VERSIONS_PREFIX}{service}"
+        await self._write(
+            [Put(key, version.encode())],
+            conditions={key: replaced.revision if replaced else 0},
+        )
+
+    async def _write(
+        self,
+        puts: list[Put],
+        conditions: Mapping[str, int] | None = None,
+        removed: Collection[str] = (),
+    ) -> None:
+        try:
+            await self._store.write(puts, conditions, list(removed))
+        except (ConditionFailed, FeedLost, LeaseEnded) as failure:
+            raise VersionNotSaved(str(failure)) from failure
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -10,6 +10,7 @@
 
 from gooseberrypost.address import parse_address
 from gooseberrypost.gateway.directory import Feed, FeedUpdate
+from gooseberrypost.gateway.model import DefaultVersion
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import (
     decode_configuration,
@@ -66,6 +67,8 @@
     gateways: dict[str, str | None] = {}
     lock_holder: str | None = None
     convictions: dict[str, int | None] = {}
+    streams: dict[str, str | None] = {}
+    defaults: dict[str, DefaultVersion | None] = {}
     orders: list[StageOrder] = []
     removed_orders: list[str] = []
     for key, item in last_items.items():
@@ -88,6 +91,17 @@
         elif key.startswith(names.QUARANTINE_PREFIX):
             content = key.removeprefix(names.QUARANTINE_PREFIX)
             convictions[content] = _convicted_ms(item)
+        elif key.startswith(names.STREAM_VERSIONS_PREFIX):
+            stream = key.removeprefix(names.STREAM_VERSIONS_PREFIX)
+            streams[stream] = _text(item)
+        elif key.startswith(names.DEFAULT_VERSIONS_PREFIX):
+            service = key.removeprefix(names.DEFAULT_VERSIONS_PREFIX)
+            version = _text(item)
+            defaults[service] = (
+                None
+                if version is None
+                else DefaultVersion(version, item.revision)
+            )
         elif key == names.STAGE_HOLDER_KEY:
             lock_holder = (item.value or b"").decode("utf-8", "replace")
         elif key.startswith(names.STAGE_ORDERS_PREFIX):
@@ -108,10 +122,19 @@
         tuple(orders),
         tuple(removed_orders),
         convictions,
+        streams,
+        defaults,
         read.era,
     )
 
 
+def _text(item: Item) -> str | None:
+    """Return the text of an item; None if it was removed."""
+    if item.value is None:
+        return None
+    return item.value.decode("utf-8", "replace")
+
+
 def _address(item: Item) -> str | None:
     """Return a gateway's address; None if removed or invalid."""
     text = (item.value or b"").decode("ascii", "replace")
--- a/src/gooseberrypost/platform/gateway.py
+++ b/src/gooseberrypost/platform/gateway.py
@@ -11,6 +11,7 @@
 from gooseberrypost.gateway.daemon import GatewayDaemon, serve_until_signal
 from gooseberrypost.platform.coordination import (
     PlatformConvictionStore,
+    PlatformVersionStore,
     StoreRegistry,
     StoreStageLock,
 )
@@ -36,6 +37,7 @@
         StoreRegistry(store),
         StoreStageLock(store),
         PlatformConvictionStore(store),
+        PlatformVersionStore(store),
         decode_request,
         random.Random(),
     )
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -97,5 +97,9 @@
 
 The value is the time of the verdict in ms, negative if it was withdrawn.
 """
+STREAM_VERSIONS_PREFIX: Final = "gooseberrypost/streams/"
+"""Software version that began a stream, by the digest of its first attempt."""
+DEFAULT_VERSIONS_PREFIX: Final = "gooseberrypost/default-versions/"
+"""Version of a service's streams that have no such record, by service."""
 STAGE_HOLDER_KEY: Final = "gooseberrypost/stage-holder"
 STAGE_ORDERS_PREFIX: Final = "gooseberrypost/stage-orders/"
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -313,6 +313,11 @@
   2: i64 convicted_ms,         // wall clock
 }
 
+struct StreamNotice {
+  1: string stream,            // key of the stream
+  2: string version,           // software version that began it
+}
+
 struct LoadNotice {
   1: string name,              // name of the sending gateway
   2: i64 incarnation,
@@ -326,4 +331,5 @@
   10: optional list<CrashNotice> crashes,  // recent reports of the sender
   11: optional list<ConvictionNotice> convictions,
   12: optional list<ServerLimitNotice> limits,
+  13: optional list<StreamNotice> streams,  // streams that the sender began
 }
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -14,6 +14,7 @@
 from gooseberrypost.gateway.daemon import GatewayDaemon
 from gooseberrypost.platform.coordination import (
     PlatformConvictionStore,
+    PlatformVersionStore,
     StoreRegistry,
     StoreStageLock,
 )
@@ -129,6 +130,7 @@
             StoreRegistry(client),
             StoreStageLock(client),
             PlatformConvictionStore(client),
+            PlatformVersionStore(client),
             decode_request,
             random.Random(1),
         )
