--- a/src/gooseberrypost/gateway/versions.py
+++ b/src/gooseberrypost/gateway/versions.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 from absl import logging
@@ -219,10 +220,7 @@
             await self._has_unsaved.wait()
             self._has_unsaved.clear()
             try:
-                while batch := dict(list(self._unsaved.items())[:SAVE_BATCH]):
-                    await self._store.save(batch)
-                    self._is_store_failing = False
-                    self._finish(batch)
+                await self.save_records()
             except VersionNotSaved as failure:
                 if not self._is_store_failing:
                     logging.warning(
@@ -235,6 +233,17 @@
                 await self.sleep(SAVE_RETRY_S)
                 self._has_unsaved.set()
 
+    async def save_records(self) -> None:
+        """Save the records that are due; raises ``VersionNotSaved``.
+
+        Streams that begin during a call share the next one.
+        """
+        while self._unsaved:
+            batch = dict(islice(self._unsaved.items(), SAVE_BATCH))
+            await self._store.save(batch)
+            self._is_store_failing = False
+            self._finish(batch)
+
     def _finish(self, batch: Mapping[str, str]) -> None:
         now_s = self._ctx.now_s()
         self._ctx.metrics.count("streams_recorded_total", len(batch))
@@ -259,16 +268,9 @@
         # Gateways that start together would all set the same default.
         await self.sleep(self._ctx.rng.uniform(0, MAINTENANCE_INTERVAL_S))
         while not self.should_stop:
-            directory = self._ctx.directory
-            if directory.is_loaded:
-                self._set_retention()
-                self._serving.record(
-                    directory.servers.all(), self._ctx.now_s()
-                )
-                self._save_again_after_restore()
+            if self._ctx.directory.is_loaded:
                 try:
-                    await self._set_defaults()
-                    await self._remove_expired()
+                    await self.maintain()
                 except VersionNotSaved as failure:
                     logging.info(
                         "event=default_version_not_set detail=%r",
@@ -276,6 +278,13 @@
                     )
             await self.sleep(MAINTENANCE_INTERVAL_S)
 
+    async def maintain(self) -> None:
+        """Set defaults and drop old records; raises ``VersionNotSaved``."""
+        self._set_retention()
+        self._save_again_after_restore()
+        await self._set_defaults()
+        await self._remove_expired()
+
     def _set_retention(self) -> None:
         timeouts_ms = [
             route.timeout_ms
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -31,6 +31,8 @@
         """Fault: every call is answered with 503."""
         self.silent = False
         """Fault: calls are accepted but never answered."""
+        self.txn_delay_s = 0.0
+        """Time before a transaction takes effect."""
         self.compacted = 0
         """Watches from before this revision are answered with 410, as if the
         history had been compacted."""
@@ -168,6 +170,7 @@
         return web.json_response({"events": events, "at": self.revision})
 
     async def _txn(self, request):
+        await asyncio.sleep(self.txn_delay_s)
         body = await request.json()
         for row in body["precondition"]:
             current = self.items.get(row["key"], {}).get("revision", 0)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -248,3 +248,70 @@
                 assert len(versions) == 1
 
     run(work)
+
+
+async def default_version(kit) -> str:
+    """Wait until the service has a default version, and return it."""
+    directory = kit.daemon.context.directory
+    await kit.until(lambda: "llm" in directory.default_versions)
+    return directory.default_versions["llm"].version
+
+
+def records(kit) -> list[str]:
+    prefix = "gooseberrypost/streams/"
+    return [key for key in kit.store.items if key.startswith(prefix)]
+
+
+def test_first_event_waits_for_the_record_of_its_version():
+    """Guards against a stream that all gateways forget as they die.
+
+    Its client has an event, and the store does not have its version yet.
+    """
+
+    async def work():
+        async with serving_versions("v1") as kit:
+            assert await default_version(kit) == "v1"
+            await add_engine(kit, "d1", "v2")
+            kit.engines["d0"].has_room = False
+            kit.store.txn_delay_s = 0.15
+            await begin(kit, "a")
+            assert len(records(kit)) == 1
+
+    run(work)
+
+
+def test_streams_of_the_default_version_have_no_record():
+    """Guards against a call to the store for each stream."""
+
+    async def work():
+        async with serving_versions("v1") as kit:
+            assert await default_version(kit) == "v1"
+            bodies = [await begin(kit, f"a{n}") for n in range(4)]
+            assert not records(kit)
+            await add_engine(kit, "d1", "v2")
+            await replace_gateway(kit, "gateway-2")
+            for number, body in enumerate(bodies):
+                status, body = await take_up(
+                    kit, f"b{number}", f"a{number}", body
+                )
+                assert status == 200
+                assert numbers_and_versions(body) == ([1, 2, 3], {"v1"})
+
+    run(work)
+
+
+def test_a_silent_store_holds_no_stream_back():
+    """Guards against streams that wait for a record as long as it lasts."""
+
+    async def work():
+        async with serving_versions("v1") as kit:
+            assert await default_version(kit) == "v1"
+            await add_engine(kit, "d1", "v2")
+            kit.engines["d0"].has_room = False
+            kit.store.silent = True
+            for number in range(3):
+                began_s = asyncio.get_running_loop().time()
+                await begin(kit, f"a{number}")
+                assert asyncio.get_running_loop().time() - began_s < 0.9
+
+    run(work)
--- /dev/null
+++ b/tests/test_stream_versions_load.py
@@ -0,0 +1,350 @@
+"""Store calls for the versions of streams, without a network.
+
+Answers streams that begin at 930 a second, over 420 gateways, while servers
+of one version or of two serve.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from gooseberrypost.gateway.directory import Directory, FeedUpdate
+from gooseberrypost.gateway.model import (
+    Configuration,
+    DefaultVersion,
+    RequestKind,
+    Route,
+    Server,
+    Target,
+)
+from gooseberrypost.gateway.versions import (
+    MIN_RETENTION_S,
+    VersionKeeper,
+    VersionNotSaved,
+    VersionStore,
+    VersionUnknown,
+)
+from gooseberrypost.metrics import Metrics
+
+GATEWAYS = 420
+STREAMS_PER_S = 930
+SERVICE = "llm"
+
+
+class SharedStore(VersionStore):
+    """Store of all gateways, which passes changes on to them at once."""
+
+    def __init__(self):
+        self.streams: dict[str, str] = {}
+        self.defaults: dict[str, DefaultVersion] = {}
+        self.revision = 1
+        self.era = 1
+        self.calls = 0
+        self.is_down = False
+        self.directories: list[Directory] = []
+
+    def _call(self):
+        if self.is_down:
+            raise VersionNotSaved("down")
+        self.calls += 1
+
+    async def save(self, streams):
+        self._call()
+        self.streams |= streams
+        self.publish(streams=dict(streams))
+
+    async def find(self, stream):
+        self._call()
+        return self.streams.get(stream)
+
+    async def remove(self, streams):
+        self._call()
+        for stream in streams:
+            del self.streams[stream]
+        self.publish(streams=dict.fromkeys(streams))
+
+    async def set_default(self, service, version, replaced):
+        self._call()
+        if self.defaults.get(service) != replaced:
+            raise VersionNotSaved("changed")
+        self.revision += 1
+        self.defaults[service] = DefaultVersion(version, self.revision)
+        self.publish(defaults=dict(self.defaults))
+
+    def publish(self, streams=None, defaults=None, *, is_snapshot=False):
+        for directory in self.directories:
+            directory.apply_versions(
+                FeedUpdate(
+                    (),
+                    (),
+                    (),
+                    self.revision,
+                    is_snapshot,
+                    stream_versions=streams or {},
+                    default_versions=defaults or {},
+                    era=self.era,
+                ),
+                directory.now_s(),
+            )
+
+    def restore(self, streams, defaults):
+        """Come back from an older copy."""
+        self.era += 1
+        self.streams, self.defaults = dict(streams), dict(defaults)
+        for directory in self.directories:
+            directory.era = self.era
+        self.publish(self.streams, self.defaults, is_snapshot=True)
+
+
+class ClockedDirectory(Directory):
+    """Directory of the one clock of a test."""
+
+    __slots__ = ("now_s",)
+
+
+class Fleet:
+    """Gateways on one clock, with the store that they share."""
+
+    def __init__(self, count: int, *versions: str):
+        self.at_s = 0.0
+        self.store = SharedStore()
+        self.versions = versions
+        self.keepers = [self.keeper(f"g{n:03}") for n in range(count)]
+
+    def keeper(self, name: str) -> VersionKeeper:
+        """Start a gateway that knows no more than the store."""
+        directory = ClockedDirectory()
+        directory.now_s = lambda: self.at_s
+        directory.era = self.store.era
+        directory.configuration = Configuration(
+            version=1,
+            routes=(
+                Route(
+                    "r",
+                    "h",
+                    "/",
+                    RequestKind.STREAMING,
+                    (Target(SERVICE, 1.0),),
+                    timeout_ms=14_000,
+                    resumable=True,
+                ),
+            ),
+        )
+        directory.gateways["g000"] = "127.0.0.1:1"
+        self.store.directories.append(directory)
+        self.store.publish(
+            self.store.streams, self.store.defaults, is_snapshot=True
+        )
+        keeper = VersionKeeper(
+            SimpleNamespace(
+                directory=directory,
+                now_s=lambda: self.at_s,
+                settings=SimpleNamespace(name=name),
+                metrics=Metrics(),
+                rng=random.Random(1),
+                notify_loads_changed=lambda: None,
+            ),
+            self.store,
+        )
+        self.register(directory)
+        return keeper
+
+    def register(self, directory: Directory):
+        servers = [
+            Server(f"i-{n}", SERVICE, f"10.0.0.{n}:80", "a", version=version)
+            for n, version in enumerate(self.versions)
+        ]
+        directory.servers.apply(servers, (), True, self.at_s)
+
+    def serve_versions(self, *versions: str):
+        self.versions = versions
+        for directory in self.store.directories:
+            self.register(directory)
+
+    async def maintain(self, after_s: float = 0.0):
+        self.at_s += after_s
+        for keeper in self.keepers:
+            await keeper.maintain()
+
+    async def begin(self, attempts, version_of) -> int:
+        """Begin streams at all gateways; return the calls that it took."""
+        before = self.store.calls
+        for number, attempt in enumerate(attempts):
+            keeper = self.keepers[number % len(self.keepers)]
+            keeper.begin(SERVICE, attempt, version_of(number))
+            await keeper.save_records()
+        return self.store.calls - before
+
+
+def attempts(count: int, prefix: str = "a") -> list[str]:
+    return [f"{prefix}{number}" for number in range(count)]
+
+
+def test_streams_of_one_version_cost_no_store_calls():
+    """Guards against a write for each of 930 streams a second."""
+
+    async def work():
+        fleet = Fleet(GATEWAYS, "v1", "v1")
+        await fleet.maintain()
+        assert await fleet.begin(attempts(STREAMS_PER_S), lambda n: "v1") == 0
+
+    asyncio.run(work())
+
+
+def test_streams_of_two_versions_cost_a_call_each_at_most():
+    """Guards against more writes than streams of the newer version.
+
+    The default stays the version of the streams that have no record.
+    """
+
+    async def work():
+        fleet = Fleet(GATEWAYS, "v1", "v1")
+        await fleet.maintain()
+        fleet.serve_versions("v1", "v2", "v2")
+        await fleet.maintain(1.0)
+        calls = await fleet.begin(
+            attempts(STREAMS_PER_S), lambda n: f"v{1 + n % 2}"
+        )
+        assert calls <= STREAMS_PER_S // 2
+
+    asyncio.run(work())
+
+
+def test_streams_that_begin_during_a_call_share_the_next_one():
+    """Guards against as many calls as streams where many begin at once."""
+
+    async def work():
+        fleet = Fleet(1, "v1")
+        await fleet.maintain()
+        (keeper,) = fleet.keepers
+        before = fleet.store.calls
+        for attempt in attempts(STREAMS_PER_S):
+            keeper.begin(SERVICE, attempt, "v2")
+        await keeper.save_records()
+        assert fleet.store.calls - before <= 1 + STREAMS_PER_S // 32
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("left", [(), ("v1",)])
+def test_all_versions_are_found_after_the_death_of_all_gateways(left):
+    """Guards against a guess, or a refusal, of streams that began before.
+
+    Also where the servers of the default version have just left.
+    """
+
+    async def work():
+        fleet = Fleet(8, "v1", "v1")
+        await fleet.maintain()
+        await fleet.begin(attempts(100, "old"), lambda n: "v1")
+        fleet.serve_versions("v1", "v2")
+        await fleet.maintain(1.0)
+        await fleet.begin(attempts(100, "new"), lambda n: f"v{1 + n % 2}")
+        fleet.serve_versions(*({"v1", "v2"} - set(left)))
+        fleet.at_s += 2.0
+        keeper = fleet.keeper("g100")
+        for number in range(100):
+            assert await keeper.find(SERVICE, f"old{number}") == "v1"
+            found = await keeper.find(SERVICE, f"new{number}")
+            assert found == f"v{1 + number % 2}"
+
+    asyncio.run(work())
+
+
+def test_the_default_changes_only_when_its_streams_have_ended():
+    """Guards against a stream of the former default at the new one."""
+
+    async def work():
+        fleet = Fleet(4, "v1")
+        await fleet.maintain()
+        fleet.serve_versions("v1", "v2")
+        await fleet.maintain(1.0)
+        fleet.serve_versions("v2")
+        for _ in range(int(MIN_RETENTION_S) - 2):
+            await fleet.maintain(1.0)
+            assert fleet.store.defaults[SERVICE].version == "v1"
+        for keeper in fleet.keepers[1:]:
+            fleet.keepers.remove(keeper)
+        await fleet.maintain(4.0)
+        assert fleet.store.defaults[SERVICE].version == "v2"
+        assert await fleet.begin(attempts(100), lambda n: "v2") == 0
+
+    asyncio.run(work())
+
+
+def test_records_are_removed_when_their_streams_have_ended():
+    """Guards against records that fill the store."""
+
+    async def work():
+        fleet = Fleet(4, "v1", "v2")
+        await fleet.maintain()
+        default = fleet.store.defaults[SERVICE].version
+        other = {"v1": "v2", "v2": "v1"}[default]
+        await fleet.begin(attempts(100), lambda n: other)
+        assert len(fleet.store.streams) == 100
+        await fleet.maintain(MIN_RETENTION_S - 1.0)
+        assert len(fleet.store.streams) == 100
+        before = fleet.store.calls
+        await fleet.maintain(2.0)
+        assert not fleet.store.streams
+        assert fleet.store.calls - before <= 4
+
+    asyncio.run(work())
+
+
+def test_a_restored_store_gets_its_records_and_defaults_again():
+    """Guards against another default, and lost records, in an older copy."""
+
+    async def work():
+        fleet = Fleet(4, "v1")
+        await fleet.maintain()
+        fleet.serve_versions("v1", "v2", "v2")
+        await fleet.maintain(1.0)
+        await fleet.begin(attempts(20), lambda n: "v2")
+        fleet.store.restore({}, {})
+        for keeper in fleet.keepers:
+            try:
+                await keeper.maintain()
+            except VersionNotSaved:
+                # Another gateway was first.
+                continue
+            await keeper.save_records()
+        assert fleet.store.defaults[SERVICE].version == "v1"
+        for keeper in fleet.keepers:
+            await keeper.save_records()
+        assert len(fleet.store.streams) == 20
+
+    asyncio.run(work())
+
+
+def test_nothing_is_guessed_while_the_store_is_away():
+    """Guards against a joined stream where its record cannot be read.
+
+    What other gateways told in notices is known all the same, and so is the
+    version of a service that has only one.
+    """
+
+    async def work():
+        fleet = Fleet(2, "v1")
+        await fleet.maintain()
+        fleet.store.is_down = True
+        first, second = fleet.keepers
+        assert await second.find(SERVICE, "earlier") == "v1"
+        fleet.serve_versions("v1", "v2")
+        for keeper in fleet.keepers:
+            with pytest.raises(VersionUnknown):
+                await keeper.find(SERVICE, "earlier")
+        fleet.store.is_down = False
+        await fleet.maintain(1.0)
+        fleet.store.is_down = True
+        first.begin(SERVICE, "a", "v1")
+        first.begin(SERVICE, "b", "v2")
+        second.apply_notice(first.recent_streams())
+        assert await second.find(SERVICE, "a") == "v1"
+        assert await second.find(SERVICE, "b") == "v2"
+
+    asyncio.run(work())
