Send nothing more to a server that says in an answer that it leaves

A server names its leaving in all its answers (Server-Leaving); no code read that. Its registration says so only later, so requests were sent to a server about to end. It now counts as draining from the first such answer on, also when its registration is written anew.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -120,6 +120,16 @@
             )
             self.metrics.count("server_limit_changes_total")
 
+    def record_leaving(self, server: Server) -> None:
+        """Record that a server said in an answer that it leaves."""
+        if self.directory.servers.record_leaving(server):
+            logging.info(
+                "event=server change=leaving server=%s service=%s",
+                server.instance,
+                server.service,
+            )
+            self.reservation_queue.wake()
+
     def budget(self, service: str) -> GatewayRetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -68,6 +68,7 @@
         directory.servers.heartbeat_s = cfg.heartbeat_ms / 1_000
         self.context = GatewayContext(cfg, directory, transport, rng)
         transport.on_rate_limit = self.context.record_rate_limit
+        transport.on_leaving = self.context.record_leaving
         self.context.versions = VersionKeeper(self.context, versions)
         section = self.lifecycle.section
         self.peers = Peers(self.context, registry)
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -139,6 +139,9 @@
     of the server names none.
     """
 
+    on_leaving: Callable[[Server], None] = staticmethod(lambda server: None)
+    """Callback for a server that says in an answer that it leaves."""
+
     @abstractmethod
     def open(
         self, server: Server, req: ClientRequest, options: SendOptions
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -228,7 +228,7 @@
             ) as response:
                 content = await read_bounded(response, MAX_CONTROL_BYTES)
                 if response.status != MISDIRECTED:
-                    self._report_limit(server, response)
+                    self._report_state(server, response)
                 return response.status, content
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
@@ -278,32 +278,39 @@
             raise ForeignAnswer(f"{server.address} answered request {echoed}")
         if response.status == MISDIRECTED:
             raise WrongInstance(server.address, status=MISDIRECTED)
-        self._report_limit(server, response)
+        self._report_state(server, response)
         if names.NOT_EXECUTED in headers:
             raise ServerRefused(server.address, status=response.status)
 
-    def _report_limit(
+    def _report_state(
         self, server: Server, response: aiohttp.ClientResponse
     ) -> None:
-        """Report the rate limit that an answer names.
-
-        Only a signed answer shows that there is none: control calls and
-        refusals may not name it.
-        """
-        text = response.headers.get(names.SERVER_LIMIT)
-        if text is None:
-            if names.SIGNATURE in response.headers:
-                self.on_rate_limit(server, None)
-            return
-        decoded = parse_limit(text)
-        if isinstance(decoded, Err):
-            logging.warning(
-                "event=invalid_server_limit server=%s detail=%r",
-                server.instance,
-                decoded.err_value.detail,
-            )
-            return
-        self.on_rate_limit(server, decoded.ok_value)
+        """Report what an answer tells of its server."""
+        headers = response.headers
+        if names.SERVER_LEAVING in headers:
+            self.on_leaving(server)
+        text = headers.get(names.SERVER_LIMIT)
+        if text is not None:
+            per_s = _number(server, text)
+            if per_s is not None:
+                self.on_rate_limit(server, per_s)
+        elif names.SIGNATURE in headers:
+            # Only a signed answer shows that there is no limit: control calls
+            # and refusals may not name it.
+            self.on_rate_limit(server, None)
+
+
+def _number(server: Server, text: str) -> float | None:
+    """Read a number that a server names; None if it is not one."""
+    decoded = parse_limit(text)
+    if isinstance(decoded, Err):
+        logging.warning(
+            "event=invalid_server_limit server=%s detail=%r",
+            server.instance,
+            decoded.err_value.detail,
+        )
+        return None
+    return decoded.ok_value
 
 
 def _answer(response: aiohttp.ClientResponse) -> Answer:
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -78,6 +78,9 @@
 LEASE_RENEW_PATH: Final = "/-/kv-keep/"
 LEASE_REVOKE_PATH: Final = "/-/kv-lease-end/"
 
+SERVER_LEAVING: Final = "Server-Leaving"
+"""Present in each answer of a server that will end soon."""
+
 STORE_ERA: Final = "Store-Era"
 """Number in each answer of the store.
 
--- a/src/gooseberrypost/policy/membership.py
+++ b/src/gooseberrypost/policy/membership.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.gateway.model import Server
@@ -86,6 +86,7 @@
         "_by_service",
         "_held_back",
         "_lapsed_s",
+        "_leaving",
         "_left",
         "_reconnected_s",
         "_servers",
@@ -100,6 +101,8 @@
         """Time at which the registration of a server still in use lapsed."""
         self._held_back: dict[str, tuple[Server, float]] = {}
         """Outdated registrations of a later era, and when they were read."""
+        self._leaving: set[str] = set()
+        """Identities of servers that have said that they leave."""
         self._left: OrderedDict[str, Server] = OrderedDict()
         """Last registration of the latest servers that left."""
         self._reconnected_s = float("-inf")
@@ -121,6 +124,21 @@
         """Record that the store answers again after an outage."""
         self._reconnected_s = now_s
 
+    def record_leaving(self, server: Server) -> bool:
+        """Take a server that says that it leaves as draining.
+
+        Its registration may say so only later. Returns whether it is news.
+        """
+        known = self._servers.get(server.instance)
+        if known is None or known.identity != server.identity:
+            return False
+        if server.identity in self._leaving:
+            return False
+        self._leaving.add(server.identity)
+        self._servers[server.instance] = replace(known, draining=True)
+        self._index()
+        return not known.draining
+
     def apply(
         self,
         written: Iterable[Server],
@@ -167,6 +185,10 @@
             return "held_back"
         self._held_back.pop(server.instance, None)
         self._left.pop(server.instance, None)
+        if server.identity in self._leaving:
+            server = replace(server, draining=True)
+        elif known is not None and known.identity != server.identity:
+            self._leaving.discard(known.identity)
         self._servers[server.instance] = server
         lapsed = self._lapsed_s.pop(server.instance, None) is not None
         if known is None:
@@ -207,6 +229,7 @@
                 changes.append(ServerChange("lapsed", server))
                 continue
             del self._servers[key]
+            self._leaving.discard(server.identity)
             self._left[key] = server
             self._left.move_to_end(key)
             if len(self._left) > MAX_LEFT:
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -79,6 +79,10 @@
         """Time before a control call is answered."""
         self.limit_per_s: str | None = None
         """Rate limit that each answer names."""
+        self.leaves = False
+        """Whether each answer says that the server is about to leave."""
+        self.retry_after: str | None = None
+        """Time to come back that each refusal names."""
         self.arrivals_s: list[float] = []
         """Monotonic time at which each request was received."""
 
@@ -172,9 +176,10 @@
             has_source and self.refuses_kv_sources
         )
         if refuses:
-            return await self._send(
-                writer, "503 Service Unavailable", [NOT_EXECUTED]
-            )
+            headers = [NOT_EXECUTED]
+            if self.retry_after is not None:
+                headers.append(f"Retry-After: {self.retry_after}")
+            return await self._send(writer, "503 Service Unavailable", headers)
         request_id = request.header("Attempt-Id")
         source = request.header("Kv-Source") or ""
         if source in STOPPED_RUNS:
@@ -256,16 +261,20 @@
             writer, f"{status} X", ["Content-Type: application/json"], content
         )
 
-    def _limit_headers(self) -> list[str]:
-        if self.limit_per_s is None:
-            return []
-        return [f"Server-Limit: {self.limit_per_s}"]
+    def _state_headers(self) -> list[str]:
+        """Return the headers by which each answer tells of the server."""
+        found = []
+        if self.limit_per_s is not None:
+            found.append(f"Server-Limit: {self.limit_per_s}")
+        if self.leaves:
+            found.append("Server-Leaving: 1")
+        return found
 
     async def _send(self, writer, status, headers, body=b""):
         lines = [
             f"HTTP/1.1 {status}",
             *headers,
-            *self._limit_headers(),
+            *self._state_headers(),
             f"Content-Length: {len(body)}",
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode() + body)
@@ -276,7 +285,7 @@
             "HTTP/1.1 200 OK",
             f"X-Gooseberrypost-Attempt-Id: {request.header('Attempt-Id')}",
             SIGNATURE,
-            *self._limit_headers(),
+            *self._state_headers(),
             *headers,
         ]
         return "\r\n".join([*lines, "", ""]).encode()
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -99,3 +99,36 @@
         X_Gooseberrypost_Length_Hint="1",
         X_Gooseberrypost_Deadline_Ms="9000",
     )
+
+
+@pytest.mark.parametrize("route", ["/safe/x", "/again/x"])
+def test_server_that_says_it_leaves_gets_no_more_requests(route):
+    """Guards against requests to a server that ends before they do.
+
+    It names its leaving in its answers, also while its registration is of an
+    earlier state or is written anew.
+    """
+
+    async def work():
+        engines = [("p", "llm", "prefill")]
+        for name in ("a", "b"):
+            engines += [
+                (f"desk-{name}", "desk", ""),
+                (f"llm-{name}", "llm", "decode"),
+            ]
+        async with serving(*engines) as kit:
+            for service in ("desk", "llm"):
+                kit.engines[f"{service}-a"].leaves = True
+            told = {"/safe/x": "desk-a", "/again/x": "llm-a"}[route]
+            service = told.partition("-")[0]
+            for _ in range(40):
+                if kit.engines[told].received:
+                    break
+                assert (await kit.generate(route)).status == 200
+            kit.register(told, service)
+            before = len(kit.engines[told].received)
+            for _ in range(20):
+                assert (await kit.generate(route)).status == 200
+            assert len(kit.engines[told].received) == before
+
+    asyncio.run(work())
