Keep the pause that a server asks for when it refuses a request

A server that refuses with 503 may name in Retry-After for how long it wants nothing from that gateway; no code read that, and the server got more after the usual backoff. A pause is now part of the wait for a server, like a rate limit: others are chosen, a request that would wait too long is refused at once and told when to come back.

--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -130,6 +130,17 @@
             )
             self.reservation_queue.wake()
 
+    def record_server_pause(self, server: Server, pause_s: float) -> None:
+        """Record that a server refused a request and asked for a pause."""
+        self.loads.limits.record_pause(server.identity, pause_s, self.now_s())
+        logging.info(
+            "event=server_pause server=%s service=%s pause_s=%s",
+            server.instance,
+            server.service,
+            pause_s,
+        )
+        self.metrics.count("server_pauses_total")
+
     def budget(self, service: str) -> GatewayRetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -69,6 +69,7 @@
         self.context = GatewayContext(cfg, directory, transport, rng)
         transport.on_rate_limit = self.context.record_rate_limit
         transport.on_leaving = self.context.record_leaving
+        transport.on_pause = self.context.record_server_pause
         self.context.versions = VersionKeeper(self.context, versions)
         section = self.lifecycle.section
         self.peers = Peers(self.context, registry)
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -220,6 +220,7 @@
                 if server.stage is not Stage.PREFILL and not server.draining
             ],
             waiting,
+            ctx.now_s(),
         )
         return max(
             limited_s,
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -142,6 +142,11 @@
     on_leaving: Callable[[Server], None] = staticmethod(lambda server: None)
     """Callback for a server that says in an answer that it leaves."""
 
+    on_pause: Callable[[Server, float], None] = staticmethod(
+        lambda server, pause_s: None
+    )
+    """Callback for the seconds for which a refusal asks for no requests."""
+
     @abstractmethod
     def open(
         self, server: Server, req: ClientRequest, options: SendOptions
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -40,6 +40,7 @@
     from gooseberrypost.gateway.request import ClientRequest
 
 MISDIRECTED: Final = 421
+UNAVAILABLE: Final = 503
 CONTROL_TIMEOUT_S: Final = 0.25
 """Timeout of a control call, which takes one round trip of a few ms."""
 MOVE_TIMEOUT_S: Final = 1.0
@@ -289,6 +290,10 @@
         headers = response.headers
         if names.SERVER_LEAVING in headers:
             self.on_leaving(server)
+        if response.status == UNAVAILABLE and names.RETRY_AFTER in headers:
+            pause_s = _number(server, headers[names.RETRY_AFTER])
+            if pause_s is not None:
+                self.on_pause(server, pause_s)
         text = headers.get(names.SERVER_LIMIT)
         if text is not None:
             per_s = _number(server, text)
--- a/src/gooseberrypost/platform/names.py
+++ b/src/gooseberrypost/platform/names.py
@@ -80,6 +80,8 @@
 
 SERVER_LEAVING: Final = "Server-Leaving"
 """Present in each answer of a server that will end soon."""
+RETRY_AFTER: Final = "Retry-After"
+"""Seconds for which a server that refuses wants no request of this gateway."""
 
 STORE_ERA: Final = "Store-Era"
 """Number in each answer of the store.
--- a/src/gooseberrypost/policy/serverlimit.py
+++ b/src/gooseberrypost/policy/serverlimit.py
@@ -51,18 +51,18 @@
 
 
 def parse_limit(text: str) -> Result[float, InvalidLimit]:
-    """Read the requests per second that a server names.
+    """Read the requests per second, or seconds, that a server names.
 
     >>> parse_limit("2.5"), parse_limit("-1").is_err()
     (Ok(2.5), True)
     """
     try:
-        per_s = float(text)
+        value = float(text)
     except ValueError:
-        per_s = -1.0
-    if not 0 <= per_s < math.inf:
-        return Err(InvalidLimit(f"rate limit {text[:40]!r}"))
-    return Ok(per_s)
+        value = -1.0
+    if not 0 <= value < math.inf:
+        return Err(InvalidLimit(f"limit {text[:40]!r}"))
+    return Ok(value)
 
 
 @dataclass(slots=True, frozen=True)
@@ -115,17 +115,38 @@
 
 
 class ServerLimits:
-    """Rate limits by server identity."""
+    """Rate limits and pauses by server identity.
 
-    __slots__ = ("_limits", "_share")
+    A pause holds for the gateway that was refused alone.
+    """
+
+    __slots__ = ("_limits", "_paused_until_s", "_share")
 
     def __init__(self) -> None:
         self._limits: dict[str, _Limit] = {}
+        self._paused_until_s: dict[str, float] = {}
         self._share = 1.0
 
     def __bool__(self) -> bool:
-        """Whether any server has named a limit."""
-        return bool(self._limits)
+        """Whether any server has named a limit or a pause."""
+        return bool(self._limits or self._paused_until_s)
+
+    def record_pause(
+        self, identity: str, pause_s: float, now_s: float
+    ) -> None:
+        """Record that a server wants no request for some time."""
+        until_s = max(now_s + pause_s, self._paused_until_s.get(identity, 0.0))
+        self._paused_until_s[identity] = until_s
+
+    def pause_s(self, identity: str, now_s: float) -> float:
+        """Return the rest of a server's pause; 0 without one."""
+        until_s = self._paused_until_s.get(identity)
+        if until_s is None:
+            return 0.0
+        if until_s <= now_s:
+            del self._paused_until_s[identity]
+            return 0.0
+        return until_s - now_s
 
     def per_s(self, identity: str) -> float | None:
         """Return a server's limit in requests per second; None without."""
@@ -186,20 +207,30 @@
 
     def wait_s(self, identity: str, now_s: float) -> float:
         """Return the time until a request may be sent; 0 without a limit."""
+        pause_s = self.pause_s(identity, now_s)
         limit = self._limits.get(identity)
         if limit is None or limit.per_s is None:
-            return 0.0
+            return pause_s
         self._set_rate(limit, limit.per_s, now_s)
-        return limit.bucket.wait_ms(_ms(now_s)) / 1_000
+        return max(pause_s, limit.bucket.wait_ms(_ms(now_s)) / 1_000)
 
     def expected_wait_s(
-        self, identities: Collection[str], queued: int
+        self, identities: Collection[str], queued: int, now_s: float
     ) -> float:
         """Estimate the wait behind others for any of several servers.
 
-        0 if one of them has no limit.
+        0 if one of them has neither a limit nor a pause.
         """
-        limits = [self.per_s(identity) for identity in identities]
+        pauses_s = {
+            identity: self.pause_s(identity, now_s) for identity in identities
+        }
+        if pauses_s and all(pauses_s.values()):
+            return min(pauses_s.values())
+        limits = [
+            self.per_s(identity)
+            for identity, pause_s in pauses_s.items()
+            if not pause_s
+        ]
         rates = [limit for limit in limits if limit is not None]
         if not rates or len(rates) < len(limits):
             return 0.0
@@ -247,6 +278,8 @@
         kept = set(identities)
         for identity in self._limits.keys() - kept:
             del self._limits[identity]
+        for identity in self._paused_until_s.keys() - kept:
+            del self._paused_until_s[identity]
 
     def _limit(self, identity: str, now_s: float) -> _Limit:
         limit = self._limits.get(identity)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -10,6 +10,11 @@
 from tests.gateway_kit import serving
 from tests.ratelimits import allowed, most_in_window
 
+ENGINES = (
+    ("d0", "llm", "decode"),
+    ("d1", "llm", "decode"),
+    ("p0", "llm", "prefill"),
+)
 DESKS = tuple((f"desk-{n}", "desk", "") for n in range(3))
 GATEWAYS = 4
 
@@ -253,3 +258,75 @@
             assert set(gateways.statuses()) == {200}
 
     asyncio.run(work())
+
+
+MAX_TRIES = 40
+"""Requests until one of several servers has been chosen."""
+
+
+@pytest.mark.parametrize("route", ["/safe/x", "/again/x"])
+def test_a_server_that_asks_for_a_pause_gets_none(route):
+    """Guards against requests that come before a server can take them.
+
+    It refused one with a time to come back. Others have room.
+    """
+
+    async def work():
+        async with serving(*DESKS, *ENGINES) as kit:
+            paused = kit.engines[
+                {"/safe/x": "desk-0", "/again/x": "d0"}[route]
+            ]
+            paused.mode, paused.retry_after = "refuse", "30"
+            for _ in range(MAX_TRIES):
+                if paused.received:
+                    break
+                assert (await kit.generate(route)).status == 200
+            before = len(paused.received)
+            for _ in range(20):
+                assert (await kit.generate(route)).status == 200
+            assert len(paused.received) == before
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("route", ["/safe/x", "/again/x"])
+def test_requests_to_servers_that_all_pause_are_refused_at_once(route):
+    """Guards against a wait until the deadline, and against its end too early.
+
+    The refusal says when to come back; then the requests are served again.
+    """
+
+    async def work():
+        async with serving(DESKS[0], ENGINES[0], ENGINES[2]) as kit:
+            loop = asyncio.get_running_loop()
+            server = kit.engines[{"/safe/x": DESKS[0][0]}.get(route, "d0")]
+            server.mode, server.retry_after = "refuse", "1.6"
+            assert (await kit.generate(route)).status == 503
+            paused_s = loop.time()
+            server.mode = "answer"
+            before = len(server.received)
+            response = await kit.generate(route)
+            assert response.status == 503
+            assert 0 < float(response.headers["Retry-After"]) < 2
+            assert loop.time() - paused_s < 0.5
+            assert len(server.received) == before
+            await asyncio.sleep(paused_s + 1.7 - loop.time())
+            assert (await kit.generate(route)).status == 200
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("text", ["soon", "-1", "inf", "nan"])
+def test_a_pause_that_is_no_number_changes_nothing(text):
+    """Guards against a server that one malformed answer takes out of use."""
+
+    async def work():
+        async with serving(DESKS[0]) as kit:
+            desk = kit.engines["desk-0"]
+            desk.mode, desk.retry_after = "refuse", text
+            assert (await kit.call("/safe/x")).status == 503
+            desk.mode = "answer"
+            await asyncio.sleep(0.3)
+            assert (await kit.call("/safe/x")).status == 200
+
+    asyncio.run(work())
