Record the version of a stream at its first event, and read it first

The version was told to other gateways, and taken as known, when an engine was reserved. If that attempt failed before any event and the stream began at another version, another gateway could take it up at the wrong one until it heard better. It is now saved ahead but counts from the first event on, which waits as long as the store has another one; and a gateway trusts its own streams, then the store, then notices. The new test could not be written against the code before, which had no such distinction.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -200,7 +200,7 @@
             self._reservation = await self._reserve()
         if self._version is None and self.route.resumable:
             # The record is saved during the prefill.
-            self.ctx.versions.begin(
+            self.ctx.versions.prepare(
                 self.service, self.req.id, self._reservation.server.version
             )
         if self._kv is None:
@@ -574,9 +574,9 @@
         """Bind the stream to the version that brings its first event."""
         self._version = server.version
         if self.route.resumable:
-            versions = self.ctx.versions
-            versions.begin(self.service, self.req.id, server.version)
-            await versions.saved(self.service, self.req.id)
+            await self.ctx.versions.begin(
+                self.service, self.req.id, server.version, self.remaining_s
+            )
 
     async def _check_end(self, server: Server, answer: Answer) -> None:
         """Raise ``AnswerLost`` if a stream that ended was broken off."""
--- a/src/gooseberrypost/gateway/versions.py
+++ b/src/gooseberrypost/gateway/versions.py
@@ -105,9 +105,10 @@
         super().__init__()
         self._ctx = ctx
         self._store = store
-        self._streams = StreamVersions(MIN_RETENTION_S)
-        """Streams that this gateway began, or was told of."""
         self._own = StreamVersions(MIN_RETENTION_S)
+        """Streams that this gateway began."""
+        self._told = StreamVersions(MIN_RETENTION_S)
+        """Streams of other gateways, from their notices."""
         self._saved = StreamVersions(MIN_RETENTION_S)
         """Own streams that the store has."""
         self._serving = ServingVersions()
@@ -129,36 +130,41 @@
         self.add_future(keep_running(self, self._save_records, metrics))
         self.add_future(keep_running(self, self._maintain, metrics))
 
-    def begin(self, service: str, attempt: str, version: str) -> None:
-        """Record that a stream begins at a version."""
+    def prepare(self, service: str, attempt: str, version: str) -> None:
+        """Begin to save that a stream will probably begin at a version."""
         ctx = self._ctx
         stream, now_s = stream_key(service, attempt), ctx.now_s()
-        if self._own.version_of(stream, now_s) == version:
-            return
-        self._own.record(stream, version, now_s)
-        self._streams.record(stream, version, now_s)
-        ctx.notify_loads_changed()
+        recorded = self._unsaved.get(stream)
+        if recorded is None:
+            recorded = self._saved.version_of(stream, now_s)
         default = ctx.directory.default_versions.get(service)
-        is_default = default is not None and default.version == version
-        was_saved = self._saved.version_of(stream, now_s) is not None
-        if is_default and not was_saved and stream not in self._unsaved:
-            return
-        self._unsaved[stream] = version
-        self._has_unsaved.set()
-
-    async def saved(self, service: str, attempt: str) -> None:
-        """Wait until the record of a stream is saved.
+        if recorded is None and default is not None:
+            recorded = default.version
+        if recorded != version:
+            self._unsaved[stream] = version
+            self._has_unsaved.set()
+
+    async def begin(
+        self, service: str, attempt: str, version: str, remaining_s: float
+    ) -> None:
+        """Record that a stream begins, before its first event is sent.
 
-        The stream goes on without it if the store does not answer in time.
+        The stream goes on without a record if the store does not answer in
+        time, unless the store has a wrong one.
         """
-        stream = stream_key(service, attempt)
+        stream, now_s = stream_key(service, attempt), self._ctx.now_s()
+        self._own.record(stream, version, now_s)
+        self._ctx.notify_loads_changed()
+        self.prepare(service, attempt, version)
         if stream not in self._unsaved:
             return
-        if not self._is_store_failing:
+        is_wrong = self._saved.version_of(stream, now_s) is not None
+        if is_wrong or not self._is_store_failing:
             fut = self._waiting.setdefault(
                 stream, asyncio.get_running_loop().create_future()
             )
-            await asyncio.wait({fut}, timeout=SAVE_TIMEOUT_S)
+            timeout_s = remaining_s if is_wrong else SAVE_TIMEOUT_S
+            await asyncio.wait({fut}, timeout=timeout_s)
         if stream in self._unsaved:
             self._ctx.metrics.count("streams_unrecorded_total")
             logging.warning(
@@ -172,41 +178,38 @@
 
         Raises ``VersionUnknown`` if that cannot be told.
         """
-        ctx = self._ctx
-        stream, now_s = stream_key(service, attempt), ctx.now_s()
-        known = self._streams.version_of(stream, now_s)
-        if known is None:
-            known = ctx.directory.stream_versions.get(stream)
-        if known is not None:
-            return known
-        default = ctx.directory.default_versions.get(service)
-        recent = self._recent(service)
+        stream, now_s = stream_key(service, attempt), self._ctx.now_s()
+        own = self._own.version_of(stream, now_s)
+        if own is not None:
+            return own
+        directory = self._ctx.directory
+        default = directory.default_versions.get(service)
+        told = self._told.version_of(stream, now_s)
         try:
             if not attempt:
                 raise VersionNotSaved("no attempt named")
-            recorded = await self._store.find(stream)
+            known = [await self._store.find(stream), told]
+            if default is not None:
+                known.append(default.version)
+            detail = "no default version"
         except VersionNotSaved as failure:
-            # The record may be of any version that this gateway knows of.
-            if len(recent) == 1:
-                return recent.pop()
-            raise self._unknown(service, failure.detail) from failure
-        if recorded is not None:
-            return recorded
-        if default is not None:
-            return default.version
+            # The default may not hold: the record cannot be read.
+            known = [told, directory.stream_versions.get(stream)]
+            detail = failure.detail
+        for version in known:
+            if version is not None:
+                return version
+        recent = self._recent(service)
         if len(recent) == 1:
             return recent.pop()
-        raise self._unknown(service, "no default version")
-
-    def _unknown(self, service: str, detail: str) -> VersionUnknown:
-        return VersionUnknown(f"stream of {service}: {detail}")
+        raise VersionUnknown(f"stream of {service}: {detail}")
 
     def apply_notice(self, streams: Mapping[str, str]) -> None:
         """Record the streams that another gateway began."""
         now_s = self._ctx.now_s()
         for stream, version in streams.items():
             if self._own.version_of(stream, now_s) is None:
-                self._streams.record(stream, version, now_s)
+                self._told.record(stream, version, now_s)
 
     def recent_streams(self) -> dict[str, str]:
         """Return the own streams that load notices are to name."""
@@ -293,7 +296,7 @@
         ]
         longest_s = max(timeouts_ms, default=0) / 1_000
         retention_s = max(MIN_RETENTION_S, RETENTION_FACTOR * longest_s)
-        for streams in (self._streams, self._own, self._saved):
+        for streams in (self._own, self._told, self._saved):
             streams.retention_s = retention_s
 
     def _recent(self, service: str) -> set[str]:
--- a/tests/test_stream_versions_load.py
+++ b/tests/test_stream_versions_load.py
@@ -175,8 +175,9 @@
         before = self.store.calls
         for number, attempt in enumerate(attempts):
             keeper = self.keepers[number % len(self.keepers)]
-            keeper.begin(SERVICE, attempt, version_of(number))
+            keeper.prepare(SERVICE, attempt, version_of(number))
             await keeper.save_records()
+            await keeper.begin(SERVICE, attempt, version_of(number), 14.0)
         return self.store.calls - before
 
 
@@ -223,7 +224,7 @@
         (keeper,) = fleet.keepers
         before = fleet.store.calls
         for attempt in attempts(STREAMS_PER_S):
-            keeper.begin(SERVICE, attempt, "v2")
+            keeper.prepare(SERVICE, attempt, "v2")
         await keeper.save_records()
         assert fleet.store.calls - before <= 1 + STREAMS_PER_S // 32
 
@@ -341,10 +342,35 @@
         fleet.store.is_down = False
         await fleet.maintain(1.0)
         fleet.store.is_down = True
-        first.begin(SERVICE, "a", "v1")
-        first.begin(SERVICE, "b", "v2")
+        await first.begin(SERVICE, "a", "v1", 14.0)
+        await first.begin(SERVICE, "b", "v2", 14.0)
         second.apply_notice(first.recent_streams())
         assert await second.find(SERVICE, "a") == "v1"
         assert await second.find(SERVICE, "b") == "v2"
 
     asyncio.run(work())
+
+
+def test_a_stream_that_begins_elsewhere_than_prepared_is_found_there():
+    """Guards against the record of an attempt that failed before any event."""
+
+    async def work():
+        fleet = Fleet(2, "v1", "v1", "v2")
+        await fleet.maintain()
+        first, second = fleet.keepers
+        for prepared, begun in (("v2", "v1"), ("v1", "v2")):
+            first.prepare(SERVICE, begun, prepared)
+            await first.save_records()
+            saving = asyncio.create_task(
+                first.begin(SERVICE, begun, begun, 14.0)
+            )
+            await asyncio.sleep(0)
+            assert not saving.done()
+            second.apply_notice(first.recent_streams())
+            await first.save_records()
+            await saving
+            assert await first.find(SERVICE, begun) == begun
+            assert await second.find(SERVICE, begun) == begun
+            assert await fleet.keeper("g100").find(SERVICE, begun) == begun
+
+    asyncio.run(work())
