--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -35,10 +35,18 @@
 from tests.scenarios.relay import Relay
 from tests.standins.platform_engine import FakePlatformEngine
 from tests.standins.platform_store import FakePlatformStore
+from tests.standins.versioned_engine import (
+    VersionedEngine,
+    numbers_and_versions,
+)
 
 GATEWAYS = 3
 CLIENTS = 6
 STAGES = ("", "", "", "prefill", "prefill", "decode", "decode", "decode")
+VERSIONS = ("v1", "v1", "v1", "v1", "v2", "v1", "v2", "v1")
+"""Software version of each server."""
+MAX_TAKE_UPS = 3
+"""Tries of a client to take up a stream that broke off."""
 FAILURE_MODES = (
     "refuse",
     "reset",
@@ -80,6 +88,8 @@
         self.status: int | None = None
         self.body = b""
         self.complete = False
+        self.take_ups = 0
+        """Number of gateways' answers by which the stream went on."""
 
 
 class Soak:
@@ -105,6 +115,7 @@
         """Separate, so that the faults of a seed stay the same."""
         self.restore_rng = random.Random(f"restore {seed}")
         self.limit_rng = random.Random(f"limit {seed}")
+        self.take_up_rng = random.Random(f"take up {seed}")
         self.poison_sent = 0
         self.crashes = dict.fromkeys(POISON_ROUTES, 0)
 
@@ -143,7 +154,8 @@
         )
         self.engines = []
         for number, stage in enumerate(STAGES):
-            engine = FakePlatformEngine(f"i-{number}", stage)
+            engine = VersionedEngine(f"i-{number}", stage)
+            engine.version = VERSIONS[number]
             await engine.start()
             stack.push_async_callback(engine.stop)
             engine.event_s, engine.events = 0.02, STREAM_EVENTS
@@ -206,7 +218,6 @@
         gateway = self.rng.choice(self.gateways)
         sent = SentRequest(request, route)
         self.sent.append(sent)
-        address = gateway.settings["listen"]["frontend"]
         headers = {
             "Host": HOST,
             "X-Gooseberrypost-Attempt-Id": request,
@@ -216,17 +227,50 @@
             headers["X-Gooseberrypost-Token-Usage"] = STREAM_USAGE
             headers["X-Gooseberrypost-Length-Hint"] = STREAM_LENGTH_HINT
             headers["X-Gooseberrypost-Prompt-Prefix"] = SOUND_PARTS
+        sent.status = await self._try(session, sent, gateway, headers)
+        if not ROUTES[route].get("resumable") or sent.status != 200:
+            return
+        for number in range(MAX_TAKE_UPS):
+            sent.body = complete_events(sent.body)
+            if sent.complete or not sent.body:
+                return
+            numbers, _ = numbers_and_versions(sent.body)
+            taken_up = {
+                "X-Gooseberrypost-Attempt-Id": f"{request}-{number}",
+                "Last-Event-Id": str(numbers[-1]),
+                "Resumes": request,
+            }
+            gateway = self.take_up_rng.choice(self.gateways)
+            status = await self._try(
+                session, sent, gateway, headers | taken_up
+            )
+            sent.take_ups += status == 200
+
+    async def _try(
+        self,
+        session: aiohttp.ClientSession,
+        sent: SentRequest,
+        gateway: Process,
+        headers: dict[str, str],
+    ) -> int | None:
+        """Send a request, or take its stream up; return the status."""
+        address = gateway.settings["listen"]["frontend"]
+        status = None
         try:
             async with session.post(
-                f"http://{address}/{route}/{request}",
+                f"http://{address}/{sent.route}/{sent.request}",
                 headers=headers,
                 data=b"body",
             ) as response:
-                sent.status = response.status
-                sent.body = await response.read()
+                status = response.status
+                if status != 200 and sent.body:
+                    return status
+                async for chunk in response.content.iter_any():
+                    sent.body += chunk
                 sent.complete = True
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return
+            return status
+        return status
 
     async def _poison_client(self, route: str):
         """Send requests that crash servers, again and again."""
@@ -547,12 +591,21 @@
             self.violations.append(f"executed {runs} times: {where}")
         if runs and sent.status in NOT_EXECUTED_STATUSES and not repeatable:
             self.violations.append(f"executed despite its refusal: {where}")
+        numbers, versions = numbers_and_versions(sent.body)
+        if len(versions) > 1:
+            self.violations.append(
+                f"stream of versions {sorted(versions)}, taken up "
+                f"{sent.take_ups} times: {where}"
+            )
         if sent.status != 200 or not sent.complete:
             return
         if route["kind"] == "streaming":
-            numbers = range(1, STREAM_EVENTS + 1)
-            events = "".join(f"id: {n}\ndata: {n}\n\n" for n in numbers)
-            is_correct = sent.body == events.encode()
+            events = "".join(
+                f"id: {number}\ndata: {version}\n\n"
+                for version in versions
+                for number in range(1, STREAM_EVENTS + 1)
+            )
+            is_correct = bool(numbers) and sent.body == events.encode()
         else:
             is_correct = sent.body.endswith(
                 f"/{sent.route}/{sent.request}".encode()
@@ -563,6 +616,11 @@
             )
 
 
+def complete_events(body: bytes) -> bytes:
+    """Return a stream without the event in which it broke off."""
+    return body[: body.rfind(b"\n\n") + 2] if b"\n\n" in body else b""
+
+
 def is_poison(request) -> bool:
     """Whether a request crashes the server that executes it."""
     prompt = request.header("Prompt-Prefix") or ""
@@ -615,9 +673,11 @@
     for number in range(seed, seed + seeds):
         run = asyncio.run(soak(number, seconds, gateways, clients))
         served = sum(s.status == 200 and s.complete for s in run.sent)
+        taken_up = sum(s.take_ups for s in run.sent)
         click.echo(
             f"seed {number}: {len(run.sent)} sent, {served} served, "
-            f"{run.moved} moved, {len(run.trace)} faults, "
+            f"{run.moved} moved, {taken_up} taken up, "
+            f"{len(run.trace)} faults, "
             f"{sum(run.crashes.values())} crashes, "
             f"{len(run.violations)} violations"
         )
