--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -188,7 +188,7 @@
             # The first event is late in any case, and a refused client would
             # not retry again, so it may wait until its client gives up.
             due_s = pending.abandon_s
-        wait_s = self._expected_wait_s(pending)
+        wait_s = self.estimate_wait_s(pending)
         if wait_s <= 0:
             # Memory is available, so a refusal gains nothing. The predicted
             # delay of the first event also recovers only through requests
@@ -204,11 +204,16 @@
             retry_after_ms=round(1_000 * after_s),
         )
 
-    def _expected_wait_s(self, pending: PendingReservation) -> float:
+    def estimate_wait_s(self, pending: PendingReservation) -> float:
+        """Estimate the wait for memory; 0 if some is free.
+
+        All lines share the load, so that a stream that must go on at one
+        version is refused no sooner than a new one.
+        """
         ctx = self._ctx
-        if not self._queue and self._candidates(pending):
+        if self._head(pending.line) is None and self._candidates(pending):
             return 0.0
-        servers = self._servers(pending)
+        servers = ctx.directory.available_servers(pending.service, ctx.now_s())
         running = sum(
             ctx.loads.run_count(server.identity) for server in servers
         )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,6 +8,8 @@
 import aiohttp
 import pytest
 
+from gooseberrypost.gateway.reservation_queue import PendingReservation
+from gooseberrypost.policy.enginememory import Run
 from tests.gateway_kit import HOST, serving
 from tests.standins.versioned_engine import (
     VersionedEngine,
@@ -315,3 +317,41 @@
                 assert asyncio.get_running_loop().time() - began_s < 0.9
 
     run(work)
+
+
+def test_a_stream_that_is_taken_up_waits_no_longer_than_a_new_one():
+    """Guards against refusals of take-ups under a load that new ones share.
+
+    One of four engines has the version at which the stream goes on.
+    """
+
+    async def work():
+        async with serving_versions("v1", "v2", "v2", "v2") as kit:
+            ctx = kit.daemon.context
+            for server in ctx.directory.servers.of("llm", ctx.now_s()):
+                for _ in range(4):
+                    ctx.loads.of(server.identity).runs.add(Run(100, 10))
+            for number in range(4):
+                kit.engines[f"d{number}"].has_room = False
+            waiting = [
+                asyncio.create_task(kit.generate("/again/x")) for _ in range(6)
+            ]
+            queue = ctx.reservation_queue
+            await kit.until(lambda: queue.waiting_count)
+            new, taken_up = (
+                PendingReservation(
+                    first_event_due_s=ctx.now_s() + 1.0,
+                    abandon_s=ctx.now_s() + 2.0,
+                    tokens=100,
+                    output=10,
+                    priority=1,
+                    service="llm",
+                    version=version,
+                )
+                for version in (None, "v1")
+            )
+            expected_s = queue.estimate_wait_s(new)
+            assert queue.estimate_wait_s(taken_up) <= expected_s
+            await asyncio.gather(*waiting)
+
+    run(work)
