--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -278,12 +278,16 @@
         super().__init__()
         self._record, self._instance = record, instance
         self.times_s: dict[str, float] = {}
+        """Time of each request's latest run."""
+        self.arrivals: list[tuple[str, float]] = []
+        """Request and time of each run."""
 
     def append(self, request: str):
         """Add a run."""
         super().append(request)
         at_s = self._record.line(f"{self._instance} runs {request}")
         self.times_s[request] = at_s
+        self.arrivals.append((request, at_s))
 
 
 class Kit:
