--- a/review/4/case.py
+++ b/review/4/case.py
@@ -71,7 +71,7 @@
         poison: list[Answer] = []
         others: list[Answer] = []
         background = [
-            asyncio.create_task(restart_crashed(kit, crashed_s)),
+            asyncio.create_task(kit.restart_crashed(crashed_s, BACK_AFTER_S)),
             asyncio.create_task(send_others(kit, gateways, others)),
         ]
         await asyncio.sleep(FIRST_S)
@@ -90,37 +90,6 @@
         return judge(kit, poison, others, crashed_s)
 
 
-async def restart_crashed(kit, crashed_s: list[float]):
-    """Start each crashed server again after some seconds."""
-    while True:
-        await asyncio.sleep(0.01)
-        for engine in list(kit.engines.values()):
-            if not engine.crashes:
-                continue
-            engine.crashes = 0
-            crashed_s.append(kit.record.line(f"{engine.instance} crashes"))
-            kit.silent.add(engine.instance)
-            asyncio.get_running_loop().call_later(
-                BACK_AFTER_S,
-                lambda engine=engine: asyncio.ensure_future(
-                    restart(kit, engine)
-                ),
-            )
-
-
-async def restart(kit, engine):
-    """Start a server again at its address, under a new id."""
-    old = engine.instance
-    first, _, start = old.partition(".")
-    kit.store.remove(f"servers/{old}")
-    new = f"{first}.{int(start or 0) + 1}"
-    kit.services[new] = kit.services[old]
-    kit.engines[new] = kit.engines.pop(old)
-    await engine.restart(new)
-    kit.register(engine)
-    kit.record.line(f"{engine.instance} is back at the address of {old}")
-
-
 async def send_others(kit, gateways, answers: list[Answer]):
     """Send sound requests at an even rate until cancelled."""
 
--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -304,6 +304,7 @@
         self.states: dict[str, dict] = {}
         self.gateways: list[Gateway] = []
         self.requests = 0
+        self._tasks: set[asyncio.Task] = set()
         pid = os.getpid()
         self._net = f"127.{1 + pid // 250 % 250}.{1 + pid % 250}"
 
@@ -394,21 +395,60 @@
         answer.ended_s = self.record.line(f"client got {answer}")
         return answer
 
-    async def generate(
-        self, gateway: Gateway, path: str, usage: str = "5200,4130", **options
+    async def stream(
+        self,
+        gateway: Gateway,
+        path: str,
+        parts: list[str],
+        max_output: int,
+        deadline_ms: int = 14_000,
     ) -> Answer:
-        """Send a request for a stream."""
-        number = self.requests + 1
+        """Send a request for a stream; ``parts`` are those of its prompt."""
+        tokens = sum(int(part.partition(":")[2]) for part in parts)
         return await self.call(
             gateway,
             path,
-            deadline_ms=options.pop("deadline_ms", 14_000),
+            body=",".join(parts).encode(),
+            deadline_ms=deadline_ms,
             X_Gooseberrypost_Model="m",
-            X_Gooseberrypost_Token_Usage=usage,
-            X_Gooseberrypost_Prompt_Prefix=f"5c1e07a2:200,{number:08x}:5000",
-            **options,
+            X_Gooseberrypost_Token_Usage=f"{tokens},{max_output}",
+            X_Gooseberrypost_Prompt_Prefix=",".join(parts),
         )
 
+    async def restart_crashed(
+        self, crashed_s: list[float], back_after_s: float
+    ):
+        """Start each crashed server again; add the times of the crashes."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.01)
+            for engine in list(self.engines.values()):
+                if not engine.crashes:
+                    continue
+                engine.crashes = 0
+                crashed_s.append(
+                    self.record.line(f"{engine.instance} crashes")
+                )
+                self.silent.add(engine.instance)
+                loop.call_later(back_after_s, self._restart_soon, engine)
+
+    def _restart_soon(self, engine: FakePlatformEngine):
+        task = asyncio.ensure_future(self._restart(engine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restart(self, engine: FakePlatformEngine):
+        """Start a server again at its address, as another incarnation."""
+        old = engine.instance
+        first, _, start = old.partition(".")
+        new = f"{first}.{int(start or 0) + 1}"
+        self.store.remove(f"servers/{old}")
+        self.services[new] = self.services[old]
+        self.engines[new] = self.engines.pop(old)
+        await engine.restart(new)
+        self.register(engine)
+        self.record.line(f"{new} is back at the address of {old}")
+
 
 @asynccontextmanager
 async def running(name: str, store: FakePlatformStore | None = None):
