--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -332,12 +332,15 @@
         self.store.remove(f"servers/{engine.instance}")
 
     async def beat(self):
-        """Write the entries again at each heartbeat."""
+        """Write the entries again, each at its own heartbeat."""
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
-            for instance, engine in list(self.engines.items()):
-                if instance not in self.silent:
+            for instance in list(self.engines):
+                await asyncio.sleep(HEARTBEAT_S / max(1, len(self.engines)))
+                engine = self.engines.get(instance)
+                if engine is not None and instance not in self.silent:
                     self.register(engine)
+            if not self.engines:
+                await asyncio.sleep(HEARTBEAT_S)
 
     def add_gateway(self) -> Gateway:
         """Start a gateway process."""
@@ -402,6 +405,7 @@
         parts: list[str],
         max_output: int,
         deadline_ms: int = 14_000,
+        **headers: str,
     ) -> Answer:
         """Send a request for a stream; ``parts`` are those of its prompt."""
         tokens = sum(int(part.partition(":")[2]) for part in parts)
@@ -413,6 +417,7 @@
             X_Gooseberrypost_Model="m",
             X_Gooseberrypost_Token_Usage=f"{tokens},{max_output}",
             X_Gooseberrypost_Prompt_Prefix=",".join(parts),
+            **headers,
         )
 
     async def restart_crashed(
