--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,15 +1,15 @@
-"""An entry of another writer, and then a change of the configuration.
+"""A lookup crashes each server that begins to run it, and comes again.
 
-Two gateways serve the route ``book`` by the service ``desk-a``. Another writer
-leaves an entry below ``servers/`` whose number of slots is no number that JSON
-knows. Then the operator moves the route to ``desk-b``, and one gateway is
-started anew.
+Clients send sound GET lookups and sound POST calls at two gateways. One lookup
+crashes each server that begins to run it; the server is back some seconds
+later, as a new incarnation. That lookup comes again every second, with the
+same path, at either gateway.
 """
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import os
 
 from common.kit import (
     BOUNDS,
@@ -17,6 +17,7 @@
     CANNOT_RUN,
     HELD,
     TROUBLE,
+    Answer,
     configuration,
     main,
     route,
@@ -24,72 +25,125 @@
 )
 from tests.standins.platform_engine import FakePlatformEngine
 
-FOREIGN = (
-    b'{"service": "desk-a", "address": "127.0.0.1:9", "zone": "a", '
-    b'"version": "v1", "slots": Infinity, "state": "ready", '
-    b'"cold_remaining_ms": 0, "sequence": 1}'
-)
-CALM_S = 3.5
-REQUESTS = 40
-PAUSE_S = 0.1
+SERVERS = 3
+POISON = "/check/poison"
+METHOD = os.environ.get("METHOD", "GET")
+"""Method of the crashing request; others than GET are for comparison."""
+FIRST_S = 5.0
+LENGTH_S = 45.0
+REPEAT_S = 1.0
+BACK_AFTER_S = 3.0
+REQUESTS_PER_S = 20
+STABLE_S = BOUNDS["stable_window_ms"] / 1_000
+MAX_CRASHES, MAX_RETRIES = 3, 3
+
 
+class Desk(FakePlatformEngine):
+    """Server that crashes as it begins to run the lookup."""
+
+    def __init__(self, instance: str):
+        super().__init__(instance)
+        self.crash_after_s = 0.02
+        if TROUBLE:
+            self.crashes_on = lambda request: request.target == POISON
 
-def routes(service: str) -> list[dict]:
-    """Return the only route, to a service."""
-    return [
-        route("book", "non_idempotent", service),
-    ]
+    async def _mode_answer(self, request, writer):
+        await asyncio.sleep(0.045)
+        await super()._mode_answer(request, writer)
 
 
 async def case() -> int:
     """Run the case and return its result."""
     async with running("3") as kit:
         record = kit.record
-        services = ("desk-a", "desk-a", "desk-b", "desk-b")
-        for number, service in enumerate(services):
-            engine = FakePlatformEngine(f"i-{number}")
-            await kit.add_engine(engine, service)
-        kit.store.put("op/config", configuration(3, routes("desk-a")))
-        first, second = kit.add_gateway(), kit.add_gateway()
-        for gateway in (first, second):
+        for number in range(SERVERS):
+            await kit.add_engine(Desk(f"i-{number}"), "desk")
+        routes = [
+            route("check", "idempotent", "desk", max_attempts=2),
+            route("book", "non_idempotent", "desk"),
+        ]
+        kit.store.put("op/config", configuration(3, routes))
+        gateways = [kit.add_gateway(), kit.add_gateway()]
+        for gateway in gateways:
             if not await gateway.wait_ready(10):
                 return CANNOT_RUN
-        for gateway in (first, second):
-            if (await kit.call(gateway, "/book/before")).status != 200:
-                return CANNOT_RUN
-        if TROUBLE:
-            record.line(f"another writer puts servers/x-1: {FOREIGN!r}")
-            kit.store.put("servers/x-1", FOREIGN)
-        await asyncio.sleep(CALM_S)
-        kit.store.put("op/config", configuration(8, routes("desk-b")))
-        moved_s = record.line("store acknowledges version 8: book to desk-b")
-        due_s = moved_s + BOUNDS["config_apply_ms"] / 1_000
-        await asyncio.sleep(due_s - record.now_s() + 0.1)
-        old = [i for i, s in kit.services.items() if s == "desk-a"]
-        answers = []
-        for number in range(REQUESTS):
-            gateway = (first, second)[number % 2]
-            answers.append(await kit.call(gateway, f"/book/{number}"))
-            await asyncio.sleep(PAUSE_S)
-        by_old = [
-            answer.request
-            for answer in answers
-            if any(answer.request in kit.engines[i].executed for i in old)
+        crashed_s: list[float] = []
+        poison: list[Answer] = []
+        others: list[Answer] = []
+        background = [
+            asyncio.create_task(kit.restart_crashed(crashed_s, BACK_AFTER_S)),
+            asyncio.create_task(send_others(kit, gateways, others)),
         ]
-        record.line(
-            f"{len(by_old)} of {len(answers)} requests sent later than "
-            f"{BOUNDS['config_apply_ms']} ms were run by the old service"
-        )
-        second.signal(signal.SIGTERM)
-        await asyncio.to_thread(second.popen.wait)
-        record.line(f"{second.name} has ended after SIGTERM")
-        second.start()
-        is_ready = await second.wait_ready(BOUNDS["recovery_s"])
-        record.line(
-            f"{second.name} started again: ready within "
-            f"{BOUNDS['recovery_s']} s: {is_ready}"
-        )
-        return BROKEN if by_old else HELD
+        await asyncio.sleep(FIRST_S)
+        end_s = record.now_s() + LENGTH_S
+        number = 0
+        while record.now_s() < end_s:
+            gateway = gateways[number % len(gateways)]
+            number += 1
+            body = b"" if METHOD == "GET" else b"body"
+            poison.append(
+                await kit.call(gateway, POISON, method=METHOD, body=body)
+            )
+            await asyncio.sleep(REPEAT_S)
+        for task in background:
+            task.cancel()
+        return judge(kit, poison, others, crashed_s)
+
+
+async def send_others(kit, gateways, answers: list[Answer]):
+    """Send sound requests at an even rate until cancelled."""
+
+    async def send(number: int):
+        gateway = gateways[number % len(gateways)]
+        if number % 3:
+            call = kit.call(gateway, f"/book/{number}")
+        else:
+            call = kit.call(
+                gateway, f"/check/{number}", method="GET", body=b""
+            )
+        answers.append(await call)
+
+    tasks, number = set(), 0
+    while True:
+        tasks.add(task := asyncio.create_task(send(number)))
+        task.add_done_callback(tasks.discard)
+        number += 1
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+
+
+def judge(kit, poison, others, crashed_s: list[float]) -> int:
+    """Count the arrivals of the lookup after its third crash."""
+    lost = sum(not a.complete or a.status != 200 for a in others)
+    served = len(others) - lost
+    kit.record.line(
+        f"{len(crashed_s)} crashes under {len(poison)} requests; of "
+        f"{len(others)} sound requests {served} were served"
+    )
+    began = {
+        request
+        for engine in kit.engines.values()
+        for request in engine.executed
+    }
+    broken_off = sum(a.status != 200 and a.request in began for a in others)
+    kit.record.line(
+        f"{broken_off} sound requests were begun by a server and got no answer"
+    )
+    ids = {answer.request for answer in poison}
+    runs = sorted(
+        at_s
+        for engine in kit.engines.values()
+        for request, at_s in engine.executed.arrivals
+        if request in ids
+    )
+    if len(crashed_s) < MAX_CRASHES:
+        return HELD
+    bound_s = crashed_s[MAX_CRASHES - 1] + STABLE_S
+    late = [at_s for at_s in runs if at_s > bound_s]
+    kit.record.line(
+        f"{len(late)} arrivals of the lookup at servers later than "
+        f"{STABLE_S} s after its third crash; allowed: {MAX_RETRIES}"
+    )
+    return BROKEN if len(late) > MAX_RETRIES else HELD
 
 
 main(case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,15 +1,15 @@
-"""A part of prompts crashes each engine that begins to write an answer on it.
+"""SIGTERM of a gateway whose decode engines are busy.
 
-Sound streams share the first part of their prompts with streams that hold the
-crashing part, no two of which are alike. The route may be resumed. An engine
-writes the first event of such an answer and crashes; it is back some seconds
-later, as a new incarnation. A request with the part comes every few seconds,
-at either of two gateways.
+The gateway is the only one of its zone, so that the platform goes on sending
+it new connections. Clients ask for streams of 0.9 s, as many as the engines
+can serve. Those that are refused come back at other gateways, which the case
+leaves out.
 """
 
 from __future__ import annotations
 
 import asyncio
+import signal
 
 from common.kit import (
     BOUNDS,
@@ -18,6 +18,8 @@
     HELD,
     TROUBLE,
     Answer,
+    Gateway,
+    Kit,
     configuration,
     main,
     running,
@@ -25,126 +27,102 @@
 )
 from common.model_engine import ModelEngine
 
-PREFILL, DECODE = 2, 4
 SLOTS = 12
-PIECES = 30
-FIRST_PART, CRASHING_PART = "5c1e07a2:200", "0bad0bad:100"
-SOUND_GAP_S = 0.25
-FIRST_S = 8.0
-REQUESTS, REPEAT_S = 12, 4.0
-BACK_AFTER_S = 3.0
-STABLE_S = BOUNDS["stable_window_ms"] / 1_000
-CRASHES, MAX_LATE = 5, 3
-
-
-class Engine(ModelEngine):
-    """Engine that crashes after the first event of some answers."""
-
-    async def _stream(self, request, writer):
-        prompt = request.header("Prompt-Prefix") or ""
-        if not TROUBLE or CRASHING_PART not in prompt:
-            return await super()._stream(request, writer)
-        head = self._head(
-            request,
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
+DECODE, PREFILL = 2, 2
+PIECES = 20
+STREAM_S = PIECES * 0.0438
+CAPACITY_PER_S = DECODE * SLOTS / STREAM_S
+LOAD = 1.0
+"""Requests in relation to what the engines can serve."""
+BEFORE_S = 12.0
+GRACE_S = BOUNDS["grace_s"]
+EXCUSED_S = 3.0
+"""Time after SIGTERM up to which long streams are excused."""
+DEADLINE_MS = 14_000
+
+
+async def send(kit: Kit, gateway: Gateway, answers: list[Answer]):
+    """Send one request for a stream and keep its answer."""
+    number = kit.requests
+    answers.append(
+        await kit.stream(
+            gateway,
+            f"/digest/{number}",
+            ["5c1e07a2:200", f"{number:08x}:5000"],
+            PIECES * 59,
+            DEADLINE_MS,
         )
-        writer.write(head)
-        first = int(request.headers.get("last-event-id") or 0)
-        event = self._event(first + 1)
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await writer.drain()
-        await asyncio.sleep(self.event_s)
-        self.crash()
+    )
 
 
 async def case() -> int:
     """Run the case and return its result."""
     async with running("5") as kit:
-        for number in range(PREFILL + DECODE):
-            stage = "prefill" if number < PREFILL else "decode"
-            engine = Engine(f"i-{number}", stage, SLOTS, lambda: PIECES)
+        record = kit.record
+        engines = []
+        for number in range(DECODE + PREFILL):
+            stage = "decode" if number < DECODE else "prefill"
+            engine = ModelEngine(f"i-{number}", stage, SLOTS, lambda: PIECES)
             engine.on_stage = lambda engine=engine: kit.register(engine)
             await kit.add_engine(engine, "llm")
-        routes = [
-            stream_route("digest", "llm", max_attempts=2, resumable=True)
-        ]
+            engines.append(engine)
+        routes = [stream_route("digest", "llm", max_attempts=1)]
         kit.store.put(
             "op/config", configuration(3, routes, llm={"slots": SLOTS})
         )
-        gateways = [kit.add_gateway(), kit.add_gateway()]
-        for gateway in gateways:
-            if not await gateway.wait_ready(10):
-                return CANNOT_RUN
-        crashed_s: list[float] = []
-        sound: list[Answer] = []
-        background = [
-            asyncio.create_task(kit.restart_crashed(crashed_s, BACK_AFTER_S)),
-            asyncio.create_task(send_sound(kit, gateways, sound)),
-        ]
-        await asyncio.sleep(FIRST_S)
-        tasks = []
-        for number in range(REQUESTS):
-            gateway = gateways[number % len(gateways)]
-            call = kit.stream(
-                gateway,
-                f"/digest/c{number}",
-                [FIRST_PART, CRASHING_PART, f"{number:08x}:5000"],
-                PIECES * 59,
-            )
-            tasks.append(asyncio.create_task(call))
-            await asyncio.sleep(REPEAT_S)
-        crashing = await asyncio.gather(*tasks)
-        for task in background:
-            task.cancel()
-        return judge(kit, crashing, sound, crashed_s)
-
-
-async def send_sound(kit, gateways, answers: list[Answer]):
-    """Send sound requests at an even rate until cancelled."""
-
-    async def send(number: int):
-        answers.append(
-            await kit.stream(
-                gateways[number % len(gateways)],
-                f"/digest/s{number}",
-                [FIRST_PART, f"5{number:07x}:5000"],
-                PIECES * 59,
-            )
+        gateway = kit.add_gateway()
+        if not await gateway.wait_ready(10):
+            return CANNOT_RUN
+        answers: list[Answer] = []
+        tasks: list[asyncio.Task] = []
+        gap_s = 1 / (LOAD * CAPACITY_PER_S)
+        end_s = record.now_s() + BEFORE_S + GRACE_S
+        term_s = record.now_s() + BEFORE_S
+        signalled_s = None
+        while record.now_s() < end_s:
+            if signalled_s is None and record.now_s() >= term_s:
+                if TROUBLE:
+                    gateway.signal(signal.SIGTERM)
+                    signalled_s = record.line("SIGTERM")
+                else:
+                    signalled_s = record.line("no SIGTERM")
+            tasks.append(asyncio.create_task(send(kit, gateway, answers)))
+            await asyncio.sleep(gap_s)
+        await asyncio.gather(*tasks)
+        return judge(kit, answers, engines, signalled_s)
+
+
+def judge(kit, answers, engines, signalled_s) -> int:
+    """Count the requests that were read whole and not answered."""
+    runs = {
+        request: at_s
+        for engine in engines
+        for request, at_s in engine.executed.times_s.items()
+    }
+    lost = []
+    for answer in answers:
+        after_s = answer.sent_s - signalled_s
+        if not EXCUSED_S < after_s <= GRACE_S + 1:
+            continue
+        took_s = answer.ended_s - answer.sent_s
+        if answer.complete or answer.request not in runs:
+            continue
+        if took_s < DEADLINE_MS / 1_000 - 0.5:
+            lost.append(answer)
+    for answer in lost:
+        kit.record.line(
+            f"LOST {answer.request}: sent {answer.sent_s - signalled_s:.2f} s "
+            f"after SIGTERM, run from "
+            f"{runs[answer.request] - signalled_s:.2f} s, connection ended "
+            f"at {answer.ended_s - signalled_s:.2f} s"
         )
-
-    tasks, number = set(), 0
-    while True:
-        tasks.add(task := asyncio.create_task(send(number)))
-        task.add_done_callback(tasks.discard)
-        number += 1
-        await asyncio.sleep(SOUND_GAP_S)
-
-
-def judge(kit, crashing, sound, crashed_s: list[float]) -> int:
-    """Count the runs with the part long after its fifth crash."""
-    served = sum(a.complete and a.status == 200 for a in sound)
+    served = sum(a.complete and a.status == 200 for a in answers)
+    refused = sum(a.status == 503 for a in answers)
     kit.record.line(
-        f"{len(crashed_s)} crashes under {len(crashing)} requests; of "
-        f"{len(sound)} sound requests {served} were served whole"
+        f"{len(answers)} attempts, {served} served, {refused} refused, "
+        f"{len(lost)} lost"
     )
-    if len(crashed_s) < CRASHES:
-        return HELD
-    ids = {answer.request for answer in crashing}
-    bound_s = crashed_s[CRASHES - 1] + STABLE_S
-    late = [
-        (request, engine.instance, at_s)
-        for engine in kit.engines.values()
-        for request, at_s in engine.executed.arrivals
-        if request in ids and at_s > bound_s
-    ]
-    for request, instance, at_s in sorted(late, key=lambda run: run[2]):
-        kit.record.line(
-            f"BUDGET {request} reached {instance} "
-            f"{at_s - crashed_s[CRASHES - 1]:.1f} s after the fifth crash"
-        )
-    kit.record.line(f"{len(late)} late; allowed: {MAX_LATE}")
-    return BROKEN if len(late) > MAX_LATE else HELD
+    return BROKEN if lost else HELD
 
 
 main(case)
--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -332,10 +332,12 @@
         self.store.remove(f"servers/{engine.instance}")
 
     async def beat(self):
-        """Write the entries again, each at its own heartbeat."""
+        """Write the entries again, each about once in a heartbeat."""
+        rng = random.Random(1)
         while True:
             for instance in list(self.engines):
-                await asyncio.sleep(HEARTBEAT_S / max(1, len(self.engines)))
+                gap_s = HEARTBEAT_S / max(1, len(self.engines))
+                await asyncio.sleep(gap_s * rng.uniform(0.5, 1.5))
                 engine = self.engines.get(instance)
                 if engine is not None and instance not in self.silent:
                     self.register(engine)
