--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -505,11 +505,17 @@
 def main(case):
     """Run a case and exit with its result.
 
-    A case that fails for another reason than the rule could not run.
+    A case that fails for another reason than the rule could not run. SIGTERM
+    ends it, with all that it started.
     """
+
+    def stop(number, frame):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         result = asyncio.run(asyncio.wait_for(case(), 115))
-    except Exception as exc:
+    except (Exception, KeyboardInterrupt) as exc:
         print(f"cannot run: {exc!r}", file=sys.stderr)
         result = CANNOT_RUN
     sys.exit(result)
