--- a/review/3/case.py
+++ b/review/3/case.py
@@ -87,6 +87,7 @@
             await asyncio.sleep(REPEAT_S)
         for task in background:
             task.cancel()
+        await asyncio.sleep(2.0)
         return judge(kit, poison, others, crashed_s)
 
 
