--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 export PYTHONPATH=target/deps:review:.
 python3 -m compileall -q tests/standins review/common review/[1-5]
-python3 -c 'import common.kit'
+python3 -c 'import common.kit, common.model_engine'
