--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
 """Servers lose the answers to some calls that may run only once.
 
 Clients send PUT and DELETE requests on a route of the kind ``non_idempotent``.
-For some seconds one of three servers loses the answer to three in ten of the
-calls that it has run: the connection closes without an answer.
+Twice, for some seconds, two of four servers lose the answer to three in ten of
+the calls that they have run: the connection closes without an answer.
 """
 
 from __future__ import annotations
@@ -22,11 +22,11 @@
 )
 from tests.standins.platform_engine import FakePlatformEngine
 
-SERVERS = 3
+SERVERS, LOSING = 4, 2
 LOST_SHARE = 0.3
-LOST_FROM, LOST_UNTIL = 100, 225
-"""Numbers of the requests between which answers are lost: 5 s."""
-REQUESTS = 300
+LOST_FROM, LOST_UNTIL = (75, 275), (200, 400)
+"""Numbers of the requests between which answers are lost: 5 s each."""
+REQUESTS = 450
 GAP_S = 0.04
 METHODS = ("PUT", "DELETE", "POST")
 SEED = 31
@@ -61,10 +61,13 @@
             return CANNOT_RUN
         tasks = []
         for number in range(REQUESTS):
-            if TROUBLE and number in (LOST_FROM, LOST_UNTIL):
-                share = LOST_SHARE if number == LOST_FROM else 0.0
-                kit.engines["i-0"].lost_share = share
-                kit.record.line(f"i-0 loses {share} of its answers")
+            if TROUBLE and number in LOST_FROM + LOST_UNTIL:
+                share = LOST_SHARE if number in LOST_FROM else 0.0
+                for losing in range(LOSING):
+                    kit.engines[f"i-{losing}"].lost_share = share
+                kit.record.line(
+                    f"{LOSING} servers lose {share} of the answers"
+                )
             method = METHODS[number % len(METHODS)]
             call = kit.call(gateway, f"/book/{number}", method=method)
             tasks.append((method, asyncio.create_task(call)))
