--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
 """Servers lose the answers to some calls that may run only once.
 
 Clients send PUT and DELETE requests on a route of the kind ``non_idempotent``.
-Twice, for some seconds, two of four servers lose the answer to three in ten of
-the calls that they have run: the connection closes without an answer.
+Twice, for some seconds, two of four servers, the other two at the second time,
+lose the answer to three in ten of the calls that they have run: the connection
+closes without an answer.
 """
 
 from __future__ import annotations
@@ -24,10 +25,10 @@
 
 SERVERS, LOSING = 4, 2
 LOST_SHARE = 0.3
-LOST_FROM, LOST_UNTIL = (75, 275), (200, 400)
+LOST_FROM, LOST_UNTIL = (120, 440), (320, 640)
 """Numbers of the requests between which answers are lost: 5 s each."""
-REQUESTS = 450
-GAP_S = 0.04
+REQUESTS = 720
+GAP_S = 0.025
 METHODS = ("PUT", "DELETE", "POST")
 SEED = 31
 
@@ -63,8 +64,10 @@
         for number in range(REQUESTS):
             if TROUBLE and number in LOST_FROM + LOST_UNTIL:
                 share = LOST_SHARE if number in LOST_FROM else 0.0
+                is_second = number >= LOST_FROM[1]
                 for losing in range(LOSING):
-                    kit.engines[f"i-{losing}"].lost_share = share
+                    instance = f"i-{losing + LOSING * is_second}"
+                    kit.engines[instance].lost_share = share
                 kit.record.line(
                     f"{LOSING} servers lose {share} of the answers"
                 )
