--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -413,6 +413,8 @@
             status=status,
             code=failure.code,
             attempts=self.attempts,
+            events=self.events_sent,
+            is_cut=self.reply.is_started,
             detail=failure.detail,
         )
         self.ctx.metrics.count("failures_total", code=failure.code)
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -500,19 +500,34 @@
         task = asyncio.ensure_future(work)
         try:
             while True:
-                wait_s = self._progress.until_check_s(self.ctx.now_s())
+                started_s = self.ctx.now_s()
+                wait_s = self._progress.until_check_s(started_s)
                 # Data that has arrived is read before the stream is checked.
                 if not wait_s and not task.done():
                     await asyncio.sleep(0)
                 done, _ = await asyncio.wait({task}, timeout=wait_s)
                 if done:
                     return task.result()
+                self._log_stall(server, started_s + wait_s)
                 await self._handle_stall(server)
         finally:
             if not task.done():
                 task.cancel()
                 await asyncio.wait({task})
 
+    def _log_stall(self, server: Server, due_s: float) -> None:
+        """Log a stall, and how late the event loop was to notice it."""
+        now_s = self.ctx.now_s()
+        late_ms = round(1_000 * (now_s - due_s))
+        self.log(
+            "stalled",
+            server=server.instance,
+            events=self.events_sent,
+            silence_ms=round(1_000 * self._progress.silence_s(now_s)),
+            late_ms=late_ms,
+        )
+        self.ctx.metrics.observe("stall_late_ms", late_ms)
+
     async def _handle_stall(self, server: Server) -> None:
         """Move a run without progress; raise if the stream is to be resumed.
 
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -89,6 +89,8 @@
         self.engines: dict[str, FakePlatformEngine] = {}
         self.clients: list[PlatformStore] = []
         self.requests = 0
+        self.address = ""
+        """Address of a gateway process; empty for ``daemon``."""
 
     async def add(
         self,
@@ -153,7 +155,8 @@
             "X-Gooseberrypost-Deadline-Ms": "2000",
         }
         sent |= {name.replace("_", "-"): v for name, v in headers.items()}
-        url = f"http://{self.daemon.frontend.address}{path}"
+        address = self.address or self.daemon.frontend.address
+        url = f"http://{address}{path}"
         async with aiohttp.request(
             method, url, headers=sent, data=body
         ) as response:
