Ask a paused server for its process as long as its client waits

What callers saw: a resumable stream whose engine pauses with its first event for over 2 s is given up, though the engine goes on. Where no other engine has memory, or the gateway shuts down, the stream is cut.

Cause: before a resumable stream begins, the gateway asks for the engine's process, twice for 1 s. No answer was taken for another process. Only a refused connection, 421 or another start time shows that.

The engine is now asked until its client would leave.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -39,10 +39,10 @@
 """Maximum number of refusals; one more fails the request."""
 MIN_REMAINING_S: Final = 0.01
 """Remaining time below which no server is tried any more."""
-PROCESS_CHECKS: Final = 2
-"""Maximum number of calls to learn whether a server still runs."""
 PROCESS_CHECK_TIMEOUT_S: Final = 1.0
-"""Timeout of such a call, which a busy server may answer late."""
+"""Timeout of a call to learn whether a server's process still runs."""
+PROCESS_CHECK_INTERVAL_S: Final = 0.1
+"""Shortest interval between two such calls."""
 DEFAULT_RETRY_AFTER_S: Final = 0.25
 """``Retry-After`` for failures that state no delay of their own."""
 UNKNOWN_OUTCOME_STATUS: Final = 502
@@ -161,6 +161,11 @@
         """Time until the deadline; negative after it."""
         return self.deadline_s - self.ctx.now_s()
 
+    @property
+    def client_waits_until_s(self) -> float:
+        """Time at which the client disconnects without an answer."""
+        return self.deadline_s
+
     def check_deadline(self) -> None:
         """Raise if too little time remains for another attempt."""
         if self.remaining_s >= MIN_REMAINING_S:
@@ -220,13 +225,22 @@
             raise ServerReplaced(f"{server.identity}: process {state}")
 
     async def _process_state(self, server: Server) -> ProcessState:
-        """Ask whether a server's process still runs, twice if need be."""
+        """Ask whether a server's process still runs, until it answers.
+
+        A busy or paused one may answer late. It is asked as long as the client
+        waits.
+        """
         state = ProcessState.UNKNOWN
-        for _ in range(PROCESS_CHECKS):
-            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
-            if state is not ProcessState.UNKNOWN or timeout_s <= 0:
+        while state is ProcessState.UNKNOWN:
+            left_s = self.client_waits_until_s - self.ctx.now_s()
+            if left_s <= 0:
                 break
+            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, left_s)
+            asked_s = self.ctx.now_s()
             state = await self.ctx.transport.process_state(server, timeout_s)
+            if state is ProcessState.UNKNOWN:
+                took_s = self.ctx.now_s() - asked_s
+                await asyncio.sleep(max(0, PROCESS_CHECK_INTERVAL_S - took_s))
         return state
 
     def record_answer(self, answer: Answer) -> None:
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -281,6 +281,14 @@
         )
         return reservation
 
+    @property
+    def client_waits_until_s(self) -> float:
+        """Time at which the client disconnects if no event comes before."""
+        last_s = (
+            self._last_event_s if self._events.count else (self.req.arrived_s)
+        )
+        return min(self.deadline_s, last_s + self._client_wait_s())
+
     def _client_wait_s(self) -> float:
         """Time after which a client without a first event disconnects."""
         return (
--- a/tests/silent_engine.py
+++ b/tests/silent_engine.py
@@ -13,8 +13,6 @@
 class SilentEngine(FakePlatformEngine):
     """Sends an event every ``event_s`` seconds, but for one silence."""
 
-    events = 0
-
     def __init__(self, instance: str, stage: str = ""):
         super().__init__(instance, stage)
         self.events, self.event_s = 30, 0.05
@@ -24,16 +22,13 @@
         self.breaks_after: int | None = None
         """Event after which the engine breaks off a new stream."""
         self.answers_reports_when_silent = True
-        self.is_silent = False
+        self.speaks = asyncio.Event()
+        self.speaks.set()
 
     async def _handle(self, request, reader, writer):
         is_report = request.target == "/-/report"
-        while (
-            is_report
-            and self.is_silent
-            and not self.answers_reports_when_silent
-        ):
-            await asyncio.sleep(0.02)
+        if is_report and not self.answers_reports_when_silent:
+            await self.speaks.wait()
         await super()._handle(request, reader, writer)
 
     async def _stream(self, request, writer):
@@ -46,9 +41,10 @@
             if number == self.breaks_after and not first:
                 return
             if number == self.silent_after:
-                self.silent_after, self.is_silent = None, True
+                self.silent_after = None
+                self.speaks.clear()
                 await asyncio.sleep(self.silence_s)
-                self.is_silent = False
+                self.speaks.set()
             await asyncio.sleep(self.event_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
--- a/tests/test_stream_successors.py
+++ b/tests/test_stream_successors.py
@@ -11,7 +11,11 @@
 import pytest
 
 from tests.gateway_kit import GatewayKit, configuration, serving
-from tests.scenarios.processes import gateway_process, is_gateway_ready
+from tests.scenarios.processes import (
+    Process,
+    gateway_process,
+    is_gateway_ready,
+)
 from tests.silent_engine import (
     DEADLINE_MS,
     SilentEngine,
@@ -245,18 +249,14 @@
             for engine in kit.engines.values():
                 stack.push_async_callback(engine.stop)
             process = start_gateway(stack, kit.store, Path(folder))
-            async with asyncio.timeout(20):
-                while not await is_gateway_ready(process):
-                    await asyncio.sleep(0.1)
+            await wait_ready(process)
             kit.address = process.settings["listen"]["frontend"]
             streams = [
                 asyncio.create_task(stream(kit, route))
                 for route in ("text", "again", "text", "again")
             ]
             decoders = [kit.engines["d"], kit.engines["e"]]
-            await kit.until(
-                lambda: sum(len(e.running) for e in decoders) == 4
-            )
+            await kit.until(lambda: sum(len(e.running) for e in decoders) == 4)
             for _ in range(2):
                 process.signal(signal.SIGSTOP)
                 await asyncio.sleep(2.0)
@@ -270,6 +270,15 @@
     run(work)
 
 
+async def wait_ready(process: Process):
+    """Wait until a gateway process serves; fails after 20 s."""
+    async with asyncio.timeout(20):
+        is_ready = False
+        while not is_ready:
+            is_ready = await is_gateway_ready(process)
+            await asyncio.sleep(0.1)
+
+
 def start_gateway(
     stack: AsyncExitStack, store: FakePlatformStore, folder: Path
 ):
