Take no delay of the gateway itself for silence of its engines

What callers saw: streams of several sound engines are moved or cut at once when their gateway did not run for a while.

Cause: timers and sockets become due in the same pass of the event loop, and the task that waits for the socket runs only in a later pass. A timer that fires late thus ended a wait whose data had arrived, and the whole delay counted as silence of the engine.

The delay is left out of the silence now, and what has arrived is read before a check. Log event late_event_loop; stalled no longer names the delay, which is 0 there.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -67,6 +67,10 @@
 STALL_SHARE: Final = 0.5
 """Share of the time that a client waits for an event after which a stalled
 stream is resumed at another engine, if that executes the request again."""
+LATE_TIMER_S: Final = 0.02
+"""Delay of a timer beyond which the event loop of this process was late."""
+READ_GRACE_S: Final = 0.02
+"""Time to read what arrived before a stream is taken for stalled."""
 STREAM_CLOSE_TIMEOUT_S: Final = 0.1
 """Time allowed for an engine to close the stream of a stopped generation."""
 MIN_CLIENT_WAIT_MS: Final = 2_000
@@ -510,31 +514,27 @@
             while True:
                 started_s = self.ctx.now_s()
                 wait_s = self._progress.until_check_s(started_s)
+                await asyncio.wait({task}, timeout=wait_s)
+                late_s = self.ctx.now_s() - started_s - wait_s
+                if late_s > LATE_TIMER_S and not task.done():
+                    # The delay is no silence of the engine.
+                    self._log_delay(late_s)
+                    self._progress.exclude(late_s)
                 # Data that has arrived is read before the stream is checked.
-                if not wait_s and not task.done():
-                    await asyncio.sleep(0)
-                done, _ = await asyncio.wait({task}, timeout=wait_s)
-                if done:
+                await asyncio.wait({task}, timeout=READ_GRACE_S)
+                if task.done():
                     return task.result()
-                self._log_stall(server, started_s + wait_s)
-                await self._handle_stall(server)
+                if self._progress.until_check_s(self.ctx.now_s()) <= 0:
+                    await self._handle_stall(server)
         finally:
             if not task.done():
                 task.cancel()
                 await asyncio.wait({task})
 
-    def _log_stall(self, server: Server, due_s: float) -> None:
-        """Log a stall, and how late the event loop was to notice it."""
-        now_s = self.ctx.now_s()
-        late_ms = round(1_000 * (now_s - due_s))
-        self.log(
-            "stalled",
-            server=server.instance,
-            events=self.events_sent,
-            silence_ms=round(1_000 * self._progress.silence_s(now_s)),
-            late_ms=late_ms,
-        )
-        self.ctx.metrics.observe("stall_late_ms", late_ms)
+    def _log_delay(self, late_s: float) -> None:
+        late_ms = round(1_000 * late_s)
+        self.log("late_event_loop", events=self.events_sent, late_ms=late_ms)
+        self.ctx.metrics.observe("event_loop_late_ms", late_ms)
 
     async def _handle_stall(self, server: Server) -> None:
         """Move a run without progress; raise if the stream is to be resumed.
@@ -544,6 +544,14 @@
         answer, or has been silent for a large part of the time that clients
         wait.
         """
+        self.log(
+            "stalled",
+            server=server.instance,
+            events=self.events_sent,
+            silence_ms=round(
+                1_000 * self._progress.silence_s(self.ctx.now_s())
+            ),
+        )
         if await self._migration.fail_over(server, self._run):
             raise StreamMoved(f"{server.address}: stream idle timeout")
         now_s = self.ctx.now_s()
--- a/src/gooseberrypost/policy/streamprogress.py
+++ b/src/gooseberrypost/policy/streamprogress.py
@@ -12,6 +12,12 @@
 >>> progress.record_event(0.6)
 >>> round(progress.until_check_s(0.7), 3), progress.silence_s(0.7) < 0.2
 (0.65, True)
+
+A delay of the event loop that reads the stream is no silence of its engine:
+
+>>> progress.exclude(0.5)
+>>> round(progress.until_check_s(1.0), 3)
+0.85
 """
 
 from __future__ import annotations
@@ -76,6 +82,11 @@
         """Return the time since the last event, or since the start."""
         return now_s - self._last_event_s
 
+    def exclude(self, late_s: float) -> None:
+        """Leave out a time in which this process itself did not run."""
+        self._last_event_s += late_s
+        self._check_at_s += late_s
+
     def postpone_check(self, now_s: float) -> None:
         """Wait for another idle timeout before the next check."""
         self._check_at_s = now_s + self._idle_s
