Keep the stream of a silent engine until another one is ready

What callers saw: resumable streams end without a whole answer around a SIGTERM of their gateway, or beside full engines, though their engine is sound; streams that break off 4 s or later after their arrival are not resumed.

Cause: what was in hand was let go before its successor was certain. The gateway closed the stream of an engine that was silent for half of the time that clients wait, and asked for memory elsewhere only then. That was refused in a drain, beside full engines, and once the client had been expected to leave if it had had no event since its arrival. A refusal after the first event is a cut.

Now another engine is prepared while the stream stays open: memory, prefill, retry budget. Only then is the first one closed; if it speaks before, the preparation is given back. A stream that has begun is refused only when its client leaves, counted from its last event, and neither for a shutdown nor for the number of engines that did not take it. Reservation and prefill of an attempt are in a class of their own, of which the other engine has a second one.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -293,20 +293,23 @@
     ) -> None:
         """Exclude a server to which no connection could be established.
 
-        Raises the failure after too many of these.
+        Raises the failure after too many of these, unless that would cut an
+        answer that has begun.
         """
         self.ctx.loads.of(server.identity).record_unreachable(self.ctx.now_s())
         self.ctx.notify_loads_changed()
         self.excluded.add(server.identity)
         self.connect_failures += 1
         self._log_retry(server, failure)
-        if self.connect_failures > MAX_CONNECT_FAILURES:
+        has_too_many = self.connect_failures > MAX_CONNECT_FAILURES
+        if has_too_many and not self.reply.is_started:
             raise failure
 
     def handle_refusal(self, server: Server, failure: ServerRefused) -> None:
         """Exclude the server; raise if the request must not be retried.
 
-        The number of refusals and the retry budget limit the retries.
+        The retry budget limits the retries, and their number does unless the
+        answer has begun.
         """
         now_s = self.ctx.now_s()
         load = self.ctx.loads.of(server.identity)
@@ -318,29 +321,42 @@
         self.excluded.add(server.identity)
         self._log_retry(server, failure)
         self.refusals += 1
-        if self.refusals > MAX_REFUSALS or not self.budget.try_spend(now_s):
+        has_too_many = (
+            self.refusals > MAX_REFUSALS and not self.reply.is_started
+        )
+        if has_too_many or not self.budget.try_spend(now_s):
             raise failure
 
     def handle_lost_answer(
-        self, server: Server, failure: AnswerLost, *, repeatable: bool
+        self,
+        server: Server,
+        failure: AnswerLost,
+        *,
+        repeatable: bool,
+        is_counted: bool = False,
     ) -> None:
         """Exclude the server; raise if the request must not be retried.
 
         A retry executes the request again, which it must permit, and uses
-        the retry budget.
+        the retry budget unless it ``is_counted`` already.
         """
-        now_s = self.ctx.now_s()
-        self.ctx.loads.of(server.identity).record_failure(now_s)
+        self.record_lost_answer(server, failure)
+        if self.remaining_s < MIN_REMAINING_S:
+            raise DeadlineExceeded(failure.detail) from failure
+        if not repeatable:
+            raise failure
+        if not is_counted and not self.budget.try_spend(self.ctx.now_s()):
+            raise failure
+
+    def record_lost_answer(self, server: Server, failure: AnswerLost) -> None:
+        """Exclude a server, of which other requests may be in danger, too."""
+        self.ctx.loads.of(server.identity).record_failure(self.ctx.now_s())
         if not isinstance(failure, ServerReplaced):
             self.ctx.quarantine.record_loss(
                 server, self.content, has_begun=self.has_begun
             )
         self.excluded.add(server.identity)
         self._log_retry(server, failure)
-        if self.remaining_s < MIN_REMAINING_S:
-            raise DeadlineExceeded(failure.detail) from failure
-        if not repeatable or not self.budget.try_spend(now_s):
-            raise failure
 
     def keep_error(self, server: Server, answer: BufferedAnswer) -> None:
         """Keep the first server error, to be forwarded if no retry helps.
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import AsyncExitStack, contextmanager
+from contextlib import AsyncExitStack
 from functools import cached_property
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
@@ -16,11 +16,9 @@
     ServerReplaced,
 )
 from gooseberrypost.gateway.migration import Migration
+from gooseberrypost.gateway.preparation import Preparation
 from gooseberrypost.gateway.request import Prompt
-from gooseberrypost.gateway.reserver import (
-    RESERVATION_TTL_MS,
-    PendingReservation,
-)
+from gooseberrypost.gateway.successor import Successor
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     SendOptions,
@@ -28,18 +26,15 @@
     ServerUnreachable,
 )
 from gooseberrypost.identity import content_digest
-from gooseberrypost.policy.enginememory import Run, predict_output_tokens
-from gooseberrypost.policy.queueorder import first_event_due_in_s
+from gooseberrypost.policy.enginememory import Run
 from gooseberrypost.policy.serverchoice import (
     DECODE_PREFILL_SLOWDOWN,
-    choose_prefill,
     prefill_time_ms,
-    should_prefill_on_decode,
 )
 from gooseberrypost.policy.streamprogress import StreamProgress, idle_timeout_s
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Iterator
+    from collections.abc import AsyncIterator, Awaitable
 
     from gooseberrypost.errors import NotRun
     from gooseberrypost.gateway.model import Server
@@ -48,25 +43,11 @@
         KvHandle,
         Reservation,
     )
-    from gooseberrypost.policy.serverload import ServerLoad
-
-PREFILL_TIMEOUT_FACTOR: Final = 6.0
-"""Multiple of the predicted prefill time after which a prefill times out."""
-MIN_PREFILL_TIMEOUT_S: Final = 1.0
-"""Lower bound of the prefill timeout."""
-MAX_PREFILL_WAIT_S: Final = RESERVATION_TTL_MS / 2_000
-"""Longest wait for the rate limit of a prefill engine.
-
-Half of a reservation's lifetime is left for the prefill.
-"""
-KV_REUSE_SHARE: Final = 0.7
-"""Share of the engine's KV cache retention time during which reuse is tried.
 
-A KV cache that is older is released instead of used for another attempt.
-"""
 STALL_SHARE: Final = 0.5
-"""Share of the time that a client waits for an event after which a stalled
-stream is resumed at another engine, if that executes the request again."""
+"""Share of the time that a client waits for an event after which another
+engine is prepared for a stalled stream, if it may execute the request again.
+"""
 LATE_TIMER_S: Final = 0.02
 """Delay of a timer beyond which the event loop of this process was late."""
 READ_GRACE_S: Final = 0.02
@@ -119,7 +100,9 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self._prompt = self.req.prompt or Prompt(1, 1)
+        self.prompt = self.req.prompt or Prompt(1, 1)
+        self.version: str | None = None
+        """Software version that began the stream; None before that."""
         self._events = EventSplitter(
             self.req.resume_after,
             ids_count=self.ctx.ids_count_events.get(self.service),
@@ -130,27 +113,21 @@
         """Whether the current attempt goes on after an event of another."""
         self._continues_run = False
         """Whether the current attempt goes on with a run that was moved."""
-        self._version: str | None = None
-        """Software version that began the stream; None before that."""
-        self._kv: KvHandle | None = None
-        """Prefilled KV cache that no decode attempt has used yet."""
         self._run = Run(0, 0)
+        """Run of the current attempt, as counted at its engine."""
         self._migration = Migration(self)
-        self._pending: PendingReservation | None = None
-        """The latest wait for a reservation, which may have ended."""
-        self._reservation: Reservation | None = None
-        """Decode reservation that no decode attempt has used yet."""
-        self._reserved_at_s = 0.0
+        self._preparation = Preparation(self)
+        self._successor: Successor | None = None
+        """Engine that is prepared as the current one is silent."""
         self._decode_started_s = 0.0
         self._progress = StreamProgress(0.0, 0.0, 0.0)
         """Events of the current decode attempt."""
         self._first_event_s: float | None = None
         """Monotonic time of the first event for the client."""
-        self._last_event_s = 0.0
+        self._last_event_s = self.req.arrived_s
+        """Time of the last event, or of the arrival before the first one."""
         self._longest_pause_s = 0.0
         """Longest time between two events for the client."""
-        self._kv_created_s = 0.0
-        self._kv_refusals = 0
 
     @property
     def is_repeatable(self) -> bool:
@@ -168,7 +145,7 @@
         scope = f"{self.service} part"
         return frozenset(
             content_digest(scope, part.encode()).hex()
-            for part, _ in self._prompt.parts[:-1]
+            for part, _ in self.prompt.parts[:-1]
         )
 
     @property
@@ -181,6 +158,24 @@
         """Number of complete events forwarded to the client."""
         return self._events.count
 
+    @property
+    def client_waits_until_s(self) -> float:
+        """Time at which the client disconnects if no event comes before."""
+        waits_until_s = self._last_event_s + self._client_wait_s
+        return min(self.deadline_s, waits_until_s)
+
+    @property
+    def _client_wait_s(self) -> float:
+        """Time without an event after which the client disconnects."""
+        return (
+            max(
+                MIN_CLIENT_WAIT_MS,
+                LATENCY_WAIT_FACTOR * self.route.target_latency_ms,
+                GAP_WAIT_FACTOR * self.route.target_gap_ms,
+            )
+            / 1_000
+        )
+
     async def serve(self) -> None:
         """Answer the client, retrying on other engines."""
         if self.req.resume_after:
@@ -199,7 +194,7 @@
         req = self.req
         self.log("taken_up", begun_by=req.begun_by, after=req.resume_after)
         if self.route.resumable:
-            self._version = await self.ctx.versions.find(
+            self.version = await self.ctx.versions.find(
                 self.service, req.begun_by
             )
 
@@ -211,189 +206,41 @@
         self._continues_run = moved is not None
         if moved is not None:
             # The run is stopped and can only continue there.
+            self._cancel_successor()
             self.ctx.count_send(moved.server)
             return await self._decode(moved.server, moved.kv, None)
-        if self._reservation is None:
-            self._reservation = await self._reserve()
-        if self._version is None and self.route.resumable:
-            # The record is saved during the prefill.
-            self.ctx.versions.prepare(
-                self.service, self.req.id, self._reservation.server.version
-            )
-        if self._kv is None:
-            prefill_server = self._prefill_server(self._reservation.server)
-            if prefill_server is not None:
-                if not await self.take_turn(prefill_server):
-                    return False
-                self._kv = await self._prefill(prefill_server)
-                if self._kv is None:
-                    return False
-                if self._pending is not None and not self.attempts:
-                    self.ctx.reservation_queue.check_shutdown(self._pending)
-        self.check_quarantine()
-        reservation, kv, self._reservation, self._kv = (
-            self._reservation,
-            self._kv,
-            None,
-            None,
-        )
-        return await self._decode(reservation.server, kv, reservation)
-
-    async def _reserve(self) -> Reservation:
-        prompt = self._prompt
-        arrived_s, route = self.req.arrived_s, self.route
-        self.ctx.record_hint(self.service, prompt.output_hint)
-        output = predict_output_tokens(
-            prompt.output_hint,
-            self.ctx.typical_output(self.service),
-            prompt.max_output,
-        )
-        self._run = Run(prompt.tokens, output, prompt.max_output)
-        pending = PendingReservation(
-            first_event_due_s=arrived_s
-            + first_event_due_in_s(
-                self.req.deadline_s - arrived_s,
-                route.timeout_ms / 1_000,
-                route.target_latency_ms / 1_000,
-            ),
-            abandon_s=min(self.deadline_s, arrived_s + self._client_wait_s()),
-            tokens=prompt.tokens,
-            output=output,
-            priority=route.priority,
-            service=self.service,
-            request=self.req.id,
-            deadline_s=self.req.deadline_s,
-            excluded=self.excluded,
-            run=self._run,
-            version=self._version,
-        )
-        self._pending = pending
-        reservation = await self.ctx.reservation_queue.acquire(pending)
-        self._reserved_at_s = self.ctx.now_s()
-        self.log(
-            "reserved",
-            server=reservation.server.instance,
-            prompt=prompt.tokens,
-            parts=",".join(part for part, _ in prompt.parts),
-            output=output,
-            hint=prompt.output_hint,
-            runs=self.ctx.loads.run_count(reservation.server.identity),
-            peak=self.ctx.loads.predict_peak_tokens(
-                reservation.server.identity, self.ctx.now_s()
-            ),
-            left_ms=round(1_000 * self.remaining_s),
-        )
-        return reservation
-
-    @property
-    def client_waits_until_s(self) -> float:
-        """Time at which the client disconnects if no event comes before."""
-        last_s = (
-            self._last_event_s if self._events.count else (self.req.arrived_s)
-        )
-        return min(self.deadline_s, last_s + self._client_wait_s())
-
-    def _client_wait_s(self) -> float:
-        """Time after which a client without a first event disconnects."""
-        return (
-            max(
-                MIN_CLIENT_WAIT_MS,
-                LATENCY_WAIT_FACTOR * self.route.target_latency_ms,
-                GAP_WAIT_FACTOR * self.route.target_gap_ms,
-            )
-            / 1_000
-        )
+        await self._adopt_successor()
+        if not await self._preparation.complete():
+            return False
+        prepared = self._preparation.take()
+        self._run = prepared.run
+        reservation = prepared.reservation
+        return await self._decode(reservation.server, prepared.kv, reservation)
+
+    async def _adopt_successor(self) -> None:
+        """Go on with the engine that is being prepared, if there is one."""
+        successor = self._successor
+        if successor is None:
+            return
+        await asyncio.wait({successor.task})
+        self._successor = None
+        if successor.is_ready:
+            self._preparation.release()
+            self._preparation = successor.preparation
 
-    def _prefill_server(self, decode: Server) -> Server | None:
-        """Choose a prefill engine; None to prefill on the decode engine."""
-        tokens = self._prompt.tokens
-        loads, now_s = self.ctx.loads, self.ctx.now_s()
-        servers = [
-            server
-            for server in self.servers()
-            if loads.limit_wait_s(server.identity, now_s) <= MAX_PREFILL_WAIT_S
-        ]
-        prefill = choose_prefill(servers, loads, tokens, now_s, self.ctx.rng)
-        cfg = self.ctx.directory.configuration
-        objective_ms = 1_000 * cfg.first_event_objective_s(self.service)
-        if should_prefill_on_decode(
-            prefill, decode, loads, tokens, objective_ms, now_s
-        ):
-            return None
-        return prefill
+    def _cancel_successor(self) -> None:
+        successor, self._successor = self._successor, None
+        if successor is not None:
+            successor.cancel()
 
     def _release_unused(self) -> None:
-        """Release unused reservations, KV caches and moved runs."""
-        transport = self.ctx.transport
+        """Release what was prepared, and runs that were moved."""
         moved = self._migration.pop_moved()
         if moved is not None:
-            self._remove_run(moved.server)
-            self.ctx.spawn(transport.release_kv(moved.kv))
-        if self._kv is not None:
-            self._count_waste("unused")
-            self.ctx.spawn(transport.release_kv(self._kv))
-            self._kv = None
-        if self._reservation is not None:
-            self._remove_run(self._reservation.server)
-            self.ctx.spawn(transport.cancel_reservation(self._reservation))
-            self._reservation = None
-
-    async def _prefill(self, server: Server) -> KvHandle | None:
-        load = self.ctx.loads.of(server.identity)
-        tokens = self._prompt.tokens
-        loads = self.ctx.loads
-        predicted_s = prefill_time_ms(server, loads, tokens) / 1_000
-        timeout_s = max(
-            PREFILL_TIMEOUT_FACTOR * predicted_s, MIN_PREFILL_TIMEOUT_S
-        )
-        options = SendOptions(
-            timeout_s=min(self.remaining_s, timeout_s),
-            connect_timeout_s=min(CONNECT_TIMEOUT_S, self.remaining_s),
-        )
-        queued_tokens = loads.prefill_tokens(server.identity)
-        try:
-            with self._prefill_counted(load, tokens):
-                started_s = self.ctx.now_s()
-                kv = await self.ctx.transport.prefill(
-                    server, self.req, options
-                )
-                took_ms = 1_000 * (self.ctx.now_s() - started_s)
-        except ServerUnreachable as failure:
-            self.handle_unreachable(server, failure)
-            return None
-        except ServerRefused as failure:
-            self.handle_refusal(server, failure)
-            return None
-        except AnswerLost as failure:
-            self._count_waste("prefill_lost")
-            # A prefill has no side effects, so it may be repeated.
-            self.handle_lost_answer(server, failure, repeatable=True)
-            return None
-        load.record_prefill(tokens, took_ms, queued_tokens)
-        self._kv_created_s, self._kv_refusals = self.ctx.now_s(), 0
-        self.log(
-            "prefilled",
-            server=server.instance,
-            tokens=kv.tokens,
-            server_ms=round(took_ms),
-            before=queued_tokens,
-        )
-        return kv
-
-    @contextmanager
-    def _prefill_counted(
-        self, load: ServerLoad, tokens: int
-    ) -> Iterator[None]:
-        """Count a prefill in the engine's load while it is in progress."""
-        load.outstanding += 1
-        load.prefill_tokens += tokens
-        self.ctx.notify_loads_changed()
-        try:
-            yield
-        finally:
-            load.outstanding -= 1
-            load.prefill_tokens -= tokens
-            self.ctx.notify_loads_changed()
+            self.remove_run(moved.server, self._run)
+            self.ctx.spawn(self.ctx.transport.release_kv(moved.kv))
+        self._cancel_successor()
+        self._preparation.release()
 
     async def _decode(
         self,
@@ -424,24 +271,9 @@
                 )
                 await self._forward(server, answer)
             return True
-        except ServerUnreachable as failure:
-            self.attempts -= 1
-            if kv and self._migration.return_to_source(server, kv):
-                load = self.ctx.loads.of(server.identity)
-                load.record_unreachable(self.ctx.now_s())
-                return False
-            self._kv = kv
-            self._check_restartable(failure)
-            self.handle_unreachable(server, failure)
-        except ServerRefused as failure:
+        except (ServerUnreachable, ServerRefused) as failure:
             self.attempts -= 1
-            if kv and self._migration.return_to_source(server, kv):
-                load = self.ctx.loads.of(server.identity)
-                load.record_refusal(self.ctx.now_s())
-                return False
-            self._check_restartable(failure)
-            self.handle_refusal(server, failure)
-            self._keep_or_release(kv)
+            await self._handle_not_taken(server, kv, failure)
         except GenerationMoved:
             # The next attempt continues the run.
             pass
@@ -450,9 +282,35 @@
         except AnswerLost as failure:
             await self._handle_broken_stream(server, failure)
         finally:
-            self._remove_run(server)
+            self.remove_run(server, self._run)
         return False
 
+    async def _handle_not_taken(
+        self,
+        server: Server,
+        kv: KvHandle | None,
+        failure: ServerUnreachable | ServerRefused,
+    ) -> None:
+        """Choose how to go on if an engine has not taken the generation.
+
+        Raises the failure if no other engine may execute it.
+        """
+        is_refused = isinstance(failure, ServerRefused)
+        if kv and self._migration.return_to_source(server, kv):
+            load = self.ctx.loads.of(server.identity)
+            if is_refused:
+                load.record_refusal(self.ctx.now_s())
+            else:
+                load.record_unreachable(self.ctx.now_s())
+            return
+        self._check_restartable(failure)
+        if is_refused:
+            self.handle_refusal(server, failure)
+            self._preparation.return_refused_kv(kv)
+        else:
+            self._preparation.return_kv(kv)
+            self.handle_unreachable(server, failure)
+
     def _check_restartable(self, failure: NotRun) -> None:
         """Raise if another attempt would execute a non-resumable stream again.
 
@@ -476,15 +334,22 @@
         ):
             is_moved = await migration.fail_over(server, self._run)
         if not is_moved:
-            self._count_waste("engine_lost")
+            self.count_waste("engine_lost")
+        if isinstance(failure, StreamStalled):
+            # Another engine is ready, and the retry budget was used for it.
+            self.record_lost_answer(server, failure)
+            return
         self.handle_lost_answer(
-            server, failure, repeatable=is_moved or self._may_execute_again
+            server,
+            failure,
+            repeatable=is_moved or self._may_execute_again,
+            is_counted=self._successor is not None,
         )
 
-    def _count_waste(self, cause: str) -> None:
+    def count_waste(self, cause: str) -> None:
         """Count the prompt as prefilled without an answer from it."""
         self.ctx.metrics.count(
-            "prefill_wasted_tokens_total", self._prompt.tokens, cause=cause
+            "prefill_wasted_tokens_total", self.prompt.tokens, cause=cause
         )
 
     def _start_progress(
@@ -496,7 +361,7 @@
         idle_s = idle_timeout_s(gap_s, ctx.usual_pause_s(self.service))
         first_event_s = ctx.first_event_delay_s(self.service)
         if kv is None:
-            tokens = self._prompt.tokens
+            tokens = self.prompt.tokens
             prefill_ms = prefill_time_ms(server, ctx.loads, tokens)
             first_event_s += DECODE_PREFILL_SLOWDOWN * prefill_ms / 1_000
         return StreamProgress(ctx.now_s(), idle_s, first_event_s)
@@ -512,24 +377,46 @@
         task = asyncio.ensure_future(work)
         try:
             while True:
-                started_s = self.ctx.now_s()
-                wait_s = self._progress.until_check_s(started_s)
-                await asyncio.wait({task}, timeout=wait_s)
-                late_s = self.ctx.now_s() - started_s - wait_s
-                if late_s > LATE_TIMER_S and not task.done():
-                    # The delay is no silence of the engine.
-                    self._log_delay(late_s)
-                    self._progress.exclude(late_s)
-                # Data that has arrived is read before the stream is checked.
-                await asyncio.wait({task}, timeout=READ_GRACE_S)
-                if task.done():
+                if await self._is_done_in_time(task):
                     return task.result()
+                if self._successor is not None and self._successor.is_ready:
+                    raise StreamStalled(
+                        f"{server.address}: silent for {self._silence_s:.2f} s"
+                    )
                 if self._progress.until_check_s(self.ctx.now_s()) <= 0:
                     await self._handle_stall(server)
         finally:
-            if not task.done():
-                task.cancel()
-                await asyncio.wait({task})
+            await _end_read(task)
+
+    async def _is_done_in_time(self, task: asyncio.Future[T]) -> bool:
+        """Wait for data, and return whether it has come.
+
+        The wait ends as well when the stream is to be checked, and when
+        another engine is ready for it.
+
+        Data that arrived while the event loop of this process was late is read
+        first, and the delay is no silence of the engine.
+        """
+        started_s = self.ctx.now_s()
+        wait_s = self._progress.until_check_s(started_s)
+        awaited: set[asyncio.Future[Any]] = {task}
+        successor = self._successor
+        if successor is not None and not successor.task.done():
+            awaited.add(successor.task)
+        await asyncio.wait(
+            awaited, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        late_s = self.ctx.now_s() - started_s - wait_s
+        if late_s > LATE_TIMER_S and not task.done():
+            self._log_delay(late_s)
+            self._progress.exclude(late_s)
+        if not task.done():
+            await asyncio.wait({task}, timeout=READ_GRACE_S)
+        return task.done()
+
+    @property
+    def _silence_s(self) -> float:
+        return self._progress.silence_s(self.ctx.now_s())
 
     def _log_delay(self, late_s: float) -> None:
         late_ms = round(1_000 * late_s)
@@ -537,60 +424,48 @@
         self.ctx.metrics.observe("event_loop_late_ms", late_ms)
 
     async def _handle_stall(self, server: Server) -> None:
-        """Move a run without progress; raise if the stream is to be resumed.
+        """Move a run without progress, or prepare another engine for it.
 
-        A run that cannot be moved may still continue where it is. It is only
-        executed again if the request permits that and its engine does not
-        answer, or has been silent for a large part of the time that clients
-        wait.
+        A run that cannot be moved may still continue where it is, and is kept
+        until another engine is ready. That is prepared if the request may be
+        executed again and its engine does not answer, or has been silent for
+        a large part of the time that clients wait.
         """
+        silence_s = self._silence_s
         self.log(
             "stalled",
             server=server.instance,
             events=self.events_sent,
-            silence_ms=round(
-                1_000 * self._progress.silence_s(self.ctx.now_s())
-            ),
+            silence_ms=round(1_000 * silence_s),
         )
         if await self._migration.fail_over(server, self._run):
             raise StreamMoved(f"{server.address}: stream idle timeout")
-        now_s = self.ctx.now_s()
-        silence_s = self._progress.silence_s(now_s)
         is_lost = (
             self._migration.is_source_unreachable
-            or silence_s >= STALL_SHARE * self._client_wait_s()
+            or silence_s >= STALL_SHARE * self._client_wait_s
         )
-        if is_lost and self._may_execute_again:
-            raise StreamStalled(f"{server.address}: silent for {silence_s} s")
-        self._progress.postpone_check(now_s)
+        if is_lost:
+            self._prepare_successor(server)
+        self._progress.postpone_check(self.ctx.now_s())
+
+    def _prepare_successor(self, server: Server) -> None:
+        """Begin to prepare another engine, if none is being prepared."""
+        if self._successor is not None and not self._successor.task.done():
+            return
+        if self._may_execute_again and self.budget.try_spend(self.ctx.now_s()):
+            self.log("successor_started", server=server.instance)
+            self._successor = Successor(self, server)
 
     @property
     def _may_execute_again(self) -> bool:
         return self.is_repeatable and self.attempts < self.route.max_attempts
 
-    def _remove_run(self, server: Server) -> None:
-        self.ctx.loads.of(server.identity).runs.discard(self._run)
+    def remove_run(self, server: Server, run: Run) -> None:
+        """Stop counting a run at an engine."""
+        self.ctx.loads.of(server.identity).runs.discard(run)
         self.ctx.notify_loads_changed()
         self.ctx.reservation_queue.wake()
 
-    def _keep_or_release(self, kv: KvHandle | None) -> None:
-        """Keep a refused KV cache for one more attempt, or release it.
-
-        A refusal does not show whether the KV cache has expired or the decode
-        engine lacks memory; a second refusal makes expiry the likely cause.
-        """
-        if kv is None:
-            return
-        self._kv_refusals += 1
-        spec = self.ctx.engine_spec(self.service)
-        reusable_s = KV_REUSE_SHARE * spec.kv_retention_ms / 1_000
-        age_s = self.ctx.now_s() - self._kv_created_s
-        if self._kv_refusals <= 1 and age_s < reusable_s:
-            self._kv = kv
-        else:
-            self._count_waste("refused")
-            self.ctx.spawn(self.ctx.transport.release_kv(kv))
-
     async def _forward(self, server: Server, answer: Answer) -> None:
         if not answer.is_signed:
             raise AnswerLost(f"unsigned answer with status {answer.status}")
@@ -599,7 +474,7 @@
             return
         if not self.reply.is_started:
             self.ctx.record_first_event_delay(
-                self.service, self.ctx.now_s() - self._reserved_at_s
+                self.service, self._preparation.since_reserved_s
             )
             await self.reply.start(answer.status, answer.headers)
         stride = self.ctx.engine_spec(self.service).tokens_per_event
@@ -614,7 +489,7 @@
                 is_confirmed = True
             complete = self._feed(chunk, stride)
             if complete:
-                if self._events.count and self._version is None:
+                if self._events.count and self.version is None:
                     await self._begin_stream(server)
                 await self.reply.write(complete)
                 if await self._migration.move_if_memory_low(server, self._run):
@@ -636,7 +511,7 @@
 
     async def _begin_stream(self, server: Server) -> None:
         """Bind the stream to the version that brings its first event."""
-        self._version = server.version
+        self.version = server.version
         if self.route.resumable:
             await self.ctx.versions.begin(
                 self.service, self.req.id, server.version, self.remaining_s
@@ -659,6 +534,8 @@
         if self._events.count == events_before:
             return complete
         now_s = self.ctx.now_s()
+        # The engine is at work after all.
+        self._cancel_successor()
         self._progress.record_event(now_s)
         self._run.produced = stride * self._events.count
         if self._first_event_s is None:
@@ -718,3 +595,12 @@
             if at_s is None
             else round(1_000 * (at_s - self.req.arrived_s))
         )
+
+
+async def _end_read(task: asyncio.Future[Any]) -> None:
+    """Cancel a read whose data is not needed, and take note of its failure."""
+    if not task.done():
+        task.cancel()
+        await asyncio.wait({task})
+    if not task.cancelled():
+        task.exception()
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -88,13 +88,11 @@
         Raises ``NoDecodeCapacity``, or ``VersionGone`` if the generation can
         go on nowhere. A generation whose expected queueing delay exceeds its
         objective is refused at once, so that its client can retry later
-        instead of waiting for a late answer.
+        instead of waiting for a late answer. One that has begun is refused
+        only when its client leaves.
         """
-        if self._is_cut_by_shutdown(pending, self._start_after_wait_s):
-            raise self._shutting_down()
-        if self._is_version_gone(pending):
-            raise self._version_gone(pending)
-        self._refuse_if_late(pending)
+        if not pending.has_begun:
+            self._refuse_at_once(pending)
         self._queue.append(pending)
         self._wakeup.set()
         self._ctx.notify_loads_changed()
@@ -107,6 +105,14 @@
             with suppress(ValueError):
                 self._queue.remove(pending)
 
+    def _refuse_at_once(self, pending: PendingReservation) -> None:
+        """Raise if it is not worth waiting for a new generation."""
+        if self._is_cut_by_shutdown(pending, self._start_after_wait_s):
+            raise self._shutting_down()
+        if self._is_version_gone(pending):
+            raise self._version_gone(pending)
+        self._refuse_if_late(pending)
+
     @property
     def has_waiting(self) -> bool:
         """Whether any generation is queued."""
@@ -261,9 +267,12 @@
         """Refuse generations that are too late, then reserve for the rest."""
         now_s = self._ctx.now_s()
         for pending in list(self._queue):
-            if self._is_version_gone(pending):
+            is_new = not pending.has_begun
+            if is_new and self._is_version_gone(pending):
                 self._refuse(pending, self._version_gone(pending))
-            elif self._is_cut_by_shutdown(pending, self._first_event_delay_s):
+            elif is_new and self._is_cut_by_shutdown(
+                pending, self._first_event_delay_s
+            ):
                 self._refuse(pending, self._shutting_down())
             elif is_abandoned_before_start(
                 pending, now_s, self._first_event_delay_s(pending)
--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -53,6 +53,13 @@
     run: Run = field(default_factory=lambda: Run(0, 0))
     version: str | None = None
     """Software version at which the stream must go on; None for any."""
+    has_begun: bool = False
+    """Whether a part of the answer has been sent.
+
+    A refusal would cut the answer, so there is none before ``abandon_s``.
+    """
+    source: str = ""
+    """Identity of an engine that still runs the generation; empty if none."""
     is_reserving: bool = False
     """Whether an engine has been asked, or has reserved memory.
 
@@ -246,10 +253,11 @@
         """Return the servers at which the generation may run."""
         ctx = self._ctx
         servers = ctx.directory.available_servers(pending.service, ctx.now_s())
-        if pending.version is None:
-            return servers
         return [
-            server for server in servers if server.version == pending.version
+            server
+            for server in servers
+            if server.identity != pending.source
+            and pending.version in (None, server.version)
         ]
 
     def remove_run(self, server: Server, pending: PendingReservation) -> None:
