Let a stopped run go on at whichever engine has its memory

What callers saw: streams whose run was moved ended without a whole answer, though its memory was sound at the source and at the target.

Cause: the run was let go before its successor was certain. A target that was late for 0.25 s, or refused once, lost the run; only runs that had been moved for lack of memory could return, and only with retry budget. The budget was asked after the run had been stopped. A moved run counted as a further execution, so that it could not be resumed.

Now the run is offered to source and target in turn while its client waits (for 1 s if the request may start anew), the budget is asked before the run is stopped, and a stream that has broken off may be rescued apart from its stalls.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -256,7 +256,9 @@
             kv=kv,
             resume_after=self._events.last_id,
         )
-        self.attempts += 1
+        # A run that was moved is the same execution of the request.
+        executes = not self._continues_run
+        self.attempts += executes
         # A resumed or moved generation keeps the time at which its first
         # decode began.
         if not self._events.count:
@@ -272,7 +274,7 @@
                 await self._forward(server, answer)
             return True
         except (ServerUnreachable, ServerRefused) as failure:
-            self.attempts -= 1
+            self.attempts -= executes
             await self._handle_not_taken(server, kv, failure)
         except GenerationMoved:
             # The next attempt continues the run.
@@ -296,13 +298,11 @@
         Raises the failure if no other engine may execute it.
         """
         is_refused = isinstance(failure, ServerRefused)
-        if kv and self._migration.return_to_source(server, kv):
-            load = self.ctx.loads.of(server.identity)
-            if is_refused:
-                load.record_refusal(self.ctx.now_s())
-            else:
-                load.record_unreachable(self.ctx.now_s())
-            return
+        if self._continues_run and kv is not None:
+            if await self._migration.try_other_holder(server, kv, failure):
+                return
+            self.ctx.spawn(self.ctx.transport.release_kv(kv))
+            kv = None
         self._check_restartable(failure)
         if is_refused:
             self.handle_refusal(server, failure)
@@ -325,16 +325,20 @@
     async def _handle_broken_stream(
         self, server: Server, failure: AnswerLost
     ) -> None:
-        # After a failover the same run continues from its KV cache, so the
-        # request is not executed again.
         migration = self._migration
         is_moved = migration.moved is not None
         if not is_moved and not isinstance(
             failure, StreamStalled | ServerReplaced
         ):
-            is_moved = await migration.fail_over(server, self._run)
-        if not is_moved:
-            self.count_waste("engine_lost")
+            is_moved = await migration.fail_over(
+                server, self._run, is_broken=True
+            )
+        if is_moved:
+            # The same run continues from its KV cache, so the request is not
+            # executed again.
+            self.record_lost_answer(server, failure)
+            return
+        self.count_waste("engine_lost")
         if isinstance(failure, StreamStalled):
             # Another engine is ready, and the retry budget was used for it.
             self.record_lost_answer(server, failure)
@@ -342,7 +346,7 @@
         self.handle_lost_answer(
             server,
             failure,
-            repeatable=is_moved or self._may_execute_again,
+            repeatable=self._may_execute_again,
             is_counted=self._successor is not None,
         )
 
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final
 
@@ -27,13 +28,17 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from gooseberrypost.gateway.exchange import Exchange
+    from gooseberrypost.gateway.generation import Generation
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.transport import KvHandle
     from gooseberrypost.policy.enginememory import Run
 
 MAX_FAILOVERS: Final = 2
-"""Failovers per request."""
+"""Failovers per request of streams that stall, and of those that break off."""
+MAX_HOLDER_WAIT_S: Final = 1.0
+"""Time in which a stopped run must go on if the request may start anew."""
+HOLDER_RETRY_S: Final = 0.05
+"""Increase of the pause before an engine is asked again for a stopped run."""
 PROCESS_CHECK_TIMEOUT_S: Final = 0.25
 """Timeout of the call that asks an engine for its start before a move."""
 MOVE_INTERVAL_S: Final = 0.3
@@ -50,19 +55,28 @@
     __slots__ = (
         "_exchange",
         "_failovers",
+        "_holder_tries",
+        "_holders",
         "_next_move_s",
-        "_returns",
+        "_rescues",
+        "_stopped_s",
         "is_source_unreachable",
         "moved",
     )
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(self, exchange: Generation) -> None:
         self._exchange = exchange
         self._failovers = 0
+        """Failovers of the stream while it stalled."""
+        self._rescues = 0
+        """Failovers of the stream after it had broken off."""
         self._next_move_s = float("-inf")
         """Monotonic time before which the generation is not moved again."""
-        self._returns = False
-        """Whether the stopped run may go on at its source instead."""
+        self._holders: list[Server] = []
+        """Engines that have the memory of the stopped run."""
+        self._stopped_s = 0.0
+        self._holder_tries = 0
+        """Times that one of these has not taken the run."""
         self.is_source_unreachable = False
         """Whether the engine did not answer the last attempt to move."""
         self.moved: MovedRun | None = None
@@ -73,14 +87,30 @@
         moved, self.moved = self.moved, None
         return moved
 
-    async def fail_over(self, server: Server, run: Run) -> bool:
-        """Stop a generation that makes no progress, to resume it elsewhere."""
-        if self._failovers >= MAX_FAILOVERS:
+    async def fail_over(
+        self, server: Server, run: Run, *, is_broken: bool = False
+    ) -> bool:
+        """Stop a generation that makes no progress, to resume it elsewhere.
+
+        ``is_broken`` tells that its stream has ended already. No run is
+        stopped without the retry budget for its continuation.
+        """
+        exchange = self._exchange
+        count = self._rescues if is_broken else self._failovers
+        budget = exchange.budget
+        if count >= MAX_FAILOVERS or not budget.can_spend(
+            exchange.ctx.now_s()
+        ):
             return False
-        self._failovers += 1
-        self._returns = False
+        if is_broken:
+            self._rescues += 1
+        else:
+            self._failovers += 1
         target = self._failover_target(server, run)
-        return await self._stop_and_copy(server, target, "taken_over")
+        if not await self._stop_and_copy(server, target, "taken_over"):
+            return False
+        budget.spend(exchange.ctx.now_s())
+        return True
 
     async def move_if_memory_low(self, server: Server, run: Run) -> bool:
         """Move a generation before its engine runs out of memory."""
@@ -94,29 +124,49 @@
             return False
         self._next_move_s = now_s + MOVE_INTERVAL_S
         with self._counted_at_target(target, run):
-            self._returns = await self._stop_and_copy(
-                server, target, "relieved"
-            )
-        return self._returns
+            return await self._stop_and_copy(server, target, "relieved")
 
-    def return_to_source(self, server: Server, kv: KvHandle) -> bool:
-        """Let a run that ``server`` did not take go on where it was stopped.
+    async def try_other_holder(
+        self,
+        server: Server,
+        kv: KvHandle,
+        failure: ServerUnreachable | ServerRefused,
+    ) -> bool:
+        """Let a stopped run that ``server`` did not take go on elsewhere.
 
-        Returns whether it may: its source was sound, and has kept the memory.
+        Source and target of a move both have its memory. One that refused is
+        not asked again; one that could not be reached is, after a pause.
+        Returns whether ``moved`` names the next engine to ask.
         """
         exchange = self._exchange
-        is_at_source = server.identity == kv.server.identity
-        if not self._returns or is_at_source:
-            return False
-        self._returns = False
-        self._next_move_s = exchange.ctx.now_s() + RETURN_INTERVAL_S
-        if not exchange.budget.try_spend(exchange.ctx.now_s()):
+        ctx = exchange.ctx
+        load = ctx.loads.of(server.identity)
+        others = [
+            holder
+            for holder in self._holders
+            if holder.identity != server.identity
+        ]
+        if isinstance(failure, ServerRefused):
+            load.record_refusal(ctx.now_s())
+            exchange.budget.spend(ctx.now_s())
+            self._holders = others
+        else:
+            load.record_unreachable(ctx.now_s())
+        self._holder_tries += 1
+        pause_s = HOLDER_RETRY_S * (self._holder_tries - 1)
+        until_s = exchange.client_waits_until_s
+        if exchange.is_repeatable:
+            until_s = min(until_s, self._stopped_s + MAX_HOLDER_WAIT_S)
+        if not self._holders or ctx.now_s() + pause_s >= until_s:
             return False
-        self.moved = MovedRun(kv, kv.server)
+        await asyncio.sleep(pause_s)
+        self._next_move_s = ctx.now_s() + RETURN_INTERVAL_S
+        holder = (others or self._holders)[0]
+        self.moved = MovedRun(kv, holder)
         exchange.log(
-            "returned", server=server.instance, target=kv.server.instance
+            "returned", server=server.instance, target=holder.instance
         )
-        exchange.ctx.metrics.count("moves_total", reason="returned")
+        ctx.metrics.count("moves_total", reason="returned")
         return True
 
     @contextmanager
@@ -214,6 +264,9 @@
             )
             return False
         self.is_source_unreachable = False
+        holders = {one.identity: one for one in (self.moved.server, server)}
+        self._holders, self._holder_tries = list(holders.values()), 0
+        self._stopped_s = exchange.ctx.now_s()
         exchange.log(
             event,
             server=server.instance,
--- a/src/gooseberrypost/policy/gatewayretry.py
+++ b/src/gooseberrypost/policy/gatewayretry.py
@@ -56,13 +56,20 @@
 
         ``share`` is the part of the budget that this kind of retry may use.
         """
+        if not self.can_spend(now_s, share):
+            return False
+        self.spend(now_s)
+        return True
+
+    def can_spend(self, now_s: float, share: float = 1.0) -> bool:
+        """Whether ``try_spend`` would succeed."""
         self._expire(now_s)
         allowed = self._ratio * len(self._requests) + self.allowance
-        allowed *= share
-        if len(self._retries) + 1 > allowed:
-            return False
+        return len(self._retries) + 1 <= share * allowed
+
+    def spend(self, now_s: float) -> None:
+        """Count a retry that is sent in any case."""
         self._retries.append(now_s)
-        return True
 
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._retries):
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -474,7 +474,10 @@
 
 
 def test_generation_that_cannot_continue_is_not_executed_again():
-    """Guards against double execution, and against 503 after an execution."""
+    """Guards against double execution, and against 503 after an execution.
+
+    Neither the engine that stopped the run nor the other one takes it.
+    """
 
     async def work():
         async with serving(*POOLS) as kit:
@@ -483,7 +486,7 @@
             task = asyncio.create_task(kit.generate())
             await kit.until(lambda: stalled.executed)
             other = await kit.add("e", "llm", "decode")
-            other.refuses_kv_sources = True
+            other.refuses_kv_sources = stalled.refuses_kv_sources = True
             servers = kit.daemon.context.directory.servers
             await kit.until(lambda: len(servers.all()) == 3)
             got = await task
