Do not ask an engine that does not answer to stop a run

What callers saw: streams of paused engines end without a whole answer.

Cause: the gateway asked for the engine's process, got no answer in 0.25 s, and sent the order to stop and copy the run all the same. The engine carried it out after its pause, the call had timed out after 1 s, and nobody knew the handle. Likewise the answer to a move that takes over 1 s was dropped, which names the only copy of the run.

An engine that has not answered is not asked to stop a run now, and the answer is waited for as long as the client waits. A try that met no answer does not use up a failover.

test_run_is_not_stopped_while_its_engine_answers_nothing[text] and test_run_goes_on_after_a_slow_move failed before. The case of the resumable route passed before, too.

--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -41,6 +41,8 @@
 """Increase of the pause before an engine is asked again for a stopped run."""
 PROCESS_CHECK_TIMEOUT_S: Final = 0.25
 """Timeout of the call that asks an engine for its start before a move."""
+MIN_MOVE_TIMEOUT_S: Final = 1.0
+"""Shortest time to wait for the end of a move."""
 MOVE_INTERVAL_S: Final = 0.3
 """Minimum interval between two attempts to move the same generation."""
 RETURN_INTERVAL_S: Final = 1.0
@@ -102,15 +104,15 @@
             exchange.ctx.now_s()
         ):
             return False
+        target = self._failover_target(server, run)
+        is_moved = await self._stop_and_copy(server, target, "taken_over")
+        if is_moved:
+            budget.spend(exchange.ctx.now_s())
         if is_broken:
             self._rescues += 1
-        else:
+        elif not self.is_source_unreachable:
             self._failovers += 1
-        target = self._failover_target(server, run)
-        if not await self._stop_and_copy(server, target, "taken_over"):
-            return False
-        budget.spend(exchange.ctx.now_s())
-        return True
+        return is_moved
 
     async def move_if_memory_low(self, server: Server, run: Run) -> bool:
         """Move a generation before its engine runs out of memory."""
@@ -244,14 +246,9 @@
         exchange = self._exchange
         transport = exchange.ctx.transport
         try:
-            # Another process at the server's id may have another version.
-            state = await transport.process_state(
-                server, PROCESS_CHECK_TIMEOUT_S
-            )
-            if state is ProcessState.ENDED:
-                raise WrongInstance(server.identity)
+            await self._check_process(server)
             self.moved = await transport.stop_and_copy(
-                server, exchange.req, target
+                server, exchange.req, target, self._move_timeout_s
             )
         except (ServerRefused, ServerUnreachable) as failure:
             self.is_source_unreachable = isinstance(failure, ServerUnreachable)
@@ -275,3 +272,27 @@
         )
         exchange.ctx.metrics.count("moves_total", reason=event)
         return True
+
+    async def _check_process(self, server: Server) -> None:
+        """Raise unless the process at which the generation runs answers.
+
+        Another process at the server's id may have another version. One that
+        does not answer may stop the run later, when nobody hears of it.
+        """
+        state = await self._exchange.ctx.transport.process_state(
+            server, PROCESS_CHECK_TIMEOUT_S
+        )
+        if state is ProcessState.ENDED:
+            raise WrongInstance(server.identity)
+        if state is ProcessState.UNKNOWN:
+            raise ServerUnreachable(f"{server.address}: no report")
+
+    @property
+    def _move_timeout_s(self) -> float:
+        """Time to wait for the end of a move.
+
+        Its answer names the only copy of the run.
+        """
+        exchange = self._exchange
+        left_s = exchange.client_waits_until_s - exchange.ctx.now_s()
+        return max(MIN_MOVE_TIMEOUT_S, left_s)
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -188,7 +188,11 @@
 
     @abstractmethod
     async def stop_and_copy(
-        self, server: Server, req: ClientRequest, target: Server
+        self,
+        server: Server,
+        req: ClientRequest,
+        target: Server,
+        timeout_s: float,
     ) -> MovedRun:
         """Stop a generation and copy its KV cache to another engine.
 
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -46,8 +46,6 @@
 UNAVAILABLE: Final = 503
 CONTROL_TIMEOUT_S: Final = 0.25
 """Timeout of a control call, which takes one round trip of a few ms."""
-MOVE_TIMEOUT_S: Final = 1.0
-"""Timeout to copy a generation's KV cache; a slow link takes a tenth of it."""
 READ_BUFFER_BYTES: Final = 64 * 1024
 """Bytes read ahead of a slow client, per request."""
 SKIPPED_AUTO_HEADERS: Final = frozenset(
@@ -133,12 +131,16 @@
         await self._delete(reservation.server, path)
 
     async def stop_and_copy(
-        self, server: Server, req: ClientRequest, target: Server
+        self,
+        server: Server,
+        req: ClientRequest,
+        target: Server,
+        timeout_s: float,
     ) -> MovedRun:
         """Stop a generation and copy its KV cache to another engine."""
         body = {"id": req.id, "target": target.address, "last": True}
         status, content = await self._control(
-            "POST", server, names.KV_MOVE_PATH, body, MOVE_TIMEOUT_S
+            "POST", server, names.KV_MOVE_PATH, body, timeout_s
         )
         handle = _moved_handle(content)
         if not handle or status not in (200, 503):
--- a/tests/silent_engine.py
+++ b/tests/silent_engine.py
@@ -21,14 +21,22 @@
         self.silence_s = 0.0
         self.breaks_after: int | None = None
         """Event after which the engine breaks off a new stream."""
-        self.answers_reports_when_silent = True
+        self.answers_when_silent = True
+        """Whether control calls are answered in the silence."""
+        self.move_s = 0.0
+        """Time until a stopped run is copied."""
         self.speaks = asyncio.Event()
         self.speaks.set()
 
     async def _handle(self, request, reader, writer):
-        is_report = request.target == "/-/report"
-        if is_report and not self.answers_reports_when_silent:
+        is_control = request.target.startswith("/-/")
+        if is_control and not self.answers_when_silent:
             await self.speaks.wait()
+        if request.target == "/-/kv-move":
+            self.control.append(request)
+            status, body = self._control(request)
+            await asyncio.sleep(self.move_s)
+            return await self._json(writer, status, body)
         await super()._handle(request, reader, writer)
 
     async def _stream(self, request, writer):
--- a/tests/test_stream_successors.py
+++ b/tests/test_stream_successors.py
@@ -218,7 +218,7 @@
             engines = await add_engines(kit, "d", "e")
             for engine in engines:
                 engine.silent_after, engine.silence_s = 1, SILENCE_S
-                engine.answers_reports_when_silent = False
+                engine.answers_when_silent = False
             got = await stream(kit, "again")
             assert got.complete
             assert got.body == whole(30)
@@ -227,6 +227,43 @@
     run(work)
 
 
+@pytest.mark.parametrize("route", ["text", "again"])
+def test_run_is_not_stopped_while_its_engine_answers_nothing(route):
+    """Guards against a stop that a paused engine carries out unheard."""
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e")
+            for engine in engines:
+                engine.supports_moves = True
+                engine.silent_after, engine.silence_s = 10, SILENCE_S
+                engine.answers_when_silent = False
+            got = await stream(kit, route)
+            assert got.complete
+            assert got.body == whole(30)
+            assert sum(len(engine.executed) for engine in engines) <= 2
+            assert sum(engine.stopped for engine in engines) == 0
+
+    run(work)
+
+
+def test_run_goes_on_after_a_slow_move():
+    """Guards against losing the only copy of a run whose move takes long."""
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e")
+            for engine in engines:
+                engine.supports_moves, engine.move_s = True, 1.5
+                engine.silent_after, engine.silence_s = 10, 5.0
+            got = await stream(kit, "text")
+            assert got.complete
+            assert got.body == whole(30)
+            assert sum(len(engine.resumed) for engine in engines) == 1
+
+    run(work)
+
+
 def test_pause_of_the_gateway_is_not_taken_for_silence_of_an_engine():
     """Guards against moving sound runs because the gateway was late.
 
