Give up a slow prefill only if another engine may be asked

What callers saw: 502 for a generation whose prompt an engine still read.

Cause: a prefill that took over six times its predicted time, and over 1 s, was dropped before the retry budget was asked whether another engine may read the prompt. Without budget the request failed at once.

test_slow_prefill_is_kept_without_retry_budget failed before (502). The call goes on now until there is budget or the deadline has passed.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -19,6 +19,7 @@
 from gooseberrypost.gateway.preparation import Preparation
 from gooseberrypost.gateway.request import Prompt
 from gooseberrypost.gateway.successor import Successor
+from gooseberrypost.gateway.tasks import cancel_and_wait
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     SendOptions,
@@ -390,7 +391,7 @@
                 if self._progress.until_check_s(self.ctx.now_s()) <= 0:
                     await self._handle_stall(server)
         finally:
-            await _end_read(task)
+            await cancel_and_wait(task)
 
     async def _is_done_in_time(self, task: asyncio.Future[T]) -> bool:
         """Wait for data, and return whether it has come.
@@ -599,12 +600,3 @@
             if at_s is None
             else round(1_000 * (at_s - self.req.arrived_s))
         )
-
-
-async def _end_read(task: asyncio.Future[Any]) -> None:
-    """Cancel a read whose data is not needed, and take note of its failure."""
-    if not task.done():
-        task.cancel()
-        await asyncio.wait({task})
-    if not task.cancelled():
-        task.exception()
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final, NamedTuple
 
@@ -10,6 +11,7 @@
     RESERVATION_TTL_MS,
     PendingReservation,
 )
+from gooseberrypost.gateway.tasks import cancel_and_wait
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     SendOptions,
@@ -255,16 +257,11 @@
         timeout_s = max(
             PREFILL_TIMEOUT_FACTOR * predicted_s, MIN_PREFILL_TIMEOUT_S
         )
-        remaining_s = exchange.remaining_s
-        options = SendOptions(
-            timeout_s=min(remaining_s, timeout_s),
-            connect_timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
-        )
         queued_tokens = loads.prefill_tokens(server.identity)
         try:
             with self._prefill_counted(load, tokens):
                 started_s = ctx.now_s()
-                kv = await ctx.transport.prefill(server, exchange.req, options)
+                kv = await self._call_prefill(server, timeout_s)
                 took_ms = 1_000 * (ctx.now_s() - started_s)
         except ServerUnreachable as failure:
             exchange.handle_unreachable(server, failure)
@@ -288,6 +285,34 @@
         )
         return kv
 
+    async def _call_prefill(
+        self, server: Server, timeout_s: float
+    ) -> KvHandle:
+        """Call a prefill engine, and raise ``AnswerLost`` if it is slow.
+
+        It is given up only if the retry budget permits to ask another one.
+        """
+        exchange = self._generation
+        ctx, remaining_s = exchange.ctx, exchange.remaining_s
+        options = SendOptions(
+            timeout_s=remaining_s,
+            connect_timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
+        )
+        task = asyncio.create_task(
+            ctx.transport.prefill(server, exchange.req, options)
+        )
+        try:
+            await asyncio.wait({task}, timeout=timeout_s)
+            while not task.done():
+                if exchange.budget.can_spend(ctx.now_s()):
+                    raise AnswerLost(
+                        f"{server.address}: no prefill in {timeout_s:.2f} s"
+                    )
+                await asyncio.wait({task}, timeout=timeout_s)
+            return task.result()
+        finally:
+            await cancel_and_wait(task)
+
     @contextmanager
     def _prefill_counted(
         self, load: ServerLoad, tokens: int
--- a/src/gooseberrypost/gateway/tasks.py
+++ b/src/gooseberrypost/gateway/tasks.py
@@ -1,12 +1,14 @@
-"""Keeps the background tasks of a gateway running after unexpected errors.
+"""Keeps background tasks running after errors, and ends those of requests.
 
-Without its tasks a gateway would stay up half alive: it would take requests
-but no longer send load notices, watch the store or grant reservations.
+Without its background tasks a gateway would stay up half alive: it would
+take requests but no longer send load notices, watch the store or grant
+reservations.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
 
 from absl import logging
 
@@ -39,3 +41,12 @@
             metrics.count("task_failures_total", task=name)
             logging.exception("event=task_failed task=%s", name)
         await service.sleep(RESTART_DELAY_S)
+
+
+async def cancel_and_wait(task: asyncio.Future[Any]) -> None:
+    """Cancel a task whose result is not needed, and take its failure."""
+    if not task.done():
+        task.cancel()
+        await asyncio.wait({task})
+    if not task.cancelled():
+        task.exception()
--- a/tests/test_stream_successors.py
+++ b/tests/test_stream_successors.py
@@ -247,6 +247,22 @@
     run(work)
 
 
+def test_slow_prefill_is_kept_without_retry_budget():
+    """Guards against a failure while the only engine still reads a prompt."""
+
+    async def work():
+        async with serving(
+            retry_budget_ratio=0.0, retry_budget_allowance=0.0
+        ) as kit:
+            await add_engines(kit, "d", "e")
+            kit.engines["p"].prefill_s = 1.5
+            got = await stream(kit, "text")
+            assert got.status == 200
+            assert got.body == whole(30)
+
+    run(work)
+
+
 def test_run_goes_on_after_a_slow_move():
     """Guards against losing the only copy of a run whose move takes long."""
 
