Control calls: read an answer that came while the event loop was late

What callers saw: while a gateway was paused, or shared its cores with busy processes, its calls to engines timed out. Reservations then went to other engines or were refused for lack of memory, and moves gave up a run that had been stopped.

Cause: the timeout of 0.25 s is a timer of the event loop. After a delay of the loop it fires in the same pass in which the socket is read, before the task that waits for the answer runs, and cancels that task.

RunningTimeout waits in five parts and repeats those whose timer fires late by more than 20 ms, five at most. So the last part before a timeout is usually one in which the loop ran, and the whole time is one in which it did. Stage orders keep their hard limit: they must not go out after their confirmation has expired.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; the four cases of test_control_call_is_not_lost_while_the_loop_is_late failed before. The engine runs in a thread and answers while the caller's loop stands still.

--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
@@ -35,6 +36,7 @@
 from gooseberrypost.policy.serverlimit import parse_limit
 from gooseberrypost.singlesend import disable_automatic_retry
 from gooseberrypost.strictjson import Fields
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -54,6 +56,8 @@
     ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 )
 """Headers that aiohttp must not add to a forwarded request by itself."""
+NO_TIMEOUT: Final = aiohttp.ClientTimeout()
+"""Timeout of aiohttp, which would fire before late data is read."""
 REPEATABLE_CONTROL_METHODS: Final = frozenset(("GET", "DELETE"))
 """Methods of control calls that are repeated after a lost connection."""
 STAGE_PREFILL: Final = "prefill"
@@ -206,9 +210,14 @@
             # since its report.
             "precondition": expected_orders,
         }
-        status, _ = await self._control(
-            "POST", server, names.ORDER_PATH, body, timeout_s
-        )
+        try:
+            # Never prolonged, as another gateway may order stages thereafter.
+            async with asyncio.timeout(timeout_s):
+                status, _ = await self._control(
+                    "POST", server, names.ORDER_PATH, body, timeout_s
+                )
+        except TimeoutError as exc:
+            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
         if status not in (200, 202):
             raise ServerRefused(server.address, status=status)
 
@@ -254,16 +263,16 @@
         timeout_s: float,
     ) -> tuple[int, bytes]:
         url = URL(f"http://{server.address}{path}", encoded=True)
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
         # A different engine at the address answers 421.
         headers = {names.EXPECT_INSTANCE: server.instance}
-        async with self._session.request(
-            method, url, json=body, timeout=timeout, headers=headers
-        ) as response:
-            content = await read_bounded(response, MAX_CONTROL_BYTES)
-            if response.status != MISDIRECTED:
-                self._report_state(server, response)
-            return response.status, content
+        with RunningTimeout(timeout_s):
+            async with self._session.request(
+                method, url, json=body, timeout=NO_TIMEOUT, headers=headers
+            ) as response:
+                content = await read_bounded(response, MAX_CONTROL_BYTES)
+                if response.status != MISDIRECTED:
+                    self._report_state(server, response)
+                return response.status, content
 
     async def close(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/src/gooseberrypost/timeouts.py
@@ -0,0 +1,131 @@
+"""Timeouts that do not take a late event loop for a silent peer.
+
+After a pause of the process, or a long pass of its event loop, asyncio runs
+the timers that are due before the tasks whose data has arrived meanwhile. Its
+timeouts then end waits for replies that are already there.
+
+``RunningTimeout`` limits a wait that may be prolonged: the time in which the
+event loop was late does not count.
+
+>>> async def fetch(reader):
+...     with RunningTimeout(0.25):
+...         return await reader.readline()
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from types import TracebackType
+    from typing import Self
+
+MAX_TIMER_DELAY_S: Final = 0.02
+"""Delay of a timer beyond which the event loop was late."""
+PARTS: Final = 5
+"""Parts of a timeout; one whose timer fires late is repeated."""
+MAX_REPEATS: Final = 5
+"""Maximum number of repeated parts of a timeout."""
+
+
+class LateTimeout(TimeoutError):
+    """The event loop was late, so the wait says nothing about the peer."""
+
+
+class _Scope:
+    """Block whose task is cancelled when it expires.
+
+    The cancellation leaves the block as ``TimeoutError``.
+    """
+
+    __slots__ = (
+        "_cancellations",
+        "_handle",
+        "_is_expired",
+        "_is_late",
+        "_loop",
+        "_task",
+    )
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[object] | None = None
+        self._cancellations = 0
+        """Cancellations of the task before the block."""
+        self._handle: asyncio.Handle | None = None
+        self._is_expired = False
+        self._is_late = False
+
+    def __enter__(self) -> Self:
+        self._task = asyncio.current_task()
+        if self._task is None:
+            raise RuntimeError("timeout outside of a task")
+        self._cancellations = self._task.cancelling()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+        if not self._is_expired or self._task is None:
+            return
+        is_only_expired = self._task.uncancel() <= self._cancellations
+        if is_only_expired and isinstance(exc, asyncio.CancelledError):
+            raise LateTimeout if self._is_late else TimeoutError from exc
+
+    def expire(self, *, is_late: bool) -> None:
+        """End the block, unless the task ends it with data that is there.
+
+        Tasks that a socket has woken in this pass of the event loop run first.
+        """
+        self._is_late = is_late
+        self._handle = self._loop.call_soon(self._cancel)
+
+    def _cancel(self) -> None:
+        if self._task is not None:
+            self._is_expired = True
+            self._task.cancel()
+
+
+class RunningTimeout(_Scope):
+    """Timeout that counts only the time in which the event loop runs.
+
+    It is waited for in parts, of which late ones are repeated. Raises
+    ``TimeoutError``, and ``LateTimeout`` if there were too many of these.
+    """
+
+    __slots__ = ("_due_s", "_part_s", "_parts", "_repeats")
+
+    def __init__(self, timeout_s: float) -> None:
+        super().__init__()
+        self._part_s = timeout_s / PARTS
+        self._parts = PARTS
+        self._repeats = MAX_REPEATS
+        self._due_s = 0.0
+
+    def __enter__(self) -> Self:
+        super().__enter__()
+        self._start_part()
+        return self
+
+    def _start_part(self) -> None:
+        self._due_s = self._loop.time() + self._part_s
+        self._handle = self._loop.call_at(self._due_s, self._end_part)
+
+    def _end_part(self) -> None:
+        is_late = self._loop.time() - self._due_s > MAX_TIMER_DELAY_S
+        if is_late and self._repeats:
+            self._repeats -= 1
+            self._start_part()
+            return
+        self._is_late = self._is_late or is_late
+        self._parts -= 1
+        if self._parts:
+            self._start_part()
+        else:
+            self.expire(is_late=self._is_late)
--- /dev/null
+++ b/tests/late_kit.py
@@ -0,0 +1,59 @@
+"""Engines that answer while the event loop of their caller stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from contextlib import asynccontextmanager
+
+from gooseberrypost.gateway.model import Server
+from tests.standins.platform_engine import FakePlatformEngine
+
+PAUSE_S = 0.5
+"""Time for which the event loop of the caller stands still."""
+ANSWER_S = 0.05
+"""Time in which an engine answers, while its caller stands still."""
+
+
+class PausingEngine(FakePlatformEngine):
+    """Pauses the event loop of its caller with each request."""
+
+    def __init__(self, instance: str, stage: str = "", pauses: int = 1_000):
+        super().__init__(instance, stage)
+        self.caller = asyncio.get_running_loop()
+        self.pauses = pauses
+        """Number of further pauses."""
+        self.pause_s = PAUSE_S
+
+    async def _handle(self, request, reader, writer):
+        if self.pauses:
+            self.pauses -= 1
+            self.caller.call_soon_threadsafe(time.sleep, self.pause_s)
+            await asyncio.sleep(ANSWER_S)
+        await super()._handle(request, reader, writer)
+
+    @property
+    def known(self) -> Server:
+        """The engine as a gateway knows it."""
+        return Server(self.instance, "llm", self.address, "a")
+
+
+@asynccontextmanager
+async def in_thread(engine):
+    """Run a fake in a thread of its own, as another process would run."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+
+    async def call(work):
+        await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(work, loop))
+
+    try:
+        await call(engine.start())
+        yield engine
+        await call(engine.stop())
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        await asyncio.to_thread(thread.join)
+        loop.close()
--- /dev/null
+++ b/tests/test_late_event_loop.py
@@ -0,0 +1,197 @@
+"""Timeouts of a gateway whose own event loop is late."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+import pytest
+
+from gooseberrypost.gateway.model import Stage
+from gooseberrypost.gateway.request import ClientRequest
+from gooseberrypost.gateway.transport import ProcessState, ServerUnreachable
+from gooseberrypost.platform.engines import HttpTransport
+from gooseberrypost.timeouts import (
+    MAX_REPEATS,
+    PARTS,
+    LateTimeout,
+    RunningTimeout,
+)
+from tests.late_kit import PAUSE_S, PausingEngine, in_thread
+
+TIMEOUT_S = 0.1
+LATE_S = 0.06
+"""Time of each pass of an event loop that is always late."""
+
+
+def run(work):
+    asyncio.run(work())
+
+
+def stand_still(pause_s: float):
+    time.sleep(pause_s)
+
+
+@asynccontextmanager
+async def calls(engine):
+    """Return a transport for calls to an engine in a thread."""
+    transport = HttpTransport()
+    try:
+        async with in_thread(engine):
+            yield transport
+    finally:
+        await transport.close()
+
+
+def test_timeout_ends_a_wait_in_time():
+    """Guards against waits without end, and against a longer usual wait."""
+
+    async def work():
+        begun_s = time.monotonic()
+        with (
+            pytest.raises(TimeoutError) as caught,
+            RunningTimeout(TIMEOUT_S),
+        ):
+            await asyncio.Event().wait()
+        took_s = time.monotonic() - begun_s
+        assert not isinstance(caught.value, LateTimeout)
+        assert TIMEOUT_S <= took_s < 2 * TIMEOUT_S
+        assert not asyncio.current_task().cancelling()
+
+    run(work)
+
+
+def test_result_that_came_while_the_loop_stood_still_is_taken():
+    """Guards against a timer that ends a wait whose reply is there."""
+
+    async def work():
+        arrived = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+
+        async def wait():
+            with RunningTimeout(TIMEOUT_S):
+                return await arrived
+
+        task = asyncio.create_task(wait())
+        await asyncio.sleep(0)
+        stand_still(3 * TIMEOUT_S)
+        # The reply takes several passes of the event loop to come through.
+        loop.call_later(0.01, arrived.set_result, "reply")
+        assert await task == "reply"
+
+    run(work)
+
+
+def test_loop_that_is_always_late_still_ends_a_wait():
+    """Guards against a wait without end for a peer that has gone.
+
+    The timeout shows that the wait says nothing about the peer.
+    """
+
+    async def work():
+        async def keep_late():
+            while True:
+                stand_still(LATE_S)
+                await asyncio.sleep(0)
+
+        late = asyncio.create_task(keep_late())
+        begun_s = time.monotonic()
+        with pytest.raises(LateTimeout), RunningTimeout(TIMEOUT_S):
+            await asyncio.Event().wait()
+        took_s = time.monotonic() - begun_s
+        late.cancel()
+        # Each part ends at most two passes of the event loop late.
+        part_s = TIMEOUT_S / PARTS + 2 * LATE_S
+        assert took_s < (PARTS + MAX_REPEATS + 1) * part_s
+
+    run(work)
+
+
+def test_cancellation_is_not_taken_for_a_timeout():
+    """Guards against a cancelled call that goes on as if timed out."""
+
+    async def work():
+        async def wait():
+            with RunningTimeout(TIMEOUT_S):
+                await asyncio.Event().wait()
+
+        for after_s in (0, TIMEOUT_S / 2):
+            task = asyncio.create_task(wait())
+            await asyncio.sleep(after_s)
+            task.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await task
+
+    run(work)
+
+
+def test_nested_timeouts_end_their_own_blocks():
+    """Guards against an outer timeout that ends only the inner block."""
+
+    async def work():
+        with pytest.raises(TimeoutError), RunningTimeout(TIMEOUT_S):
+            try:
+                with RunningTimeout(10 * TIMEOUT_S):
+                    await asyncio.Event().wait()
+            except TimeoutError:
+                pytest.fail("the inner timeout has not expired")
+        for delay_s in (TIMEOUT_S, 2 * TIMEOUT_S):
+            with RunningTimeout(delay_s):
+                await asyncio.sleep(TIMEOUT_S / 2)
+
+    run(work)
+
+
+CONTROL_CALLS = {
+    "reserve": lambda transport, server: transport.reserve(server, 10, 2_000),
+    "report": lambda transport, server: transport.fetch_report(server),
+    "state": lambda transport, server: transport.process_state(server, 0.25),
+    "move": lambda transport, server: transport.stop_and_copy(
+        server, ClientRequest("r", "POST", "/x", "h"), server
+    ),
+}
+
+
+@pytest.mark.parametrize("call", CONTROL_CALLS)
+def test_control_call_is_not_lost_while_the_loop_is_late(call):
+    """Guards against a gateway that takes its own delay for that of engines.
+
+    The answer arrives while the event loop of the gateway stands still.
+    """
+
+    async def work():
+        engine = PausingEngine("e", "decode")
+        engine.pause_s = 1.2 if call == "move" else PAUSE_S
+        async with calls(engine) as transport:
+            engine.supports_moves = True
+            engine.running["r"] = asyncio.get_running_loop().create_future()
+            answer = await CONTROL_CALLS[call](transport, engine.known)
+            if call == "state":
+                assert answer is ProcessState.RUNNING
+            assert len(engine.control) == 1
+
+    run(work)
+
+
+def test_order_is_not_sent_after_its_time():
+    """Guards against a stage order that goes out after a pause.
+
+    Another gateway may then hold the lock and have sent its own orders.
+    """
+
+    async def work():
+        engine = PausingEngine("e", "decode", pauses=0)
+        async with calls(engine) as transport:
+            order = asyncio.create_task(
+                transport.order_stage(
+                    engine.known, Stage.PREFILL, 0, "g", 1, 0.2
+                )
+            )
+            asyncio.get_running_loop().call_soon(stand_still, PAUSE_S)
+            with pytest.raises(ServerUnreachable):
+                await order
+            await asyncio.sleep(2 * TIMEOUT_S)
+            assert engine.control == []
+
+    run(work)
