Connections: use one that was established while the event loop was late

What callers saw: after a pause of the gateway its requests left sound servers out for a while, and were refused when all of a service had been taken for unreachable at once.

Cause: sock_connect of aiohttp is a timer of the event loop. After a delay it fires in the pass in which the connection is found established, and cancels it. The gateway then reports the server as unreachable.

The connector that gateways and agents share now limits the time to connect by RunningTimeout, which counts only the time in which the event loop runs.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; test_connection_that_was_established_while_the_loop_was_late_is_used failed before.

--- a/src/gooseberrypost/answerprotocol.py
+++ b/src/gooseberrypost/answerprotocol.py
@@ -10,10 +10,15 @@
 from aiohttp.client_proto import ResponseHandler
 
 from gooseberrypost.answerframe import AnswerFrame, FramingTooLarge
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from typing import Any
 
+    from aiohttp import ClientRequest, ClientTimeout
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
+
 STATUSES_WITHOUT_BODY: Final = (204, 304)
 
 
@@ -62,13 +67,31 @@
         super().connection_lost(exc)
 
 
-def new_connector(**options: Any) -> aiohttp.TCPConnector:
+class PatientConnector(aiohttp.TCPConnector):
+    """Connector whose ``sock_connect`` excludes delays of the event loop.
+
+    The timers of aiohttp would cancel a connection that was established while
+    the event loop was late.
+    """
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        """Open a connection."""
+        if timeout.sock_connect is None:
+            return await super().connect(req, traces, timeout)
+        untimed = aiohttp.ClientTimeout(connect=timeout.connect)
+        with RunningTimeout(timeout.sock_connect):
+            return await super().connect(req, traces, untimed)
+
+
+def new_connector(**options: Any) -> PatientConnector:
     """Return a connector that opens a connection for each request.
 
     On a kept-alive connection that the server has just closed, a request
     would fail without having been received.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True, **options)
+    connector = PatientConnector(limit=0, force_close=True, **options)
     connector._factory = functools.partial(
         AnswerProtocol, loop=asyncio.get_running_loop()
     )
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -7,10 +7,16 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from multidict import CIMultiDict
 
 from gooseberrypost.gateway.model import Stage
 from gooseberrypost.gateway.request import ClientRequest
-from gooseberrypost.gateway.transport import ProcessState, ServerUnreachable
+from gooseberrypost.gateway.transport import (
+    ProcessState,
+    SendOptions,
+    ServerUnreachable,
+)
+from gooseberrypost.platform import names
 from gooseberrypost.platform.engines import HttpTransport
 from gooseberrypost.timeouts import (
     MAX_REPEATS,
@@ -174,6 +180,35 @@
     run(work)
 
 
+def plain_call(timeout_s: float) -> tuple[ClientRequest, SendOptions]:
+    """Return a request, and options with which to send it."""
+    headers = CIMultiDict({names.REQUEST_ID: "r"})
+    req = ClientRequest("r", "POST", "/x", "h", headers)
+    return req, SendOptions(timeout_s, connect_timeout_s=0.25)
+
+
+def test_connection_that_was_established_while_the_loop_was_late_is_used():
+    """Guards against a sound server that is taken for unreachable.
+
+    The event loop stands still while the connection is established.
+    """
+
+    async def work():
+        engine = PausingEngine("e", pauses=0)
+        async with calls(engine) as transport:
+
+            async def call() -> int:
+                req, options = plain_call(timeout_s=2.0)
+                async with transport.open(engine.known, req, options) as got:
+                    return got.status
+
+            task = asyncio.create_task(call())
+            asyncio.get_running_loop().call_soon(stand_still, PAUSE_S)
+            assert await task == 200
+
+    run(work)
+
+
 def test_order_is_not_sent_after_its_time():
     """Guards against a stage order that goes out after a pause.
 
