Requests: read an answer that came while the event loop was late

What callers saw: around a pause of a gateway a plain call failed with deadline_exceeded, and a prefill was repeated, though the answer was in the gateway's socket before the deadline.

Cause: the total timeout of aiohttp is a timer of the event loop. After a delay it fires in the pass in which the answer is read from the socket, before the task that waits for it runs.

A Deadline ends the waits of a call at a fixed time. Where its timer is late, it leaves 5 ms to read what has arrived, and tasks that the socket has woken always run before it takes effect. It is not prolonged otherwise, as the client's deadline stands. As with aiohttp, the deadline holds for data that is found without a wait.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; test_answer_that_came_before_its_deadline_is_read_after_it failed before for answer and prefill. Its case with two halves of a body passed before, as aiohttp stops its timer where the end of a body is read; it guards the new code.

--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -36,7 +36,7 @@
 from gooseberrypost.policy.serverlimit import parse_limit
 from gooseberrypost.singlesend import disable_automatic_retry
 from gooseberrypost.strictjson import Fields
-from gooseberrypost.timeouts import RunningTimeout
+from gooseberrypost.timeouts import Deadline, RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -94,12 +94,15 @@
     ) -> AsyncIterator[Answer]:
         """Send a request and yield the answer once its headers arrived."""
         headers = encode_headers(server, req, options)
-        response = await self._send(server, req, headers, options)
-        try:
-            self._check_response(server, req, response)
-            yield _answer(response)
-        finally:
-            response.close()
+        with Deadline(options.timeout_s) as deadline:
+            response = await self._send(
+                server, req, headers, options, deadline
+            )
+            try:
+                self._check_response(server, req, response)
+                yield _answer(response, deadline)
+            finally:
+                response.close()
 
     async def prefill(
         self, server: Server, req: ClientRequest, options: SendOptions
@@ -107,12 +110,15 @@
         """Prefill the prompt at an engine."""
         headers = encode_headers(server, req, options)
         headers[names.STAGE] = STAGE_PREFILL
-        response = await self._send(server, req, headers, options)
-        try:
-            self._check_response(server, req, response)
-            content = await _read_control(response)
-        finally:
-            response.close()
+        with Deadline(options.timeout_s) as deadline:
+            response = await self._send(
+                server, req, headers, options, deadline
+            )
+            try:
+                self._check_response(server, req, response)
+                content = await _read_control(response, deadline)
+            finally:
+                response.close()
         if response.status != 200:
             raise AnswerLost(f"prefill: status {response.status}")
         return _kv_handle(server, content)
@@ -284,20 +290,20 @@
         req: ClientRequest,
         headers: Any,
         options: SendOptions,
+        deadline: Deadline,
     ) -> aiohttp.ClientResponse:
         url = URL(f"http://{server.address}{req.target}", encoded=True)
-        timeout = aiohttp.ClientTimeout(
-            total=options.timeout_s, sock_connect=options.connect_timeout_s
-        )
+        timeout = aiohttp.ClientTimeout(sock_connect=options.connect_timeout_s)
         try:
-            return await self._session.request(
-                req.method,
-                url,
-                headers=headers,
-                data=req.body or None,
-                timeout=timeout,
-                allow_redirects=False,
-            )
+            with deadline.limit():
+                return await self._session.request(
+                    req.method,
+                    url,
+                    headers=headers,
+                    data=req.body or None,
+                    timeout=timeout,
+                    allow_redirects=False,
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
@@ -362,7 +368,7 @@
     return decoded.ok_value
 
 
-def _answer(response: aiohttp.ClientResponse) -> Answer:
+def _answer(response: aiohttp.ClientResponse, deadline: Deadline) -> Answer:
     headers = [
         (name, value)
         for name, value in response.headers.items()
@@ -372,23 +378,32 @@
         status=response.status,
         headers=headers,
         is_signed=names.SIGNATURE in response.headers,
-        chunks=_chunks(response),
+        chunks=_chunks(response, deadline),
         is_event_stream=response.content_type == EVENT_STREAM,
         is_framed=is_framed(response),
     )
 
 
-async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+async def _chunks(
+    response: aiohttp.ClientResponse, deadline: Deadline
+) -> AsyncIterator[bytes]:
     try:
-        while chunk := await response.content.readany():
+        while True:
+            with deadline.limit():
+                chunk = await response.content.readany()
+            if not chunk:
+                return
             yield chunk
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
         raise AnswerLost(f"body: {exc!r}") from exc
 
 
-async def _read_control(response: aiohttp.ClientResponse) -> bytes:
+async def _read_control(
+    response: aiohttp.ClientResponse, deadline: Deadline
+) -> bytes:
     try:
-        return await read_bounded(response, MAX_CONTROL_BYTES)
+        with deadline.limit():
+            return await read_bounded(response, MAX_CONTROL_BYTES)
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
         raise AnswerLost(f"body: {exc!r}") from exc
 
--- a/src/gooseberrypost/timeouts.py
+++ b/src/gooseberrypost/timeouts.py
@@ -5,7 +5,8 @@
 timeouts then end waits for replies that are already there.
 
 ``RunningTimeout`` limits a wait that may be prolonged: the time in which the
-event loop was late does not count.
+event loop was late does not count. ``Deadline`` limits a call that may not,
+and only lets it read what has arrived.
 
 >>> async def fetch(reader):
 ...     with RunningTimeout(0.25):
@@ -15,9 +16,11 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from types import TracebackType
     from typing import Self
 
@@ -27,6 +30,8 @@
 """Parts of a timeout; one whose timer fires late is repeated."""
 MAX_REPEATS: Final = 5
 """Maximum number of repeated parts of a timeout."""
+READ_S: Final = 0.005
+"""Time to read what had arrived when a timer fired late at a deadline."""
 
 
 class LateTimeout(TimeoutError):
@@ -129,3 +134,71 @@
             self._start_part()
         else:
             self.expire(is_late=self._is_late)
+
+
+class Deadline:
+    """Deadline of a call that waits several times, maybe in several tasks.
+
+    Usage::
+
+        with Deadline(timeout_s) as deadline:
+            with deadline.limit():
+                response = await send()
+            with deadline.limit():
+                body = await response.read()
+
+    A wait that it ends raises ``TimeoutError``, or ``LateTimeout`` if the
+    event loop was late.
+    """
+
+    __slots__ = ("_due_s", "_handle", "_is_late", "_is_over", "_loop", "_open")
+
+    def __init__(self, timeout_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._due_s = self._loop.time() + timeout_s
+        self._handle: asyncio.Handle | None = None
+        self._open: set[_Scope] = set()
+        self._is_late = False
+        self._is_over = False
+
+    def __enter__(self) -> Self:
+        self._handle = self._loop.call_at(self._due_s, self._on_due)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+
+    @contextmanager
+    def limit(self) -> Iterator[None]:
+        """End the waits of a block at the deadline.
+
+        After it, raises at once, as a block may find enough data to never
+        wait.
+        """
+        if self._is_over:
+            raise LateTimeout if self._is_late else TimeoutError
+        with _Scope() as scope:
+            self._open.add(scope)
+            try:
+                yield
+            finally:
+                self._open.discard(scope)
+
+    def _on_due(self) -> None:
+        late_s = self._loop.time() - self._due_s
+        self._is_late = late_s > MAX_TIMER_DELAY_S
+        if self._is_late:
+            self._handle = self._loop.call_later(READ_S, self._end)
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        self._is_over = True
+        for scope in self._open:
+            scope.expire(is_late=self._is_late)
--- a/tests/late_kit.py
+++ b/tests/late_kit.py
@@ -8,7 +8,7 @@
 from contextlib import asynccontextmanager
 
 from gooseberrypost.gateway.model import Server
-from tests.standins.platform_engine import FakePlatformEngine
+from tests.standins.platform_engine import SIGNATURE, FakePlatformEngine
 
 PAUSE_S = 0.5
 """Time for which the event loop of the caller stands still."""
@@ -29,10 +29,26 @@
     async def _handle(self, request, reader, writer):
         if self.pauses:
             self.pauses -= 1
-            self.caller.call_soon_threadsafe(time.sleep, self.pause_s)
-            await asyncio.sleep(ANSWER_S)
+            await self._pause()
         await super()._handle(request, reader, writer)
 
+    async def _pause(self):
+        """Pause the caller, and return while it stands still."""
+        self.caller.call_soon_threadsafe(time.sleep, self.pause_s)
+        await asyncio.sleep(ANSWER_S)
+
+    async def _mode_halves(self, request, writer):
+        """Answer in two halves, with a pause between them."""
+        half = len(self.body) // 2
+        length = f"Content-Length: {len(self.body)}"
+        headers = ["HTTP/1.1 200 OK", SIGNATURE, length, "", ""]
+        writer.write("\r\n".join(headers).encode() + self.body[:half])
+        await writer.drain()
+        await asyncio.sleep(ANSWER_S)
+        await self._pause()
+        writer.write(self.body[half:])
+        await writer.drain()
+
     @property
     def known(self) -> Server:
         """The engine as a gateway knows it."""
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -12,6 +12,7 @@
 from gooseberrypost.gateway.model import Stage
 from gooseberrypost.gateway.request import ClientRequest
 from gooseberrypost.gateway.transport import (
+    AnswerLost,
     ProcessState,
     SendOptions,
     ServerUnreachable,
@@ -21,6 +22,7 @@
 from gooseberrypost.timeouts import (
     MAX_REPEATS,
     PARTS,
+    Deadline,
     LateTimeout,
     RunningTimeout,
 )
@@ -149,6 +151,45 @@
     run(work)
 
 
+def test_deadline_ends_each_wait():
+    """Guards against a call that has a further wait after its deadline."""
+
+    async def work():
+        begun_s = time.monotonic()
+        with Deadline(TIMEOUT_S) as deadline:
+            with deadline.limit():
+                await asyncio.sleep(TIMEOUT_S / 2)
+            with pytest.raises(TimeoutError), deadline.limit():
+                await asyncio.Event().wait()
+            took_s = time.monotonic() - begun_s
+            assert TIMEOUT_S <= took_s < 1.5 * TIMEOUT_S
+            with pytest.raises(TimeoutError), deadline.limit():
+                pytest.fail("began after the deadline")
+
+    run(work)
+
+
+def test_deadline_is_not_prolonged_by_a_late_loop():
+    """Guards against answers that are awaited longer than their client waits.
+
+    Only what has arrived is read after the deadline.
+    """
+
+    async def work():
+        arrived = asyncio.get_running_loop().create_future()
+        with Deadline(TIMEOUT_S) as deadline:
+            stand_still(2 * TIMEOUT_S)
+            begun_s = time.monotonic()
+            asyncio.get_running_loop().call_soon(arrived.set_result, "reply")
+            with deadline.limit():
+                assert await arrived == "reply"
+            with pytest.raises(LateTimeout), deadline.limit():
+                await asyncio.Event().wait()
+            assert time.monotonic() - begun_s < TIMEOUT_S / 2
+
+    run(work)
+
+
 CONTROL_CALLS = {
     "reserve": lambda transport, server: transport.reserve(server, 10, 2_000),
     "report": lambda transport, server: transport.fetch_report(server),
@@ -209,6 +250,46 @@
     run(work)
 
 
+@pytest.mark.parametrize("mode", ["answer", "halves", "prefill"])
+def test_answer_that_came_before_its_deadline_is_read_after_it(mode):
+    """Guards against an answer that is lost in a pause of the gateway.
+
+    It arrives in time, and the event loop runs again after the deadline.
+    """
+
+    async def work():
+        engine = PausingEngine("e", pauses=mode != "halves")
+        async with calls(engine) as transport:
+            req, options = plain_call(timeout_s=0.3)
+            if mode == "prefill":
+                kv = await transport.prefill(engine.known, req, options)
+                assert kv.handle == "h1"
+                return
+            engine.mode, engine.body = mode, b"two halves"
+            async with transport.open(engine.known, req, options) as answer:
+                body = [chunk async for chunk in answer.chunks]
+            assert b"".join(body) == b"two halves"
+
+    run(work)
+
+
+def test_answer_that_did_not_come_is_given_up_after_a_pause():
+    """Guards against a client deadline that is prolonged by a pause."""
+
+    async def work():
+        engine = PausingEngine("e", "decode")
+        engine.mode = "hang"
+        async with calls(engine) as transport:
+            req, options = plain_call(timeout_s=0.3)
+            begun_s = time.monotonic()
+            with pytest.raises(AnswerLost):
+                async with transport.open(engine.known, req, options):
+                    pass
+            assert time.monotonic() - begun_s < PAUSE_S + 0.1
+
+    run(work)
+
+
 def test_order_is_not_sent_after_its_time():
     """Guards against a stage order that goes out after a pause.
 
