Servers: draw no conclusion from a timeout of a late event loop

What callers saw: a gateway on a busy machine left sound servers out, and refused generations with no_room although engines had memory.

Cause: each timeout made a server unreachable or suspect and excluded it from the request, also where the event loop of the gateway was late so often that the timeout says nothing about the server.

Failures now carry whether the gateway was late itself. A server is then neither marked nor excluded: the request may go there again, within its limit of connection failures, and a reservation is asked for in the next pass of the queue. Lost answers are still checked for a crash. A timeout repeats two of its parts at most, so that a loop that is always late leaves time to ask again. A timeout in which the loop ran in time counts as before.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; without the changes to exchange.py and reserver.py three tests fail: test_reservation_of_a_late_gateway_is_asked_for_again, test_server_is_not_left_out_for_a_delay_of_the_gateway and test_server_is_not_suspect_for_a_deadline_in_a_pause.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -279,11 +279,14 @@
     ) -> None:
         """Exclude a server to which no connection could be established.
 
-        Raises the failure after too many of these.
+        A server that was only asked too late may be tried again. Raises the
+        failure after too many of these.
         """
-        self.ctx.loads.of(server.identity).record_unreachable(self.ctx.now_s())
-        self.ctx.notify_loads_changed()
-        self.excluded.add(server.identity)
+        if not failure.is_own_delay:
+            now_s = self.ctx.now_s()
+            self.ctx.loads.of(server.identity).record_unreachable(now_s)
+            self.ctx.notify_loads_changed()
+            self.excluded.add(server.identity)
         self.connect_failures += 1
         self._log_retry(server, failure)
         if self.connect_failures > MAX_CONNECT_FAILURES:
@@ -316,12 +319,13 @@
         the retry budget.
         """
         now_s = self.ctx.now_s()
-        self.ctx.loads.of(server.identity).record_failure(now_s)
+        if not failure.is_own_delay:
+            self.ctx.loads.of(server.identity).record_failure(now_s)
+            self.excluded.add(server.identity)
         if not isinstance(failure, ServerReplaced):
             self.ctx.quarantine.record_loss(
                 server, self.content, has_begun=self.has_begun
             )
-        self.excluded.add(server.identity)
         self._log_retry(server, failure)
         if self.remaining_s < MIN_REMAINING_S:
             raise DeadlineExceeded(failure.detail) from failure
--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -212,8 +212,9 @@
             load.record_refusal(ctx.now_s())
             ctx.metrics.count("reservations_refused_total")
         except ServerUnreachable as failure:
-            load.record_unreachable(ctx.now_s())
-            ctx.notify_loads_changed()
+            if not failure.is_own_delay:
+                load.record_unreachable(ctx.now_s())
+                ctx.notify_loads_changed()
             logging.info(
                 "event=reservation_failed request=%s server=%s detail=%r",
                 pending.request,
--- a/src/gooseberrypost/gateway/transport.py
+++ b/src/gooseberrypost/gateway/transport.py
@@ -32,6 +32,14 @@
 
     code = "server_unreachable"
 
+    def __init__(
+        self, detail: str = "", *, is_own_delay: bool = False
+    ) -> None:
+        super().__init__(detail)
+        self.is_own_delay = is_own_delay
+        """Whether this gateway was late itself, which shows nothing of the
+        server."""
+
 
 class ServerRefused(NotRun):
     """The server states that it did not execute the request."""
@@ -54,6 +62,14 @@
 
     code = "answer_lost"
 
+    def __init__(
+        self, detail: str = "", *, is_own_delay: bool = False
+    ) -> None:
+        super().__init__(detail)
+        self.is_own_delay = is_own_delay
+        """Whether this gateway was late itself, which shows nothing of the
+        server."""
+
 
 class ForeignAnswer(AnswerLost):
     """The answer on the connection belongs to another request."""
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -36,7 +36,7 @@
 from gooseberrypost.policy.serverlimit import parse_limit
 from gooseberrypost.singlesend import disable_automatic_retry
 from gooseberrypost.strictjson import Fields
-from gooseberrypost.timeouts import Deadline, RunningTimeout
+from gooseberrypost.timeouts import Deadline, RunningTimeout, is_own_delay
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -258,7 +258,9 @@
                     raise
                 return await call()
         except CALL_ERRORS as exc:
-            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
+            raise ServerUnreachable(
+                f"{server.address}: {exc!r}", is_own_delay=is_own_delay(exc)
+            ) from exc
 
     async def _control_once(
         self,
@@ -308,9 +310,13 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
-            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
+            raise ServerUnreachable(
+                f"{server.address}: {exc!r}", is_own_delay=is_own_delay(exc)
+            ) from exc
         except CALL_ERRORS as exc:
-            raise AnswerLost(f"{server.address}: {exc!r}") from exc
+            raise AnswerLost(
+                f"{server.address}: {exc!r}", is_own_delay=is_own_delay(exc)
+            ) from exc
 
     def _check_response(
         self,
@@ -395,7 +401,9 @@
                 return
             yield chunk
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-        raise AnswerLost(f"body: {exc!r}") from exc
+        raise AnswerLost(
+            f"body: {exc!r}", is_own_delay=is_own_delay(exc)
+        ) from exc
 
 
 async def _read_control(
@@ -405,7 +413,9 @@
         with deadline.limit():
             return await read_bounded(response, MAX_CONTROL_BYTES)
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-        raise AnswerLost(f"body: {exc!r}") from exc
+        raise AnswerLost(
+            f"body: {exc!r}", is_own_delay=is_own_delay(exc)
+        ) from exc
 
 
 def _kv_handle(server: Server, content: bytes) -> KvHandle:
--- a/src/gooseberrypost/timeouts.py
+++ b/src/gooseberrypost/timeouts.py
@@ -28,7 +28,7 @@
 """Delay of a timer beyond which the event loop was late."""
 PARTS: Final = 5
 """Parts of a timeout; one whose timer fires late is repeated."""
-MAX_REPEATS: Final = 5
+MAX_REPEATS: Final = 2
 """Maximum number of repeated parts of a timeout."""
 READ_S: Final = 0.005
 """Time to read what had arrived when a timer fired late at a deadline."""
@@ -38,6 +38,13 @@
     """The event loop was late, so the wait says nothing about the peer."""
 
 
+def is_own_delay(exc: BaseException | None) -> bool:
+    """Whether an exception was raised because of a ``LateTimeout``."""
+    while exc is not None and not isinstance(exc, LateTimeout):
+        exc = exc.__cause__
+    return exc is not None
+
+
 class _Scope:
     """Block whose task is cancelled when it expires.
 
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -26,6 +26,7 @@
     LateTimeout,
     RunningTimeout,
 )
+from tests.gateway_kit import configuration, serving
 from tests.late_kit import PAUSE_S, PausingEngine, in_thread
 
 TIMEOUT_S = 0.1
@@ -41,6 +42,22 @@
     time.sleep(pause_s)
 
 
+@asynccontextmanager
+async def late_loop(pass_s: float = LATE_S):
+    """Keep the event loop late in each pass."""
+
+    async def keep_late():
+        while True:
+            stand_still(pass_s)
+            await asyncio.sleep(0)
+
+    task = asyncio.create_task(keep_late())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
 @asynccontextmanager
 async def calls(engine):
     """Return a transport for calls to an engine in a thread."""
@@ -98,17 +115,11 @@
     """
 
     async def work():
-        async def keep_late():
-            while True:
-                stand_still(LATE_S)
-                await asyncio.sleep(0)
-
-        late = asyncio.create_task(keep_late())
         begun_s = time.monotonic()
-        with pytest.raises(LateTimeout), RunningTimeout(TIMEOUT_S):
-            await asyncio.Event().wait()
+        async with late_loop():
+            with pytest.raises(LateTimeout), RunningTimeout(TIMEOUT_S):
+                await asyncio.Event().wait()
         took_s = time.monotonic() - begun_s
-        late.cancel()
         # Each part ends at most two passes of the event loop late.
         part_s = TIMEOUT_S / PARTS + 2 * LATE_S
         assert took_s < (PARTS + MAX_REPEATS + 1) * part_s
@@ -311,3 +322,101 @@
             assert engine.control == []
 
     run(work)
+
+
+ENGINES = (("p", "llm", "prefill"), ("d", "llm", "decode"))
+
+
+def test_reservation_of_a_late_gateway_is_asked_for_again():
+    """Guards against a gateway whose own delay makes engines unreachable.
+
+    The only one with memory does not answer while the event loop is late.
+    """
+
+    async def work():
+        async with serving(*ENGINES) as kit:
+            engine = kit.engines["d"]
+            load = kit.daemon.context.loads.of(f"d@{engine.born}")
+            engine.control_delay_s = 3_600
+            kit.store.put("op/config", configuration(4, timeout_ms=8_000))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 4)
+            task = asyncio.create_task(
+                kit.generate(X_Gooseberrypost_Deadline_Ms="8000")
+            )
+            await kit.until(lambda: engine.connections)
+            async with late_loop(1.5 * LATE_S):
+                # The first connection stays, as the engine does not answer.
+                await kit.until(lambda: len(engine.connections) > 1)
+                engine.control_delay_s = 0
+                assert load.unreachable_until_s < 0
+            assert (await task).status == 200
+
+    run(work)
+
+
+def test_silent_engine_of_a_gateway_in_time_is_unreachable():
+    """Guards against asking an engine without an answer all the time."""
+
+    async def work():
+        async with serving(*ENGINES) as kit:
+            engine = kit.engines["d"]
+            load = kit.daemon.context.loads.of(f"d@{engine.born}")
+            engine.control_delay_s = 3_600
+            task = asyncio.create_task(kit.generate())
+            await kit.until(lambda: load.unreachable_until_s > 0)
+            engine.control_delay_s = 0
+            await task
+
+    run(work)
+
+
+def test_server_is_not_left_out_for_a_delay_of_the_gateway():
+    """Guards against sound servers that get no requests after a pause."""
+
+    async def work():
+        async with serving(("desk", "desk", "")) as kit:
+            server = kit.engines["desk"]
+            ctx = kit.daemon.context
+            load = ctx.loads.of(f"desk@{server.born}")
+            send = ctx.transport.open
+            failures = [ServerUnreachable("late", is_own_delay=True)]
+
+            @asynccontextmanager
+            async def open_late(*args):
+                if failures:
+                    raise failures.pop()
+                assert load.unreachable_until_s < 0
+                async with send(*args) as answer:
+                    yield answer
+
+            ctx.transport.open = open_late
+            assert (await kit.call("/once/x")).status == 200
+            assert not failures
+            assert len(server.executed) == 1
+
+    run(work)
+
+
+def test_server_is_not_suspect_for_a_deadline_in_a_pause():
+    """Guards against sound servers that get no requests after a pause.
+
+    The client's deadline passes while the event loop stands still.
+    """
+
+    async def work():
+        async with serving() as kit:
+            server = PausingEngine("desk", pauses=1)
+            server.mode = "hang"
+            async with in_thread(server):
+                kit.store.put("servers/desk", server.registration("desk"))
+                ctx = kit.daemon.context
+                await kit.until(lambda: ctx.directory.servers.all())
+                got = await kit.call(
+                    "/once/x", X_Gooseberrypost_Deadline_Ms="300"
+                )
+                assert got.status == 504
+                load = ctx.loads.of(f"desk@{server.born}")
+                assert load.suspect_until_s < 0
+
+    run(work)
