--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -293,12 +293,15 @@
     ) -> None:
         """Exclude a server to which no connection could be established.
 
-        Raises the failure after too many of these, unless that would cut an
-        answer that has begun.
+        A server that was only asked too late may be tried again. Raises the
+        failure after too many of these, unless that would cut an answer that
+        has begun.
         """
-        self.ctx.loads.of(server.identity).record_unreachable(self.ctx.now_s())
-        self.ctx.notify_loads_changed()
-        self.excluded.add(server.identity)
+        if not failure.is_own_delay:
+            now_s = self.ctx.now_s()
+            self.ctx.loads.of(server.identity).record_unreachable(now_s)
+            self.ctx.notify_loads_changed()
+            self.excluded.add(server.identity)
         self.connect_failures += 1
         self._log_retry(server, failure)
         has_too_many = self.connect_failures > MAX_CONNECT_FAILURES
@@ -350,12 +353,14 @@
 
     def record_lost_answer(self, server: Server, failure: AnswerLost) -> None:
         """Exclude a server, of which other requests may be in danger, too."""
-        self.ctx.loads.of(server.identity).record_failure(self.ctx.now_s())
+        if not failure.is_own_delay:
+            now_s = self.ctx.now_s()
+            self.ctx.loads.of(server.identity).record_failure(now_s)
+            self.excluded.add(server.identity)
         if not isinstance(failure, ServerReplaced):
             self.ctx.quarantine.record_loss(
                 server, self.content, has_begun=self.has_begun
             )
-        self.excluded.add(server.identity)
         self._log_retry(server, failure)
 
     def keep_error(self, server: Server, answer: BufferedAnswer) -> None:
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -152,7 +152,7 @@
             load.record_refusal(ctx.now_s())
             exchange.budget.spend(ctx.now_s())
             self._holders = others
-        else:
+        elif not failure.is_own_delay:
             load.record_unreachable(ctx.now_s())
         self._holder_tries += 1
         pause_s = HOLDER_RETRY_S * (self._holder_tries - 1)
--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
@@ -35,6 +36,7 @@
 from gooseberrypost.policy.serverlimit import parse_limit
 from gooseberrypost.singlesend import disable_automatic_retry
 from gooseberrypost.strictjson import Fields
+from gooseberrypost.timeouts import Deadline, RunningTimeout, is_own_delay
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -52,6 +54,8 @@
     ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 )
 """Headers that aiohttp must not add to a forwarded request by itself."""
+NO_TIMEOUT: Final = aiohttp.ClientTimeout()
+"""Timeout of aiohttp, which would fire before late data is read."""
 REPEATABLE_CONTROL_METHODS: Final = frozenset(("GET", "DELETE"))
 """Methods of control calls that are repeated after a lost connection."""
 STAGE_PREFILL: Final = "prefill"
@@ -88,12 +92,15 @@
     ) -> AsyncIterator[Answer]:
         """Send a request and yield the answer once its headers arrived."""
         headers = encode_headers(server, req, options)
-        response = await self._send(server, req, headers, options)
-        try:
-            self._check_response(server, req, response)
-            yield _answer(response)
-        finally:
-            response.close()
+        with Deadline(options.timeout_s) as deadline:
+            response = await self._send(
+                server, req, headers, options, deadline
+            )
+            try:
+                self._check_response(server, req, response)
+                yield _answer(response, deadline)
+            finally:
+                response.close()
 
     async def prefill(
         self, server: Server, req: ClientRequest, options: SendOptions
@@ -101,12 +108,15 @@
         """Prefill the prompt at an engine."""
         headers = encode_headers(server, req, options)
         headers[names.STAGE] = STAGE_PREFILL
-        response = await self._send(server, req, headers, options)
-        try:
-            self._check_response(server, req, response)
-            content = await _read_control(response)
-        finally:
-            response.close()
+        with Deadline(options.timeout_s) as deadline:
+            response = await self._send(
+                server, req, headers, options, deadline
+            )
+            try:
+                self._check_response(server, req, response)
+                content = await _read_control(response, deadline)
+            finally:
+                response.close()
         if response.status != 200:
             raise AnswerLost(f"prefill: status {response.status}")
         return _kv_handle(server, content)
@@ -208,9 +218,14 @@
             # since its report.
             "precondition": expected_orders,
         }
-        status, _ = await self._control(
-            "POST", server, names.ORDER_PATH, body, timeout_s
-        )
+        try:
+            # Never prolonged, as another gateway may order stages thereafter.
+            async with asyncio.timeout(timeout_s):
+                status, _ = await self._control(
+                    "POST", server, names.ORDER_PATH, body, timeout_s
+                )
+        except TimeoutError as exc:
+            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
         if status not in (200, 202):
             raise ServerRefused(server.address, status=status)
 
@@ -245,7 +260,9 @@
                     raise
                 return await call()
         except CALL_ERRORS as exc:
-            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
+            raise ServerUnreachable(
+                f"{server.address}: {exc!r}", is_own_delay=is_own_delay(exc)
+            ) from exc
 
     async def _control_once(
         self,
@@ -256,16 +273,16 @@
         timeout_s: float,
     ) -> tuple[int, bytes]:
         url = URL(f"http://{server.address}{path}", encoded=True)
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
         # A different engine at the address answers 421.
         headers = {names.EXPECT_INSTANCE: server.instance}
-        async with self._session.request(
-            method, url, json=body, timeout=timeout, headers=headers
-        ) as response:
-            content = await read_bounded(response, MAX_CONTROL_BYTES)
-            if response.status != MISDIRECTED:
-                self._report_state(server, response)
-            return response.status, content
+        with RunningTimeout(timeout_s):
+            async with self._session.request(
+                method, url, json=body, timeout=NO_TIMEOUT, headers=headers
+            ) as response:
+                content = await read_bounded(response, MAX_CONTROL_BYTES)
+                if response.status != MISDIRECTED:
+                    self._report_state(server, response)
+                return response.status, content
 
     async def close(self) -> None:
         """Close all connections."""
@@ -277,27 +294,31 @@
         req: ClientRequest,
         headers: Any,
         options: SendOptions,
+        deadline: Deadline,
     ) -> aiohttp.ClientResponse:
         url = URL(f"http://{server.address}{req.target}", encoded=True)
-        timeout = aiohttp.ClientTimeout(
-            total=options.timeout_s, sock_connect=options.connect_timeout_s
-        )
+        timeout = aiohttp.ClientTimeout(sock_connect=options.connect_timeout_s)
         try:
-            return await self._session.request(
-                req.method,
-                url,
-                headers=headers,
-                data=req.body or None,
-                timeout=timeout,
-                allow_redirects=False,
-            )
+            with deadline.limit():
+                return await self._session.request(
+                    req.method,
+                    url,
+                    headers=headers,
+                    data=req.body or None,
+                    timeout=timeout,
+                    allow_redirects=False,
+                )
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
-            raise ServerUnreachable(f"{server.address}: {exc!r}") from exc
+            raise ServerUnreachable(
+                f"{server.address}: {exc!r}", is_own_delay=is_own_delay(exc)
+            ) from exc
         except CALL_ERRORS as exc:
-            raise AnswerLost(f"{server.address}: {exc!r}") from exc
+            raise AnswerLost(
+                f"{server.address}: {exc!r}", is_own_delay=is_own_delay(exc)
+            ) from exc
 
     def _check_response(
         self,
@@ -355,7 +376,7 @@
     return decoded.ok_value
 
 
-def _answer(response: aiohttp.ClientResponse) -> Answer:
+def _answer(response: aiohttp.ClientResponse, deadline: Deadline) -> Answer:
     headers = [
         (name, value)
         for name, value in response.headers.items()
@@ -365,25 +386,38 @@
         status=response.status,
         headers=headers,
         is_signed=names.SIGNATURE in response.headers,
-        chunks=_chunks(response),
+        chunks=_chunks(response, deadline),
         is_event_stream=response.content_type == EVENT_STREAM,
         is_framed=is_framed(response),
     )
 
 
-async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+async def _chunks(
+    response: aiohttp.ClientResponse, deadline: Deadline
+) -> AsyncIterator[bytes]:
     try:
-        while chunk := await response.content.readany():
+        while True:
+            with deadline.limit():
+                chunk = await response.content.readany()
+            if not chunk:
+                return
             yield chunk
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-        raise AnswerLost(f"body: {exc!r}") from exc
+        raise AnswerLost(
+            f"body: {exc!r}", is_own_delay=is_own_delay(exc)
+        ) from exc
 
 
-async def _read_control(response: aiohttp.ClientResponse) -> bytes:
+async def _read_control(
+    response: aiohttp.ClientResponse, deadline: Deadline
+) -> bytes:
     try:
-        return await read_bounded(response, MAX_CONTROL_BYTES)
+        with deadline.limit():
+            return await read_bounded(response, MAX_CONTROL_BYTES)
     except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-        raise AnswerLost(f"body: {exc!r}") from exc
+        raise AnswerLost(
+            f"body: {exc!r}", is_own_delay=is_own_delay(exc)
+        ) from exc
 
 
 def _kv_handle(server: Server, content: bytes) -> KvHandle:
