Keep a stalled stream at an entry until its successor is prepared

Callers saw streams of sound engines end with an error (`timed_out`, `connection_lost`), some of them after they had had most of their tokens.

An entry cancelled the run after three reattachments without a frame, four timeouts of 2 s in all, and only then asked for retry budget, for capacity and for a prefill. Without any of these there was no way back: the engine had dropped the KV cache. The tries also counted over the whole stream, so that the fourth pause of a long stream ended it, and an agent that was being replaced had 0.15 s to come back.

An attempt now ends only by an answer of its agent. `Succession` prepares the next attempt on another decode engine while the entry keeps reattaching to the stalled one, and cancels the old run once the successor holds a reservation and a prefill result. If a token arrives before that, the successor is dropped. A pause counts from the last token.

Evidence: `python -m pytest -n 2 tests/test_entry_successors.py`.

--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
 
-from gooseberrypost.entry.decoding import TokenReader
+from gooseberrypost.entry.decoding import Stall, TokenReader
 from gooseberrypost.entry.placing import NO_CAPACITY_RETRY_MS, Placer
 from gooseberrypost.entry.sections import Stage
 from gooseberrypost.errors import (
@@ -22,10 +22,12 @@
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Coroutine
+
     from gooseberrypost.entry.context import EntryContext
     from gooseberrypost.entry.placing import RequestState, ReservedPair
     from gooseberrypost.policy.placement import EnginePair
-    from gooseberrypost.policy.views import AgentView
+    from gooseberrypost.policy.views import AgentView, RequestView
 
 MAX_PREFILL_TRIES: Final = 3
 """Prefill agents tried when each one refuses before it runs anything."""
@@ -50,31 +52,70 @@
 class ModelAttempt:
     """Runs one attempt; frees its reservations and results if it fails."""
 
-    def __init__(self, ctx: EntryContext, state: RequestState) -> None:
+    def __init__(
+        self,
+        ctx: EntryContext,
+        state: RequestState,
+        excluded: Collection[str] = (),
+    ) -> None:
         self._ctx = ctx
         self._state = state
-        self._placer = Placer(ctx, state)
+        self._placer = Placer(ctx, state, excluded)
+        self._reserved_pair: ReservedPair | None = None
         self._prefill_agent: AgentView | None = None
         self._prefill_result: _PrefillResult | None = None
+        self.stall = Stall()
         self.is_reusable = True
         """The attempt number can be used again, as no prefill was started."""
 
+    @property
+    def view(self) -> RequestView:
+        """View of the request under the number of this attempt."""
+        return self._state.view
+
+    @property
+    def decode_engine(self) -> str:
+        """Name of the reserved decode engine; empty if there is none."""
+        pair = self._reserved_pair
+        return pair.pair.decode.name if pair is not None else ""
+
     async def run(self) -> Result[None, Failure]:
         """Run until the stream is complete, or return the failure."""
+        prepared = await self.prepare()
+        return prepared if isinstance(prepared, Err) else await self.decode()
+
+    async def prepare(self) -> Result[None, Failure]:
+        """Reserve a decode engine and run the prefill."""
+        return await self._abandon_unless_ok(self._prepare())
+
+    async def decode(self) -> Result[None, Failure]:
+        """Stream the tokens of a prepared attempt until it ends."""
+        try:
+            return await self._abandon_unless_ok(self._decode())
+        finally:
+            self._discard_prefill_result()
+
+    def abandon(self) -> None:
+        """Free what agents hold for the attempt."""
+        self._discard_prefill_result()
+        # An agent refuses a cancelled attempt number, so another try
+        # needs a new number.
+        if self._placer.contacted or self._placer.is_stale:
+            self.is_reusable = False
+        self._cancel_contacted()
+
+    async def _abandon_unless_ok(
+        self, step: Coroutine[Any, Any, Result[None, Failure]]
+    ) -> Result[None, Failure]:
         result: Result[None, Failure] | None = None
         try:
-            result = await self._run()
+            result = await step
             return result
         finally:
-            self._discard_prefill_result()
             if not isinstance(result, Ok):
-                # An agent refuses a cancelled attempt number, so another try
-                # needs a new number.
-                if self._placer.contacted or self._placer.is_stale:
-                    self.is_reusable = False
-                self._cancel_contacted()
+                self.abandon()
 
-    async def _run(self) -> Result[None, Failure]:
+    async def _prepare(self) -> Result[None, Failure]:
         reserved = await self._placer.reserve()
         if isinstance(reserved, Err):
             return reserved
@@ -82,7 +123,8 @@
         for _ in range(MAX_PREFILL_TRIES):
             prefilled = await self._prefill(reserved_pair.pair)
             if isinstance(prefilled, Ok):
-                return await self._decode(reserved_pair, prefilled.ok_value)
+                self._reserved_pair = reserved_pair
+                return prefilled
             failure, prefill_agent = (
                 prefilled.err_value,
                 reserved_pair.pair.prefill,
@@ -104,9 +146,7 @@
             )
         )
 
-    async def _prefill(
-        self, pair: EnginePair
-    ) -> Result[_PrefillResult, Failure]:
+    async def _prefill(self, pair: EnginePair) -> Result[None, Failure]:
         live, view = self._state.live, self._state.view
         live.stage = Stage.PREFILL
         remaining_ms = self._remaining_ms()
@@ -146,7 +186,7 @@
                     self._prefill_result.computed_tokens,
                     service=view.service,
                 )
-                return Ok(self._prefill_result)
+                return Ok(None)
             case Err(failure):
                 if isinstance(failure, NotRun):
                     self.is_reusable = True
@@ -154,10 +194,10 @@
                     self._placer.contacted.pop(pair.prefill.name, None)
                 return Err(failure)
 
-    async def _decode(
-        self, reserved_pair: ReservedPair, result: _PrefillResult
-    ) -> Result[None, Failure]:
+    async def _decode(self) -> Result[None, Failure]:
         """Decode, on fallback engines if ``_allows_fallback`` permits."""
+        reserved_pair, result = self._reserved_pair, self._prefill_result
+        assert reserved_pair is not None and result is not None
         live, stream = self._state.live, self._state.stream
         start_sequence = stream.next_sequence
         while True:
@@ -175,7 +215,7 @@
             reserved = await self._placer.reserve(reserved_pair.pair.prefill)
             if isinstance(reserved, Err):
                 return Err(failure)
-            reserved_pair = reserved.ok_value
+            self._reserved_pair = reserved_pair = reserved.ok_value
 
     def _allows_fallback(
         self, failure: Failure, result: _PrefillResult, start_sequence: int
@@ -228,6 +268,7 @@
             self._ctx,
             self._state,
             reserved_pair.pair.decode,
+            self.stall,
             self._release_prefill_result,
         )
         # The agent's timeout starts at the booked start of the transfer.
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -128,14 +128,30 @@
     budget: RetryBudget,
     failure: Failure,
 ) -> Result[Grant, Failure]:
-    """Wait for the backoff delay, then renew the claim for a new attempt.
+    """Count a failure, then renew the claim for a new attempt.
 
     Returns ``failure`` when the retry budget or the deadline allows no retry.
     A request whose engine was lost is moved without charge to the budget, see
     ``RetryBudget.retry_displaced``.
     """
+    count_failure(live, failure)
+    return await renew_attempt(ctx, live, claim, budget, failure)
+
+
+def count_failure(live: LiveRequest, failure: Failure) -> None:
+    """Count a failed or stalled attempt of a request."""
     live.failure_count += 1
     live.displacements += isinstance(failure, EngineCrashed | ConnectionLost)
+
+
+async def renew_attempt(
+    ctx: EntryContext,
+    live: LiveRequest,
+    claim: RequestClaim,
+    budget: RetryBudget,
+    failure: Failure,
+) -> Result[Grant, Failure]:
+    """Wait for the backoff delay, then renew the claim, as far as allowed."""
     delay = _retry_delay(ctx, live, budget, failure)
     if isinstance(delay, Err):
         ctx.log_retry(live, failure, "give_up")
--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -13,6 +13,7 @@
 from gooseberrypost.entry.context import RequestClaim, next_attempt
 from gooseberrypost.entry.placing import RequestState
 from gooseberrypost.entry.sections import Stage
+from gooseberrypost.entry.succession import Succession, view_of_grant
 from gooseberrypost.errors import (
     CallerGone,
     Failure,
@@ -225,10 +226,11 @@
             failed_engines=set(),
             parts=self._parts(view),
         )
+        succession = Succession(self._ctx, self._claim, self._probe_pools)
         while True:
             _apply_grant(state, grant)
             attempt = ModelAttempt(self._ctx, state)
-            result = await attempt.run()
+            result = await succession.run(state, attempt)
             if isinstance(result, Ok) or _reached_output_limit(state):
                 return await self._finish(state)
             failure = result.err_value
@@ -291,12 +293,7 @@
 def _apply_grant(state: RequestState, grant: Grant) -> None:
     """Continue the request under the attempt number of a new grant."""
     state.stream.restart(grant.attempt)
-    state.view = replace(
-        state.view,
-        key=grant.key,
-        attempt=grant.attempt,
-        suspect=grant.suspect,
-    )
+    state.view = view_of_grant(state.view, grant)
 
 
 def _reached_output_limit(state: RequestState) -> bool:
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -20,6 +20,8 @@
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from gooseberrypost.entry.answer import CompletionAnswer
     from gooseberrypost.entry.collaborators import RetryBudget
     from gooseberrypost.entry.context import EntryContext
@@ -69,10 +71,15 @@
 class Placer:
     """Chooses the engines of one attempt and reserves at the decode engine."""
 
-    def __init__(self, ctx: EntryContext, state: RequestState) -> None:
+    def __init__(
+        self,
+        ctx: EntryContext,
+        state: RequestState,
+        excluded: Collection[str] = (),
+    ) -> None:
         self._ctx = ctx
         self._state = state
-        self.excluded: set[str] = set()
+        self.excluded = set(excluded)
         """Names of engines that this attempt does not try again."""
         self.contacted: dict[str, AgentView] = {}
         """Agents by name that may hold resources for this attempt."""
--- /dev/null
+++ b/tests/test_entry_successors.py
@@ -0,0 +1,149 @@
+"""Model requests that are let go only for a successor that is certain."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gooseberrypost.entry import decoding
+from gooseberrypost.wire.messages import idl
+from tests.entry_fakes import TOKENS, drop, hang, refuse, run
+from tests.test_entry_model import cut_after, text_of
+
+TIMEOUT_MS = 50
+"""Time without a token after which the entry reattaches, in ms."""
+SILENCE_S = 0.6
+"""Silence of a sound engine, longer than all reattachments take."""
+
+
+@pytest.fixture(autouse=True)
+def short_timeouts(monkeypatch):
+    """Let the entry notice silence early."""
+    monkeypatch.setattr(decoding, "TOKEN_TIMEOUT_MS", TIMEOUT_MS)
+
+
+class SilentRun:
+    """A run whose engine sends two tokens and then nothing for a while."""
+
+    def __init__(self, agent):
+        self._agent = agent
+        self.speaks = asyncio.Event()
+        agent.script[idl.Decode] = [cut_after(agent, 2, hang)]
+        agent.script[idl.Reattach] = [self.continue_later] * 100
+
+    async def continue_later(self, session, correlation, message):
+        await self.speaks.wait()
+        await self._agent.decode(session, correlation, message)
+
+
+def test_stream_of_a_silent_engine_is_kept_without_capacity_elsewhere():
+    """Guards against a run that is cancelled before another has capacity."""
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        silent = SilentRun(agent)
+        other.script[idl.Reserve] = [refuse("no_capacity")] * 100
+        response = await rig.complete(stream=True).__aenter__()
+        await other.wait_for(idl.Reserve)
+        await asyncio.sleep(SILENCE_S)
+        silent.speaks.set()
+        assert text_of(await response.text()) == "".join(TOKENS)
+        assert agent.messages_of(idl.Cancel) == []
+
+    run(scenario)
+
+
+def test_stream_of_a_silent_engine_is_kept_without_retry_budget():
+    """Guards against a run that is cancelled before a retry is allowed."""
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        rig.retries.allowed = False
+        silent = SilentRun(agent)
+        response = await rig.complete(stream=True).__aenter__()
+        await agent.wait_for(idl.Reattach, 3)
+        await asyncio.sleep(SILENCE_S)
+        silent.speaks.set()
+        assert text_of(await response.text()) == "".join(TOKENS)
+        assert agent.messages_of(idl.Cancel) == []
+
+    run(scenario)
+
+
+def test_stream_goes_on_if_its_engine_speaks_before_the_successor_is_ready():
+    """Guards against a second run beside one that goes on.
+
+    What the successor held is given back.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        silent = SilentRun(agent)
+        rig.agents["p1"].script[idl.Prefill] = [
+            rig.agents["p1"].prefill,
+            hang,
+        ]
+        response = await rig.complete(stream=True).__aenter__()
+        await rig.agents["p1"].wait_for(idl.Prefill, 2)
+        silent.speaks.set()
+        assert text_of(await response.text()) == "".join(TOKENS)
+        assert (await other.wait_for(idl.Cancel)).attempt == 2
+        assert other.messages_of(idl.Decode) == []
+        assert agent.messages_of(idl.Cancel) == []
+
+    run(scenario)
+
+
+def test_stream_of_a_hung_engine_continues_on_another():
+    """Guards against lost or repeated tokens after a hung engine (P3)."""
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        SilentRun(agent)
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        [decode] = other.messages_of(idl.Decode)
+        assert (decode.attempt, decode.first_sequence) == (2, 2)
+        assert (await agent.wait_for(idl.Cancel)).attempt == 1
+
+    run(scenario)
+
+
+def test_tries_of_a_stream_count_from_its_last_token():
+    """Guards against a long stream that is let go after several pauses."""
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        rig.retries.allowed = False
+
+        async def one_token(session, correlation, message):
+            n = message.next_sequence
+            await agent.tokens(session, correlation, message, n, n + 1)
+
+        agent.script[idl.Decode] = [cut_after(agent, 1, hang)]
+        agent.script[idl.Reattach] = [one_token] * 5
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        assert agent.messages_of(idl.Cancel) == []
+
+    run(scenario)
+
+
+def test_stream_is_kept_while_its_agent_restarts():
+    """Guards against a run that is given up while its agent is out of reach.
+
+    No other engine has capacity, and the engine goes on with the run.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        agent.script[idl.Decode] = [cut_after(agent, 2, drop)]
+        agent.script[idl.Reattach] = [drop] * 8
+        other.script[idl.Reserve] = [refuse("no_capacity")] * 100
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        assert len(agent.messages_of(idl.Reattach)) == 9
+        assert agent.messages_of(idl.Cancel) == []
+
+    run(scenario)
