Move streams that lost their run without charge to the retry budget

Callers saw streams end with `execution_failed` ("caller_gone"), `stale_attempt` or `draining` although other engines were free.

Only a crash or a lost connection counted as a displacement. Three other ways to lose a run by no fault of the request were charged to the retry budget: the agent freed the run because it had heard nothing of the entry for 4 s, and then all streams of that entry at once; a process that replaced the agent did not know the run; and the second engine of a displaced stream refused it, as its reservation had lapsed or the engine drained. Without budget the stream was cut.

A run that failed on its engine is still charged, as `test_without_retry_budget_the_failure_is_reported` demands.

Evidence: `python -m pytest -n 2 tests/test_entry_successors.py`; the four new cases failed before, each with the code named above, and pass now.

--- a/src/gooseberrypost/entry/agents.py
+++ b/src/gooseberrypost/entry/agents.py
@@ -9,9 +9,9 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import (
+    AttemptReleased,
     CallerGone,
     Draining,
-    ExecutionFailed,
     Failure,
     PeerUnreachable,
     failure_from_code,
@@ -105,7 +105,7 @@
         if isinstance(failure, CallerGone):
             # The agent ended the attempt as if the caller had disconnected,
             # but the caller is still connected to this entry.
-            failure = ExecutionFailed(f"{agent.name}: {failure}")
+            failure = AttemptReleased(f"{agent.name}: {failure}")
         if isinstance(failure, Draining):
             self._fleet.mark_draining(agent.name)
         return Err(failure)
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -11,11 +11,12 @@
 from gooseberrypost.claims.client import ClaimRequest, Grant, StoredAnswer
 from gooseberrypost.entry.sections import LiveRequest, Stage
 from gooseberrypost.errors import (
+    AttemptReleased,
     ConnectionLost,
     EngineCrashed,
     Failure,
     HandleExpired,
-    NoCapacity,
+    NotRun,
     Superseded,
     TransferStalled,
     UnknownOutcome,
@@ -43,15 +44,17 @@
 This leaves time to report the result before the deadline of the duplicate.
 """
 DISPLACEABLE_FAILURES: Final = (
+    AttemptReleased,
     ConnectionLost,
     EngineCrashed,
     HandleExpired,
-    NoCapacity,
+    NotRun,
     TransferStalled,
 )
 """Failures after which a displaced request is moved to another engine.
 
-A displaced request has lost an engine that was running it.
+A displaced request has lost an engine that was running it. An engine that
+refused to run it, for whatever reason, has cost nothing.
 """
 MAX_COMPLETE_TRIES: Final = 3
 COMPLETE_PAUSE_S: Final = 0.05
@@ -141,7 +144,9 @@
 def count_failure(live: LiveRequest, failure: Failure) -> None:
     """Count a failed or stalled attempt of a request."""
     live.failure_count += 1
-    live.displacements += isinstance(failure, EngineCrashed | ConnectionLost)
+    live.displacements += isinstance(
+        failure, AttemptReleased | ConnectionLost | EngineCrashed
+    )
 
 
 async def renew_attempt(
--- a/src/gooseberrypost/entry/decoding.py
+++ b/src/gooseberrypost/entry/decoding.py
@@ -11,6 +11,7 @@
 from gooseberrypost.errors import (
     ConnectionLost,
     Failure,
+    NotRun,
     PeerUnreachable,
     TimedOut,
 )
@@ -133,6 +134,9 @@
             return reattached
         if isinstance(reattached.err_value, PeerUnreachable):
             return Err(failure)
+        if isinstance(reattached.err_value, NotRun):
+            # The agent, or the process that replaced it, has lost the run.
+            return Err(ConnectionLost(str(reattached.err_value)))
         return reattached
 
     def _reattach_message(self) -> Any:
--- a/src/gooseberrypost/errors.py
+++ b/src/gooseberrypost/errors.py
@@ -235,6 +235,12 @@
     code = "engine_crashed"
 
 
+class AttemptReleased(ExecutionFailed):
+    """The agent ended the attempt because it heard nothing of the entry."""
+
+    code = "attempt_released"
+
+
 class TransferStalled(ExecutionFailed):
     """A KV cache transfer exceeded its timeout and was aborted."""
 
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -9,7 +9,7 @@
 from gooseberrypost.entry import decoding
 from gooseberrypost.wire.messages import idl
 from tests.entry_fakes import TOKENS, drop, hang, refuse, run
-from tests.test_entry_model import cut_after, text_of
+from tests.test_entry_model import crash, cut_after, text_of
 
 TIMEOUT_MS = 50
 """Time without a token after which the entry reattaches, in ms."""
@@ -147,3 +147,59 @@
         assert agent.messages_of(idl.Cancel) == []
 
     run(scenario)
+
+
+def test_stream_whose_agent_released_it_moves_without_retry_budget():
+    """Guards against streams cut after a pause of their entry.
+
+    An agent that hears nothing of an entry frees all that it runs for it, so
+    that the streams move at once and exceed any budget.
+    """
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        rig.retries.allowed = False
+        agent.script[idl.Decode] = [cut_after(agent, 2, refuse("caller_gone"))]
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        assert rig.agents["d2"].messages_of(idl.Decode)[0].first_sequence == 2
+
+    run(scenario)
+
+
+def test_stream_that_its_agent_no_longer_has_moves_without_retry_budget():
+    """Guards against streams cut by the loss of their agent and engine.
+
+    The process that replaces the agent knows nothing of the run.
+    """
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        rig.retries.allowed = False
+        agent.script[idl.Decode] = [cut_after(agent, 2, drop)]
+        agent.script[idl.Reattach] = [refuse("stale_attempt")]
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        assert rig.agents["d2"].messages_of(idl.Decode)[0].first_sequence == 2
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("code", ["stale_attempt", "draining"])
+def test_displaced_stream_moves_on_after_a_refusal(code):
+    """Guards against a stream cut because its second engine ran nothing.
+
+    Its reservation lapsed there, or the engine leaves, and no other one has
+    capacity at that moment.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        rig.retries.allowed = False
+        agent.script[idl.Decode] = [cut_after(agent, 2, crash)]
+        agent.script[idl.Reserve] = [agent.reserve, refuse("no_capacity")]
+        other.script[idl.Decode] = [refuse(code)]
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+
+    run(scenario)
