Agents: a busy engine that answers no load check has not crashed

Callers saw streams moved, and those without capacity elsewhere ended, with `engine_crashed` while their engine was sound.

After a lost connection, the agent asks the engine for its load.

Only a connection that cannot be opened, or three that break, count now. The agent resumes the stream after any other failure, and the entry moves a stream that stalls (`entry/succession.py`).

Evidence: `python -m pytest -n 2 tests/test_agent_successors.py`: `test_engine_that_is_slow_to_report_its_load_has_not_crashed` failed before with ('engine_crashed', 1) in place of ('', 40), and passes now.

--- a/src/gooseberrypost/agent/crash.py
+++ b/src/gooseberrypost/agent/crash.py
@@ -14,7 +14,7 @@
 from gooseberrypost.agent.engine import EngineClient
 from gooseberrypost.agent.jobs import Attempts
 from gooseberrypost.agent.log import log_decision
-from gooseberrypost.errors import ConnectionLost
+from gooseberrypost.errors import ConnectionLost, PeerUnreachable
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.messages import idl
 
@@ -29,7 +29,8 @@
 MAX_LOAD_CHECKS: Final = 3
 """Load checks with a lost connection before the server counts as crashed.
 
-Any other failure of a check counts as a crash at once.
+A refused connection counts as a crash at once. A check without a reply in time
+does not count as one: the server may only be busy.
 """
 LOAD_CHECK_INTERVAL_MS: Final = 50
 MIN_LOST_REQUESTS: Final = 2
@@ -82,9 +83,9 @@
     async def detect_crash(self, attempt: Attempt) -> bool:
         """Return whether a server crash broke the connection of an attempt.
 
-        The server has crashed if it gives no load report, or if it gives one
-        but has lost every one of several running requests. The crash is
-        reported, once, before this returns.
+        The server has crashed if it cannot be connected to, or if it gives a
+        load report but has lost every one of several running requests. The
+        crash is reported, once, before this returns.
         """
         async with self._lock:
             if attempt in self._reported:
@@ -103,8 +104,10 @@
             on_server = await self._attempts_on_server()
             if isinstance(on_server, Ok):
                 return _lost_in_restart(running, on_server.ok_value)
-            if not isinstance(on_server.err_value, ConnectionLost):
+            if isinstance(on_server.err_value, PeerUnreachable):
                 break
+            if not isinstance(on_server.err_value, ConnectionLost):
+                return set()
             # The fault that broke the request may have broken this check too.
             await asyncio.sleep(LOAD_CHECK_INTERVAL_MS / 1_000)
         return running
--- /dev/null
+++ b/tests/test_agent_successors.py
@@ -0,0 +1,50 @@
+"""Runs that an agent keeps while their engine may be sound."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err
+
+from gooseberrypost.errors import TimedOut
+from tests.agent_kit import collect, decode, running_rig, until
+
+TOKENS = 40
+
+
+async def start_stream(rig):
+    """Return the task that collects a stream, once it has a token."""
+    reserved, prefilled = await rig.prepare()
+    req = decode(reserved, prefilled, max_tokens=TOKENS)
+
+    async def read():
+        async with rig.decode_channel.stream(req) as replies:
+            return await collect(replies)
+
+    task = asyncio.create_task(read())
+    attempts = rig.decode_engine.attempts
+    await until(lambda: any(a.texts for a in attempts.values()))
+    return task
+
+
+def test_engine_that_is_slow_to_report_its_load_has_not_crashed():
+    """Guards against runs dropped because a busy engine answers no check.
+
+    Its requests would also be reported as having crashed it.
+    """
+
+    async def run():
+        async with running_rig(decode_options={"token_ms": 20}) as rig:
+            task = await start_stream(rig)
+            backend = rig.decode_agent.backend
+
+            async def time_out(timeout_ms=0):
+                return Err(TimedOut("no load report"))
+
+            backend.load = time_out
+            rig.decode_engine.abort_connections()
+            _, end = await task
+            assert (end.code, end.tokens) == ("", TOKENS)
+            assert rig.decode_agent.lifecycle.lifecycle.crashes == 0
+
+    asyncio.run(run())
