Agents: report a crash that is noticed when a stream is resumed

If the engine still answered the check after the first lost connection and was gone when the stream was to be resumed, the failure to connect went past the crash detection: the run ended as a refusal that says nothing of the engine, which an entry retries only within its budget. A connection that cannot be opened for a resumption is now examined like one that broke.

Evidence: `python -m pytest -n 2 tests/test_agent_successors.py`: `test_engine_that_crashes_before_its_stream_is_resumed_is_reported` failed before with 'peer_unreachable' in place of 'engine_crashed', and passes now.

--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -13,6 +13,7 @@
     EngineCrashed,
     ExecutionFailed,
     Failure,
+    PeerUnreachable,
     ProtocolFailure,
     TimedOut,
     TransferStalled,
@@ -170,10 +171,11 @@
         try:
             async with engine.resume(job.attempt, job.next_sequence) as stream:
                 await self._copy_tokens(job, stream)
-        except ConnectionLost as exc:
+        except (ConnectionLost, PeerUnreachable) as exc:
             progressed = job.next_sequence > first_sequence
             left = MAX_RESUMES_WITHOUT_TOKEN if progressed else resumes_left
-            await self._resume_after_disconnect(job, exc, left)
+            lost = ConnectionLost(exc.detail)
+            await self._resume_after_disconnect(job, lost, left)
 
     async def _resume_after_disconnect(
         self, job: DecodeJob, failure: ConnectionLost, resumes_left: int
--- a/tests/test_agent_successors.py
+++ b/tests/test_agent_successors.py
@@ -48,3 +48,32 @@
             assert rig.decode_agent.lifecycle.lifecycle.crashes == 0
 
     asyncio.run(run())
+
+
+def test_engine_that_crashes_before_its_stream_is_resumed_is_reported():
+    """Guards against crash evidence lost between two checks of an engine.
+
+    The engine was sound at the first of them.
+    """
+
+    async def run():
+        async with running_rig(
+            decode_options={"token_ms": 5, "restart_ms": 3_000}
+        ) as rig:
+            engine = rig.decode_engine
+            task = await start_stream(rig)
+            requests = rig.decode_agent.backend.requests
+
+            async def list_then_crash():
+                listed = await requests()
+                await engine.site.stop()
+                engine.abort_connections()
+                return listed
+
+            rig.decode_agent.backend.requests = list_then_crash
+            engine.abort_connections()
+            _, end = await task
+            assert end.code == "engine_crashed"
+            assert rig.decode_agent.lifecycle.lifecycle.crashes == 1
+
+    asyncio.run(run())
