Agents: resume a broken stream for as long as its engine runs it

Callers saw streams end with `execution_failed` ("token stream broke repeatedly") while their engine went on with the run.

The agent gave a run up after three resumptions without a token. They had no pause between them, so that a link that was down for some milliseconds was enough, and the agent then cancelled the run in the engine.

Resumptions now go on, up to 0.5 s apart, until the engine refuses one or has crashed.

Evidence: `python -m pytest -n 2 tests/test_agent_successors.py`: `test_run_is_kept_while_its_stream_cannot_be_resumed`, where six resumptions break, failed before with ('execution_failed', 1) in place of ('', 40).

--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -27,8 +27,9 @@
     from gooseberrypost.agent.jobs import DecodeJob
     from gooseberrypost.state.ledger import LinkBooking
 
-MAX_RESUMES_WITHOUT_TOKEN: Final = 3
-"""Largest number of consecutive resumes that yield no token."""
+MIN_RESUME_PAUSE_S: Final = 0.02
+"""Pause after the second of several resumes that yield no token."""
+MAX_RESUME_PAUSE_S: Final = 0.5
 
 
 class DecodeRunner:
@@ -106,9 +107,8 @@
                 )
                 await self._copy_tokens(job, stream)
         except ConnectionLost as exc:
-            await self._resume_after_disconnect(
-                job, exc, MAX_RESUMES_WITHOUT_TOKEN
-            )
+            await self._raise_if_crashed(job, exc)
+            await self._resume(job)
 
     async def _start_stream(
         self,
@@ -163,34 +163,41 @@
                 )
             last_token_s = now_s
 
-    async def _resume(
-        self, job: DecodeJob, resumes_left: int = MAX_RESUMES_WITHOUT_TOKEN
-    ) -> None:
-        engine = self._context.engine
-        first_sequence = job.next_sequence
-        try:
-            async with engine.resume(job.attempt, job.next_sequence) as stream:
-                await self._copy_tokens(job, stream)
-        except (ConnectionLost, PeerUnreachable) as exc:
+    async def _resume(self, job: DecodeJob) -> None:
+        """Resume the stream until it ends, however often it breaks.
+
+        The engine goes on with a run whose stream broke. Only a crash or a
+        refusal by the engine shows that it does not.
+        """
+        pause_s = 0.0
+        while True:
+            log_decision(
+                "resume",
+                key=job.attempt.key,
+                attempt=job.attempt.number,
+                next=job.next_sequence,
+            )
+            first_sequence = job.next_sequence
+            try:
+                await self._copy_resumed(job)
+                return
+            except (ConnectionLost, PeerUnreachable) as exc:
+                await self._raise_if_crashed(job, exc)
+            await asyncio.sleep(pause_s)
             progressed = job.next_sequence > first_sequence
-            left = MAX_RESUMES_WITHOUT_TOKEN if progressed else resumes_left
-            lost = ConnectionLost(exc.detail)
-            await self._resume_after_disconnect(job, lost, left)
+            pause_s = 0.0 if progressed else _longer_pause_s(pause_s)
 
-    async def _resume_after_disconnect(
-        self, job: DecodeJob, failure: ConnectionLost, resumes_left: int
-    ) -> None:
-        classified = await self._context.classify_failure(job.attempt, failure)
-        if classified is not failure:
+    async def _copy_resumed(self, job: DecodeJob) -> None:
+        engine = self._context.engine
+        async with engine.resume(job.attempt, job.next_sequence) as stream:
+            await self._copy_tokens(job, stream)
+
+    async def _raise_if_crashed(self, job: DecodeJob, exc: Failure) -> None:
+        lost = ConnectionLost(exc.detail)
+        classified = await self._context.classify_failure(job.attempt, lost)
+        if classified is not lost:
             raise classified
-        if not resumes_left:
-            raise ExecutionFailed(
-                f"token stream broke repeatedly: {failure.detail}"
-            )
-        log_decision(
-            "resume",
-            key=job.attempt.key,
-            attempt=job.attempt.number,
-            next=job.next_sequence,
-        )
-        await self._resume(job, resumes_left - 1)
+
+
+def _longer_pause_s(pause_s: float) -> float:
+    return min(max(2 * pause_s, MIN_RESUME_PAUSE_S), MAX_RESUME_PAUSE_S)
--- a/tests/test_agent_successors.py
+++ b/tests/test_agent_successors.py
@@ -77,3 +77,31 @@
             assert rig.decode_agent.lifecycle.lifecycle.crashes == 1
 
     asyncio.run(run())
+
+
+def test_run_is_kept_while_its_stream_cannot_be_resumed():
+    """Guards against a run that is cancelled after a moment of broken links.
+
+    The engine goes on with it, and can be reached again soon.
+    """
+
+    async def run():
+        async with running_rig(decode_options={"token_ms": 5}) as rig:
+            engine, tries = rig.decode_engine, []
+            stream = engine.stream
+
+            async def break_off(request, attempt, sequence):
+                tries.append(sequence)
+                if len(tries) > 6:
+                    return await stream(request, attempt, sequence)
+                request.transport.abort()
+                raise ConnectionResetError
+
+            task = await start_stream(rig)
+            engine.stream = break_off
+            engine.abort_connections()
+            _, end = await task
+            assert (end.code, end.tokens) == ("", TOKENS)
+            assert rig.decode_agent.lifecycle.lifecycle.crashes == 0
+
+    asyncio.run(run())
