Claims: repeat a renewal, and wait for the successor of a lost owner

Callers saw streams that had lost their engine end with `outcome_unknown` or without their final part, although another engine was free.

The next attempt of a stream needs a renewal of its claim. It was sent once: if its reply was lost, the owner counted the holder as superseded by the attempt that the holder had never heard of. And it looked for an owner for 3 s, while a shard of a lost owner gets its next one after the lease of 15 s; claims and completions wait 20 s.

The owner now remembers which attempt the current one has renewed, also in its log, and answers a repeated renewal with the same attempt. The client repeats renewals, as it does completions, within 20 s; the deadline of the request bounds both.

Evidence: `python -m pytest -n 2 tests/test_entry_successors.py -k renewal`.

--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -170,7 +170,7 @@
         """Supersede an attempt by the next one of the same holder."""
         message = idl.Renew(key=key, attempt=attempt)
         reply = await self._call_owner(
-            message, REPLY_TIMEOUT_MS, REPLY_TIMEOUT_MS
+            message, REPLY_TIMEOUT_MS, TAKEOVER_TIMEOUT_MS, resend=True
         )
         if isinstance(reply, Err):
             return reply
--- a/src/gooseberrypost/state/_claim_table.py
+++ b/src/gooseberrypost/state/_claim_table.py
@@ -125,6 +125,7 @@
 
     def _start_attempt(self, claim: Claim, deadline_at_ms: int) -> None:
         claim.state = ClaimState.RUNNING
+        claim.renewed_from = 0
         claim.orphan_at_ms = None
         claim.deadline_at_ms = deadline_at_ms
         self._keys_by_holder.setdefault(claim.holder, set()).add(claim.key)
--- a/src/gooseberrypost/state/claim.py
+++ b/src/gooseberrypost/state/claim.py
@@ -99,6 +99,7 @@
         "minted",
         "orphan_at_ms",
         "parts",
+        "renewed_from",
         "replayed",
         "state",
     )
@@ -115,6 +116,8 @@
         self.holder = holder
         """Entry that runs the current attempt."""
         self.attempt = 0
+        self.renewed_from = 0
+        """Attempt that the current one has renewed; 0: none."""
         self.state = ClaimState.RUNNING
         self.deadline_at_ms = 0
         self.orphan_at_ms: int | None = None
--- a/src/gooseberrypost/state/claims.py
+++ b/src/gooseberrypost/state/claims.py
@@ -124,6 +124,9 @@
     def renew(self, key: str, attempt: int, now_ms: int) -> Decision:
         """Replace an attempt by the holder's next attempt.
 
+        A repeated message, sent because the reply to the first was lost, gets
+        the same attempt.
+
         A minted key that a lost owner granted is unknown here. Its attempt is
         still the current one, but its content digest is lost. Without
         the digest, content that crashed two servers could be granted again and
@@ -132,18 +135,24 @@
         claim = self.claims.get(key)
         if claim is None:
             return Decision(Verdict.UNKNOWN)
-        if not self._is_current(claim, attempt):
+        is_repeated = attempt != 0 and attempt == claim.renewed_from
+        if not is_repeated and not self._is_current(claim, attempt):
             return Decision(Verdict.SUPERSEDED)
         if claim.state not in (ClaimState.RUNNING, ClaimState.ORPHANED):
             return Decision(Verdict.SUPERSEDED)
-        claim.attempt = self._next_attempt(attempt)
+        if not is_repeated:
+            self._replace_attempt(claim, attempt)
         claim.state = ClaimState.RUNNING
         claim.orphan_at_ms = None
-        if not claim.minted:
-            self._append_record(LogRecord(RENEW, key, claim.attempt))
         self._schedule_timer(claim, max(claim.deadline_at_ms, now_ms))
         return Decision(Verdict.GRANTED, claim.attempt)
 
+    def _replace_attempt(self, claim: Claim, attempt: int) -> None:
+        claim.renewed_from = attempt
+        claim.attempt = self._next_attempt(attempt)
+        if not claim.minted:
+            self._append_record(LogRecord(RENEW, claim.key, claim.attempt))
+
     def complete(
         self, key: str, attempt: int, answer: StoredAnswer, now_ms: int
     ) -> Decision:
@@ -356,6 +365,8 @@
     def _apply_to_claim(
         self, record: LogRecord, claim: Claim, now_ms: int
     ) -> None:
+        if record.kind == RENEW:
+            claim.renewed_from = claim.attempt
         claim.attempt = record.attempt
         if record.kind == COMPLETE:
             self._end_attempt(claim, ClaimState.COMPLETED, now_ms)
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -8,11 +8,12 @@
 import pytest
 
 from gooseberrypost.entry import decoding
-from gooseberrypost.errors import TimedOut
+from gooseberrypost.errors import Superseded, TimedOut
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
 from gooseberrypost.wire.messages import idl
+from tests.claim_cluster import entries, key_owned_by
 from tests.entry_fakes import TOKENS, drop, hang, refuse, run
 from tests.test_entry_model import crash, cut_after, text_of
 
@@ -252,3 +253,48 @@
             await channel.close()
 
     asyncio.run(main())
+
+
+def test_renewal_whose_reply_was_lost_is_repeated():
+    """Guards against a stream whose holder counts as superseded by itself."""
+
+    async def main():
+        async with entries(2, owners=[0]) as (owner, holder):
+            key = key_owned_by(owner)
+            grant = (await holder.claim(key)).unwrap()
+            renew, renewed = owner.owner.renew, []
+
+            def lose_reply(*args):
+                renewed.append(renew(*args))
+                if len(renewed) == 1:
+                    for session in owner.listener.sessions:
+                        session.abort()
+                return renewed[-1]
+
+            owner.owner.renew = lose_reply
+            again = await holder.client.renew(key, grant.attempt)
+            assert len(renewed) == 2
+            assert again.unwrap().attempt == renewed[0].attempt
+            stale = await holder.client.renew(key, grant.attempt - 1)
+            assert isinstance(stale.unwrap_err(), Superseded)
+
+    asyncio.run(main())
+
+
+def test_renewal_waits_for_the_successor_of_a_lost_owner():
+    """Guards against a stream that is cut by two losses at a time.
+
+    Its engine has crashed, and so has the owner of its claim.
+    """
+
+    async def main():
+        async with entries(3, owners=[0, 1], lease_ms=4_500) as cluster:
+            owner, successor, holder = cluster
+            key = key_owned_by(owner)
+            grant = (await holder.claim(key)).unwrap()
+            await owner.crash()
+            renewed = await holder.client.renew(key, grant.attempt)
+            assert renewed.unwrap().attempt > grant.attempt
+            assert successor.owner.shard_for(key) is not None
+
+    asyncio.run(main())
