Let a call that lost its server wait for one that is busy

Callers saw idempotent calls end with `no_capacity` and outcome `unknown`, long before their deadline, after their server had been lost.

The repeated call was given up as soon as the other servers refused it once, although they were only busy, and its caller could not tell whether it had run. A model request that has begun waits in this case. So does a call now: it renews its attempt every 0.3 s while there is a server that has refused it and has not lost it before.

Evidence: `python -m pytest -n 2 tests/test_entry_successors.py -k server`: `test_call_that_lost_its_server_waits_for_another` failed before with status 503 in place of 201, and passes now.

--- a/src/gooseberrypost/entry/plain_request.py
+++ b/src/gooseberrypost/entry/plain_request.py
@@ -48,6 +48,8 @@
 """Delay advised to the caller when a server gives none, in ms."""
 SUSPECT_PAUSE_S: Final = 0.1
 """Pause while the server runs another suspect call, in seconds."""
+CAPACITY_PAUSE_S: Final = 0.3
+"""Pause while no server accepts a call that has lost its own, in seconds."""
 DEFAULT_CONTENT_TYPE: Final = "application/octet-stream"
 
 UNFORWARDED_HEADERS: Final = frozenset(
@@ -136,6 +138,9 @@
         self._retries = retries
         self._claim = RequestClaim(ctx, live)
         self._excluded: set[str] = set()
+        """Servers that the current attempt does not try."""
+        self._lost: set[str] = set()
+        """Servers on which the call failed or was lost."""
         self._sent_to: AgentView | None = None
         """Agent that may be running the call."""
 
@@ -162,8 +167,8 @@
             if isinstance(replied, Ok):
                 return replied
             failure = replied.err_value
-            if isinstance(failure, NoCapacity) and grant.suspect:
-                renewed = await self._renew_suspect()
+            if isinstance(failure, NoCapacity) and self._may_wait(grant):
+                renewed = await self._renew_refused(grant)
                 if isinstance(renewed, Err):
                     return renewed
                 grant = renewed.ok_value
@@ -179,14 +184,26 @@
                 return renewed
             grant = renewed.ok_value
 
-    async def _renew_suspect(self) -> Result[Grant, Failure]:
-        """Pause, then renew the attempt of a suspect call.
+    def _may_wait(self, grant: Grant) -> bool:
+        """Return whether a call waits for a server until its deadline.
 
-        A server runs one suspect at a time. A server that has refused an
-        attempt does not accept it again, so the next try needs a new number.
+        A suspect does, as a server runs one suspect at a time. So does a call
+        that lost its server, as its caller could not tell whether it has run,
+        as long as there is a server that has only refused it.
         """
-        await asyncio.sleep(SUSPECT_PAUSE_S)
-        self._excluded.clear()
+        return grant.suspect or (
+            self._live.may_have_run and bool(self._excluded - self._lost)
+        )
+
+    async def _renew_refused(self, grant: Grant) -> Result[Grant, Failure]:
+        """Pause, then renew the attempt of a call that servers refused.
+
+        A server that has refused an attempt does not accept it again, so the
+        next try needs a new number.
+        """
+        pause_s = SUSPECT_PAUSE_S if grant.suspect else CAPACITY_PAUSE_S
+        await asyncio.sleep(pause_s)
+        self._excluded = set() if grant.suspect else set(self._lost)
         return await self._claim.renew()
 
     async def _run_attempt(self, grant: Grant) -> Result[Any, Failure]:
@@ -207,6 +224,7 @@
             failure = replied.err_value
             self._excluded.add(agent.name)
             if not isinstance(failure, NotRun):
+                self._lost.add(agent.name)
                 return replied
             last_failure = NoCapacity(
                 f"{agent.name}: {failure}",
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -298,3 +298,32 @@
             assert successor.owner.shard_for(key) is not None
 
     asyncio.run(main())
+
+
+def test_call_that_lost_its_server_waits_for_another():
+    """Guards against a begun call that ends because all servers are busy.
+
+    Its caller cannot know whether it ran, and there is time until the
+    deadline.
+    """
+
+    async def scenario(rig):
+        first, second = rig.agents["s1"], rig.agents["s2"]
+        lost = []
+
+        async def lose_once(session, correlation, message):
+            if lost:
+                return await refuse("no_capacity")(
+                    session, correlation, message
+                )
+            lost.append(message)
+            session.abort()
+
+        for agent in (first, second):
+            agent.script[idl.Call] = [lose_once] * 2
+            agent.script[idl.Revoke] = [agent.revoke] * 10
+        async with rig.post("/services/desk/check", data=b"x") as response:
+            assert (response.status, await response.text()) == (201, "got x")
+        assert lost
+
+    run(scenario)
