Wait for a begun stream until its deadline, not until its client may leave

What callers saw: resumable streams are cut 3.6 s after their arrival, as their first event comes or soon after it.

Cause: the time for which a client was expected to wait bounded what had begun: the question whether the engine's process still runs, which was asked once less than a call takes was left; the wait for memory; and the offer of a stopped run. Nothing is gained by an end before the client disconnects, which it shows by itself.

test_stream_of_a_busy_engine_is_confirmed_after_a_long_wait failed before. A new generation is still refused when its client would leave before the first event.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -161,11 +161,6 @@
         """Time until the deadline; negative after it."""
         return self.deadline_s - self.ctx.now_s()
 
-    @property
-    def client_waits_until_s(self) -> float:
-        """Time at which the client disconnects without an answer."""
-        return self.deadline_s
-
     def check_deadline(self) -> None:
         """Raise if too little time remains for another attempt."""
         if self.remaining_s >= MIN_REMAINING_S:
@@ -227,15 +222,12 @@
     async def _process_state(self, server: Server) -> ProcessState:
         """Ask whether a server's process still runs, until it answers.
 
-        A busy or paused one may answer late. It is asked as long as the client
-        waits.
+        A busy or paused one may answer late. It is asked until the deadline,
+        or until the client disconnects.
         """
         state = ProcessState.UNKNOWN
-        while state is ProcessState.UNKNOWN:
-            left_s = self.client_waits_until_s - self.ctx.now_s()
-            if left_s <= 0:
-                break
-            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, left_s)
+        while state is ProcessState.UNKNOWN and self.remaining_s > 0:
+            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
             asked_s = self.ctx.now_s()
             state = await self.ctx.transport.process_state(server, timeout_s)
             if state is ProcessState.UNKNOWN:
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -39,6 +39,8 @@
 """Time in which a stopped run must go on if the request may start anew."""
 HOLDER_RETRY_S: Final = 0.05
 """Increase of the pause before an engine is asked again for a stopped run."""
+MAX_HOLDER_RETRY_S: Final = 0.5
+"""Longest such pause."""
 PROCESS_CHECK_TIMEOUT_S: Final = 0.25
 """Timeout of the call that asks an engine for its start before a move."""
 MIN_MOVE_TIMEOUT_S: Final = 1.0
@@ -155,8 +157,10 @@
         elif not failure.is_own_delay:
             load.record_unreachable(ctx.now_s())
         self._holder_tries += 1
-        pause_s = HOLDER_RETRY_S * (self._holder_tries - 1)
-        until_s = exchange.client_waits_until_s
+        pause_s = min(
+            HOLDER_RETRY_S * (self._holder_tries - 1), MAX_HOLDER_RETRY_S
+        )
+        until_s = exchange.deadline_s
         if exchange.is_repeatable:
             until_s = min(until_s, self._stopped_s + MAX_HOLDER_WAIT_S)
         if not self._holders or ctx.now_s() + pause_s >= until_s:
@@ -248,7 +252,11 @@
         try:
             await self._check_process(server)
             self.moved = await transport.stop_and_copy(
-                server, exchange.req, target, self._move_timeout_s
+                server,
+                exchange.req,
+                target,
+                # The answer names the only copy of the run.
+                max(MIN_MOVE_TIMEOUT_S, exchange.remaining_s),
             )
         except (ServerRefused, ServerUnreachable) as failure:
             self.is_source_unreachable = isinstance(failure, ServerUnreachable)
@@ -286,13 +294,3 @@
             raise WrongInstance(server.identity)
         if state is ProcessState.UNKNOWN:
             raise ServerUnreachable(f"{server.address}: no report")
-
-    @property
-    def _move_timeout_s(self) -> float:
-        """Time to wait for the end of a move.
-
-        Its answer names the only copy of the run.
-        """
-        exchange = self._exchange
-        left_s = exchange.client_waits_until_s - exchange.ctx.now_s()
-        return max(MIN_MOVE_TIMEOUT_S, left_s)
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -182,7 +182,7 @@
         self._run = Run(prompt.tokens, output, prompt.max_output)
         pending = PendingReservation(
             first_event_due_s=self._first_event_due_s(),
-            abandon_s=exchange.client_waits_until_s,
+            abandon_s=self._abandon_s(),
             tokens=prompt.tokens,
             output=output,
             priority=exchange.route.priority,
@@ -213,6 +213,17 @@
         )
         return reservation
 
+    def _abandon_s(self) -> float:
+        """Return the time after which the generation is refused.
+
+        A client that has got a part of its answer shows by itself when it
+        leaves.
+        """
+        exchange = self._generation
+        if exchange.reply.is_started:
+            return exchange.deadline_s
+        return exchange.client_waits_until_s
+
     def _first_event_due_s(self) -> float:
         """Return the time by which the next attempt should bring an event.
 
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -88,8 +88,9 @@
         Raises ``NoDecodeCapacity``, or ``VersionGone`` if the generation can
         go on nowhere. A generation whose expected queueing delay exceeds its
         objective is refused at once, so that its client can retry later
-        instead of waiting for a late answer. One that has begun is refused
-        only when its client leaves.
+        instead of waiting for a late answer. One that has begun waits until
+        its deadline, and for a server of its version until its next event is
+        due.
         """
         if not pending.has_begun:
             self._refuse_at_once(pending)
@@ -267,10 +268,11 @@
         """Refuse generations that are too late, then reserve for the rest."""
         now_s = self._ctx.now_s()
         for pending in list(self._queue):
-            is_new = not pending.has_begun
-            if is_new and self._is_version_gone(pending):
+            may_refuse = not pending.has_begun
+            is_due = may_refuse or now_s > pending.first_event_due_s
+            if is_due and self._is_version_gone(pending):
                 self._refuse(pending, self._version_gone(pending))
-            elif is_new and self._is_cut_by_shutdown(
+            elif may_refuse and self._is_cut_by_shutdown(
                 pending, self._first_event_delay_s
             ):
                 self._refuse(pending, self._shutting_down())
--- a/tests/silent_engine.py
+++ b/tests/silent_engine.py
@@ -19,6 +19,8 @@
         self.silent_after: int | None = None
         """Event after which the engine is silent once."""
         self.silence_s = 0.0
+        self.head_s = 0.0
+        """Time from the head of an answer to its first event."""
         self.breaks_after: int | None = None
         """Event after which the engine breaks off a new stream."""
         self.answers_when_silent = True
@@ -41,6 +43,8 @@
 
     async def _stream(self, request, writer):
         writer.write(self._stream_head(request))
+        await writer.drain()
+        await asyncio.sleep(self.head_s)
         first = int(request.headers.get("last-event-id") or 0)
         for number in range(first + 1, self.events + 1):
             event = self._event(number)
--- a/tests/test_stream_successors.py
+++ b/tests/test_stream_successors.py
@@ -280,6 +280,24 @@
     run(work)
 
 
+def test_stream_of_a_busy_engine_is_confirmed_after_a_long_wait():
+    """Guards against a stream that is cut as its first event comes late.
+
+    The time that its client was expected to wait is over, and the process of
+    its engine is asked for only then.
+    """
+
+    async def work():
+        async with serving() as kit:
+            (engine,) = await add_engines(kit, "d")
+            engine.head_s, engine.report_delay_s = 3.5, 0.3
+            got = await stream(kit, "again")
+            assert got.complete
+            assert got.body == whole(30)
+
+    run(work)
+
+
 def test_pause_of_the_gateway_is_not_taken_for_silence_of_an_engine():
     """Guards against moving sound runs because the gateway was late.
 
