Spend retry budget before a silent run is stopped

What callers saw: nothing directly; a service got more arrivals than the retry budget allows.

Cause: the budget was asked before the calls that stop a run and copy its memory, which take up to 1.25 s, and spent after them. The runs of an engine that falls silent stall together, so that all of them passed the check.

test_runs_that_stall_together_share_the_retry_budget failed before: all four runs were moved with a budget of one. The budget is spent first now, and given back if the run was not stopped.

--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -97,20 +97,20 @@
         """
         exchange = self._exchange
         count = self._rescues if is_broken else self._failovers
-        budget = exchange.budget
-        if count >= MAX_FAILOVERS or not budget.can_spend(
-            exchange.ctx.now_s()
-        ):
+        # Many runs of one engine stall together, so the budget is spent
+        # before the first of them has moved.
+        spent_s = exchange.ctx.now_s()
+        if count >= MAX_FAILOVERS or not exchange.budget.try_spend(spent_s):
             return False
         if is_broken:
             self._rescues += 1
         else:
             self._failovers += 1
         target = self._failover_target(server, run)
-        if not await self._stop_and_copy(server, target, "taken_over"):
-            return False
-        budget.spend(exchange.ctx.now_s())
-        return True
+        is_moved = await self._stop_and_copy(server, target, "taken_over")
+        if not is_moved:
+            exchange.budget.refund(spent_s)
+        return is_moved
 
     async def move_if_memory_low(self, server: Server, run: Run) -> bool:
         """Move a generation before its engine runs out of memory."""
--- a/src/gooseberrypost/policy/gatewayretry.py
+++ b/src/gooseberrypost/policy/gatewayretry.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 from typing import Final
 
 BUDGET_UTILIZATION: Final = 0.8
@@ -71,6 +72,11 @@
         """Count a retry that is sent in any case."""
         self._retries.append(now_s)
 
+    def refund(self, spent_s: float) -> None:
+        """Take back a retry that was counted at ``spent_s`` and not sent."""
+        with suppress(ValueError):
+            self._retries.remove(spent_s)
+
     def _expire(self, now_s: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now_s - self._window_s:
--- /dev/null
+++ b/tests/test_review_successors.py
@@ -0,0 +1,65 @@
+"""Streams whose run goes on elsewhere: budgets, limits and what is kept."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.gateway_kit import serving
+from tests.silent_engine import (
+    SilentEngine,
+    add_engines,
+    stream,
+    whole,
+)
+
+
+def run(work):
+    asyncio.run(work())
+
+
+def decode_arrivals(engines):
+    return [
+        received
+        for engine in engines
+        for received in engine.received
+        if received.header("Inference-Stage") != "prefill"
+    ]
+
+
+def test_runs_that_stall_together_share_the_retry_budget():
+    """Guards against moving more runs at once than the budget allows."""
+
+    async def work():
+        async with serving(
+            retry_budget_ratio=0.0, retry_budget_allowance=1.3
+        ) as kit:
+            (source,) = await add_engines(kit, "d")
+            source.supports_moves = True
+            source.events, source.silence_s = 30, 2.6
+            source.control_delay_s = 0.1
+
+            async def silent_stream(request, writer):
+                first = int(request.headers.get("last-event-id") or 0)
+                writer.write(source._stream_head(request))
+                for number in range(first + 1, 31):
+                    event = source._event(number)
+                    writer.write(
+                        f"{len(event):x}\r\n".encode() + event + b"\r\n"
+                    )
+                    await writer.drain()
+                    await asyncio.sleep(2.0 if number == 10 else 0.05)
+                writer.write(b"0\r\n\r\n")
+
+            source._stream = silent_stream
+            tasks = [
+                asyncio.create_task(stream(kit, "text")) for _ in range(4)
+            ]
+            await kit.until(lambda: len(source.running) == 4)
+            target = await kit.add("e", "llm", "decode", kind=SilentEngine)
+            servers = kit.daemon.context.directory.servers
+            await kit.until(lambda: len(servers.all()) == 3)
+            for got in await asyncio.gather(*tasks):
+                assert got.body == whole(30)
+            assert len(decode_arrivals([source, target])) <= 4 + 1
+
+    run(work)
