Count each further prefill of a request as a retry

What callers saw: nothing directly; a service got more arrivals than the retry budget allows.

Cause: a stream that is resumed is prefilled and decoded once more. Both calls arrive beyond the first, as only the first accepted prefill is free, but one was counted. Successors that are prepared and not used made more of these.

test_arrivals_of_a_resumed_stream_are_counted failed before: two further arrivals, one counted. A prefill after an accepted one is counted as it is sent.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -117,6 +117,8 @@
         """Run of the current attempt, as counted at its engine."""
         self._migration = Migration(self)
         self._preparation = Preparation(self)
+        self.has_prefilled = False
+        """Whether an engine has prefilled the prompt for this request."""
         self._successor: Successor | None = None
         """Engine that is prepared as the current one is silent."""
         self._decode_started_s = 0.0
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -261,6 +261,10 @@
             connect_timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
         )
         queued_tokens = loads.prefill_tokens(server.identity)
+        if exchange.has_prefilled:
+            # Only the first prefill of a request is no retry. This one is
+            # part of a retry that the budget allowed.
+            exchange.budget.spend(ctx.now_s())
         try:
             with self._prefill_counted(load, tokens):
                 started_s = ctx.now_s()
@@ -277,6 +281,7 @@
             # A prefill has no side effects, so it may be repeated.
             exchange.handle_lost_answer(server, failure, repeatable=True)
             return None
+        exchange.has_prefilled = True
         load.record_prefill(tokens, took_ms, queued_tokens)
         self._kv_created_s, self._kv_refusals = ctx.now_s(), 0
         exchange.log(
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -63,3 +63,23 @@
             assert len(decode_arrivals([source, target])) <= 4 + 1
 
     run(work)
+
+
+def test_arrivals_of_a_resumed_stream_are_counted():
+    """Guards against retries that the budget does not count."""
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e")
+            for engine in engines:
+                engine.breaks_after = 10
+            budget = kit.daemon.context.budget("llm")
+            got = await stream(kit, "again")
+            assert got.body == whole(30)
+            prefills = len(kit.engines["p"].received)
+            decodes = len(decode_arrivals(engines))
+            extra = prefills - 1 + decodes - 1
+            print(prefills, decodes, len(budget._retries))
+            assert extra <= len(budget._retries)
+
+    run(work)
