Give back the retry budget of a successor that was not used

What callers saw: a stream whose engine was silent for a while, and later breaks off, ends without a whole answer.

Cause: each preparation of another engine used the retry budget for good, also if the engine spoke again and no second run was sent. A sound engine that is silent for long thus uses up the budget that a break needs.

The retry is given back if its run was not sent; a prefill that was sent is counted by itself.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -458,9 +458,11 @@
         """Begin to prepare another engine, if none is being prepared."""
         if self._successor is not None and not self._successor.task.done():
             return
-        if self._may_execute_again and self.budget.try_spend(self.ctx.now_s()):
+        self._cancel_successor()
+        spent_s = self.ctx.now_s()
+        if self._may_execute_again and self.budget.try_spend(spent_s):
             self.log("successor_started", server=server.instance)
-            self._successor = Successor(self, server)
+            self._successor = Successor(self, server, spent_s)
 
     @property
     def _may_execute_again(self) -> bool:
--- a/src/gooseberrypost/gateway/successor.py
+++ b/src/gooseberrypost/gateway/successor.py
@@ -21,11 +21,15 @@
     A failure has no effect on the stream, which stays where it is.
     """
 
-    __slots__ = ("_generation", "_source", "preparation", "task")
+    __slots__ = ("_generation", "_source", "_spent_s", "preparation", "task")
 
-    def __init__(self, generation: Generation, source: Server) -> None:
+    def __init__(
+        self, generation: Generation, source: Server, spent_s: float
+    ) -> None:
         self._generation = generation
         self._source = source
+        self._spent_s = spent_s
+        """Time at which the retry budget was used for the other engine."""
         self.preparation = Preparation(generation)
         self.task = asyncio.create_task(self._prepare())
         """Ends when the preparation is complete or has failed."""
@@ -38,6 +42,7 @@
 
     def cancel(self) -> None:
         """Give up the preparation, and release what was achieved."""
+        self._generation.budget.refund(self._spent_s)
         if self.task.done():
             self.preparation.release()
         else:
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -65,6 +65,30 @@
     run(work)
 
 
+def test_successor_that_was_not_used_leaves_the_budget():
+    """Guards against a break without budget after a silence."""
+
+    async def work():
+        async with serving(
+            retry_budget_ratio=0.0, retry_budget_allowance=1.3
+        ) as kit:
+            (source,) = await add_engines(kit, "d")
+            source.silent_after, source.silence_s = 10, 2.6
+            source.breaks_after = 25
+            task = asyncio.create_task(stream(kit, "again"))
+            await kit.until(lambda: source.running)
+            other = await kit.add("e", "llm", "decode", kind=SilentEngine)
+            other.has_room = False
+            ctx = kit.daemon.context
+            servers = ctx.directory.servers
+            await kit.until(lambda: len(servers.all()) == 3)
+            got = await task
+            assert got.complete
+            assert got.body == whole(30)
+
+    run(work)
+
+
 def test_arrivals_of_a_resumed_stream_are_counted():
     """Guards against retries that the budget does not count."""
 
