Let a stream that broke off go on at its engine, though another one was sought

What callers saw: a stream that was silent for long and then breaks off ends without a whole answer, though its engine has room for it.

Cause: while another engine is prepared, the engine that still runs the stream is left out. It stayed left out after the stream had broken off, so that the wait ended only as the client left where no other engine had memory.

test_stream_is_resumed_at_its_engine_if_no_other_one_is_there failed before. The engine may be asked again once its stream has ended.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -224,6 +224,7 @@
         successor = self._successor
         if successor is None:
             return
+        successor.allow_source()
         await asyncio.wait({successor.task})
         self._successor = None
         if successor.is_ready:
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -74,10 +74,13 @@
         "_reservation",
         "_reserved_at_s",
         "_run",
+        "_source",
     )
 
-    def __init__(self, generation: Generation) -> None:
+    def __init__(self, generation: Generation, source: str = "") -> None:
         self._generation = generation
+        self._source = source
+        """Identity of an engine that still runs the generation."""
         self._kv: KvHandle | None = None
         """Prefilled KV cache that no decode attempt has used yet."""
         self._kv_created_s = 0.0
@@ -94,16 +97,23 @@
         """Time since the last reservation."""
         return self._generation.ctx.now_s() - self._reserved_at_s
 
-    async def complete(self, source: Server | None = None) -> bool:
+    def allow_source(self) -> None:
+        """Reserve memory at the engine that ran the generation as well."""
+        self._source = ""
+        if self._pending is not None:
+            self._pending.source = ""
+            self._generation.ctx.reservation_queue.wake()
+
+    async def complete(self) -> bool:
         """Reserve memory and prefill; returns whether both are done.
 
-        If not, the caller may try again. ``source`` is an engine that still
-        runs the generation. Raises the failure to report to the client.
+        If not, the caller may try again. Raises the failure to report to the
+        client.
         """
         exchange = self._generation
         ctx = exchange.ctx
         if self._reservation is None:
-            self._reservation = await self._reserve(source)
+            self._reservation = await self._reserve()
         if exchange.version is None and exchange.route.resumable:
             # The record is saved during the prefill.
             ctx.versions.prepare(
@@ -168,7 +178,7 @@
             exchange.count_waste("refused")
             ctx.spawn(ctx.transport.release_kv(kv))
 
-    async def _reserve(self, source: Server | None) -> Reservation:
+    async def _reserve(self) -> Reservation:
         exchange, prompt = self._generation, self._generation.prompt
         ctx, req = exchange.ctx, exchange.req
         ctx.record_hint(exchange.service, prompt.output_hint)
@@ -191,7 +201,7 @@
             run=self._run,
             version=exchange.version,
             has_begun=exchange.reply.is_started,
-            source="" if source is None else source.identity,
+            source=self._source,
         )
         self._pending = pending
         reservation = await ctx.reservation_queue.acquire(pending)
--- a/src/gooseberrypost/gateway/successor.py
+++ b/src/gooseberrypost/gateway/successor.py
@@ -30,7 +30,7 @@
         self._source = source
         self._spent_s = spent_s
         """Time at which the retry budget was used for the other engine."""
-        self.preparation = Preparation(generation)
+        self.preparation = Preparation(generation, source.identity)
         self.task = asyncio.create_task(self._prepare())
         """Ends when the preparation is complete or has failed."""
 
@@ -40,6 +40,10 @@
         task = self.task
         return task.done() and not task.cancelled() and task.result()
 
+    def allow_source(self) -> None:
+        """Let the run go on at its engine, as its stream has ended."""
+        self.preparation.allow_source()
+
     def cancel(self) -> None:
         """Give up the preparation, and release what was achieved."""
         self._generation.budget.refund(self._spent_s)
@@ -51,7 +55,7 @@
     async def _prepare(self) -> bool:
         is_complete = False
         try:
-            is_complete = await self.preparation.complete(self._source)
+            is_complete = await self.preparation.complete()
         except Failure as failure:
             self._generation.log(
                 "successor_failed",
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -65,6 +65,40 @@
     run(work)
 
 
+def test_stream_is_resumed_at_its_engine_if_no_other_one_is_there():
+    """Guards against waiting for another engine after a break.
+
+    The stream was silent, so that another engine is being prepared.
+    """
+
+    async def work():
+        async with serving() as kit:
+            (engine,) = await add_engines(kit, "d")
+            engine.silent_after, engine.silence_s = 10, 2.3
+            original = engine._stream
+
+            async def cut_after_silence(request, writer):
+                if request.headers.get("last-event-id"):
+                    return await original(request, writer)
+                engine.events = 10
+                writer.write(engine._stream_head(request))
+                for number in range(1, 11):
+                    event = engine._event(number)
+                    writer.write(
+                        f"{len(event):x}\r\n".encode() + event + b"\r\n"
+                    )
+                    await writer.drain()
+                await asyncio.sleep(2.5)
+                engine.events, engine.silent_after = 30, None
+
+            engine._stream = cut_after_silence
+            got = await stream(kit, "again")
+            assert got.complete
+            assert got.body == whole(30)
+
+    run(work)
+
+
 def test_successor_that_was_not_used_leaves_the_budget():
     """Guards against a break without budget after a silence."""
 
