Release the memory of a stopped run whose client leaves between two engines

What callers saw: less room at engines, whose memory and place stay taken until the copy expires.

Cause: a stopped run that no engine has taken yet is offered again after a pause. During the pause only a local variable named its memory, so that nothing released it when the client left.

test_memory_of_a_stopped_run_is_freed_when_its_client_leaves failed before. The run is kept as moved during the pause, as it is everywhere else.

--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -159,10 +159,11 @@
             until_s = min(until_s, self._stopped_s + MAX_HOLDER_WAIT_S)
         if not self._holders or ctx.now_s() + pause_s >= until_s:
             return False
-        await asyncio.sleep(pause_s)
-        self._next_move_s = ctx.now_s() + RETURN_INTERVAL_S
+        # The memory is released if the client leaves during the pause.
         holder = (others or self._holders)[0]
         self.moved = MovedRun(kv, holder)
+        await asyncio.sleep(pause_s)
+        self._next_move_s = ctx.now_s() + RETURN_INTERVAL_S
         exchange.log(
             "returned", server=server.instance, target=holder.instance
         )
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -99,6 +99,33 @@
     run(work)
 
 
+def test_memory_of_a_stopped_run_is_freed_when_its_client_leaves():
+    """Guards against memory that is held for a client that has left."""
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e")
+            for engine in engines:
+                engine.supports_moves = True
+                engine.silent_after, engine.silence_s = 10, 5.0
+            task = asyncio.create_task(stream(kit, "text"))
+            await kit.until(lambda: any(e.running for e in engines))
+            source = next(e for e in engines if e.running)
+            target = next(e for e in engines if e is not source)
+            target.server.close()
+            source.refuses_kv_sources = True
+            await kit.until(lambda: source.stopped)
+            await asyncio.sleep(1.5)
+            assert not task.done()
+            task.cancel()
+            freed = "/-/kv-handle/moved-1"
+            await kit.until(
+                lambda: any(c.target == freed for c in source.control), 3.0
+            )
+
+    run(work)
+
+
 def test_successor_that_was_not_used_leaves_the_budget():
     """Guards against a break without budget after a silence."""
 
