Ask no engine for its run after the deadline

What callers saw: a stream of an engine that hangs ends 1.3 s after its deadline.

Cause: a stream that ends at the deadline was taken for one that has broken off, whose run is to be stopped and moved. Since rescues are counted apart from stalls, this happens for each stream of an engine that hangs.

No run is moved when no time is left to go on.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -12,6 +12,7 @@
 from gooseberrypost.gateway.events import EventSplitter
 from gooseberrypost.gateway.exchange import (
     CONNECT_TIMEOUT_S,
+    MIN_REMAINING_S,
     Exchange,
     ServerReplaced,
 )
@@ -330,7 +331,8 @@
     ) -> None:
         migration = self._migration
         is_moved = migration.moved is not None
-        if not is_moved and not isinstance(
+        is_late = self.remaining_s < MIN_REMAINING_S
+        if not (is_moved or is_late) and not isinstance(
             failure, StreamStalled | ServerReplaced
         ):
             is_moved = await migration.fail_over(
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from tests.gateway_kit import serving
 from tests.silent_engine import (
@@ -126,6 +127,27 @@
     run(work)
 
 
+def test_answer_at_the_deadline_does_not_wait_for_a_silent_engine():
+    """Guards against asking for a run after the deadline."""
+
+    async def work():
+        async with serving() as kit:
+            (engine,) = await add_engines(kit, "d")
+            engine.mode = "hang"
+            task = asyncio.create_task(
+                kit.generate("/text/x", X_Gooseberrypost_Deadline_Ms="6000")
+            )
+            started = time.monotonic()
+            await kit.until(lambda: engine.running)
+            engine.control_delay_s = 60.0
+            got = await task
+            took = time.monotonic() - started
+            print(got.status, took)
+            assert took < 6.5
+
+    run(work)
+
+
 def test_successor_that_was_not_used_leaves_the_budget():
     """Guards against a break without budget after a silence."""
 
