Execute a stream no more often than its route permits after a lost move

What callers saw: nothing directly; requests ran at more engines than the max_attempts of their route.

Cause: a resumable stream whose moved run is lost was executed anew without regard to its attempts, one of which was the run that is lost.

test_run_whose_memory_is_gone_is_not_executed_too_often failed before: two executions of a route with one attempt.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -316,12 +316,12 @@
             self.handle_unreachable(server, failure)
 
     def _check_restartable(self, failure: NotRun) -> None:
-        """Raise if another attempt would execute a non-resumable stream again.
+        """Raise if another attempt would execute the stream too often.
 
         The failed attempt would have continued the same run. Without its KV
-        cache the request would have to be executed a second time.
+        cache the request would have to be executed once more.
         """
-        if self.attempts and not self.is_repeatable:
+        if self.attempts and not self._may_execute_again:
             raise AnswerLost(
                 f"stream cannot be resumed: {failure}"
             ) from failure
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from tests.gateway_kit import serving
+from tests.gateway_kit import configuration, serving
 from tests.silent_engine import (
     SilentEngine,
     add_engines,
@@ -172,6 +172,47 @@
     run(work)
 
 
+def test_run_whose_memory_is_gone_is_not_executed_too_often():
+    """Guards against more executions than the route permits."""
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e", "f")
+            cfg = configuration(5, timeout_ms=14_000)
+            for route in cfg["routes"]:
+                if route["name"] == "again":
+                    route["max_attempts"] = 1
+            kit.store.put("op/config", cfg)
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 5)
+            for engine in engines:
+                engine.supports_moves = True
+                engine.silent_after, engine.silence_s = 10, 5.0
+                engine.refuses_kv_sources = False
+            task = asyncio.create_task(stream(kit, "again"))
+            await kit.until(lambda: any(e.running for e in engines))
+            for engine in engines:
+                handle = engine._handle
+
+                async def refusing(
+                    request, reader, writer, *, was=handle, engine=engine
+                ):
+                    source = request.header("Kv-Source") or ""
+                    if "/moved-" in source:
+                        engine.received.append(request)
+                        return await engine._refuse(
+                            request, writer, "503 Service Unavailable"
+                        )
+                    return await was(request, reader, writer)
+
+                engine._handle = refusing
+            got = await task
+            print(got.complete, [e.executed for e in engines])
+            assert sum(len(e.executed) for e in engines) == 1
+
+    run(work)
+
+
 def test_arrivals_of_a_resumed_stream_are_counted():
     """Guards against retries that the budget does not count."""
 
