End calls with long deadlines at their deadline

What callers saw: calls with over 5 s left that get no answer end up to a second after their deadline, several at the same moment.

Cause: aiohttp rounds timeouts above 5 s up to a whole second of the event loop's clock.

test_calls_with_long_deadlines_end_at_their_deadline failed before: four calls that began 0.25 s apart ended together, 0.77, 0.52, 0.27 and 0.02 s late.

--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
 
@@ -277,8 +278,11 @@
         options: SendOptions,
     ) -> aiohttp.ClientResponse:
         url = URL(f"http://{server.address}{req.target}", encoded=True)
+        # aiohttp rounds longer timeouts up to a whole second of its clock.
         timeout = aiohttp.ClientTimeout(
-            total=options.timeout_s, sock_connect=options.connect_timeout_s
+            total=options.timeout_s,
+            sock_connect=options.connect_timeout_s,
+            ceil_threshold=math.inf,
         )
         try:
             return await self._session.request(
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -231,3 +231,28 @@
             assert extra <= len(budget._retries)
 
     run(work)
+
+
+def test_calls_with_long_deadlines_end_at_their_deadline():
+    """Guards against timers that are rounded up to whole seconds."""
+
+    async def work():
+        async with serving(("a", "desk", "")) as kit:
+            kit.store.put("op/config", configuration(4, timeout_ms=14_000))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 4)
+            kit.engines["a"].mode = "hang"
+
+            async def late_s(after_s: float) -> float:
+                await asyncio.sleep(after_s)
+                started_s = time.monotonic()
+                await kit.call("/safe/x", X_Gooseberrypost_Deadline_Ms="5300")
+                return time.monotonic() - started_s - 5.3
+
+            late = await asyncio.gather(
+                *(late_s(0.25 * number) for number in range(4))
+            )
+            print(late)
+            assert max(late) < 0.5
+
+    run(work)
