Store: read an answer that came while the event loop was late

What callers saw: after a pause of a gateway, or beside busy processes, its calls to the store failed (registration_failed, default_version_not_set with TimeoutError()).

Cause: the timeouts of these calls are timers of the event loop that fire before the answer which is in the socket is read.

The calls are now limited by RunningTimeout. That is safe, as the store checks the condition of each write when it arrives, and a stage order still has to be sent within a fixed time from the request for its confirmation.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; the four cases of test_call_to_the_store_is_not_lost_while_the_loop_is_late failed before.

--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -23,6 +23,7 @@
 from gooseberrypost.platform.connections import new_tcp_socket
 from gooseberrypost.singlesend import disable_automatic_retry
 from gooseberrypost.strictjson import parse_json
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -284,12 +285,9 @@
         timeout_s: float = 0.0,
     ) -> tuple[dict[str, Any], int]:
         """Make a call and return its answer and the answer's era."""
-        timeout = aiohttp.ClientTimeout(
-            total=(timeout_s or self._response_timeout_s) + wait_s,
-            sock_connect=CONNECT_TIMEOUT_S,
-        )
+        limit_s = (timeout_s or self._response_timeout_s) + wait_s
         call = functools.partial(
-            self._call_once, method, path, query, body, timeout
+            self._call_once, method, path, query, body, limit_s
         )
         try:
             try:
@@ -319,18 +317,20 @@
         path: str,
         query: Mapping[str, str] | None,
         body: Any,
-        timeout: aiohttp.ClientTimeout,
+        timeout_s: float,
     ) -> tuple[int, bytes, str | None]:
         """Return status and body of an answer, and the era that it names."""
         url = URL(f"http://{self._address}{path}")
-        async with self._session.request(
-            method, url, params=query, json=body, timeout=timeout
-        ) as response:
-            content = await read_bounded(response, MAX_STORE_BYTES)
-            if not (content or is_framed(response)):
-                raise ConnectionLost("answer ended in or before its body")
-            era = response.headers.get(names.STORE_ERA)
-            return response.status, content, era
+        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+        with RunningTimeout(timeout_s):
+            async with self._session.request(
+                method, url, params=query, json=body, timeout=timeout
+            ) as response:
+                content = await read_bounded(response, MAX_STORE_BYTES)
+                if not (content or is_framed(response)):
+                    raise ConnectionLost("answer ended in or before its body")
+                era = response.headers.get(names.STORE_ERA)
+                return response.status, content, era
 
     def _record_era(self, path: str, text: str | None) -> int:
         """Return the era of an answer; 0 from a store that names none."""
--- a/tests/late_kit.py
+++ b/tests/late_kit.py
@@ -7,11 +7,16 @@
 import time
 from contextlib import asynccontextmanager
 
+from aiohttp import web
+
 from gooseberrypost.gateway.model import Server
 from tests.standins.platform_engine import SIGNATURE, FakePlatformEngine
+from tests.standins.platform_store import FakePlatformStore
 
 PAUSE_S = 0.5
 """Time for which the event loop of the caller stands still."""
+STORE_PAUSE_S = 0.8
+"""The same for a call to the store, whose timeout is longer."""
 ANSWER_S = 0.05
 """Time in which an engine answers, while its caller stands still."""
 
@@ -73,3 +78,17 @@
         loop.call_soon_threadsafe(loop.stop)
         await asyncio.to_thread(thread.join)
         loop.close()
+
+
+class PausingStore(FakePlatformStore):
+    """Pauses the event loop of its caller with each call."""
+
+    def __init__(self):
+        super().__init__()
+        self.caller = asyncio.get_running_loop()
+
+    @web.middleware
+    async def _inject_faults(self, request, handler):
+        self.caller.call_soon_threadsafe(time.sleep, STORE_PAUSE_S)
+        await asyncio.sleep(ANSWER_S)
+        return await super()._inject_faults(request, handler)
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -19,6 +19,7 @@
 )
 from gooseberrypost.platform import names
 from gooseberrypost.platform.engines import HttpTransport
+from gooseberrypost.platform.store import PlatformStore, Put
 from gooseberrypost.timeouts import (
     MAX_REPEATS,
     PARTS,
@@ -27,7 +28,12 @@
     RunningTimeout,
 )
 from tests.gateway_kit import configuration, serving
-from tests.late_kit import PAUSE_S, PausingEngine, in_thread
+from tests.late_kit import (
+    PAUSE_S,
+    PausingEngine,
+    PausingStore,
+    in_thread,
+)
 
 TIMEOUT_S = 0.1
 LATE_S = 0.06
@@ -420,3 +426,30 @@
                 assert load.suspect_until_s < 0
 
     run(work)
+
+
+STORE_CALLS = {
+    "range": lambda store: store.range("x"),
+    "watch": lambda store: store.watch("x", 1, 100),
+    "write": lambda store: store.write([Put("x", b"1")]),
+    "lease": lambda store: store.grant_lease(1_000),
+}
+
+
+@pytest.mark.parametrize("call", STORE_CALLS)
+def test_call_to_the_store_is_not_lost_while_the_loop_is_late(call):
+    """Guards against a store that is taken for unavailable after a pause.
+
+    Leases would lapse, and writes would be taken for failed.
+    """
+
+    async def work():
+        async with in_thread(PausingStore()) as fake:
+            store = PlatformStore(fake.address)
+            try:
+                await STORE_CALLS[call](store)
+            finally:
+                await store.close()
+            assert len(fake.calls) == 1
+
+    run(work)
