Process checks: end them with the deadline of their request

What callers saw: since timeouts of control calls exclude the delay of the event loop, a check of a server's process in a paused gateway could end up to 0.4 s after the deadline of the client that waits for it.

Cause: the check was limited by the time that remained when it began, and is repeated in part after a delay.

The checks of a request are now under a Deadline as well, after which only an answer that has arrived is read. The process then counts as unknown, as after any other check without an answer.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; test_check_of_a_process_ends_with_the_deadline_of_its_request failed before (0.91 s instead of under 0.65 s).

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from contextlib import suppress
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
@@ -18,6 +19,7 @@
 )
 from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.serverchoice import eligible_servers
+from gooseberrypost.timeouts import Deadline
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.buffering import BufferedAnswer
@@ -222,11 +224,15 @@
     async def _process_state(self, server: Server) -> ProcessState:
         """Ask whether a server's process still runs, twice if need be."""
         state = ProcessState.UNKNOWN
-        for _ in range(PROCESS_CHECKS):
-            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
-            if state is not ProcessState.UNKNOWN or timeout_s <= 0:
-                break
-            state = await self.ctx.transport.process_state(server, timeout_s)
+        with suppress(TimeoutError), Deadline(self.remaining_s) as deadline:
+            for _ in range(PROCESS_CHECKS):
+                timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
+                if state is not ProcessState.UNKNOWN or timeout_s <= 0:
+                    break
+                with deadline.limit():
+                    state = await self.ctx.transport.process_state(
+                        server, timeout_s
+                    )
         return state
 
     def record_answer(self, answer: Answer) -> None:
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -453,3 +453,39 @@
             assert len(fake.calls) == 1
 
     run(work)
+
+
+class SilentProcess(PausingEngine):
+    """Ends its answers without framing, and answers no call for its state."""
+
+    async def _handle(self, request, reader, writer):
+        if request.target != "/-/report":
+            return await super()._handle(request, reader, writer)
+        await self._pause()
+        await asyncio.sleep(3_600)
+
+
+def test_check_of_a_process_ends_with_the_deadline_of_its_request():
+    """Guards against a reply that comes long after its client's deadline.
+
+    The event loop stands still while the check waits for an answer.
+    """
+
+    async def work():
+        async with serving() as kit:
+            server = SilentProcess("desk", pauses=0)
+            server.mode = "unframed"
+            async with in_thread(server):
+                kit.store.put("servers/desk", server.registration("desk"))
+                servers = kit.daemon.context.directory.servers
+                await kit.until(servers.all)
+                begun_s = time.monotonic()
+                got = await kit.call(
+                    "/once/x", X_Gooseberrypost_Deadline_Ms="400"
+                )
+                took_s = time.monotonic() - begun_s
+                assert got.status == 504
+                # The pause begins at once, and the deadline passes in it.
+                assert took_s < PAUSE_S + 0.15
+
+    run(work)
