Clients: read a body that came while the event loop was late

What callers saw: a client whose body had arrived while the gateway was paused was refused with 408, request_incomplete.

Cause: the timeout of the body is a timer of the event loop, which fires before the data that waits in the socket is handed to the reader. The same fault as in calls to engines, on the other side.

RunningTimeout, which counts only the time in which the event loop runs, limits the wait for a body.

Evidence: .venv/bin/python -m pytest -n 2 tests/test_late_event_loop.py; test_body_that_came_while_the_loop_was_late_is_read failed before, with 408. The client sends from a thread.

--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -25,6 +25,7 @@
 from gooseberrypost.gateway.reply import HttpReply
 from gooseberrypost.gateway.shutdown import ShuttingDown
 from gooseberrypost.lifecycle import State
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -229,7 +230,7 @@
             raise BodyTooLarge(f"body exceeds {limit} bytes")
         body = bytearray()
         try:
-            async with asyncio.timeout(limits.header_timeout_ms / 1_000):
+            with RunningTimeout(limits.header_timeout_ms / 1_000):
                 while data := await request.content.readany():
                     body += data
                     if len(body) > limit:
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from contextlib import asynccontextmanager
 
@@ -27,8 +28,9 @@
     LateTimeout,
     RunningTimeout,
 )
-from tests.gateway_kit import configuration, serving
+from tests.gateway_kit import HOST, configuration, serving
 from tests.late_kit import (
+    ANSWER_S,
     PAUSE_S,
     PausingEngine,
     PausingStore,
@@ -489,3 +491,39 @@
                 assert took_s < PAUSE_S + 0.15
 
     run(work)
+
+
+def test_body_that_came_while_the_loop_was_late_is_read():
+    """Guards against refusing a sound client after a pause of the gateway."""
+
+    async def work():
+        async with serving(("desk", "desk", "")) as kit:
+            kit.store.put("op/config", configuration(4, header_timeout_ms=300))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 4)
+
+            loop = asyncio.get_running_loop()
+            head = (
+                "POST /once/x HTTP/1.1",
+                f"Host: {HOST}",
+                f"{names.REQUEST_ID}: r",
+                f"{names.DEADLINE_MS}: 2000",
+                "Content-Length: 8",
+                "Connection: close",
+                *("", "half"),
+            )
+
+            def send() -> bytes:
+                host, port = kit.daemon.frontend.address.split(":")
+                with socket.create_connection((host, int(port)), 5) as sock:
+                    sock.sendall("\r\n".join(head).encode())
+                    time.sleep(ANSWER_S)
+                    loop.call_soon_threadsafe(time.sleep, PAUSE_S)
+                    time.sleep(ANSWER_S)
+                    sock.sendall(b"half")
+                    return sock.recv(1_000)
+
+            assert b" 200 OK" in await asyncio.to_thread(send)
+            assert kit.engines["desk"].received[0].body == b"halfhalf"
+
+    run(work)
