--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from contextlib import suppress
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
@@ -18,6 +19,7 @@
 )
 from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.serverchoice import eligible_servers
+from gooseberrypost.timeouts import Deadline
 
 if TYPE_CHECKING:
     from gooseberrypost.gateway.buffering import BufferedAnswer
@@ -226,13 +228,18 @@
         or until the client disconnects.
         """
         state = ProcessState.UNKNOWN
-        while state is ProcessState.UNKNOWN and self.remaining_s > 0:
-            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
-            asked_s = self.ctx.now_s()
-            state = await self.ctx.transport.process_state(server, timeout_s)
-            if state is ProcessState.UNKNOWN:
-                took_s = self.ctx.now_s() - asked_s
-                await asyncio.sleep(max(0, PROCESS_CHECK_INTERVAL_S - took_s))
+        with suppress(TimeoutError), Deadline(self.remaining_s) as deadline:
+            while state is ProcessState.UNKNOWN and self.remaining_s > 0:
+                asked_s = self.ctx.now_s()
+                timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
+                with deadline.limit():
+                    state = await self.ctx.transport.process_state(
+                        server, timeout_s
+                    )
+                if state is ProcessState.UNKNOWN:
+                    took_s = self.ctx.now_s() - asked_s
+                    pause_s = max(0, PROCESS_CHECK_INTERVAL_S - took_s)
+                    await asyncio.sleep(pause_s)
         return state
 
     def record_answer(self, answer: Answer) -> None:
