Renew the decode reservation while its prefill runs

Callers saw streams that had been displaced end, and others start late, after a prefill had been computed for a place that was gone.

A reservation lapsed 2 s after the expected start of the decode, so that a longer queue at the prefill engine than expected lost it. The place went to another request, and the prefill was computed again elsewhere, which makes the queue longer still. An agent that began to drain also refused a repeated reservation that it had granted before.

The entry renews the reservation every 0.5 s while it waits for the prefill. The ledger extends a reservation that is not in use yet. An agent that drains does so too, as it has accepted the place. An entry that is gone renews nothing, so that the place is free within 2 s as before.

Evidence: `python -m pytest -n 2 tests/test_entry_successors.py tests/test_agent_successors.py -k reservation`. Before, the agent answered the repeated reservation with a refusal, and the entry needed a second attempt ({1, 2} in place of {1}).

--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -120,16 +120,18 @@
         context = self._context
         lifecycle = context.lifecycle_controller.lifecycle
         table = context.attempts.table
-        refusal = lifecycle.refusal(
-            EngineRole.DECODE, req.model
-        ) or error_or_none(table.check(attempt, Phase.DECODE))
-        if refusal is not None:
-            return refusal
-        # A repeated message gets the reservation that the attempt has.
+        stale = error_or_none(table.check(attempt, Phase.DECODE))
+        if stale is not None:
+            return stale
+        # A repeated message renews the reservation that the attempt has.
         is_new = context.capacity.ledger.find(attempt) is None
-        refusal = context.backend.limit_refusal() if is_new else None
-        if refusal is not None:
-            return refusal
+        if is_new:
+            refusal = (
+                lifecycle.refusal(EngineRole.DECODE, req.model)
+                or context.backend.limit_refusal()
+            )
+            if refusal is not None:
+                return refusal
         now_ms = context.now_ms()
         ttl_ms = min(req.ttl_ms, MAX_RESERVATION_MS)
         request = ReservationRequest(
--- a/src/gooseberrypost/entry/attempt.py
+++ b/src/gooseberrypost/entry/attempt.py
@@ -121,7 +121,8 @@
             return reserved
         reserved_pair = reserved.ok_value
         for _ in range(MAX_PREFILL_TRIES):
-            prefilled = await self._prefill(reserved_pair.pair)
+            async with self._placer.renewing(reserved_pair):
+                prefilled = await self._prefill(reserved_pair.pair)
             if isinstance(prefilled, Ok):
                 self._reserved_pair = reserved_pair
                 return prefilled
--- a/src/gooseberrypost/entry/placing.py
+++ b/src/gooseberrypost/entry/placing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, Final
 
@@ -20,7 +22,7 @@
 from gooseberrypost.wire.messages import idl
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import AsyncIterator, Collection
 
     from gooseberrypost.entry.answer import CompletionAnswer
     from gooseberrypost.entry.collaborators import RetryBudget
@@ -35,7 +37,9 @@
 """Decode engines tried for a reservation in one placement."""
 RESERVE_TIMEOUT_MS: Final = 1_000
 RESERVATION_MARGIN_MS: Final = 2_000
-"""Time that a prefill may be late before the reservation expires, in ms."""
+"""Time after its last renewal that an entry's reservation is held, in ms."""
+RENEWAL_INTERVAL_S: Final = 0.5
+"""Interval between renewals of a reservation during the prefill."""
 NO_CAPACITY_RETRY_MS: Final = 500
 """Delay advised to the caller when an engine gives none, in ms."""
 NO_DEADLINE_MS: Final = 1 << 62
@@ -125,6 +129,33 @@
             self.excluded.add(pair.decode.name)
         return Err(last_failure)
 
+    @asynccontextmanager
+    async def renewing(
+        self, reserved_pair: ReservedPair
+    ) -> AsyncIterator[None]:
+        """Renew a reservation for the duration of the context.
+
+        A prefill may take longer than expected, and its result is worth
+        nothing without a place to decode it.
+        """
+        renewing = asyncio.create_task(self._renew(reserved_pair))
+        try:
+            yield
+        finally:
+            renewing.cancel()
+
+    async def _renew(self, reserved_pair: ReservedPair) -> None:
+        pair = reserved_pair.pair
+        while True:
+            await asyncio.sleep(RENEWAL_INTERVAL_S)
+            reply = await self._ctx.agents.request(
+                pair.decode, self._reserve_message(pair), RESERVE_TIMEOUT_MS
+            )
+            if isinstance(reply, Ok) and isinstance(
+                reply.ok_value, idl.Reserved
+            ):
+                reserved_pair.reserved = reply.ok_value
+
     def alternative_prefill(self, pair: EnginePair) -> EnginePair | None:
         """Return the pair with another prefill engine, if one is available.
 
--- a/src/gooseberrypost/state/ledger.py
+++ b/src/gooseberrypost/state/ledger.py
@@ -159,12 +159,16 @@
     ) -> Result[Allocation, NoCapacity]:
         """Reserve capacity for ``ttl_ms``.
 
-        A repeated request of the same attempt returns its first allocation. At
-        most one suspect request may hold capacity at a time, so that a crash
-        while it runs is attributed to one request only.
+        A repeated request of the same attempt returns its first allocation,
+        and renews it until it is used. At most one suspect request may hold
+        capacity at a time, so that a crash while it runs is attributed to one
+        request only.
         """
         held = self._allocations.get(request.holder)
         if held is not None:
+            if not held.held_by_server:
+                renewed_ms = now_ms + request.ttl_ms
+                held.expires_ms = max(held.expires_ms, renewed_ms)
             return Ok(held)
         refusal = self._refusal(request)
         if refusal is not None:
--- a/tests/test_agent_successors.py
+++ b/tests/test_agent_successors.py
@@ -7,7 +7,16 @@
 from result import Err
 
 from gooseberrypost.errors import TimedOut
-from tests.agent_kit import collect, decode, running_rig, until
+from gooseberrypost.wire.messages import idl
+from tests.agent_kit import (
+    ask,
+    collect,
+    decode,
+    prefill,
+    reserve,
+    running_rig,
+    until,
+)
 
 TOKENS = 40
 
@@ -105,3 +114,27 @@
             assert rig.decode_agent.lifecycle.lifecycle.crashes == 0
 
     asyncio.run(run())
+
+
+def test_reservation_is_kept_while_its_prefill_is_late():
+    """Guards against a prefill that is computed for a place that is gone.
+
+    The agent refuses new work meanwhile, but it has accepted this place.
+    """
+
+    async def run():
+        async with running_rig() as rig:
+            req = reserve(ttl_ms=300)
+            reserved = await ask(rig.decode_channel, req)
+            await ask(rig.decode_channel, idl.Drain(draining=True))
+            for _ in range(8):
+                await asyncio.sleep(0.1)
+                again = await ask(rig.decode_channel, req)
+                assert again.reservation == reserved.reservation
+            prefilled = await ask(rig.prefill_channel, prefill())
+            req = decode(reserved, prefilled)
+            async with rig.decode_channel.stream(req) as replies:
+                _, end = await collect(replies)
+            assert (end.code, end.tokens) == ("", req.max_tokens)
+
+    asyncio.run(run())
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -19,6 +19,8 @@
 
 TIMEOUT_MS = 50
 """Time without a token after which the entry reattaches, in ms."""
+RENEWAL_INTERVAL_MS = 1_000
+"""Longest time in which an entry renews a reservation, in ms."""
 SILENCE_S = 0.6
 """Silence of a sound engine, longer than all reattachments take."""
 
@@ -327,3 +329,26 @@
         assert lost
 
     run(scenario)
+
+
+def test_reservation_is_renewed_while_a_prefill_is_late():
+    """Guards against a prefill that is computed for a place that is gone.
+
+    The engine queue is longer than the entry expected.
+    """
+
+    async def scenario(rig):
+        p1, d1 = rig.agents["p1"], rig.agents["d1"]
+
+        async def prefill_late(session, correlation, message):
+            await d1.wait_for(idl.Reserve, 3)
+            await p1.prefill(session, correlation, message)
+
+        p1.script[idl.Prefill] = [prefill_late]
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        renewals = d1.messages_of(idl.Reserve)
+        assert {m.attempt for m in renewals} == {1}
+        assert all(m.ttl_ms > RENEWAL_INTERVAL_MS for m in renewals)
+
+    run(scenario)
