Prefer other engines to one on which a stream stalled

A successor that stalled or crashed in turn could be followed by an attempt on the engine that the stream had left, ahead of one that had not failed. Failed attempts name their engine as a last resort already; a stalled one does so now. Tests: tests/test_entry_*.py pass but for the case that is listed as known to fail; there is no case of its own, as the fakes have two decode engines.

--- a/src/gooseberrypost/entry/succession.py
+++ b/src/gooseberrypost/entry/succession.py
@@ -51,6 +51,7 @@
             successor = await self._replace(state, attempt, running)
             if successor is None:
                 return running.result()
+            state.failed_engines.add(attempt.decode_engine)
             state.stream.restart(successor.view.attempt)
             attempt = successor
             running = asyncio.create_task(attempt.decode())
