Known red: a claim with a minted key is not renewed by its next owner

Callers see a stream end with `outcome_unknown` if its engine is lost after the shard of its key moved to another entry, as in each roll of entries.

--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from gooseberrypost.claims.client import StoredAnswer
 from gooseberrypost.entry import decoding
 from gooseberrypost.errors import Superseded, TimedOut
 from gooseberrypost.wire.channel import Channel
@@ -17,6 +18,7 @@
 from tests.entry_fakes import TOKENS, drop, hang, refuse, run
 from tests.test_entry_model import crash, cut_after, text_of
 
+ANSWER = StoredAnswer(200, b"answer", "text/plain")
 TIMEOUT_MS = 50
 """Time without a token after which the entry reattaches, in ms."""
 RENEWAL_INTERVAL_MS = 1_000
@@ -283,6 +285,29 @@
     asyncio.run(main())
 
 
+def test_minted_key_is_renewed_after_its_shard_moved():
+    """Guards against a stream cut by a planned stop and the loss of an engine.
+
+    The owner of its claim has stopped and released its shards, and then the
+    engine is lost. Its key was minted for it, as the caller sent none.
+    """
+
+    async def main():
+        async with entries(3, owners=[0, 1]) as (owner, _, holder):
+            key = next(iter(owner.owner.section.shards.values())).claims.mint(
+                owner.rng
+            )
+            grant = (await holder.claim(key)).unwrap()
+            await owner.owner.stop()
+            renewed = await holder.client.renew(key, grant.attempt)
+            number = renewed.unwrap().attempt
+            assert number > grant.attempt
+            done = await holder.client.complete(key, number, ANSWER)
+            assert done.is_ok()
+
+    asyncio.run(main())
+
+
 def test_renewal_waits_for_the_successor_of_a_lost_owner():
     """Guards against a stream that is cut by two losses at a time.
 
