Claims: the next owner of a shard renews claims of minted keys

Callers saw streams end with `outcome_unknown` ("the request may have run before") when their engine was lost after the shard of their key had moved to another entry, as it does in each roll of entries.

The next owner accepted the completion of such a claim but not its renewal, as it had no digest to compare with crash evidence. Without a renewal a stream has no next attempt.

A renewal now carries digest and parts of the content (optional fields, so that older entries get `unknown` as before). The owner judges them as at a claim, adopts the attempt of its one holder, and grants the next attempt once the claim is in its log, so that a further owner accepts its completion. A resend of the key by its caller still gets `unknown`.

--- a/src/gooseberrypost/claims/_handlers.py
+++ b/src/gooseberrypost/claims/_handlers.py
@@ -15,7 +15,7 @@
 from gooseberrypost.errors import ClaimsUnavailable, Superseded
 from gooseberrypost.identity import check_key
 from gooseberrypost.policy.suspects import Suspect
-from gooseberrypost.state.claim import GrantRequest, Verdict
+from gooseberrypost.state.claim import GrantRequest, RenewedContent, Verdict
 from gooseberrypost.wire.listener import refusal_message
 from gooseberrypost.wire.messages import idl
 
@@ -73,7 +73,8 @@
 
 
 async def _renew(owner: ClaimOwnerController, msg: Any, holder: str) -> Any:
-    result = owner.renew(msg.key, msg.attempt)
+    content = RenewedContent(msg.digest or b"", tuple(msg.parts or ()), holder)
+    result = await owner.renew(msg.key, msg.attempt, content)
     if result.verdict is Verdict.SUPERSEDED:
         return refusal_message(
             Superseded(f"attempt {msg.attempt} is not current")
--- a/src/gooseberrypost/claims/_operations.py
+++ b/src/gooseberrypost/claims/_operations.py
@@ -9,7 +9,12 @@
 from gooseberrypost.claims.holders import Holder
 from gooseberrypost.claims.shard import ClaimResult, NotOwner, OwnedShard
 from gooseberrypost.identity import shard_of
-from gooseberrypost.state.claim import GrantRequest, Verdict
+from gooseberrypost.state.claim import (
+    UNKNOWN_CONTENT,
+    GrantRequest,
+    RenewedContent,
+    Verdict,
+)
 
 if TYPE_CHECKING:
     import random
@@ -62,12 +67,14 @@
         keep_in_memory = self.outage_policy(service) == "memory"
         return await shard.claim(request, holder, wait_ms, keep_in_memory)
 
-    def renew(self, key: str, attempt: int) -> ClaimResult:
+    async def renew(
+        self, key: str, attempt: int, content: RenewedContent = UNKNOWN_CONTENT
+    ) -> ClaimResult:
         """Supersede an attempt by the next one of the same holder."""
         shard = self.shard_for(key)
         if shard is None:
             return ClaimResult(Verdict.NOT_OWNER)
-        return shard.renew(key, attempt)
+        return await shard.renew(key, attempt, content)
 
     async def complete(
         self, key: str, attempt: int, answer: StoredAnswer
--- a/src/gooseberrypost/claims/client.py
+++ b/src/gooseberrypost/claims/client.py
@@ -76,8 +76,10 @@
         """
 
     @abstractmethod
-    async def renew(self, key: str, attempt: int) -> Result[Grant, Failure]:
-        """Supersede an attempt by the next one of the same holder.
+    async def renew(
+        self, req: ClaimRequest, attempt: int
+    ) -> Result[Grant, Failure]:
+        """Supersede an attempt of a granted claim by its holder's next one.
 
         Fails with ``Superseded`` if the attempt does not hold the claim. The
         grant states whether the content has become suspect; convicted content
--- a/src/gooseberrypost/claims/remote.py
+++ b/src/gooseberrypost/claims/remote.py
@@ -166,9 +166,16 @@
             return Err(self._unavailable(str(reply.err_value)))
         return reply
 
-    async def renew(self, key: str, attempt: int) -> Result[Grant, Failure]:
-        """Supersede an attempt by the next one of the same holder."""
-        message = idl.Renew(key=key, attempt=attempt)
+    async def renew(
+        self, req: ClaimRequest, attempt: int
+    ) -> Result[Grant, Failure]:
+        """Supersede an attempt of a granted claim by its holder's next one."""
+        message = idl.Renew(
+            key=req.key,
+            attempt=attempt,
+            digest=req.digest,
+            parts=list(req.parts),
+        )
         reply = await self._call_owner(
             message, REPLY_TIMEOUT_MS, TAKEOVER_TIMEOUT_MS, resend=True
         )
@@ -178,7 +185,7 @@
             return Err(
                 QuarantinedAfterRun("the content crashed two backend servers")
             )
-        return self._parse_grant(key, reply.ok_value)
+        return self._parse_grant(req.key, reply.ok_value)
 
     async def complete(
         self, key: str, attempt: int, answer: StoredAnswer
--- a/src/gooseberrypost/claims/shard.py
+++ b/src/gooseberrypost/claims/shard.py
@@ -12,7 +12,13 @@
 from gooseberrypost.claims._protocol import run_steps
 from gooseberrypost.errors import Failure, Superseded, UnknownOutcome
 from gooseberrypost.policy.quarantine import Suspicion
-from gooseberrypost.state.claim import Decision, GrantRequest, Verdict
+from gooseberrypost.state.claim import (
+    UNKNOWN_CONTENT,
+    Decision,
+    GrantRequest,
+    RenewedContent,
+    Verdict,
+)
 from gooseberrypost.state.claims import ShardClaims
 
 if TYPE_CHECKING:
@@ -133,18 +139,24 @@
             await self._wait_for_change(left_ms)
         return ClaimResult(Verdict.NOT_OWNER)
 
-    def renew(self, key: str, attempt: int) -> ClaimResult:
+    async def renew(
+        self, key: str, attempt: int, content: RenewedContent = UNKNOWN_CONTENT
+    ) -> ClaimResult:
         """Supersede an attempt by the next one of the same holder."""
         if self.is_lost:
             return ClaimResult(Verdict.NOT_OWNER)
         claim = self.claims.claims.get(key)
+        digest = claim.digest if claim is not None else content.digest
+        parts = claim.parts if claim is not None else content.parts
         suspicion = Suspicion.CLEAN
-        if claim is not None:
-            suspicion = self._evidence_store.suspicion(claim.digest)
-            if self._evidence_store.is_convicted(claim.digest, claim.parts):
+        if digest:
+            suspicion = self._evidence_store.suspicion(digest)
+            if self._evidence_store.is_convicted(digest, parts):
                 return ClaimResult(Verdict.QUARANTINED)
-        decision = self.claims.renew(key, attempt, self._clock_ms())
+        decision = self.claims.renew(key, attempt, self._clock_ms(), content)
         self._wake_writer()
+        if not await self._wait_until_confirmed(decision, CONFIRM_TIMEOUT_MS):
+            return self._unconfirmed_result(Verdict.UNKNOWN)
         return ClaimResult(
             decision.verdict,
             decision.attempt,
--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -190,12 +190,13 @@
     ``release`` abandons the claim unless an answer was recorded with it.
     """
 
-    __slots__ = ("_completed", "_ctx", "_live", "grant")
+    __slots__ = ("_completed", "_ctx", "_live", "_request", "grant")
 
     def __init__(self, ctx: EntryContext, live: LiveRequest) -> None:
         self._ctx = ctx
         self._live = live
         self._completed = False
+        self._request: ClaimRequest | None = None
         self.grant: Grant | None = None
 
     async def acquire(
@@ -210,7 +211,7 @@
                 return minted
             live.key = minted.ok_value
         remaining_ms = max(1, live.deadline_ms - self._ctx.now_ms())
-        req = ClaimRequest(
+        req = self._request = ClaimRequest(
             key=live.key,
             digest=digest,
             parts=parts,
@@ -230,10 +231,11 @@
 
     async def renew(self) -> Result[Grant, Failure]:
         """Replace the current attempt by the next one."""
+        assert self._request is not None
         return await self._await_grant(
             asyncio.create_task(
                 self._ctx.collaborators.claims.renew(
-                    self._live.key, self._live.attempt
+                    self._request, self._live.attempt
                 )
             )
         )
--- a/src/gooseberrypost/state/claim.py
+++ b/src/gooseberrypost/state/claim.py
@@ -65,6 +65,18 @@
     """Digests of the parts of its prompt that other requests may share."""
 
 
+class RenewedContent(NamedTuple):
+    """Content of a renewed claim, for an owner that does not know it."""
+
+    digest: bytes = b""
+    """Digest of the service and the body; empty if unknown."""
+    parts: tuple[bytes, ...] = ()
+    holder: str = ""
+
+
+UNKNOWN_CONTENT: Final = RenewedContent()
+
+
 class Decision(NamedTuple):
     """A verdict, and what must hold before it may be sent to the entry."""
 
--- a/src/gooseberrypost/state/claims.py
+++ b/src/gooseberrypost/state/claims.py
@@ -29,10 +29,12 @@
 from gooseberrypost.state._claim_table import ClaimTable
 from gooseberrypost.state.claim import (
     ATTEMPTS_PER_EPOCH,
+    UNKNOWN_CONTENT,
     Claim,
     ClaimState,
     Decision,
     GrantRequest,
+    RenewedContent,
     Verdict,
 )
 from gooseberrypost.state.segments import (
@@ -121,20 +123,26 @@
         claim.may_have_run = True
         return True
 
-    def renew(self, key: str, attempt: int, now_ms: int) -> Decision:
+    def renew(
+        self,
+        key: str,
+        attempt: int,
+        now_ms: int,
+        content: RenewedContent = UNKNOWN_CONTENT,
+    ) -> Decision:
         """Replace an attempt by the holder's next attempt.
 
         A repeated message, sent because the reply to the first was lost, gets
         the same attempt.
 
-        A minted key that a lost owner granted is unknown here. Its attempt is
-        still the current one, but its content digest is lost. Without
-        the digest, content that crashed two servers could be granted again and
-        crash a third server.
+        A minted key that a former owner granted is unknown here. Its attempt
+        is still the current one. The holder sends the digest of its content:
+        without it, content that crashed two servers could be granted again
+        and crash a third server.
         """
         claim = self.claims.get(key)
         if claim is None:
-            return Decision(Verdict.UNKNOWN)
+            return self._renew_adopted(key, attempt, now_ms, content)
         is_repeated = attempt != 0 and attempt == claim.renewed_from
         if not is_repeated and not self._is_current(claim, attempt):
             return Decision(Verdict.SUPERSEDED)
@@ -145,7 +153,33 @@
         claim.state = ClaimState.RUNNING
         claim.orphan_at_ms = None
         self._schedule_timer(claim, max(claim.deadline_at_ms, now_ms))
-        return Decision(Verdict.GRANTED, claim.attempt)
+        return Decision(
+            Verdict.GRANTED,
+            claim.attempt,
+            required_sequence=claim.claim_sequence,
+        )
+
+    def _renew_adopted(
+        self, key: str, attempt: int, now_ms: int, content: RenewedContent
+    ) -> Decision:
+        """Renew the claim of a minted key that an earlier epoch granted.
+
+        The new attempt is logged before it is granted. Otherwise the next
+        owner would not accept its completion.
+        """
+        if not content.digest:
+            return Decision(Verdict.UNKNOWN)
+        claim = self._adopt_minted_key(key, attempt, now_ms, content)
+        if claim is None:
+            return Decision(Verdict.UNKNOWN)
+        claim.renewed_from = attempt
+        claim.attempt = self._next_attempt(attempt)
+        claim.claim_sequence = self._append_claim_record(claim, now_ms)
+        return Decision(
+            Verdict.GRANTED,
+            claim.attempt,
+            required_sequence=claim.claim_sequence,
+        )
 
     def _replace_attempt(self, claim: Claim, attempt: int) -> None:
         claim.renewed_from = attempt
@@ -298,20 +332,25 @@
         return Decision(Verdict.GRANTED, claim.attempt, required_sequence)
 
     def _adopt_minted_key(
-        self, key: str, attempt: int, now_ms: int
+        self,
+        key: str,
+        attempt: int,
+        now_ms: int,
+        content: RenewedContent = UNKNOWN_CONTENT,
     ) -> Claim | None:
         """Restore the claim of a minted key that an earlier epoch granted.
 
         The first grant of a minted key is not logged, a second one always is.
         A key that is absent from the log was therefore granted to one entry
-        only, and the completion comes from that entry.
+        only, and the message comes from that entry.
         """
         minted = MintedKey.parse(key).ok()
         if minted is None or minted.epoch >= self.epoch:
             return None
         if attempt // ATTEMPTS_PER_EPOCH != minted.epoch:
             return None
-        claim = Claim(key, b"", True, "")
+        claim = Claim(key, content.digest, True, content.holder)
+        claim.parts = content.parts
         claim.minted = claim.replayed = claim.may_have_run = True
         claim.attempt = attempt
         self.claims[key] = claim
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -235,7 +235,12 @@
   9: optional bool ran_before, // an earlier attempt may have run
 }
 
-struct Renew { 1: string key, 2: i32 attempt }   // requests the next attempt of the same claim
+struct Renew {                 // requests the next attempt of the same claim
+  1: string key,
+  2: i32 attempt,
+  3: optional binary digest,   // content of a minted key, whose claim its next owner does not know
+  4: optional list<binary> parts,
+}
 
 struct Complete {
   1: string key,
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -177,9 +177,9 @@
         number = self.attempts[req.key]
         return Ok(Grant(req.key, number, False, number > 1))
 
-    async def renew(self, key, attempt):
-        self.attempts[key] = attempt + 1
-        return Ok(Grant(key, attempt + 1, self.suspect))
+    async def renew(self, req, attempt):
+        self.attempts[req.key] = attempt + 1
+        return Ok(Grant(req.key, attempt + 1, self.suspect))
 
     async def complete(self, key, attempt, answer):
         if self.superseded or self.attempts[key] != attempt:
--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -7,9 +7,14 @@
 
 import pytest
 
-from gooseberrypost.claims.client import AnsweredBefore, StoredAnswer
+from gooseberrypost.claims.client import (
+    AnsweredBefore,
+    ClaimRequest,
+    StoredAnswer,
+)
 from gooseberrypost.entry import decoding
-from gooseberrypost.errors import Superseded, TimedOut
+from gooseberrypost.errors import Quarantined, Superseded, TimedOut
+from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
@@ -265,21 +270,22 @@
     async def main():
         async with entries(2, owners=[0]) as (owner, holder):
             key = key_owned_by(owner)
-            grant = (await holder.claim(key)).unwrap()
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
             renew, renewed = owner.owner.renew, []
 
-            def lose_reply(*args):
-                renewed.append(renew(*args))
+            async def lose_reply(*args):
+                renewed.append(await renew(*args))
                 if len(renewed) == 1:
                     for session in owner.listener.sessions:
                         session.abort()
                 return renewed[-1]
 
             owner.owner.renew = lose_reply
-            again = await holder.client.renew(key, grant.attempt)
+            again = await holder.client.renew(req, grant.attempt)
             assert len(renewed) == 2
             assert again.unwrap().attempt == renewed[0].attempt
-            stale = await holder.client.renew(key, grant.attempt - 1)
+            stale = await holder.client.renew(req, grant.attempt - 1)
             assert isinstance(stale.unwrap_err(), Superseded)
 
     asyncio.run(main())
@@ -296,7 +302,8 @@
             key = key_owned_by(owner)
             grant = (await holder.claim(key)).unwrap()
             shard = owner.owner.shard_for(key)
-            assert shard.renew(key, grant.attempt).attempt > grant.attempt
+            renewed = await shard.renew(key, grant.attempt)
+            assert renewed.attempt > grant.attempt
             client = holder.client
             lower = await client.complete(key, grant.attempt - 1, ANSWER)
             assert isinstance(lower.unwrap_err(), Superseded)
@@ -319,9 +326,10 @@
             key = next(iter(owner.owner.section.shards.values())).claims.mint(
                 owner.rng
             )
-            grant = (await holder.claim(key)).unwrap()
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
             await owner.owner.stop()
-            renewed = await holder.client.renew(key, grant.attempt)
+            renewed = await holder.client.renew(req, grant.attempt)
             number = renewed.unwrap().attempt
             assert number > grant.attempt
             done = await holder.client.complete(key, number, ANSWER)
@@ -330,6 +338,51 @@
     asyncio.run(main())
 
 
+def test_minted_key_of_convicted_content_is_not_renewed_after_a_move():
+    """Guards against a third crash because a shard moved between (P9)."""
+
+    async def main():
+        async with entries(3, owners=[0, 1]) as (owner, successor, holder):
+            key = next(iter(owner.owner.section.shards.values())).claims.mint(
+                owner.rng
+            )
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
+            await owner.owner.stop()
+            for number in range(2):
+                successor.owner.evidence_store.report(
+                    f"crash{number}", f"engine{number}", {b"d": Suspect()}
+                )
+            renewed = await holder.client.renew(req, grant.attempt)
+            assert isinstance(renewed.unwrap_err(), Quarantined)
+
+    asyncio.run(main())
+
+
+def test_renewed_minted_key_is_completed_at_the_owner_after_the_next():
+    """Guards against a stream without an end when its shard moves twice."""
+
+    async def main():
+        async with entries(4, owners=[0, 1, 2]) as cluster:
+            holder = cluster[3]
+            first = cluster[0].owner
+            key = next(iter(first.section.shards.values())).claims.mint(
+                holder.rng
+            )
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
+            await first.stop()
+            renewed = (await holder.client.renew(req, grant.attempt)).unwrap()
+            second = next(
+                e.owner for e in cluster[1:3] if e.owner.shard_for(key)
+            )
+            await second.stop()
+            done = await holder.client.complete(key, renewed.attempt, ANSWER)
+            assert done.is_ok()
+
+    asyncio.run(main())
+
+
 def test_renewal_waits_for_the_successor_of_a_lost_owner():
     """Guards against a stream that is cut by two losses at a time.
 
@@ -340,9 +393,10 @@
         async with entries(3, owners=[0, 1], lease_ms=4_500) as cluster:
             owner, successor, holder = cluster
             key = key_owned_by(owner)
-            grant = (await holder.claim(key)).unwrap()
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
             await owner.crash()
-            renewed = await holder.client.renew(key, grant.attempt)
+            renewed = await holder.client.renew(req, grant.attempt)
             assert renewed.unwrap().attempt > grant.attempt
             assert successor.owner.shard_for(key) is not None
 
