--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -21,7 +21,7 @@
 from gooseberrypost.wire.messages import idl
 from tests.claim_cluster import entries, key_owned_by
 from tests.entry_fakes import TOKENS, drop, hang, refuse, run
-from tests.test_entry_model import crash, cut_after, text_of
+from tests.test_entry_model import crash, cut_after, events, text_of
 
 ANSWER = StoredAnswer(200, b"answer", "text/plain")
 TIMEOUT_MS = 50
@@ -110,6 +110,48 @@
     run(scenario)
 
 
+def test_caller_that_leaves_ends_a_stalled_stream_and_its_successor():
+    """Guards against engine memory held for a caller that has gone (P1).
+
+    Two attempts hold memory at that moment.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        SilentRun(agent)
+        rig.agents["p1"].script[idl.Prefill] = [
+            rig.agents["p1"].prefill,
+            hang,
+        ]
+        response = await rig.complete(stream=True, key="k1").__aenter__()
+        await rig.agents["p1"].wait_for(idl.Prefill, 2)
+        response.close()
+        assert (await agent.wait_for(idl.Cancel)).attempt == 1
+        assert (await other.wait_for(idl.Cancel)).attempt == 2
+        assert (await rig.agents["p1"].wait_for(idl.Cancel)).attempt == 2
+        await rig.daemon.requests.idle()
+        assert rig.claims.abandoned == [("k1", 2, False)]
+
+    run(scenario)
+
+
+def test_deadline_ends_a_stalled_stream_without_a_successor():
+    """Guards against a stalled stream that is kept past its deadline."""
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        SilentRun(agent)
+        rig.agents["d2"].script[idl.Reserve] = [refuse("no_capacity")] * 100
+        headers = {"X-Gooseberrypost-Deadline-Ms": "1500"}
+        async with rig.complete(stream=True, headers=headers) as response:
+            assert events(await response.text())[-1]["error"]["code"] == (
+                "timed_out"
+            )
+        assert (await agent.wait_for(idl.Cancel)).attempt == 1
+
+    run(scenario)
+
+
 def test_stream_of_a_hung_engine_continues_on_another():
     """Guards against lost or repeated tokens after a hung engine (P3)."""
 
