Count the grace period of a gateway from the signal

The gateway thought that it had more time than the platform gives it, and trusted predicted lengths for longer.

--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -125,16 +125,26 @@
             servers = self.context.directory.servers.all()
             self.context.loads.retain(server.identity for server in servers)
 
-    async def drain(self) -> None:
-        """Fail the readiness probe and finish the requests in flight."""
-        self.lifecycle.drain()
-        logging.info("event=draining in_flight=%d", self.frontend.in_flight)
+    async def drain(self, signalled_s: float | None = None) -> None:
+        """Fail the readiness probe and finish the requests in flight.
+
+        ``signalled_s`` is the monotonic time of the signal, from which the
+        grace period counts; by default now.
+        """
         ctx = self.context
         now_s = ctx.now_s()
+        if signalled_s is None:
+            signalled_s = now_s
+        self.lifecycle.drain()
+        logging.info(
+            "event=draining in_flight=%d late_ms=%d",
+            self.frontend.in_flight,
+            1_000 * (now_s - signalled_s),
+        )
         ctx.shutdown_at_s = (
-            now_s + self.settings.grace_ms / 1_000 - EXIT_MARGIN_S
+            signalled_s + self.settings.grace_ms / 1_000 - EXIT_MARGIN_S
         )
-        ctx.out_of_rotation_s = now_s + DRAIN_ACCEPT_S
+        ctx.out_of_rotation_s = signalled_s + DRAIN_ACCEPT_S
         # The balancer may have no other gateway for its clients, so new
         # requests are accepted until the remaining time is needed to finish
         # those in flight.
@@ -163,10 +173,16 @@
 
     SIGHUP calls ``reload``.
     """
-    stop_requested = asyncio.Event()
+    signalled: asyncio.Future[float] = asyncio.Future()
     loop = asyncio.get_running_loop()
+
+    def request_stop(*_: object) -> None:
+        # Runs at once, also while the event loop is late.
+        now_s = daemon.context.now_s()
+        loop.call_soon_threadsafe(_set_first, signalled, now_s)
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+        signal.signal(signal_number, request_stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
     logging.info(
         "event=started gateway=%s zone=%s",
@@ -174,7 +190,12 @@
         daemon.settings.zone,
     )
     await daemon.start()
-    await stop_requested.wait()
-    await daemon.drain()
+    await daemon.drain(await signalled)
     await daemon.stop()
     logging.info("event=stopped gateway=%s", daemon.settings.name)
+
+
+def _set_first(fut: asyncio.Future[float], value: float) -> None:
+    """Set a result, unless there is one."""
+    if not fut.done():
+        fut.set_result(value)
