Pause before a begun stream asks one more engine after many refusals

What callers saw: requests that need a retry are refused or cut, as one stream has used up the retry budget of their service.

Cause: the number of refusals is no longer limited for a stream that has begun. It asked engines that have room and refuse it without a pause, until the budget was spent.

test_refused_stream_leaves_retry_budget_to_others failed before.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -12,6 +12,7 @@
 from gooseberrypost.gateway.events import EventSplitter
 from gooseberrypost.gateway.exchange import (
     CONNECT_TIMEOUT_S,
+    MAX_REFUSALS,
     MIN_REMAINING_S,
     Exchange,
     ServerReplaced,
@@ -56,6 +57,8 @@
 """Time to read what arrived before a stream is taken for stalled."""
 STREAM_CLOSE_TIMEOUT_S: Final = 0.1
 """Time allowed for an engine to close the stream of a stopped generation."""
+REFUSED_PAUSE_S: Final = 0.1
+"""Increase of the pause with each engine that does not take a begun stream."""
 MIN_CLIENT_WAIT_MS: Final = 2_000
 """Minimum time without an event after which a client disconnects."""
 LATENCY_WAIT_FACTOR: Final = 4
@@ -190,9 +193,20 @@
                 self.check_quarantine()
                 if await self._attempt():
                     return
+                await self._pause()
         finally:
             self._release_unused()
 
+    async def _pause(self) -> None:
+        """Pause if many engines have not taken a stream that has begun.
+
+        Their number is not limited for it, and each refusal uses the retry
+        budget of the service.
+        """
+        failures = self.refusals + self.connect_failures - MAX_REFUSALS
+        if self.reply.is_started and failures > 0:
+            await asyncio.sleep(REFUSED_PAUSE_S * failures)
+
     async def _take_up(self) -> None:
         """Find the version that began the stream which the client resumes."""
         req = self.req
--- a/tests/test_review_successors.py
+++ b/tests/test_review_successors.py
@@ -66,6 +66,30 @@
     run(work)
 
 
+def test_refused_stream_leaves_retry_budget_to_others():
+    """Guards against a begun stream that uses up the budget of a service.
+
+    Its engines have room and refuse it, one after the other.
+    """
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e", "f")
+            for engine in engines:
+                engine.breaks_after = 10
+            task = asyncio.create_task(stream(kit, "again"))
+            await kit.until(lambda: any(engine.running for engine in engines))
+            for engine in engines:
+                engine.mode = "refuse"
+            got = await task
+            assert not got.complete
+            budget = kit.daemon.context.budget("llm")
+            now_s = kit.daemon.context.now_s()
+            assert budget.can_spend(now_s, share=0.5)
+
+    run(work)
+
+
 def test_stream_is_resumed_at_its_engine_if_no_other_one_is_there():
     """Guards against waiting for another engine after a break.
 
