Repeat a call whose end cannot be confirmed, instead of holding its answer

What callers saw: 504 at the deadline for calls that may be repeated, whose answer without framing came from a server that was then cut off.

Cause: the server is asked for its process as long as the client waits since a paused one is no longer taken for a replaced one. For a call with attempts left this used up the time in which another server answers.

test_repeatable_call_goes_elsewhere_if_its_end_cannot_be_confirmed failed before, and passed while the server was asked twice. It is asked for 2 s again if the call may be executed again.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from contextlib import suppress
 from functools import cached_property
@@ -163,6 +164,11 @@
         """Time until the deadline; negative after it."""
         return self.deadline_s - self.ctx.now_s()
 
+    @property
+    def end_check_s(self) -> float:
+        """Time for which a server is asked whether its answer is whole."""
+        return math.inf
+
     def check_deadline(self) -> None:
         """Raise if too little time remains for another attempt."""
         if self.remaining_s >= MIN_REMAINING_S:
@@ -203,7 +209,7 @@
         """
         if answer.is_framed:
             return
-        state = await self._process_state(server)
+        state = await self._process_state(server, self.end_check_s)
         self.log("unframed_end", server=server.instance, process=state)
         self.ctx.metrics.count("unframed_ends_total", process=state)
         if state is not ProcessState.RUNNING:
@@ -221,25 +227,30 @@
         if state is not ProcessState.RUNNING:
             raise ServerReplaced(f"{server.identity}: process {state}")
 
-    async def _process_state(self, server: Server) -> ProcessState:
+    async def _process_state(
+        self, server: Server, wait_s: float = math.inf
+    ) -> ProcessState:
         """Ask whether a server's process still runs, until it answers.
 
         A busy or paused one may answer late. It is asked until the deadline,
-        or until the client disconnects.
+        or until the client disconnects, and for ``wait_s`` at most.
         """
+        ctx = self.ctx
+        until_s = min(self.deadline_s, ctx.now_s() + wait_s)
         state = ProcessState.UNKNOWN
-        with suppress(TimeoutError), Deadline(self.remaining_s) as deadline:
-            while state is ProcessState.UNKNOWN and self.remaining_s > 0:
-                asked_s = self.ctx.now_s()
-                timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
+        left_s = until_s - ctx.now_s()
+        with suppress(TimeoutError), Deadline(left_s) as deadline:
+            while state is ProcessState.UNKNOWN and left_s > 0:
+                asked_s = ctx.now_s()
                 with deadline.limit():
-                    state = await self.ctx.transport.process_state(
-                        server, timeout_s
+                    state = await ctx.transport.process_state(
+                        server, min(PROCESS_CHECK_TIMEOUT_S, left_s)
                     )
                 if state is ProcessState.UNKNOWN:
-                    took_s = self.ctx.now_s() - asked_s
+                    took_s = ctx.now_s() - asked_s
                     pause_s = max(0, PROCESS_CHECK_INTERVAL_S - took_s)
                     await asyncio.sleep(pause_s)
+                left_s = until_s - ctx.now_s()
         return state
 
     def record_answer(self, answer: Answer) -> None:
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.errors import ServerLimited
 from gooseberrypost.gateway.buffering import buffer_answer
@@ -35,6 +36,9 @@
     from gooseberrypost.gateway.buffering import BufferedAnswer
     from gooseberrypost.gateway.model import Server
 
+END_CHECK_S: Final = 2.0
+"""Time after which a call is repeated if its end cannot be confirmed."""
+
 
 class PlainExchange(Exchange):
     """Sends a request to one server at a time until one answers."""
@@ -52,6 +56,16 @@
         """
         return self.is_repeatable or not self.attempts
 
+    @property
+    def may_execute_again(self) -> bool:
+        """Whether another attempt may execute the request."""
+        return self.is_repeatable and self.attempts < self.route.max_attempts
+
+    @property
+    def end_check_s(self) -> float:
+        """Time for which a server is asked whether its answer is whole."""
+        return END_CHECK_S if self.may_execute_again else math.inf
+
     async def serve(self) -> None:
         """Answer the client, retrying on other servers."""
         answer = await self._request()
@@ -78,8 +92,7 @@
                 self.handle_lost_answer(
                     server,
                     failure,
-                    repeatable=self.is_repeatable
-                    and self.attempts < self.route.max_attempts,
+                    repeatable=self.may_execute_again,
                 )
             else:
                 if not (answer.is_server_error and self.is_repeatable):
--- a/tests/test_review_successors.py
+++ b/tests/test_successor_costs.py
@@ -237,6 +237,28 @@
     run(work)
 
 
+def test_repeatable_call_goes_elsewhere_if_its_end_cannot_be_confirmed():
+    """Guards against holding an answer until the deadline."""
+
+    async def work():
+        async with serving(("a", "desk", "")) as kit:
+            kit.store.put("op/config", configuration(4, timeout_ms=14_000))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 4)
+            first = kit.engines["a"]
+            first.mode = "unframed"
+            first.report_delay_s = 60.0
+            task = asyncio.create_task(
+                kit.call("/safe/x", X_Gooseberrypost_Deadline_Ms="10000")
+            )
+            await kit.until(lambda: first.executed)
+            await kit.add("b", "desk", "")
+            got = await task
+            assert got.status == 200
+
+    run(work)
+
+
 def test_arrivals_of_a_resumed_stream_are_counted():
     """Guards against retries that the budget does not count."""
 
@@ -251,7 +273,6 @@
             prefills = len(kit.engines["p"].received)
             decodes = len(decode_arrivals(engines))
             extra = prefills - 1 + decodes - 1
-            print(prefills, decodes, len(budget._retries))
             assert extra <= len(budget._retries)
 
     run(work)
