Do not count a generation twice while its reservation is under way

What callers saw: 503 beside engines with room while reservations are slow.

Cause: the queue's estimate took generations for which an engine had been asked for waiting ones, while their runs already counted at that engine.

test_generations_are_served_while_reservations_are_slow failed in 7 of 10 runs beside eight busy processes without this, and with it passed in six of six at a load of 16 to 18 on 8 cores.

--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -121,10 +121,14 @@
 
     @property
     def waiting_count(self) -> int:
-        """Number of queued generations whose objective has not passed yet."""
+        """Number of queued generations whose objective has not passed yet.
+
+        Those for which an engine has been asked count as runs there instead.
+        """
         now_s = self._ctx.now_s()
         return sum(
-            now_s < pending.first_event_due_s for pending in self._queue
+            now_s < pending.first_event_due_s and not pending.is_reserving
+            for pending in self._queue
         )
 
     def check_shutdown(self, pending: PendingReservation) -> None:
