Use suspect decode engines if no other engine can decode

What callers saw: 503 for new streams, and cut streams that were to be resumed, for up to 4 s, while sound decode engines had room.

Cause: suspect engines are used if no healthy one is left. The healthy prefill engines of the service counted for that, though none of them can decode. A gateway whose event loop is late takes all its engines for suspect at once.

test_stream_is_served_though_all_decode_engines_had_failures failed before, with 503 after 3.4 s. Engines that refused just now are still left out, which the prefill engines had brought about by accident.

--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -12,6 +12,7 @@
 
 from absl import logging
 
+from gooseberrypost.gateway.model import Stage
 from gooseberrypost.gateway.transport import ServerRefused, ServerUnreachable
 from gooseberrypost.policy.enginememory import Run, must_release_reservation
 from gooseberrypost.policy.queueorder import QueuedGeneration
@@ -196,6 +197,7 @@
                 server
                 for server in servers
                 if not ctx.loads.limit_wait_s(server.identity, now_s)
+                and not ctx.loads.of(server.identity).is_full(now_s)
             ],
             ctx.loads,
             pending.run.size,
@@ -242,6 +244,7 @@
                 server
                 for server in servers
                 if not ctx.loads.limit_wait_s(server.identity, now_s)
+                and not ctx.loads.of(server.identity).is_full(now_s)
             ],
             ctx.loads,
             pending.run.size,
@@ -251,13 +254,14 @@
         )
 
     def servers(self, pending: PendingReservation) -> list[Server]:
-        """Return the servers at which the generation may run."""
+        """Return the servers at which the generation may decode."""
         ctx = self._ctx
         servers = ctx.directory.available_servers(pending.service, ctx.now_s())
         return [
             server
             for server in servers
-            if server.identity != pending.source
+            if server.stage is not Stage.PREFILL
+            and server.identity != pending.source
             and pending.version in (None, server.version)
         ]
 
--- a/tests/test_successor_costs.py
+++ b/tests/test_successor_costs.py
@@ -301,3 +301,27 @@
             assert max(late) < 0.5
 
     run(work)
+
+
+def test_stream_is_served_though_all_decode_engines_had_failures():
+    """Guards against taking a prefill engine for a healthy decode engine.
+
+    Suspect engines are used if no other one can decode.
+    """
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e")
+            ctx = kit.daemon.context
+            servers = ctx.directory.servers.of("llm", ctx.now_s())
+            for server in servers:
+                if server.instance in ("d", "e"):
+                    for _ in range(6):
+                        ctx.loads.of(server.identity).record_failure(
+                            ctx.now_s()
+                        )
+            got = await stream(kit, "again")
+            assert got.status == 200
+            assert got.body == whole(engines[0].events)
+
+    run(work)
