Prepare another engine while a stream's process does not answer

What callers saw: a resumable stream whose engine stops for good at its first event is held until its client leaves, beside engines with room.

Cause: the question for the engine's process, before a stream begins, is asked until it is answered. Nothing looked at the silence of the stream meanwhile.

It is a wait of the stream now like any other. test_stream_of_an_engine_that_stops_at_its_first_event_is_resumed failed before. test_stream_is_kept_while_its_engine_answers_no_report had two engines that pause in turn; its other engine has no memory now, as the stream may move to a sound one. It still asserts that the stream is whole and ran once.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -511,7 +511,9 @@
             server, anext(chunks, b"")
         ):
             if not is_confirmed:
-                await self.confirm_start(server)
+                await self._wait_or_fail_over(
+                    server, self.confirm_start(server)
+                )
                 is_confirmed = True
             complete = self._feed(chunk, stride)
             if complete:
