--- a/tests/scenarios/gateway_roll.py
+++ b/tests/scenarios/gateway_roll.py
@@ -2,14 +2,16 @@
 
 ``python -m tests.scenarios.gateway_roll --seed N --seconds S`` stops gateways
 by SIGTERM in overlapping series and starts them again, sends SIGHUP, and
-changes the configuration in bursts. Nothing fails: the servers are sound and
-the store is up. Each gateway gets its share of a core in slices, as on a VM
-with a quota, so that its event loop is late. Clients keep their connections
-and use them until the process is gone; a part of them stays with a gateway
-that is out of rotation, as in a zone without another one.
+changes the configuration in bursts. The store is up and the servers are sound,
+but some streams are silent for seconds and some are broken off. Each gateway
+gets its share of a core in slices, as on a VM with a quota, so that its event
+loop is late. Clients keep their connections and use them until the process is
+gone; a part of them stays with a gateway that is out of rotation, as in a zone
+without another one.
 
 No request may be lost: a request that a gateway has read is answered, but for
-those that the grace period is too short for.
+those that the grace period is too short for and those that their server broke
+off. Resumable streams that are broken off go on at another server.
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 import signal
 import subprocess
 import tempfile
+from collections import Counter
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 
@@ -30,47 +33,76 @@
     gateway_process,
     is_gateway_ready,
 )
-from tests.scenarios.roll_clients import (
-    DEADLINES_MS,
+from tests.scenarios.roll_clients import Gateway, Pause, RollClients
+from tests.scenarios.roll_engine import (
+    SLOTS,
     TOKENS_PER_EVENT,
-    Gateway,
-    RollClients,
+    EngineOptions,
     RollEngine,
-    Sent,
+    RollLedger,
 )
+from tests.scenarios.roll_judge import GRACE_S, Judge, name_of
+from tests.standins.moving_engine import PROMPT_RETENTION_S
 from tests.standins.platform_store import FakePlatformStore
 
-GRACE_S = 8.0
-EXCUSED_SENT_S = 3.0
-"""Time after SIGTERM up to which long requests are excused."""
-EXCUSED_CUT_S = GRACE_S * 5 / 6
-"""Time after SIGTERM from which these may be cut."""
-LOSS_SLACK_S = 0.2
-"""Time in which a request may cross the close of its connection."""
+PAUSE_S = (0.5, 3.0)
+"""Shortest and longest pause of a gateway."""
 PROBE_INTERVAL_S = 1.0
 SLICE_S = 0.1
 """Period of a quota, of which a gateway may not run a part."""
 
 
+class RollOptions:
+    """Size of a roll, and what its servers and gateways do."""
+
+    def __init__(
+        self,
+        gateways: int = 4,
+        clients: int = 40,
+        silent_share: float = 0.0,
+        break_share: float = 0.0,
+        again_weight: float = 0.0,
+        pauses: bool = False,
+    ):
+        self.gateways, self.clients = gateways, clients
+        self.silent_share = silent_share
+        """Share of the streams that are silent once; some servers then
+        refuse moves, and moves fail at times."""
+        self.break_share = break_share
+        """Share of the streams that their server breaks off."""
+        self.again_weight = again_weight
+        """Weight of resumable streams, where other streams have 2 of 10."""
+        self.pauses = pauses
+        """Whether gateways are paused for seconds."""
+
+
 class Roll:
     """Store, servers, gateways, clients and signals of one seed."""
 
-    def __init__(self, seed: int, seconds: float, gateways: int, clients: int):
+    def __init__(self, seed: int, seconds: float, options: RollOptions):
         self.rng = random.Random(seed)
-        self.seconds = seconds
-        self.gateway_count, self.client_count = gateways, clients
+        self.seconds, self.options = seconds, options
         self.gateways: list[Gateway] = []
         self.engines: list[RollEngine] = []
-        self.clients = RollClients(self.gateways, self.rng)
+        self.ledger = RollLedger(
+            EngineOptions(seed, options.silent_share, options.break_share)
+        )
+        self.clients = RollClients(
+            self.gateways, self.rng, options.again_weight
+        )
         self.version = 1
         self.signals = 0
         self.killed = 0
         """Gateways that ran longer than the grace."""
-        self.violations: list[str] = []
+        self.judge: Judge | None = None
         self.logs = ""
-        """Log lines of the lost requests."""
+        """Log lines of the requests that are named in the findings."""
+
+    @property
+    def violations(self) -> list[str]:
+        return self.judge.violations
 
-    async def run(self) -> list[str]:
+    async def run(self):
         async with AsyncExitStack() as stack:
             await self._start(stack)
             helpers = [
@@ -79,7 +111,7 @@
             ]
             clients = [
                 asyncio.create_task(self.clients.run(number))
-                for number in range(self.client_count)
+                for number in range(self.options.clients)
             ]
             await self._plan()
             for task in clients:
@@ -88,8 +120,7 @@
             for task in helpers:
                 task.cancel()
             await asyncio.gather(*helpers, return_exceptions=True)
-            self._judge()
-        return self.violations
+            self.judge = self._judge()
 
     async def _start(self, stack: AsyncExitStack):
         self.folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -99,13 +130,15 @@
         self._configure()
         stages = ["", "", "", *["prefill"] * 3, *["decode"] * 9]
         for number, stage in enumerate(stages):
-            engine = RollEngine(f"i-{number}", stage)
+            engine = RollEngine(f"i-{number}", stage, self.ledger)
             await engine.start()
             stack.push_async_callback(engine.stop)
-            engine.supports_moves = True
+            engine.supports_moves = (
+                not self.options.silent_share or number % 3 > 0
+            )
             self.engines.append(engine)
             self._register(engine)
-        for number in range(self.gateway_count):
+        for number in range(self.options.gateways):
             process = self._process(number)
             stack.callback(process.kill)
             stop_share = self.rng.choice((0.0, 0.3, 0.6))
@@ -119,7 +152,7 @@
 
     def _register(self, engine: RollEngine):
         service = "llm" if engine.stage else "desk"
-        entry = engine.registration(service, slots=12 if engine.stage else 6)
+        entry = engine.registration(service, slots=engine.slots)
         self.store.put(f"servers/{engine.instance}", entry)
 
     def _configure(self):
@@ -127,8 +160,9 @@
         for service in document["services"]:
             if "engine" in service:
                 service["engine"] |= {
-                    "slots": 12,
+                    "slots": SLOTS,
                     "kv_capacity_tokens": 60_423,
+                    "kv_retention_s": PROMPT_RETENTION_S,
                     "stride": TOKENS_PER_EVENT,
                 }
         self.store.put("op/config", document)
@@ -173,7 +207,7 @@
         while True:
             for number in (signal.SIGSTOP, signal.SIGCONT):
                 for gateway in self.gateways:
-                    if gateway.stop_share:
+                    if gateway.stop_share and not gateway.is_paused:
                         gateway.process.signal(number)
                 share = 0.6 if number is signal.SIGSTOP else 0.4
                 await asyncio.sleep(SLICE_S * share)
@@ -184,8 +218,13 @@
         active: set[asyncio.Task] = set()
         while loop.time() < end_s:
             work = self.rng.choices(
-                (self._restart, self._reload, self._change_configuration),
-                (5, 2, 1),
+                (
+                    self._restart,
+                    self._reload,
+                    self._change_configuration,
+                    self._pause,
+                ),
+                (5, 2, 1, 4 if self.options.pauses else 0),
             )[0]
             task = asyncio.create_task(work())
             active.add(task)
@@ -227,48 +266,46 @@
             self.signals += 1
             gateway.process.signal(signal.SIGHUP)
 
+    async def _pause(self):
+        """Have a gateway not run for a while."""
+        gateway = self.rng.choice(self.gateways)
+        if gateway.busy or gateway.is_paused:
+            return
+        loop = asyncio.get_running_loop()
+        pause = Pause(loop.time())
+        gateway.pauses.append(pause)
+        gateway.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+        gateway.process.signal(signal.SIGCONT)
+        pause.ended_s = loop.time()
+
     async def _change_configuration(self):
         for _ in range(self.rng.randint(1, 6)):
             self.version += self.rng.randint(1, 7)
             self._configure()
             await asyncio.sleep(self.rng.uniform(0, 0.2))
 
-    def _judge(self):
+    def _judge(self) -> Judge:
         received = {
             request.header("Attempt-Id")
             for engine in self.engines
             for request in engine.received
         }
-        for sent in self.clients.sent:
-            if not sent.complete and sent.sent_s:
-                self._judge_cut(sent, sent.id in received)
-
-    def _judge_cut(self, sent: Sent, was_passed_on: bool):
-        took_s = sent.ended_s - sent.sent_s
-        if took_s >= DEADLINES_MS[sent.route] / 1_000 - 0.1:
-            return
-        if not was_passed_on and (sent.was_reset or took_s <= LOSS_SLACK_S):
-            # It crossed the close of its connection.
-            return
-        before = [t for t in sent.gateway.terms_s if t <= sent.ended_s]
-        term_s = before[-1] if before else float("-inf")
-        if (
-            sent.sent_s <= term_s + EXCUSED_SENT_S
-            and sent.ended_s >= term_s + EXCUSED_CUT_S
-        ):
-            return
-        name = sent.gateway.process.settings["name"]
-        self.violations.append(
-            f"LOST {sent.id} on {sent.route} at {name}: sent "
-            f"{sent.sent_s - term_s:.2f} s after SIGTERM, cut {took_s:.2f} s "
-            f"later, status {sent.status}, passed on: {was_passed_on}, "
-            f"reset: {sent.was_reset}, kept: {sent.is_kept}"
-        )
-        self.logs += "\n".join(
-            line
-            for line in sent.gateway.process.log_lines()
-            if f"request={sent.id} " in line or "event=drain" in line
+        executed = Counter(
+            request_id
+            for engine in self.engines
+            for request_id in engine.executed
         )
+        judge = Judge(self.ledger, received, executed)
+        judge.judge(self.clients.sent)
+        for sent in judge.lost:
+            self.logs += f"{sent.id} at {name_of(sent)}\n"
+            self.logs += "".join(
+                f"{line}\n"
+                for line in sent.gateway.process.log_lines()
+                if f"request={sent.id} " in line or "event=drain" in line
+            )
+        return judge
 
     def counts(self) -> dict[str, int]:
         """Return the number of requests by route and result."""
@@ -280,10 +317,8 @@
         return dict(sorted(found.items()))
 
 
-async def roll(
-    seed: int, seconds: float, gateways: int = 4, clients: int = 40
-) -> Roll:
-    run = Roll(seed, seconds, gateways, clients)
+async def roll(seed: int, seconds: float, **options) -> Roll:
+    run = Roll(seed, seconds, RollOptions(**options))
     await run.run()
     return run
 
@@ -294,20 +329,31 @@
 @click.option("--seconds", type=float, default=30.0)
 @click.option("--gateways", type=int, default=6)
 @click.option("--clients", type=int, default=80)
-@click.option("--logs", is_flag=True, help="Print log lines of lost requests.")
-def main(seed, seeds, seconds, gateways, clients, logs):
-    """Run the seeds; the exit status is 1 if a request was lost."""
+@click.option("--silent-share", type=float, default=0.15)
+@click.option("--break-share", type=float, default=0.05)
+@click.option("--again-weight", type=float, default=2.0)
+@click.option("--pauses", is_flag=True, help="Pause gateways for seconds.")
+@click.option("--logs", is_flag=True, help="Print log lines of the findings.")
+def main(seed, seeds, seconds, logs, **options):
+    """Run the seeds; the exit status is 1 if a rule was broken."""
     failed = False
     for number in range(seed, seed + seeds):
-        run = asyncio.run(roll(number, seconds, gateways, clients))
+        run = asyncio.run(roll(number, seconds, **options))
         click.echo(
             f"seed {number}: {len(run.clients.sent)} sent, "
             f"{run.signals} signals, "
             f"{run.killed} killed, {run.version} newest configuration, "
-            f"{len(run.violations)} violations, {run.counts()}"
+            f"{len(run.violations)} violations, {run.counts()}, "
+            f"{run.judge.counts()}"
         )
-        for violation in run.violations:
-            click.echo(f"  {violation}")
+        judge = run.judge
+        for finding in (
+            *judge.violations,
+            *judge.not_resumed,
+            *(f"after a pause: {text}" for text in judge.paused),
+            *judge.let_go,
+        ):
+            click.echo(f"  {finding}")
         if logs:
             click.echo(run.logs)
         failed = failed or bool(run.violations)
--- a/tests/scenarios/roll_clients.py
+++ b/tests/scenarios/roll_clients.py
@@ -1,51 +1,23 @@
-"""Servers and clients of the roll of gateways.
+"""Clients of the roll of gateways.
 
-Clients keep their connections and use them until they are closed.
+They keep their connections and use them until they are closed.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 from tests.gateway_kit import HOST
 from tests.scenarios.processes import Process
-from tests.standins.platform_engine import FakePlatformEngine
+from tests.scenarios.roll_engine import TOKENS_PER_EVENT
 
 CONNECT_TIMEOUT_S = 1.0
 STAYING_SHARE = 0.3
 """Share of the clients that do not leave a gateway out of rotation."""
-TOKENS_PER_EVENT = 59
-EVENT_S = 0.044
-WORK_S = 0.045
-DEADLINES_MS = {"once": 1_500, "safe": 1_500, "text": 14_000}
-
-
-class RollEngine(FakePlatformEngine):
-    """Sound server: plain calls take a while, streams as long as named."""
-
-    rng = random.Random(0)
-
-    async def _mode_answer(self, request, writer):
-        if self.stage:
-            events = int(request.target.rpartition("/")[2].split("-")[0])
-            await self._stream_of(events, request, writer)
-        else:
-            self.answer_s = self.rng.lognormvariate(0, 0.8) * WORK_S
-            if self.rng.random() < 0.01:
-                self.answer_s = 1.2
-            await super()._mode_answer(request, writer)
-
-    async def _stream_of(self, events: int, request, writer):
-        writer.write(self._stream_head(request))
-        first = int(request.headers.get("last-event-id") or 0)
-        for number in range(first + 1, events + 1):
-            event = self._event(number)
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await writer.drain()
-            await asyncio.sleep(EVENT_S)
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+DEADLINES_MS = {"once": 1_500, "safe": 1_500, "text": 14_000, "again": 14_000}
+STREAMS = ("text", "again")
 
 
 class Sent:
@@ -55,12 +27,23 @@
         self.id, self.route, self.gateway = request_id, route, gateway
         self.sent_s = self.ended_s = 0.0
         self.status: int | None = None
+        self.events = 0
+        """Number of events of its stream, if it is one."""
+        self.body = bytearray()
+        """What came of a stream."""
         self.complete = False
         self.was_reset = False
         self.is_kept = False
         """Whether its connection had been used before."""
 
 
+class Pause:
+    """Time in which a gateway did not run."""
+
+    def __init__(self, started_s: float):
+        self.started_s, self.ended_s = started_s, math.inf
+
+
 class Gateway:
     """A gateway process and what the balancer knows of it."""
 
@@ -74,6 +57,11 @@
         """Times of SIGTERM."""
         self.busy = False
         """Whether it is being stopped and started."""
+        self.pauses: list[Pause] = []
+
+    @property
+    def is_paused(self) -> bool:
+        return any(math.isinf(pause.ended_s) for pause in self.pauses)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -86,9 +74,16 @@
 class RollClients:
     """Clients of some gateways, and all that they sent."""
 
-    def __init__(self, gateways: list[Gateway], rng: random.Random):
+    def __init__(
+        self,
+        gateways: list[Gateway],
+        rng: random.Random,
+        again_weight: float = 0.0,
+    ):
         self._gateways = gateways
         self._rng = rng
+        self._weights = (6, 2, 2, again_weight)
+        """Weights of the routes."""
         self.sent: list[Sent] = []
 
     async def run(self, number: int):
@@ -114,7 +109,7 @@
         """Send on one connection until it is closed."""
         is_kept = False
         while True:
-            route = rng.choices(("once", "safe", "text"), (6, 2, 2))[0]
+            route = rng.choices(tuple(DEADLINES_MS), self._weights)[0]
             sent = Sent(f"r{len(self.sent)}", route, gateway)
             sent.is_kept = is_kept
             self.sent.append(sent)
@@ -143,7 +138,8 @@
             f"X-Gooseberrypost-Deadline-Ms: {DEADLINES_MS[sent.route]}",
             "Content-Length: 4",
         ]
-        if sent.route == "text":
+        if sent.route in STREAMS:
+            sent.events = events
             hint = round(events * TOKENS_PER_EVENT * rng.lognormvariate(0, 1))
             lines += [
                 f"X-Gooseberrypost-Token-Usage: 5200,{130 * TOKENS_PER_EVENT}",
@@ -169,7 +165,7 @@
             lowered = head.lower()
             if b"transfer-encoding: chunked" in lowered:
                 while size := int(await reader.readuntil(b"\r\n"), 16):
-                    await reader.readexactly(size + 2)
+                    sent.body += (await reader.readexactly(size + 2))[:-2]
                 await reader.readexactly(2)
             else:
                 length = lowered.split(b"content-length: ")[1].split(b"\r")[0]
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -21,6 +21,8 @@
         self.target = target
         self.headers = headers
         self.body = body
+        self.run = None
+        """Its execution, where the server keeps account of them."""
 
     def header(self, name: str) -> str | None:
         return self.headers.get(f"x-gooseberrypost-{name}".lower())
@@ -198,7 +200,8 @@
             return await self._refuse(request, writer, "421 Misdirected")
         if request.header("Inference-Stage") == "prefill":
             await asyncio.sleep(self.prefill_s)
-            body = {"kv_handle": "h1", "tokens": 10, "version": 1}
+            handle = self._keep_prompt()
+            body = {"kv_handle": handle, "tokens": 10, "version": 1}
             return await self._json(writer, 200, body)
         has_source = request.header("Kv-Source") is not None
         refuses = self.mode == "refuse" or (
@@ -210,16 +213,8 @@
                 headers.append(f"Retry-After: {self.retry_after}")
             return await self._refuse(request, writer, UNAVAILABLE, *headers)
         request_id = request.header("Attempt-Id")
-        source = request.header("Kv-Source") or ""
-        if source in STOPPED_RUNS:
-            owner = STOPPED_RUNS.pop(source)
-            self.resumed.append(request_id)
-            if owner != request_id:
-                self.mismatched_sources.append(request_id)
-        elif "/moved-" in source:
+        if not self._admit(request):
             return await self._refuse(request, writer, UNAVAILABLE)
-        else:
-            self.executed.append(request_id)
         if self.crashes_on(request):
             if self.crashes_begun:
                 await self._begin_stream(request, writer)
@@ -239,6 +234,25 @@
             disconnect_watch.cancel()
             execution.cancel()
 
+    def _keep_prompt(self) -> str:
+        """Return the handle of a prompt's KV, which was just prefilled."""
+        return "h1"
+
+    def _admit(self, request) -> bool:
+        """Take a request, unless the KV that it names is gone."""
+        request_id = request.header("Attempt-Id")
+        source = request.header("Kv-Source") or ""
+        if source in STOPPED_RUNS:
+            owner = STOPPED_RUNS.pop(source)
+            self.resumed.append(request_id)
+            if owner != request_id:
+                self.mismatched_sources.append(request_id)
+        elif "/moved-" in source:
+            return False
+        else:
+            self.executed.append(request_id)
+        return True
+
     async def _cancel_on_disconnect(self, reader, request_id, execution):
         """Cancel a request whose client disconnects before its end."""
         try:
--- a/tests/test_stream_successors.py
+++ b/tests/test_stream_successors.py
@@ -254,9 +254,7 @@
                 for route in ("text", "again", "text", "again")
             ]
             decoders = [kit.engines["d"], kit.engines["e"]]
-            await kit.until(
-                lambda: sum(len(e.running) for e in decoders) == 4
-            )
+            await kit.until(lambda: sum(len(e.running) for e in decoders) == 4)
             for _ in range(2):
                 process.signal(signal.SIGSTOP)
                 await asyncio.sleep(2.0)
