--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -161,11 +161,6 @@
         """Time until the deadline; negative after it."""
         return self.deadline_s - self.ctx.now_s()
 
-    @property
-    def client_waits_until_s(self) -> float:
-        """Time at which the client disconnects without an answer."""
-        return self.deadline_s
-
     def check_deadline(self) -> None:
         """Raise if too little time remains for another attempt."""
         if self.remaining_s >= MIN_REMAINING_S:
@@ -227,15 +222,12 @@
     async def _process_state(self, server: Server) -> ProcessState:
         """Ask whether a server's process still runs, until it answers.
 
-        A busy or paused one may answer late. It is asked as long as the client
-        waits.
+        A busy or paused one may answer late. It is asked until the deadline,
+        or until the client disconnects.
         """
         state = ProcessState.UNKNOWN
-        while state is ProcessState.UNKNOWN:
-            left_s = self.client_waits_until_s - self.ctx.now_s()
-            if left_s <= 0:
-                break
-            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, left_s)
+        while state is ProcessState.UNKNOWN and self.remaining_s > 0:
+            timeout_s = min(PROCESS_CHECK_TIMEOUT_S, self.remaining_s)
             asked_s = self.ctx.now_s()
             state = await self.ctx.transport.process_state(server, timeout_s)
             if state is ProcessState.UNKNOWN:
@@ -293,12 +285,15 @@
     ) -> None:
         """Exclude a server to which no connection could be established.
 
-        Raises the failure after too many of these, unless that would cut an
-        answer that has begun.
+        A server that was only asked too late may be tried again. Raises the
+        failure after too many of these, unless that would cut an answer that
+        has begun.
         """
-        self.ctx.loads.of(server.identity).record_unreachable(self.ctx.now_s())
-        self.ctx.notify_loads_changed()
-        self.excluded.add(server.identity)
+        if not failure.is_own_delay:
+            now_s = self.ctx.now_s()
+            self.ctx.loads.of(server.identity).record_unreachable(now_s)
+            self.ctx.notify_loads_changed()
+            self.excluded.add(server.identity)
         self.connect_failures += 1
         self._log_retry(server, failure)
         has_too_many = self.connect_failures > MAX_CONNECT_FAILURES
@@ -350,12 +345,14 @@
 
     def record_lost_answer(self, server: Server, failure: AnswerLost) -> None:
         """Exclude a server, of which other requests may be in danger, too."""
-        self.ctx.loads.of(server.identity).record_failure(self.ctx.now_s())
+        if not failure.is_own_delay:
+            now_s = self.ctx.now_s()
+            self.ctx.loads.of(server.identity).record_failure(now_s)
+            self.excluded.add(server.identity)
         if not isinstance(failure, ServerReplaced):
             self.ctx.quarantine.record_loss(
                 server, self.content, has_begun=self.has_begun
             )
-        self.excluded.add(server.identity)
         self._log_retry(server, failure)
 
     def keep_error(self, server: Server, answer: BufferedAnswer) -> None:
--- /dev/null
+++ b/src/gooseberrypost/timeouts.py
@@ -0,0 +1,211 @@
+"""Timeouts that do not take a late event loop for a silent peer.
+
+After a pause of the process, or a long pass of its event loop, asyncio runs
+the timers that are due before the tasks whose data has arrived meanwhile. Its
+timeouts then end waits for replies that are already there.
+
+``RunningTimeout`` limits a wait that may be prolonged: the time in which the
+event loop was late does not count. ``Deadline`` limits a call that may not,
+and only lets it read what has arrived.
+
+>>> async def fetch(reader):
+...     with RunningTimeout(0.25):
+...         return await reader.readline()
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from types import TracebackType
+    from typing import Self
+
+MAX_TIMER_DELAY_S: Final = 0.02
+"""Delay of a timer beyond which the event loop was late."""
+PARTS: Final = 5
+"""Parts of a timeout; one whose timer fires late is repeated."""
+MAX_REPEATS: Final = 2
+"""Maximum number of repeated parts of a timeout."""
+READ_S: Final = 0.005
+"""Time to read what had arrived when a timer fired late at a deadline."""
+
+
+class LateTimeout(TimeoutError):
+    """The event loop was late, so the wait says nothing about the peer."""
+
+
+def is_own_delay(exc: BaseException | None) -> bool:
+    """Whether an exception was raised because of a ``LateTimeout``."""
+    while exc is not None and not isinstance(exc, LateTimeout):
+        exc = exc.__cause__
+    return exc is not None
+
+
+class _Scope:
+    """Block whose task is cancelled when it expires.
+
+    The cancellation leaves the block as ``TimeoutError``.
+    """
+
+    __slots__ = (
+        "_cancellations",
+        "_handle",
+        "_is_expired",
+        "_is_late",
+        "_loop",
+        "_task",
+    )
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[object] | None = None
+        self._cancellations = 0
+        """Cancellations of the task before the block."""
+        self._handle: asyncio.Handle | None = None
+        self._is_expired = False
+        self._is_late = False
+
+    def __enter__(self) -> Self:
+        self._task = asyncio.current_task()
+        if self._task is None:
+            raise RuntimeError("timeout outside of a task")
+        self._cancellations = self._task.cancelling()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+        if not self._is_expired or self._task is None:
+            return
+        is_only_expired = self._task.uncancel() <= self._cancellations
+        if is_only_expired and isinstance(exc, asyncio.CancelledError):
+            raise LateTimeout if self._is_late else TimeoutError from exc
+
+    def expire(self, *, is_late: bool) -> None:
+        """End the block, unless the task ends it with data that is there.
+
+        Tasks that a socket has woken in this pass of the event loop run first.
+        """
+        self._is_late = is_late
+        self._handle = self._loop.call_soon(self._cancel)
+
+    def _cancel(self) -> None:
+        if self._task is not None:
+            self._is_expired = True
+            self._task.cancel()
+
+
+class RunningTimeout(_Scope):
+    """Timeout that counts only the time in which the event loop runs.
+
+    It is waited for in parts, of which late ones are repeated. Raises
+    ``TimeoutError``, and ``LateTimeout`` if there were too many of these.
+    """
+
+    __slots__ = ("_due_s", "_part_s", "_parts", "_repeats")
+
+    def __init__(self, timeout_s: float) -> None:
+        super().__init__()
+        self._part_s = timeout_s / PARTS
+        self._parts = PARTS
+        self._repeats = MAX_REPEATS
+        self._due_s = 0.0
+
+    def __enter__(self) -> Self:
+        super().__enter__()
+        self._start_part()
+        return self
+
+    def _start_part(self) -> None:
+        self._due_s = self._loop.time() + self._part_s
+        self._handle = self._loop.call_at(self._due_s, self._end_part)
+
+    def _end_part(self) -> None:
+        is_late = self._loop.time() - self._due_s > MAX_TIMER_DELAY_S
+        if is_late and self._repeats:
+            self._repeats -= 1
+            self._start_part()
+            return
+        self._is_late = self._is_late or is_late
+        self._parts -= 1
+        if self._parts:
+            self._start_part()
+        else:
+            self.expire(is_late=self._is_late)
+
+
+class Deadline:
+    """Deadline of a call that waits several times, maybe in several tasks.
+
+    Usage::
+
+        with Deadline(timeout_s) as deadline:
+            with deadline.limit():
+                response = await send()
+            with deadline.limit():
+                body = await response.read()
+
+    A wait that it ends raises ``TimeoutError``, or ``LateTimeout`` if the
+    event loop was late.
+    """
+
+    __slots__ = ("_due_s", "_handle", "_is_late", "_is_over", "_loop", "_open")
+
+    def __init__(self, timeout_s: float) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._due_s = self._loop.time() + timeout_s
+        self._handle: asyncio.Handle | None = None
+        self._open: set[_Scope] = set()
+        self._is_late = False
+        self._is_over = False
+
+    def __enter__(self) -> Self:
+        self._handle = self._loop.call_at(self._due_s, self._on_due)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+
+    @contextmanager
+    def limit(self) -> Iterator[None]:
+        """End the waits of a block at the deadline.
+
+        After it, raises at once, as a block may find enough data to never
+        wait.
+        """
+        if self._is_over:
+            raise LateTimeout if self._is_late else TimeoutError
+        with _Scope() as scope:
+            self._open.add(scope)
+            try:
+                yield
+            finally:
+                self._open.discard(scope)
+
+    def _on_due(self) -> None:
+        late_s = self._loop.time() - self._due_s
+        self._is_late = late_s > MAX_TIMER_DELAY_S
+        if self._is_late:
+            self._handle = self._loop.call_later(READ_S, self._end)
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        self._is_over = True
+        for scope in self._open:
+            scope.expire(is_late=self._is_late)
