--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -12,6 +12,7 @@
 from gooseberrypost.gateway.events import EventSplitter
 from gooseberrypost.gateway.exchange import (
     CONNECT_TIMEOUT_S,
+    MIN_REMAINING_S,
     Exchange,
     ServerReplaced,
 )
@@ -118,6 +119,8 @@
         """Run of the current attempt, as counted at its engine."""
         self._migration = Migration(self)
         self._preparation = Preparation(self)
+        self.has_prefilled = False
+        """Whether an engine has prefilled the prompt for this request."""
         self._successor: Successor | None = None
         """Engine that is prepared as the current one is silent."""
         self._decode_started_s = 0.0
@@ -223,6 +226,7 @@
         successor = self._successor
         if successor is None:
             return
+        successor.allow_source()
         await asyncio.wait({successor.task})
         self._successor = None
         if successor.is_ready:
@@ -313,12 +317,12 @@
             self.handle_unreachable(server, failure)
 
     def _check_restartable(self, failure: NotRun) -> None:
-        """Raise if another attempt would execute a non-resumable stream again.
+        """Raise if another attempt would execute the stream too often.
 
         The failed attempt would have continued the same run. Without its KV
-        cache the request would have to be executed a second time.
+        cache the request would have to be executed once more.
         """
-        if self.attempts and not self.is_repeatable:
+        if self.attempts and not self._may_execute_again:
             raise AnswerLost(
                 f"stream cannot be resumed: {failure}"
             ) from failure
@@ -328,7 +332,8 @@
     ) -> None:
         migration = self._migration
         is_moved = migration.moved is not None
-        if not is_moved and not isinstance(
+        is_late = self.remaining_s < MIN_REMAINING_S
+        if not (is_moved or is_late) and not isinstance(
             failure, StreamStalled | ServerReplaced
         ):
             is_moved = await migration.fail_over(
@@ -457,9 +462,11 @@
         """Begin to prepare another engine, if none is being prepared."""
         if self._successor is not None and not self._successor.task.done():
             return
-        if self._may_execute_again and self.budget.try_spend(self.ctx.now_s()):
+        self._cancel_successor()
+        spent_s = self.ctx.now_s()
+        if self._may_execute_again and self.budget.try_spend(spent_s):
             self.log("successor_started", server=server.instance)
-            self._successor = Successor(self, server)
+            self._successor = Successor(self, server, spent_s)
 
     @property
     def _may_execute_again(self) -> bool:
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -101,15 +101,15 @@
         """
         exchange = self._exchange
         count = self._rescues if is_broken else self._failovers
-        budget = exchange.budget
-        if count >= MAX_FAILOVERS or not budget.can_spend(
-            exchange.ctx.now_s()
-        ):
+        # Many runs of one engine stall together, so the budget is spent
+        # before the first of them has moved.
+        spent_s = exchange.ctx.now_s()
+        if count >= MAX_FAILOVERS or not exchange.budget.try_spend(spent_s):
             return False
         target = self._failover_target(server, run)
         is_moved = await self._stop_and_copy(server, target, "taken_over")
-        if is_moved:
-            budget.spend(exchange.ctx.now_s())
+        if not is_moved:
+            exchange.budget.refund(spent_s)
         if is_broken:
             self._rescues += 1
         elif not self.is_source_unreachable:
@@ -165,10 +165,11 @@
             until_s = min(until_s, self._stopped_s + MAX_HOLDER_WAIT_S)
         if not self._holders or ctx.now_s() + pause_s >= until_s:
             return False
-        await asyncio.sleep(pause_s)
-        self._next_move_s = ctx.now_s() + RETURN_INTERVAL_S
+        # The memory is released if the client leaves during the pause.
         holder = (others or self._holders)[0]
         self.moved = MovedRun(kv, holder)
+        await asyncio.sleep(pause_s)
+        self._next_move_s = ctx.now_s() + RETURN_INTERVAL_S
         exchange.log(
             "returned", server=server.instance, target=holder.instance
         )
