--- a/tests/scenarios/roll_judge.py
+++ b/tests/scenarios/roll_judge.py
@@ -49,6 +49,8 @@
         """What befell requests at a gateway that had been paused."""
         self.let_go: list[str] = []
         """Runs that a gateway ended at a pause of its own."""
+        self.excused: Counter[str] = Counter()
+        """Requests that were cut, by what excuses it."""
         self.abandoned = self.outlived = 0
         """Streams that clients abandoned, and those that ran on for long."""
         self.closed = self.stopped = 0
@@ -73,10 +75,11 @@
         ledger = self._ledger
         runs = [run for runs in ledger.runs.values() for run in runs]
         return {
+            **self.excused,
             "silent": len(ledger.silences),
             "abandoned": self.abandoned,
             "ran on": self.outlived,
-            "broken off": len(ledger.broken),
+            "broken": len(ledger.broken),
             "not resumed": len(self.not_resumed),
             "moves": ledger.moves,
             "continued": sum(run.continues for run in runs),
@@ -90,10 +93,11 @@
     def _judge_cut(self, sent: Sent):
         took_s = sent.ended_s - sent.sent_s
         if took_s >= DEADLINES_MS[sent.route] / 1_000 - 0.1:
+            self.excused["at deadline"] += 1
             return
         was_passed_on = sent.id in self._received
         if not was_passed_on and (sent.was_reset or took_s <= LOSS_SLACK_S):
-            # It crossed the close of its connection.
+            self.excused["crossed a close"] += 1
             return
         before = [t for t in sent.gateway.terms_s if t <= sent.ended_s]
         term_s = before[-1] if before else float("-inf")
@@ -101,10 +105,12 @@
             sent.sent_s <= term_s + EXCUSED_SENT_S
             and sent.ended_s >= term_s + EXCUSED_CUT_S
         ):
+            self.excused["end of grace"] += 1
             return
         runs = self._ledger.runs.get(sent.id, [])
         if runs and runs[-1].end == "broke off":
-            # The rule excuses this; resumable streams are judged apart.
+            # Streams that could be resumed are judged apart.
+            self.excused["broken off"] += 1
             self._judge_broken(sent, runs, term_s)
             return
         self._report(
