--- a/tests/test_entry_successors.py
+++ b/tests/test_entry_successors.py
@@ -7,18 +7,27 @@
 
 import pytest
 
+from gooseberrypost.claims.client import (
+    AnsweredBefore,
+    ClaimRequest,
+    StoredAnswer,
+)
 from gooseberrypost.entry import decoding
-from gooseberrypost.errors import Superseded, TimedOut
+from gooseberrypost.errors import Quarantined, Superseded, TimedOut
+from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.wire.channel import Channel
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
 from gooseberrypost.wire.messages import idl
 from tests.claim_cluster import entries, key_owned_by
 from tests.entry_fakes import TOKENS, drop, hang, refuse, run
-from tests.test_entry_model import crash, cut_after, text_of
+from tests.test_entry_model import crash, cut_after, events, text_of
 
+ANSWER = StoredAnswer(200, b"answer", "text/plain")
 TIMEOUT_MS = 50
 """Time without a token after which the entry reattaches, in ms."""
+RENEWAL_INTERVAL_MS = 1_000
+"""Longest time in which an entry renews a reservation, in ms."""
 SILENCE_S = 0.6
 """Silence of a sound engine, longer than all reattachments take."""
 
@@ -101,6 +110,48 @@
     run(scenario)
 
 
+def test_caller_that_leaves_ends_a_stalled_stream_and_its_successor():
+    """Guards against engine memory held for a caller that has gone (P1).
+
+    Two attempts hold memory at that moment.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        SilentRun(agent)
+        rig.agents["p1"].script[idl.Prefill] = [
+            rig.agents["p1"].prefill,
+            hang,
+        ]
+        response = await rig.complete(stream=True, key="k1").__aenter__()
+        await rig.agents["p1"].wait_for(idl.Prefill, 2)
+        response.close()
+        assert (await agent.wait_for(idl.Cancel)).attempt == 1
+        assert (await other.wait_for(idl.Cancel)).attempt == 2
+        assert (await rig.agents["p1"].wait_for(idl.Cancel)).attempt == 2
+        await rig.daemon.requests.idle()
+        assert rig.claims.abandoned == [("k1", 2, False)]
+
+    run(scenario)
+
+
+def test_deadline_ends_a_stalled_stream_without_a_successor():
+    """Guards against a stalled stream that is kept past its deadline."""
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        SilentRun(agent)
+        rig.agents["d2"].script[idl.Reserve] = [refuse("no_capacity")] * 100
+        headers = {"X-Gooseberrypost-Deadline-Ms": "1500"}
+        async with rig.complete(stream=True, headers=headers) as response:
+            assert events(await response.text())[-1]["error"]["code"] == (
+                "timed_out"
+            )
+        assert (await agent.wait_for(idl.Cancel)).attempt == 1
+
+    run(scenario)
+
+
 def test_stream_of_a_hung_engine_continues_on_another():
     """Guards against lost or repeated tokens after a hung engine (P3)."""
 
@@ -261,26 +312,119 @@
     async def main():
         async with entries(2, owners=[0]) as (owner, holder):
             key = key_owned_by(owner)
-            grant = (await holder.claim(key)).unwrap()
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
             renew, renewed = owner.owner.renew, []
 
-            def lose_reply(*args):
-                renewed.append(renew(*args))
+            async def lose_reply(*args):
+                renewed.append(await renew(*args))
                 if len(renewed) == 1:
                     for session in owner.listener.sessions:
                         session.abort()
                 return renewed[-1]
 
             owner.owner.renew = lose_reply
-            again = await holder.client.renew(key, grant.attempt)
+            again = await holder.client.renew(req, grant.attempt)
             assert len(renewed) == 2
             assert again.unwrap().attempt == renewed[0].attempt
-            stale = await holder.client.renew(key, grant.attempt - 1)
+            stale = await holder.client.renew(req, grant.attempt - 1)
             assert isinstance(stale.unwrap_err(), Superseded)
 
     asyncio.run(main())
 
 
+def test_run_completes_although_its_renewal_got_no_reply():
+    """Guards against a stream without an end whose old run went on.
+
+    Its entry asked for a successor, got none, and kept the run.
+    """
+
+    async def main():
+        async with entries(2, owners=[0]) as (owner, holder):
+            key = key_owned_by(owner)
+            grant = (await holder.claim(key)).unwrap()
+            shard = owner.owner.shard_for(key)
+            renewed = await shard.renew(key, grant.attempt)
+            assert renewed.attempt > grant.attempt
+            client = holder.client
+            lower = await client.complete(key, grant.attempt - 1, ANSWER)
+            assert isinstance(lower.unwrap_err(), Superseded)
+            assert (await client.complete(key, grant.attempt, ANSWER)).is_ok()
+            again = (await holder.claim(key)).unwrap_err()
+            assert isinstance(again, AnsweredBefore)
+
+    asyncio.run(main())
+
+
+def test_minted_key_is_renewed_after_its_shard_moved():
+    """Guards against a stream cut by a planned stop and the loss of an engine.
+
+    The owner of its claim has stopped and released its shards, and then the
+    engine is lost. Its key was minted for it, as the caller sent none.
+    """
+
+    async def main():
+        async with entries(3, owners=[0, 1]) as (owner, _, holder):
+            key = next(iter(owner.owner.section.shards.values())).claims.mint(
+                owner.rng
+            )
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
+            await owner.owner.stop()
+            renewed = await holder.client.renew(req, grant.attempt)
+            number = renewed.unwrap().attempt
+            assert number > grant.attempt
+            done = await holder.client.complete(key, number, ANSWER)
+            assert done.is_ok()
+
+    asyncio.run(main())
+
+
+def test_minted_key_of_convicted_content_is_not_renewed_after_a_move():
+    """Guards against a third crash because a shard moved between (P9)."""
+
+    async def main():
+        async with entries(3, owners=[0, 1]) as (owner, successor, holder):
+            key = next(iter(owner.owner.section.shards.values())).claims.mint(
+                owner.rng
+            )
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
+            await owner.owner.stop()
+            for number in range(2):
+                successor.owner.evidence_store.report(
+                    f"crash{number}", f"engine{number}", {b"d": Suspect()}
+                )
+            renewed = await holder.client.renew(req, grant.attempt)
+            assert isinstance(renewed.unwrap_err(), Quarantined)
+
+    asyncio.run(main())
+
+
+def test_renewed_minted_key_is_completed_at_the_owner_after_the_next():
+    """Guards against a stream without an end when its shard moves twice."""
+
+    async def main():
+        async with entries(4, owners=[0, 1, 2]) as cluster:
+            holder = cluster[3]
+            first = cluster[0].owner
+            key = next(iter(first.section.shards.values())).claims.mint(
+                holder.rng
+            )
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
+            await first.stop()
+            renewed = (await holder.client.renew(req, grant.attempt)).unwrap()
+            second = next(
+                e.owner for e in cluster[1:3] if e.owner.shard_for(key)
+            )
+            await second.stop()
+            done = await holder.client.complete(key, renewed.attempt, ANSWER)
+            assert done.is_ok()
+
+    asyncio.run(main())
+
+
 def test_renewal_waits_for_the_successor_of_a_lost_owner():
     """Guards against a stream that is cut by two losses at a time.
 
@@ -291,9 +435,10 @@
         async with entries(3, owners=[0, 1], lease_ms=4_500) as cluster:
             owner, successor, holder = cluster
             key = key_owned_by(owner)
-            grant = (await holder.claim(key)).unwrap()
+            req = ClaimRequest(key, b"d", "s", True, 8_000)
+            grant = (await holder.client.claim(req)).unwrap()
             await owner.crash()
-            renewed = await holder.client.renew(key, grant.attempt)
+            renewed = await holder.client.renew(req, grant.attempt)
             assert renewed.unwrap().attempt > grant.attempt
             assert successor.owner.shard_for(key) is not None
 
@@ -327,3 +472,26 @@
         assert lost
 
     run(scenario)
+
+
+def test_reservation_is_renewed_while_a_prefill_is_late():
+    """Guards against a prefill that is computed for a place that is gone.
+
+    The engine queue is longer than the entry expected.
+    """
+
+    async def scenario(rig):
+        p1, d1 = rig.agents["p1"], rig.agents["d1"]
+
+        async def prefill_late(session, correlation, message):
+            await d1.wait_for(idl.Reserve, 3)
+            await p1.prefill(session, correlation, message)
+
+        p1.script[idl.Prefill] = [prefill_late]
+        async with rig.complete(stream=True) as response:
+            assert text_of(await response.text()) == "".join(TOKENS)
+        renewals = d1.messages_of(idl.Reserve)
+        assert {m.attempt for m in renewals} == {1}
+        assert all(m.ttl_ms > RENEWAL_INTERVAL_MS for m in renewals)
+
+    run(scenario)
--- a/tests/test_late_event_loop.py
+++ b/tests/test_late_event_loop.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from contextlib import asynccontextmanager
 
 import pytest
 from multidict import CIMultiDict
 
-from gooseberrypost.gateway.model import Stage
+from gooseberrypost.gateway.model import Server, Stage
 from gooseberrypost.gateway.request import ClientRequest
 from gooseberrypost.gateway.transport import (
     AnswerLost,
@@ -18,7 +19,8 @@
     ServerUnreachable,
 )
 from gooseberrypost.platform import names
-from gooseberrypost.platform.engines import HttpTransport
+from gooseberrypost.platform.engines import CONTROL_TIMEOUT_S, HttpTransport
+from gooseberrypost.platform.store import PlatformStore, Put
 from gooseberrypost.timeouts import (
     MAX_REPEATS,
     PARTS,
@@ -26,8 +28,15 @@
     LateTimeout,
     RunningTimeout,
 )
-from tests.gateway_kit import configuration, serving
-from tests.late_kit import PAUSE_S, PausingEngine, in_thread
+from tests.gateway_kit import HOST, configuration, serving
+from tests.late_kit import (
+    ANSWER_S,
+    PAUSE_S,
+    PausingEngine,
+    PausingStore,
+    in_thread,
+)
+from tests.standins.platform_engine import FakePlatformEngine
 
 TIMEOUT_S = 0.1
 LATE_S = 0.06
@@ -232,6 +241,30 @@
     run(work)
 
 
+def test_control_call_is_not_lost_while_each_pass_is_a_little_late():
+    """Guards against timeouts on a busy machine.
+
+    No timer is late by much, but an answer takes several passes of the event
+    loop, and comes just before the timeout.
+    """
+
+    async def work():
+        engine = FakePlatformEngine("e", "decode")
+        await engine.start()
+        engine.control_delay_s = CONTROL_TIMEOUT_S - 0.01
+        transport = HttpTransport()
+        server = Server("e", "llm", engine.address, "a")
+        try:
+            async with late_loop(0.008):
+                for _ in range(5):
+                    await transport.reserve(server, 10, 2_000)
+        finally:
+            await transport.close()
+            await engine.stop()
+
+    run(work)
+
+
 def plain_call(timeout_s: float) -> tuple[ClientRequest, SendOptions]:
     """Return a request, and options with which to send it."""
     headers = CIMultiDict({names.REQUEST_ID: "r"})
@@ -345,7 +378,7 @@
                 kit.generate(X_Gooseberrypost_Deadline_Ms="8000")
             )
             await kit.until(lambda: engine.connections)
-            async with late_loop(1.5 * LATE_S):
+            async with late_loop():
                 # The first connection stays, as the engine does not answer.
                 await kit.until(lambda: len(engine.connections) > 1)
                 engine.control_delay_s = 0
@@ -420,3 +453,102 @@
                 assert load.suspect_until_s < 0
 
     run(work)
+
+
+STORE_CALLS = {
+    "range": lambda store: store.range("x"),
+    "watch": lambda store: store.watch("x", 1, 100),
+    "write": lambda store: store.write([Put("x", b"1")]),
+    "lease": lambda store: store.grant_lease(1_000),
+}
+
+
+@pytest.mark.parametrize("call", STORE_CALLS)
+def test_call_to_the_store_is_not_lost_while_the_loop_is_late(call):
+    """Guards against a store that is taken for unavailable after a pause.
+
+    Leases would lapse, and writes would be taken for failed.
+    """
+
+    async def work():
+        async with in_thread(PausingStore()) as fake:
+            store = PlatformStore(fake.address)
+            try:
+                await STORE_CALLS[call](store)
+            finally:
+                await store.close()
+            assert len(fake.calls) == 1
+
+    run(work)
+
+
+class SilentProcess(PausingEngine):
+    """Ends its answers without framing, and answers no call for its state."""
+
+    async def _handle(self, request, reader, writer):
+        if request.target != "/-/report":
+            return await super()._handle(request, reader, writer)
+        await self._pause()
+        await asyncio.sleep(3_600)
+
+
+def test_check_of_a_process_ends_with_the_deadline_of_its_request():
+    """Guards against a reply that comes long after its client's deadline.
+
+    The event loop stands still while the check waits for an answer.
+    """
+
+    async def work():
+        async with serving() as kit:
+            server = SilentProcess("desk", pauses=0)
+            server.mode = "unframed"
+            async with in_thread(server):
+                kit.store.put("servers/desk", server.registration("desk"))
+                servers = kit.daemon.context.directory.servers
+                await kit.until(servers.all)
+                begun_s = time.monotonic()
+                got = await kit.call(
+                    "/once/x", X_Gooseberrypost_Deadline_Ms="400"
+                )
+                took_s = time.monotonic() - begun_s
+                assert got.status == 504
+                # The pause begins at once, and the deadline passes in it.
+                assert took_s < PAUSE_S + 0.15
+
+    run(work)
+
+
+def test_body_that_came_while_the_loop_was_late_is_read():
+    """Guards against refusing a sound client after a pause of the gateway."""
+
+    async def work():
+        async with serving(("desk", "desk", "")) as kit:
+            kit.store.put("op/config", configuration(4, header_timeout_ms=300))
+            directory = kit.daemon.context.directory
+            await kit.until(lambda: directory.configuration.version == 4)
+
+            loop = asyncio.get_running_loop()
+            head = (
+                "POST /once/x HTTP/1.1",
+                f"Host: {HOST}",
+                f"{names.REQUEST_ID}: r",
+                f"{names.DEADLINE_MS}: 2000",
+                "Content-Length: 8",
+                "Connection: close",
+                *("", "half"),
+            )
+
+            def send() -> bytes:
+                host, port = kit.daemon.frontend.address.split(":")
+                with socket.create_connection((host, int(port)), 5) as sock:
+                    sock.sendall("\r\n".join(head).encode())
+                    time.sleep(ANSWER_S)
+                    loop.call_soon_threadsafe(time.sleep, PAUSE_S)
+                    time.sleep(ANSWER_S)
+                    sock.sendall(b"half")
+                    return sock.recv(1_000)
+
+            assert b" 200 OK" in await asyncio.to_thread(send)
+            assert kit.engines["desk"].received[0].body == b"halfhalf"
+
+    run(work)
