--- a/tests/scenarios/gateway_roll.py
+++ b/tests/scenarios/gateway_roll.py
@@ -19,10 +19,9 @@
 import asyncio
 import random
 import signal
-import subprocess
 import tempfile
 from collections import Counter
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 import click
@@ -33,7 +32,7 @@
     gateway_process,
     is_gateway_ready,
 )
-from tests.scenarios.roll_clients import Gateway, Pause, RollClients
+from tests.scenarios.roll_clients import Gateway, RollClients
 from tests.scenarios.roll_engine import (
     SLOTS,
     TOKENS_PER_EVENT,
@@ -41,22 +40,16 @@
     RollEngine,
     RollLedger,
 )
-from tests.scenarios.roll_judge import GRACE_S, Judge, name_of
+from tests.scenarios.roll_judge import Judge, name_of
+from tests.scenarios.roll_work import GRACE_S, PlannedWork, wait_ready
 from tests.standins.moving_engine import PROMPT_RETENTION_S
 from tests.standins.platform_store import FakePlatformStore
 
-PAUSE_S = (0.5, 3.0)
-"""Shortest and longest pause of a gateway."""
-READY_TIMEOUT_S = 30.0
 PROBE_INTERVAL_S = 1.0
 SLICE_S = 0.1
 """Period of a quota, of which a gateway may not run a part."""
 
 
-class NotReady(Exception):
-    """A gateway that was started is not ready; with the end of its log."""
-
-
 class RollOptions:
     """Size of a roll, and what its servers and gateways do."""
 
@@ -96,13 +89,17 @@
             self.gateways, self.rng, options.again_weight
         )
         self.version = 1
-        self.signals = 0
-        self.killed = 0
-        """Gateways that ran longer than the grace."""
+        self.work = PlannedWork(
+            self.rng, self.gateways, self._change_configuration, options.pauses
+        )
         self.judge: Judge | None = None
         self.logs = ""
         """Log lines of the requests that are named in the findings."""
 
+    @property
+    def signals(self) -> int:
+        return self.work.signals
+
     @property
     def violations(self) -> list[str]:
         return self.judge.violations
@@ -118,7 +115,7 @@
                 asyncio.create_task(self.clients.run(number))
                 for number in range(self.options.clients)
             ]
-            await self._plan()
+            await self.work.run(self.seconds)
             for task in clients:
                 task.cancel()
             await asyncio.gather(*clients, return_exceptions=True)
@@ -155,7 +152,7 @@
             process.write_settings()
             process.start()
         for gateway in self.gateways:
-            await self._wait_ready(gateway)
+            await wait_ready(gateway)
             gateway.in_rotation = True
 
     def _register(self, engine: RollEngine):
@@ -184,18 +181,6 @@
         }
         return gateway_process(number, self.store.address, self.folder, bounds)
 
-    async def _wait_ready(self, gateway: Gateway):
-        process = gateway.process
-        is_ready = False
-        try:
-            async with asyncio.timeout(READY_TIMEOUT_S):
-                while not is_ready:
-                    await asyncio.sleep(0.1)
-                    is_ready = await is_gateway_ready(process)
-        except TimeoutError:
-            lines = [f"exit {process.exit_code}", *process.log_lines()[-40:]]
-            raise NotReady("\n".join(lines)) from None
-
     async def _probe(self):
         """Take gateways out of rotation after two misses."""
         while True:
@@ -226,78 +211,9 @@
                 share = 0.6 if number is signal.SIGSTOP else 0.4
                 await asyncio.sleep(SLICE_S * share)
 
-    async def _plan(self):
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + self.seconds
-        active: set[asyncio.Task] = set()
-        while loop.time() < end_s:
-            work = self.rng.choices(
-                (
-                    self._restart,
-                    self._reload,
-                    self._change_configuration,
-                    self._pause,
-                ),
-                (5, 2, 1, 4 if self.options.pauses else 0),
-            )[0]
-            task = asyncio.create_task(work())
-            active.add(task)
-            task.add_done_callback(active.discard)
-            await asyncio.sleep(self.rng.uniform(0.2, 1.5))
-        await asyncio.gather(*active)
-
-    async def _restart(self):
-        """Stop a gateway by SIGTERM and start it again."""
-        gateway = self.rng.choice(self.gateways)
-        if gateway.busy:
-            return
-        gateway.busy = True
-        self.signals += 1
-        loop = asyncio.get_running_loop()
-        gateway.terms_s.append(loop.time())
-        gateway.process.signal(signal.SIGTERM)
-        if self.rng.random() < 0.3:
-            await asyncio.sleep(self.rng.uniform(0, 3))
-            gateway.process.signal(signal.SIGHUP)
-        popen = gateway.process.popen
-        with suppress(subprocess.TimeoutExpired):
-            left_s = gateway.terms_s[-1] + GRACE_S - loop.time()
-            await asyncio.to_thread(popen.wait, left_s)
-        if gateway.process.running:
-            # As the platform does. Requests that this cuts are judged.
-            self.killed += 1
-            gateway.process.signal(signal.SIGCONT)
-            gateway.process.signal(signal.SIGKILL)
-        await asyncio.to_thread(popen.wait)
-        await asyncio.sleep(self.rng.uniform(0, 0.5))
-        gateway.process.start()
-        await self._wait_ready(gateway)
-        gateway.busy = False
-
-    async def _reload(self):
-        gateway = self.rng.choice(self.gateways)
-        if not gateway.busy:
-            self.signals += 1
-            gateway.process.signal(signal.SIGHUP)
-
-    async def _pause(self):
-        """Have a gateway not run for a while."""
-        gateway = self.rng.choice(self.gateways)
-        if gateway.busy or gateway.is_paused:
-            return
-        loop = asyncio.get_running_loop()
-        pause = Pause(loop.time())
-        gateway.pauses.append(pause)
-        gateway.process.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(*PAUSE_S))
-        gateway.process.signal(signal.SIGCONT)
-        pause.ended_s = loop.time()
-
-    async def _change_configuration(self):
-        for _ in range(self.rng.randint(1, 6)):
-            self.version += self.rng.randint(1, 7)
-            self._configure()
-            await asyncio.sleep(self.rng.uniform(0, 0.2))
+    def _change_configuration(self):
+        self.version += self.rng.randint(1, 7)
+        self._configure()
 
     def _judge(self) -> Judge:
         received = {
@@ -356,7 +272,7 @@
         click.echo(
             f"seed {number}: {len(run.clients.sent)} sent, "
             f"{run.signals} signals, "
-            f"{run.killed} killed, {run.version} newest configuration, "
+            f"{run.work.killed} killed, {run.version} newest configuration, "
             f"{len(run.violations)} violations, {run.counts()}, "
             f"{run.judge.counts()}"
         )
--- a/tests/scenarios/roll_judge.py
+++ b/tests/scenarios/roll_judge.py
@@ -8,10 +8,10 @@
 
 from tests.scenarios.roll_clients import DEADLINES_MS, STREAMS, Sent
 from tests.scenarios.roll_engine import RollLedger
+from tests.scenarios.roll_work import GRACE_S
 from tests.silent_engine import whole
 from tests.standins.moving_engine import Run
 
-GRACE_S = 8.0
 EXCUSED_SENT_S = 3.0
 """Time after SIGTERM up to which long requests are excused."""
 EXCUSED_CUT_S = GRACE_S * 5 / 6
