--- a/tests/scenarios/gateway_roll.py
+++ b/tests/scenarios/gateway_roll.py
@@ -282,6 +282,7 @@
             *judge.not_resumed,
             *(f"after a pause: {text}" for text in judge.paused),
             *judge.let_go,
+            *judge.held,
         ):
             click.echo(f"  {finding}")
         if logs:
--- a/tests/scenarios/roll_judge.py
+++ b/tests/scenarios/roll_judge.py
@@ -24,6 +24,8 @@
 """Time after a pause in which a gateway is not in touch."""
 LATE_S = 1.0
 """Time after a pause in which a gateway acts on what it missed."""
+HELD_S = 0.5
+"""Time after which an event of an engine has reached a client."""
 GONE_S = 0.5
 """Time after its client has left for which an engine may run a request."""
 RESUME_S = 2.0
@@ -53,6 +55,8 @@
         """Requests that were cut, by what excuses it."""
         self.abandoned = self.outlived = 0
         """Streams that clients abandoned, and those that ran on for long."""
+        self.held: list[str] = []
+        """Streams that clients abandoned while an engine ran them."""
         self.closed = self.stopped = 0
         """Runs that gateways closed, and that they stopped to move them."""
 
@@ -62,6 +66,7 @@
                 continue
             if sent.was_abandoned:
                 self.abandoned += 1
+                self._judge_abandoned(sent)
                 self.outlived += any(
                     run.ended_s > sent.ended_s + GONE_S
                     for run in self._ledger.runs.get(sent.id, [])
@@ -78,6 +83,7 @@
             **self.excused,
             "silent": len(ledger.silences),
             "abandoned": self.abandoned,
+            "held": len(self.held),
             "ran on": self.outlived,
             "broken": len(ledger.broken),
             "not resumed": len(self.not_resumed),
@@ -122,6 +128,24 @@
             sent,
         )
 
+    def _judge_abandoned(self, sent: Sent):
+        """Note a client that left though an engine had events for it."""
+        silence = self._ledger.silences.get(sent.id)
+        is_silent = (
+            silence is not None
+            and silence.started_s < sent.ended_s
+            and silence.ended_s > sent.ended_s - HELD_S
+        )
+        runs = self._ledger.runs.get(sent.id, [])
+        was_run = runs and runs[0].started_s < sent.ended_s - HELD_S
+        if was_run and not is_silent:
+            self.held.append(
+                f"HELD {sent.id} on {sent.route} at {name_of(sent)}: left "
+                f"{sent.ended_s - sent.sent_s:.2f} s after it was sent, "
+                f"with {len(sent.body)} bytes, {self._history(sent)}"
+            )
+            self.lost.append(sent)
+
     def _judge_broken(self, sent: Sent, runs: list[Run], term_s: float):
         deadline_s = sent.sent_s + DEADLINES_MS[sent.route] / 1_000
         executed = sum(not run.continues for run in runs)
