--- a/tests/test_gateway_roll.py
+++ b/tests/test_gateway_roll.py
@@ -32,7 +32,7 @@
             seconds=10.0,
             gateways=3,
             clients=40,
-            silent_share=0.15,
+            silent_share=0.25,
             break_share=0.05,
             again_weight=2.0,
         )
