Offer a stopped run again after a reset before its answer

Cause: a lost answer of a run that goes on was taken for its end, also before any answer. The handle can be used once, so that the run cannot go on twice: an engine whose handle was used refuses.

test_stopped_run_goes_on_after_a_reset failed before: text was cut, again was executed twice. The run is offered to the engines that have its memory now, as after a connection that could not be opened.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -118,6 +118,8 @@
         """Whether the current attempt goes on after an event of another."""
         self._continues_run = False
         """Whether the current attempt goes on with a run that was moved."""
+        self._is_taken = False
+        """Whether the engine of the current attempt has begun to answer."""
         self._run = Run(0, 0)
         """Run of the current attempt, as counted at its engine."""
         self._migration = Migration(self)
@@ -284,12 +286,14 @@
             self._decode_started_s = self.ctx.now_s()
         self.ctx.loads.of(server.identity).runs.add(self._run)
         self._progress = self._start_progress(server, kv)
+        self._is_taken = False
         try:
             async with AsyncExitStack() as stack:
                 opened = self.ctx.transport.open(server, self.req, options)
                 answer = await self._wait_or_fail_over(
                     server, stack.enter_async_context(opened)
                 )
+                self._is_taken = True
                 await self._forward(server, answer)
             return True
         except (ServerUnreachable, ServerRefused) as failure:
@@ -301,7 +305,7 @@
         except EngineFailed as failure:
             self._log_retry(server, failure)
         except AnswerLost as failure:
-            await self._handle_broken_stream(server, failure)
+            await self._handle_broken_stream(server, kv, failure)
         finally:
             self.remove_run(server, self._run)
         return False
@@ -342,7 +346,7 @@
             ) from failure
 
     async def _handle_broken_stream(
-        self, server: Server, failure: AnswerLost
+        self, server: Server, kv: KvHandle | None, failure: AnswerLost
     ) -> None:
         migration = self._migration
         is_moved = migration.moved is not None
@@ -353,6 +357,11 @@
             is_moved = await migration.fail_over(
                 server, self._run, is_broken=True
             )
+            if not is_moved and not self._is_taken and self._continues_run:
+                # The handle can be used once, so the run cannot go on twice.
+                is_moved = kv is not None and await migration.try_other_holder(
+                    server, kv, failure
+                )
         if is_moved:
             # The same run continues from its KV cache, so the request is not
             # executed again.
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -30,7 +30,7 @@
 
     from gooseberrypost.gateway.generation import Generation
     from gooseberrypost.gateway.model import Server
-    from gooseberrypost.gateway.transport import KvHandle
+    from gooseberrypost.gateway.transport import AnswerLost, KvHandle
     from gooseberrypost.policy.enginememory import Run
 
 MAX_FAILOVERS: Final = 2
@@ -134,7 +134,7 @@
         self,
         server: Server,
         kv: KvHandle,
-        failure: ServerUnreachable | ServerRefused,
+        failure: ServerUnreachable | ServerRefused | AnswerLost,
     ) -> bool:
         """Let a stopped run that ``server`` did not take go on elsewhere.
 
@@ -150,11 +150,14 @@
             for holder in self._holders
             if holder.identity != server.identity
         ]
+        if not isinstance(failure, ServerUnreachable):
+            exchange.budget.spend(ctx.now_s())
         if isinstance(failure, ServerRefused):
             load.record_refusal(ctx.now_s())
-            exchange.budget.spend(ctx.now_s())
             self._holders = others
-        elif not failure.is_own_delay:
+        elif isinstance(failure, ServerUnreachable) and (
+            not failure.is_own_delay
+        ):
             load.record_unreachable(ctx.now_s())
         self._holder_tries += 1
         pause_s = min(
--- a/tests/silent_engine.py
+++ b/tests/silent_engine.py
@@ -5,7 +5,10 @@
 import asyncio
 
 from tests.gateway_kit import GatewayKit, configuration
-from tests.standins.platform_engine import FakePlatformEngine
+from tests.standins.platform_engine import (
+    FakePlatformEngine,
+    reset_connection,
+)
 
 DEADLINE_MS = 14_000
 
@@ -25,6 +28,8 @@
         """Event after which the engine breaks off a new stream."""
         self.answers_when_silent = True
         """Whether control calls are answered in the silence."""
+        self.resets = 0
+        """Number of moved runs that are reset before they are read."""
         self.move_s = 0.0
         """Time until a stopped run is copied."""
         self.speaks = asyncio.Event()
@@ -34,6 +39,9 @@
         is_control = request.target.startswith("/-/")
         if is_control and not self.answers_when_silent:
             await self.speaks.wait()
+        if self.resets and request.header("Kv-Source"):
+            self.resets -= 1
+            return reset_connection(writer)
         if request.target == "/-/kv-move":
             self.control.append(request)
             status, body = self._control(request)
--- a/tests/test_stream_successors.py
+++ b/tests/test_stream_successors.py
@@ -189,6 +189,31 @@
     run(work)
 
 
+@pytest.mark.parametrize("route", ["text", "again"])
+def test_stopped_run_goes_on_after_a_reset(route):
+    """Guards against dropping a run whose target resets the connection.
+
+    Engines do so with connections beyond their limit.
+    """
+
+    async def work():
+        async with serving() as kit:
+            engines = await add_engines(kit, "d", "e")
+            for engine in engines:
+                engine.supports_moves = True
+                engine.silent_after, engine.silence_s = 10, 5.0
+            task = asyncio.create_task(stream(kit, route))
+            source, (target,) = await running_at(kit, engines)
+            target.resets = 1
+            got = await task
+            assert got.complete
+            assert got.body == whole(30)
+            assert target.resets == 0
+            assert len(source.executed + target.executed) == 1
+
+    run(work)
+
+
 def test_run_is_not_stopped_without_retry_budget():
     """Guards against a run that is stopped and may then not go on."""
 
