Roll: a late engine serves the connections that it had accepted

asyncio drops a connection that was accepted in the pass of the event loop in which its server is closed; the kernel resets it when it is collected.

--- a/tests/standins/moving_engine.py
+++ b/tests/standins/moving_engine.py
@@ -120,6 +120,10 @@
 
     async def _accept_late(self, late_s: float):
         """Establish no connection for a while, as a late event loop."""
+        listening = self.server.sockets[0].fileno()
+        asyncio.get_running_loop().remove_reader(listening)
+        # Connections that were just accepted would be reset by the close.
+        await asyncio.sleep(0.01)
         self.server.close()
         self._listener.listen(0)
         with socket.socket() as filler:
