Agents: take no own pause for a stalled transfer

The timer of the transfer ends a wait whose answer arrived while the event loop of the agent was late, and the run is dropped.

test_transfer_is_not_stalled_by_a_pause_of_its_agent failed before.

--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -20,6 +20,7 @@
     UnknownOutcome,
 )
 from gooseberrypost.state.attempts import AttemptState, Phase
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from gooseberrypost.agent.cancellation import AttemptCanceller
@@ -128,7 +129,7 @@
             timeout_ms += max(0, booking.start_ms - self._context.now_ms())
         engine = self._context.engine
         try:
-            async with asyncio.timeout(timeout_ms / 1_000):
+            with RunningTimeout(timeout_ms / 1_000):
                 return await stack.enter_async_context(
                     engine.decode(job.attempt, options)
                 )
--- a/tests/test_agent_successors.py
+++ b/tests/test_agent_successors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from result import Err
 
@@ -138,3 +139,28 @@
             assert (end.code, end.tokens) == ("", req.max_tokens)
 
     asyncio.run(run())
+
+
+def test_transfer_is_not_stalled_by_a_pause_of_its_agent():
+    """Guards against dropping a run whose transfer ended during the pause.
+
+    The pause is longer than the timeout of the transfer.
+    """
+
+    async def run():
+        async with running_rig() as rig:
+            rig.decode_engine.switch("stall", True)
+            reserved, prefilled = await rig.prepare()
+            req = decode(reserved, prefilled, transfer_timeout_ms=200)
+            async with rig.decode_channel.stream(req) as replies:
+                await until(lambda: rig.decode_engine.attempts, 1_000)
+                rig.decode_engine.switch("stall", False)
+                stand_still(0.4)
+                _, end = await collect(replies)
+            assert end.code in (None, "")
+
+    asyncio.run(run())
+
+
+def stand_still(pause_s: float):
+    time.sleep(pause_s)
