Stand-in: keep a truncated answer shorter than it declares

Cause: not the gateway. In mode truncate the stand-in declares 50 bytes and sends four. If it also repeats an earlier refusal behind its answer, the first 46 bytes of that complete the declared length, so the answer is whole by all that its receiver can see.

Change: a truncated answer declares more bytes than the repeated refusal has, so that it is truncated in every combination. The new test plays the combination; it failed on the stand-in before (200 instead of 502, both routes) and passes now.

--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -11,6 +11,11 @@
 SIGNATURE = "X-Gooseberrypost-Server-Stamp: sig"
 NOT_EXECUTED = "X-Gooseberrypost-Not-Executed: 1"
 UNAVAILABLE = "503 Service Unavailable"
+TRUNCATED_LENGTH = 5_000
+"""Length in bytes that a truncated answer declares.
+
+No repeated refusal behind the part that is sent makes it that long.
+"""
 
 
 class Received:
@@ -432,7 +437,8 @@
     async def _mode_truncate(self, request, writer):
         if self.stage:
             return await self._stream(request, writer)
-        writer.write(self._head(request, "Content-Length: 50") + b"part")
+        length = f"Content-Length: {TRUNCATED_LENGTH}"
+        writer.write(self._head(request, length) + b"part")
         await writer.drain()
 
     async def _mode_reset(self, request, writer):
--- a/tests/test_gateway_trouble.py
+++ b/tests/test_gateway_trouble.py
@@ -341,6 +341,24 @@
     run(work)
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_cut_answer_is_not_completed_by_a_repeated_refusal(path):
+    """Guards against a part of an answer that is forwarded as the whole.
+
+    The server writes an earlier refusal behind the part, on the same
+    connection.
+    """
+
+    async def work():
+        async with serving(("a", "desk", "")) as kit:
+            kit.engines["a"].mode = "truncate"
+            kit.engines["a"].old_refusal = "after"
+            response = await kit.call(path)
+            assert response.status == 502
+
+    run(work)
+
+
 def test_answer_without_framing_of_a_busy_server_is_complete():
     """Guards against sound answers that count as cut while reports are slow.
 
