Give memory to streams that have begun before new ones

Cause: a begun stream waits by the time at which its client leaves, some seconds, and new generations by the due time of their first event, below one. So new ones went first, at this gateway and, through the ranks in the load notices, at all others. Beside it a begun stream waits in a line of its version, and the lines that share an engine were served in no order.

Change: within a priority begun streams come first, in the queue and in the rank that other gateways compare; lines are served in the order of their heads.

--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -90,7 +90,7 @@
         objective is refused at once, so that its client can retry later
         instead of waiting for a late answer. One that has begun waits until
         its deadline, and for a server of its version until its next event is
-        due.
+        due: a refusal would cut its answer.
         """
         if not pending.has_begun:
             self._refuse_at_once(pending)
@@ -284,7 +284,10 @@
                 pending, now_s, self._first_event_delay_s(pending)
             ):
                 self._refuse(pending, self._no_capacity(pending))
-        for line in {pending.line for pending in self._queue}:
+        # Lines share engines, and a stream that has begun has a line of its
+        # version.
+        lines = dict.fromkeys(one.line for one in self._ordered(self._queue))
+        for line in lines:
             while pending := self._next(line):
                 # The rest of the line waits for its head. Otherwise small
                 # generations would starve large ones.
@@ -313,11 +316,14 @@
     def _first(
         self, pendings: Iterable[PendingReservation]
     ) -> PendingReservation | None:
+        return next(iter(self._ordered(pendings)), None)
+
+    def _ordered(
+        self, pendings: Iterable[PendingReservation]
+    ) -> list[PendingReservation]:
         waiting = list(pendings)
-        if not waiting:
-            return None
-        first_event_delay_s = max(map(self._first_event_delay_s, waiting))
-        return queue_order(waiting, self._ctx.now_s(), first_event_delay_s)[0]
+        delay_s = max(map(self._first_event_delay_s, waiting), default=0.0)
+        return queue_order(waiting, self._ctx.now_s(), delay_s)
 
     def _may_reserve(self, pending: PendingReservation) -> bool:
         """Whether a generation may reserve the memory that is free now.
--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -54,11 +54,6 @@
     run: Run = field(default_factory=lambda: Run(0, 0))
     version: str | None = None
     """Software version at which the stream must go on; None for any."""
-    has_begun: bool = False
-    """Whether a part of the answer has been sent.
-
-    A refusal would cut the answer, so there is none before ``abandon_s``.
-    """
     source: str = ""
     """Identity of an engine that still runs the generation; empty if none."""
     is_reserving: bool = False
--- a/src/gooseberrypost/policy/queueorder.py
+++ b/src/gooseberrypost/policy/queueorder.py
@@ -27,6 +27,8 @@
 """
 LATE_RANK_OFFSET_MS: Final = 100_000
 """Offset that ranks late generations after all that can be in time."""
+BEGUN_RANK_OFFSET_MS: Final = 2 * LATE_RANK_OFFSET_MS
+"""Offset that ranks generations that have begun before all new ones."""
 FIRST_ATTEMPT_MIN_SHARE: Final = 0.83
 """Minimum share of the route's timeout that is left at a first attempt.
 
@@ -49,6 +51,8 @@
     """Predicted output tokens."""
     priority: int = 0
     """Priority of the route; lower values are served first."""
+    has_begun: bool = False
+    """Whether a part of the answer has been sent."""
 
 
 QueuedT = TypeVar("QueuedT", bound=QueuedGeneration)
@@ -59,15 +63,18 @@
 ) -> list[QueuedT]:
     """Sort queued generations by the order in which they get memory.
 
-    Within a priority, generations that can still be in time come first;
-    each group is ordered by due time. A burst then delays only requests that
-    are late already instead of every request after them as well.
-    ``first_event_delay_s`` is the time from a reservation to the first event.
+    Within a priority, generations that have begun come first, as a refused
+    one can be sent again and a stream that was cut cannot. Then come those
+    that can still be in time; each group is ordered by due time. A burst then
+    delays only requests that are late already instead of every request after
+    them as well. ``first_event_delay_s`` is the time from a reservation to
+    the first event.
     """
 
-    def key(queued: QueuedGeneration) -> tuple[int, bool, float]:
-        is_late = now_s + first_event_delay_s > queued.first_event_due_s
-        return queued.priority, is_late, queued.first_event_due_s
+    def key(queued: QueuedGeneration) -> tuple[int, bool, bool, float]:
+        due_s = queued.first_event_due_s
+        is_late = now_s + first_event_delay_s > due_s
+        return queued.priority, not queued.has_begun, is_late, due_s
 
     return sorted(queue, key=key)
 
@@ -77,8 +84,9 @@
 ) -> int:
     """Return the rank by which gateways compare the heads of their queues.
 
-    It is the time in ms until the first event is due, with an offset for
-    generations that are late; the lowest rank is served first.
+    It is the time in ms until the first event is due, with offsets for
+    generations that are late and for those that have begun; the lowest rank is
+    served first.
 
     >>> queued = QueuedGeneration(
     ...     first_event_due_s=2.0, abandon_s=3.0, tokens=1
@@ -90,9 +98,12 @@
     """
     left_ms = round(1_000 * (queued.first_event_due_s - now_s))
     is_late = now_s + first_event_delay_s > queued.first_event_due_s
-    return max(left_ms, -LATE_RANK_OFFSET_MS) + (
-        LATE_RANK_OFFSET_MS if is_late else 0
-    )
+    rank_ms = max(left_ms, -LATE_RANK_OFFSET_MS)
+    if is_late:
+        rank_ms += LATE_RANK_OFFSET_MS
+    if queued.has_begun:
+        rank_ms -= BEGUN_RANK_OFFSET_MS
+    return rank_ms
 
 
 def first_event_due_in_s(
