--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -20,8 +20,7 @@
 from gooseberrypost.gateway.migration import Migration
 from gooseberrypost.gateway.preparation import Preparation
 from gooseberrypost.gateway.request import Prompt
-from gooseberrypost.gateway.successor import Successor
-from gooseberrypost.gateway.tasks import cancel_and_wait
+from gooseberrypost.gateway.streamwatch import StreamStalled, StreamWatch
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     SendOptions,
@@ -30,14 +29,9 @@
 )
 from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.enginememory import Run
-from gooseberrypost.policy.serverchoice import (
-    DECODE_PREFILL_SLOWDOWN,
-    prefill_time_ms,
-)
-from gooseberrypost.policy.streamprogress import StreamProgress, idle_timeout_s
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable
+    from collections.abc import AsyncIterator
 
     from gooseberrypost.errors import NotRun
     from gooseberrypost.gateway.model import Server
@@ -47,14 +41,6 @@
         Reservation,
     )
 
-STALL_SHARE: Final = 0.5
-"""Share of the time that a client waits for an event after which another
-engine is prepared for a stalled stream, if it may execute the request again.
-"""
-LATE_TIMER_S: Final = 0.02
-"""Delay of a timer beyond which the event loop of this process was late."""
-READ_GRACE_S: Final = 0.02
-"""Time to read what arrived before a stream is taken for stalled."""
 STREAM_CLOSE_TIMEOUT_S: Final = 0.1
 """Time allowed for an engine to close the stream of a stopped generation."""
 REFUSED_PAUSE_S: Final = 0.1
@@ -82,24 +68,12 @@
     code = "relieved"
 
 
-class StreamStalled(AnswerLost):
-    """The decode engine sends no event, and the run cannot be moved."""
-
-    code = "stream_stalled"
-
-
 class EngineFailed(Failure):
     """The engine answered with an error; another one is tried next."""
 
     code = "engine_failed"
 
 
-class StreamMoved(AnswerLost):
-    """A stalled run was stopped, to continue at another engine."""
-
-    code = "stream_moved"
-
-
 class Generation(Exchange):
     """Reserves decode memory, prefills the prompt and streams the answer."""
 
@@ -126,11 +100,8 @@
         self._preparation = Preparation(self)
         self.has_prefilled = False
         """Whether an engine has prefilled the prompt for this request."""
-        self._successor: Successor | None = None
-        """Engine that is prepared as the current one is silent."""
+        self._watch = StreamWatch(self, self._migration)
         self._decode_started_s = 0.0
-        self._progress = StreamProgress(0.0, 0.0, 0.0)
-        """Events of the current decode attempt."""
         self._first_event_s: float | None = None
         """Monotonic time of the first event for the client."""
         self._last_event_s = self.req.arrived_s
@@ -170,11 +141,11 @@
     @property
     def client_waits_until_s(self) -> float:
         """Time at which the client disconnects if no event comes before."""
-        waits_until_s = self._last_event_s + self._client_wait_s
+        waits_until_s = self._last_event_s + self.client_wait_s
         return min(self.deadline_s, waits_until_s)
 
     @property
-    def _client_wait_s(self) -> float:
+    def client_wait_s(self) -> float:
         """Time without an event after which the client disconnects."""
         return (
             max(
@@ -226,10 +197,13 @@
         self._continues_run = moved is not None
         if moved is not None:
             # The run is stopped and can only continue there.
-            self._cancel_successor()
+            self._watch.cancel_successor()
             self.ctx.count_send(moved.server)
             return await self._decode(moved.server, moved.kv, None)
-        await self._adopt_successor()
+        successor = await self._watch.pop_successor()
+        if successor is not None:
+            self._preparation.release()
+            self._preparation = successor
         if not await self._preparation.complete():
             return False
         prepared = self._preparation.take()
@@ -237,30 +211,13 @@
         reservation = prepared.reservation
         return await self._decode(reservation.server, prepared.kv, reservation)
 
-    async def _adopt_successor(self) -> None:
-        """Go on with the engine that is being prepared, if there is one."""
-        successor = self._successor
-        if successor is None:
-            return
-        successor.allow_source()
-        await asyncio.wait({successor.task})
-        self._successor = None
-        if successor.is_ready:
-            self._preparation.release()
-            self._preparation = successor.preparation
-
-    def _cancel_successor(self) -> None:
-        successor, self._successor = self._successor, None
-        if successor is not None:
-            successor.cancel()
-
     def _release_unused(self) -> None:
         """Release what was prepared, and runs that were moved."""
         moved = self._migration.pop_moved()
         if moved is not None:
             self.remove_run(moved.server, self._run)
             self.ctx.spawn(self.ctx.transport.release_kv(moved.kv))
-        self._cancel_successor()
+        self._watch.cancel_successor()
         self._preparation.release()
 
     async def _decode(
@@ -285,12 +242,12 @@
         if not self._events.count:
             self._decode_started_s = self.ctx.now_s()
         self.ctx.loads.of(server.identity).runs.add(self._run)
-        self._progress = self._start_progress(server, kv)
+        self._watch.start(server, kv, self._run)
         self._is_taken = False
         try:
             async with AsyncExitStack() as stack:
                 opened = self.ctx.transport.open(server, self.req, options)
-                answer = await self._wait_or_fail_over(
+                answer = await self._watch.wait(
                     server, stack.enter_async_context(opened)
                 )
                 self._is_taken = True
@@ -340,7 +297,7 @@
         The failed attempt would have continued the same run. Without its KV
         cache the request would have to be executed once more.
         """
-        if self.attempts and not self._may_execute_again:
+        if self.attempts and not self.may_execute_again:
             raise AnswerLost(
                 f"stream cannot be resumed: {failure}"
             ) from failure
@@ -375,8 +332,8 @@
         self.handle_lost_answer(
             server,
             failure,
-            repeatable=self._may_execute_again,
-            is_counted=self._successor is not None,
+            repeatable=self.may_execute_again,
+            is_counted=self._watch.has_successor,
         )
 
     def count_waste(self, cause: str) -> None:
@@ -385,114 +342,9 @@
             "prefill_wasted_tokens_total", self.prompt.tokens, cause=cause
         )
 
-    def _start_progress(
-        self, server: Server, kv: KvHandle | None
-    ) -> StreamProgress:
-        """Return the progress of a decode attempt that begins now."""
-        ctx = self.ctx
-        gap_s = self.route.target_gap_ms / 1_000
-        idle_s = idle_timeout_s(gap_s, ctx.usual_pause_s(self.service))
-        first_event_s = ctx.first_event_delay_s(self.service)
-        if kv is None:
-            tokens = self.prompt.tokens
-            prefill_ms = prefill_time_ms(server, ctx.loads, tokens)
-            first_event_s += DECODE_PREFILL_SLOWDOWN * prefill_ms / 1_000
-        return StreamProgress(ctx.now_s(), idle_s, first_event_s)
-
-    async def _wait_or_fail_over(
-        self, server: Server, work: Awaitable[T]
-    ) -> T:
-        """Wait for data from an engine; fail over when no event arrives.
-
-        The connection stays open during the failover, because an engine drops
-        a generation whose connection is closed.
-        """
-        task = asyncio.ensure_future(work)
-        try:
-            while True:
-                if await self._is_done_in_time(task):
-                    return task.result()
-                if self._successor is not None and self._successor.is_ready:
-                    raise StreamStalled(
-                        f"{server.address}: silent for {self._silence_s:.2f} s"
-                    )
-                if self._progress.until_check_s(self.ctx.now_s()) <= 0:
-                    await self._handle_stall(server)
-        finally:
-            await cancel_and_wait(task)
-
-    async def _is_done_in_time(self, task: asyncio.Future[T]) -> bool:
-        """Wait for data, and return whether it has come.
-
-        The wait ends as well when the stream is to be checked, and when
-        another engine is ready for it.
-
-        Data that arrived while the event loop of this process was late is read
-        first, and the delay is no silence of the engine.
-        """
-        started_s = self.ctx.now_s()
-        wait_s = self._progress.until_check_s(started_s)
-        awaited: set[asyncio.Future[Any]] = {task}
-        successor = self._successor
-        if successor is not None and not successor.task.done():
-            awaited.add(successor.task)
-        await asyncio.wait(
-            awaited, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
-        )
-        late_s = self.ctx.now_s() - started_s - wait_s
-        if late_s > LATE_TIMER_S and not task.done():
-            self._log_delay(late_s)
-            self._progress.exclude(late_s)
-        if not task.done():
-            await asyncio.wait({task}, timeout=READ_GRACE_S)
-        return task.done()
-
     @property
-    def _silence_s(self) -> float:
-        return self._progress.silence_s(self.ctx.now_s())
-
-    def _log_delay(self, late_s: float) -> None:
-        late_ms = round(1_000 * late_s)
-        self.log("late_event_loop", events=self.events_sent, late_ms=late_ms)
-        self.ctx.metrics.observe("event_loop_late_ms", late_ms)
-
-    async def _handle_stall(self, server: Server) -> None:
-        """Move a run without progress, or prepare another engine for it.
-
-        A run that cannot be moved may still continue where it is, and is kept
-        until another engine is ready. That is prepared if the request may be
-        executed again and its engine does not answer, or has been silent for
-        a large part of the time that clients wait.
-        """
-        silence_s = self._silence_s
-        self.log(
-            "stalled",
-            server=server.instance,
-            events=self.events_sent,
-            silence_ms=round(1_000 * silence_s),
-        )
-        if await self._migration.fail_over(server, self._run):
-            raise StreamMoved(f"{server.address}: stream idle timeout")
-        is_lost = (
-            self._migration.is_source_unreachable
-            or silence_s >= STALL_SHARE * self._client_wait_s
-        )
-        if is_lost:
-            self._prepare_successor(server)
-        self._progress.postpone_check(self.ctx.now_s())
-
-    def _prepare_successor(self, server: Server) -> None:
-        """Begin to prepare another engine, if none is being prepared."""
-        if self._successor is not None and not self._successor.task.done():
-            return
-        self._cancel_successor()
-        spent_s = self.ctx.now_s()
-        if self._may_execute_again and self.budget.try_spend(spent_s):
-            self.log("successor_started", server=server.instance)
-            self._successor = Successor(self, server, spent_s)
-
-    @property
-    def _may_execute_again(self) -> bool:
+    def may_execute_again(self) -> bool:
+        """Whether another attempt may execute the request."""
         return self.is_repeatable and self.attempts < self.route.max_attempts
 
     def remove_run(self, server: Server, run: Run) -> None:
@@ -516,13 +368,9 @@
         chunks = aiter(answer.chunks)
         # Only these streams hold events of more than one engine.
         is_confirmed = not (self.route.resumable or self._events.last_id)
-        while chunk := await self._wait_or_fail_over(
-            server, anext(chunks, b"")
-        ):
+        while chunk := await self._watch.wait(server, anext(chunks, b"")):
             if not is_confirmed:
-                await self._wait_or_fail_over(
-                    server, self.confirm_start(server)
-                )
+                await self._watch.wait(server, self.confirm_start(server))
                 is_confirmed = True
             complete = self._feed(chunk, stride)
             if complete:
@@ -543,7 +391,7 @@
             self._run.produced,
             self.ctx.now_s() - self._decode_started_s,
         )
-        self.ctx.record_pause(self.service, self._progress.longest_pause_s)
+        self.ctx.record_pause(self.service, self._watch.longest_pause_s)
         self._log_answer(server, answer)
 
     async def _begin_stream(self, server: Server) -> None:
@@ -571,9 +419,7 @@
         if self._events.count == events_before:
             return complete
         now_s = self.ctx.now_s()
-        # The engine is at work after all.
-        self._cancel_successor()
-        self._progress.record_event(now_s)
+        self._watch.record_event(now_s)
         self._run.produced = stride * self._events.count
         if self._first_event_s is None:
             self._first_event_s = now_s
