Prepare another engine while a move is not answered

Cause: the gateway asks the engine to move the run and waits for the answer until the deadline, as it names the only copy. An engine that answers its report and falls silent before the move holds the stream for all that time. The other engine was prepared only after the move had failed.

Change: when half of the time that the client still waits has passed without an answer, another engine is prepared beside the move, if the request may be executed again. The first of both goes on with the stream. The call that was given up is heard to its end and the copy that it names is released; so it is when a client leaves during a move, where the copy stayed until it expired.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -311,9 +311,7 @@
         if not (is_moved or is_late) and not isinstance(
             failure, StreamStalled | ServerReplaced
         ):
-            is_moved = await migration.fail_over(
-                server, self._run, is_broken=True
-            )
+            is_moved = await self._watch.fail_over(server, is_broken=True)
             if not is_moved and not self._is_taken and self._continues_run:
                 # The handle can be used once, so the run cannot go on twice.
                 is_moved = kv is not None and await migration.try_other_holder(
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.gateway.transport import (
@@ -107,9 +107,12 @@
         if count >= MAX_FAILOVERS or not exchange.budget.try_spend(spent_s):
             return False
         target = self._failover_target(server, run)
-        is_moved = await self._stop_and_copy(server, target, "taken_over")
-        if not is_moved:
-            exchange.budget.refund(spent_s)
+        is_moved = False
+        try:
+            is_moved = await self._stop_and_copy(server, target, "taken_over")
+        finally:
+            if not is_moved:
+                exchange.budget.refund(spent_s)
         if is_broken:
             self._rescues += 1
         elif not self.is_source_unreachable:
@@ -252,16 +255,9 @@
     ) -> bool:
         """Stop a generation and copy its KV cache to another engine."""
         exchange = self._exchange
-        transport = exchange.ctx.transport
         try:
             await self._check_process(server)
-            self.moved = await transport.stop_and_copy(
-                server,
-                exchange.req,
-                target,
-                # The answer names the only copy of the run.
-                max(MIN_MOVE_TIMEOUT_S, exchange.remaining_s),
-            )
+            self.moved = await self._call_stop_and_copy(server, target)
         except (ServerRefused, ServerUnreachable) as failure:
             self.is_source_unreachable = isinstance(failure, ServerUnreachable)
             exchange.log(
@@ -285,6 +281,33 @@
         exchange.ctx.metrics.count("moves_total", reason=event)
         return True
 
+    async def _call_stop_and_copy(
+        self, server: Server, target: Server
+    ) -> MovedRun:
+        """Call an engine, whose answer names the only copy of the run.
+
+        If the caller is cancelled, the copy is released when it is known.
+        """
+        exchange = self._exchange
+        call = asyncio.create_task(
+            exchange.ctx.transport.stop_and_copy(
+                server,
+                exchange.req,
+                target,
+                max(MIN_MOVE_TIMEOUT_S, exchange.remaining_s),
+            )
+        )
+        try:
+            return await asyncio.shield(call)
+        except asyncio.CancelledError:
+            exchange.ctx.spawn(self._release_copy(call))
+            raise
+
+    async def _release_copy(self, call: asyncio.Task[MovedRun]) -> None:
+        with suppress(ServerRefused, ServerUnreachable):
+            moved = await call
+            await self._exchange.ctx.transport.release_kv(moved.kv)
+
     async def _check_process(self, server: Server) -> None:
         """Raise unless the process at which the generation runs answers.
 
--- a/src/gooseberrypost/gateway/streamwatch.py
+++ b/src/gooseberrypost/gateway/streamwatch.py
@@ -28,6 +28,10 @@
 """Share of the time that a client waits for an event after which another
 engine is prepared for a stalled stream, if it may execute the request again.
 """
+MOVE_SHARE: Final = 0.5
+"""Share of the time that a client still waits after which another engine is
+prepared for a stream whose engine has not answered a move.
+"""
 LATE_TIMER_S: Final = 0.02
 """Delay of a timer beyond which the event loop of this process was late."""
 READ_GRACE_S: Final = 0.02
@@ -112,16 +116,46 @@
             while True:
                 if await self._is_done_in_time(task):
                     return task.result()
-                if self._successor is not None and self._successor.is_ready:
-                    raise StreamStalled(
-                        f"{server.address}: silent for {self._silence_s:.2f} s"
-                    )
+                self._check_successor(server)
                 now_s = self._generation.ctx.now_s()
                 if self._progress.until_check_s(now_s) <= 0:
-                    await self._handle_stall(server)
+                    await self._handle_stall(server, task)
         finally:
             await cancel_and_wait(task)
 
+    async def fail_over(
+        self,
+        server: Server,
+        task: asyncio.Future[Any] | None = None,
+        *,
+        is_broken: bool = False,
+    ) -> bool:
+        """Move the run to another engine; returns whether it was moved.
+
+        If the engine takes long to answer, another one is prepared beside it.
+        When that is ready first, the move is given up, unless ``task`` shows
+        that the engine sends data again.
+        """
+        move = asyncio.create_task(
+            self._migration.fail_over(server, self._run, is_broken=is_broken)
+        )
+        try:
+            left_s = self._generation.client_wait_s - self._silence_s
+            await asyncio.wait({move}, timeout=max(0.0, MOVE_SHARE * left_s))
+            if not move.done():
+                self._prepare_successor(server)
+            if self._successor is not None:
+                await asyncio.wait(
+                    {move, self._successor.task},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            is_ready = self._has_ready_successor and not move.done()
+            if is_ready and not _has_data(task):
+                return False
+            return await move
+        finally:
+            await cancel_and_wait(move)
+
     async def pop_successor(self) -> Preparation | None:
         """Return the engine that is being prepared once it is ready.
 
@@ -141,6 +175,17 @@
         if successor is not None:
             successor.cancel()
 
+    @property
+    def _has_ready_successor(self) -> bool:
+        return self._successor is not None and self._successor.is_ready
+
+    def _check_successor(self, server: Server) -> None:
+        """Raise ``StreamStalled`` if another engine is ready."""
+        if self._has_ready_successor:
+            raise StreamStalled(
+                f"{server.address}: silent for {self._silence_s:.2f} s"
+            )
+
     async def _is_done_in_time(self, task: asyncio.Future[T]) -> bool:
         """Wait for data, and return whether it has come.
 
@@ -180,7 +225,9 @@
         )
         generation.ctx.metrics.observe("event_loop_late_ms", late_ms)
 
-    async def _handle_stall(self, server: Server) -> None:
+    async def _handle_stall(
+        self, server: Server, task: asyncio.Future[Any]
+    ) -> None:
         """Move a run without progress, or prepare another engine for it.
 
         A run that cannot be moved may still continue where it is, and is kept
@@ -196,8 +243,10 @@
             events=generation.events_sent,
             silence_ms=round(1_000 * silence_s),
         )
-        if await self._migration.fail_over(server, self._run):
+        if await self.fail_over(server, task):
             raise StreamMoved(f"{server.address}: stream idle timeout")
+        if not _has_data(task):
+            self._check_successor(server)
         is_lost = (
             self._migration.is_source_unreachable
             or silence_s >= STALL_SHARE * generation.client_wait_s
@@ -218,3 +267,10 @@
         ):
             generation.log("successor_started", server=server.instance)
             self._successor = Successor(generation, server, spent_s)
+
+
+def _has_data(task: asyncio.Future[Any] | None) -> bool:
+    """Whether a read has brought data, not the end of its stream."""
+    if task is None or not task.done() or task.cancelled():
+        return False
+    return task.exception() is None and bool(task.result())
