Forward events while a move is not answered

The engine had spoken again, and its events stayed in the socket.

Cause: the move was awaited between two reads, for a silent stream as well as for one whose engine is low on memory.

Change: a move runs in a task beside the reading. Events that come meanwhile are forwarded; when the move has been answered, or the stream ends as the run was stopped for it, the stream goes on at the holder of the run. A stream that ends whole gives the move up, and its copy is released. While a move is under way no other one begins.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -20,7 +20,11 @@
 from gooseberrypost.gateway.migration import Migration
 from gooseberrypost.gateway.preparation import Preparation
 from gooseberrypost.gateway.request import Prompt
-from gooseberrypost.gateway.streamwatch import StreamStalled, StreamWatch
+from gooseberrypost.gateway.streamwatch import (
+    GenerationMoved,
+    StreamStalled,
+    StreamWatch,
+)
 from gooseberrypost.gateway.transport import (
     AnswerLost,
     SendOptions,
@@ -31,8 +35,6 @@
 from gooseberrypost.policy.enginememory import Run
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from gooseberrypost.errors import NotRun
     from gooseberrypost.gateway.model import Server
     from gooseberrypost.gateway.transport import (
@@ -41,8 +43,6 @@
         Reservation,
     )
 
-STREAM_CLOSE_TIMEOUT_S: Final = 0.1
-"""Time allowed for an engine to close the stream of a stopped generation."""
 REFUSED_PAUSE_S: Final = 0.1
 """Increase of the pause with each engine that does not take a begun stream."""
 MIN_CLIENT_WAIT_MS: Final = 2_000
@@ -62,12 +62,6 @@
 T = TypeVar("T")
 
 
-class GenerationMoved(Failure):
-    """The generation continues at another engine, as memory ran low."""
-
-    code = "relieved"
-
-
 class EngineFailed(Failure):
     """The engine answered with an error; another one is tried next."""
 
@@ -213,11 +207,11 @@
 
     def _release_unused(self) -> None:
         """Release what was prepared, and runs that were moved."""
+        self._watch.close()
         moved = self._migration.pop_moved()
         if moved is not None:
             self.remove_run(moved.server, self._run)
             self.ctx.spawn(self.ctx.transport.release_kv(moved.kv))
-        self._watch.cancel_successor()
         self._preparation.release()
 
     async def _decode(
@@ -311,7 +305,7 @@
         if not (is_moved or is_late) and not isinstance(
             failure, StreamStalled | ServerReplaced
         ):
-            is_moved = await self._watch.fail_over(server, is_broken=True)
+            is_moved = await self._watch.fail_over(server)
             if not is_moved and not self._is_taken and self._continues_run:
                 # The handle can be used once, so the run cannot go on twice.
                 is_moved = kv is not None and await migration.try_other_holder(
@@ -366,7 +360,9 @@
         chunks = aiter(answer.chunks)
         # Only these streams hold events of more than one engine.
         is_confirmed = not (self.route.resumable or self._events.last_id)
-        while chunk := await self._watch.wait(server, anext(chunks, b"")):
+        while chunk := await self._watch.wait(
+            server, anext(chunks, b""), ends_whole=answer.is_framed
+        ):
             if not is_confirmed:
                 await self._watch.wait(server, self.confirm_start(server))
                 is_confirmed = True
@@ -375,9 +371,7 @@
                 if self._events.count and self.version is None:
                     await self._begin_stream(server)
                 await self.reply.write(complete)
-                if await self._migration.move_if_memory_low(server, self._run):
-                    await self._forward_remaining(chunks, stride)
-                    raise GenerationMoved(server.address)
+                self._watch.relieve(server)
         await self._check_end(server, answer)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).record_success(0.0)
@@ -443,20 +437,6 @@
             raise EngineFailed(f"status {answer.status}")
         await self.reply.send(buffered.status, buffered.headers, buffered.body)
 
-    async def _forward_remaining(
-        self, chunks: AsyncIterator[bytes], stride: int
-    ) -> None:
-        """Forward the events that an engine produced before it stopped."""
-        try:
-            async with asyncio.timeout(STREAM_CLOSE_TIMEOUT_S):
-                async for chunk in chunks:
-                    complete = self._feed(chunk, stride)
-                    if complete:
-                        await self.reply.write(complete)
-        except (AnswerLost, TimeoutError):
-            # Expected: the engine closes the stream without completing it.
-            return
-
     def _log_answer(self, server: Server, answer: Answer) -> None:
         self.log(
             "answered",
--- a/src/gooseberrypost/gateway/migration.py
+++ b/src/gooseberrypost/gateway/migration.py
@@ -119,17 +119,24 @@
             self._failovers += 1
         return is_moved
 
-    async def move_if_memory_low(self, server: Server, run: Run) -> bool:
-        """Move a generation before its engine runs out of memory."""
+    def choose_relief(self, server: Server, run: Run) -> Server | None:
+        """Return the engine to move to before this one runs out of memory.
+
+        None if the generation need not move. A move uses the retry budget,
+        part of which is kept for failures.
+        """
         exchange = self._exchange
         now_s = exchange.ctx.now_s()
         target = self._low_memory_target(server, run, now_s)
         if target is None:
-            return False
-        # A move uses the retry budget, part of which is kept for failures.
+            return None
         if not exchange.budget.try_spend(now_s, MOVE_BUDGET_SHARE):
-            return False
+            return None
         self._next_move_s = now_s + MOVE_INTERVAL_S
+        return target
+
+    async def relieve(self, server: Server, target: Server, run: Run) -> bool:
+        """Move a generation to the engine that was chosen for it."""
         with self._counted_at_target(target, run):
             return await self._stop_and_copy(server, target, "relieved")
 
--- a/src/gooseberrypost/gateway/streamwatch.py
+++ b/src/gooseberrypost/gateway/streamwatch.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
+from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.successor import Successor
 from gooseberrypost.gateway.tasks import cancel_and_wait
 from gooseberrypost.gateway.transport import AnswerLost
@@ -16,7 +18,7 @@
 from gooseberrypost.policy.streamprogress import StreamProgress, idle_timeout_s
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
+    from collections.abc import Awaitable, Coroutine
 
     from gooseberrypost.gateway.generation import Generation
     from gooseberrypost.gateway.migration import Migration
@@ -36,10 +38,18 @@
 """Delay of a timer beyond which the event loop of this process was late."""
 READ_GRACE_S: Final = 0.02
 """Time to read what arrived before a stream is taken for stalled."""
+STREAM_CLOSE_TIMEOUT_S: Final = 0.1
+"""Time allowed for an engine to close the stream of a stopped generation."""
 
 T = TypeVar("T")
 
 
+class GenerationMoved(Failure):
+    """The generation continues at another engine, as memory ran low."""
+
+    code = "relieved"
+
+
 class StreamStalled(AnswerLost):
     """The decode engine sends no event, and another engine is ready."""
 
@@ -55,15 +65,21 @@
 class StreamWatch:
     """Watches the progress of a generation at its decode engine.
 
-    A run without progress is moved, or another engine is prepared for it.
+    A run without progress is moved, or another engine is prepared for it. A
+    run is moved as well before its engine runs out of memory. Events that
+    arrive meanwhile are returned as usual.
     """
 
     __slots__ = (
         "_generation",
+        "_is_stalled",
         "_migration",
+        "_move",
+        "_moved_by",
         "_progress",
         "_run",
         "_successor",
+        "_successor_due_s",
     )
 
     def __init__(self, generation: Generation, migration: Migration) -> None:
@@ -72,8 +88,16 @@
         self._run = Run(0, 0)
         self._progress = StreamProgress(0.0, 0.0, 0.0)
         """Events of the current decode attempt."""
+        self._is_stalled = False
+        """Whether there was no event since the stream was found stalled."""
+        self._move: asyncio.Task[bool] | None = None
+        """Move of the run that is under way; returns whether it was moved."""
+        self._moved_by: type[Failure] = StreamMoved
+        """Type of the failure that ends the attempt after this move."""
         self._successor: Successor | None = None
         """Engine that is prepared as the current one is silent."""
+        self._successor_due_s = math.inf
+        """Time at which one is prepared if the move is not answered."""
 
     @property
     def has_successor(self) -> bool:
@@ -96,65 +120,77 @@
             tokens = self._generation.prompt.tokens
             prefill_ms = prefill_time_ms(server, ctx.loads, tokens)
             first_event_s += DECODE_PREFILL_SLOWDOWN * prefill_ms / 1_000
+        self._give_up_move()
         self._run = run
         self._progress = StreamProgress(ctx.now_s(), idle_s, first_event_s)
+        self._is_stalled, self._successor_due_s = False, math.inf
+
+    def close(self) -> None:
+        """Give up what was begun for the stream."""
+        self._give_up_move()
+        self.cancel_successor()
 
     def record_event(self, now_s: float) -> None:
         """Record progress: the engine is at work after all."""
         self.cancel_successor()
         self._progress.record_event(now_s)
+        self._is_stalled, self._successor_due_s = False, math.inf
 
-    async def wait(self, server: Server, work: Awaitable[T]) -> T:
+    def relieve(self, server: Server) -> None:
+        """Begin to move the run if its engine runs out of memory."""
+        if self._move is not None:
+            return
+        target = self._migration.choose_relief(server, self._run)
+        if target is not None:
+            self._begin_move(
+                self._migration.relieve(server, target, self._run),
+                GenerationMoved,
+            )
+
+    async def wait(
+        self, server: Server, work: Awaitable[T], *, ends_whole: bool = False
+    ) -> T:
         """Wait for data from an engine; fail over when no event arrives.
 
         The connection stays open during the failover, because an engine drops
-        a generation whose connection is closed. Raises ``StreamMoved`` or
-        ``StreamStalled``.
+        a generation whose connection is closed. ``ends_whole`` tells that
+        the end of the data shows a complete stream. Raises ``StreamMoved``,
+        ``GenerationMoved`` or ``StreamStalled``.
         """
         task = asyncio.ensure_future(work)
         try:
             while True:
-                if await self._is_done_in_time(task):
+                await self._wait_for_change(task)
+                if _has_data(task, ends_whole):
+                    return task.result()
+                if task.done():
+                    # An engine ends the stream of a run that it stops.
+                    if self._move is not None and await self._settle(server):
+                        raise self._moved_by(server.address)
                     return task.result()
+                if self._move is not None and self._move.done():
+                    if await self._has_moved(server, task):
+                        if _has_data(task, ends_whole):
+                            return task.result()
+                        self._move = None
+                        raise self._moved_by(server.address)
+                    continue
                 self._check_successor(server)
-                now_s = self._generation.ctx.now_s()
-                if self._progress.until_check_s(now_s) <= 0:
-                    await self._handle_stall(server, task)
+                self._check_times(server)
         finally:
             await cancel_and_wait(task)
 
-    async def fail_over(
-        self,
-        server: Server,
-        task: asyncio.Future[Any] | None = None,
-        *,
-        is_broken: bool = False,
-    ) -> bool:
-        """Move the run to another engine; returns whether it was moved.
-
-        If the engine takes long to answer, another one is prepared beside it.
-        When that is ready first, the move is given up, unless ``task`` shows
-        that the engine sends data again.
-        """
-        move = asyncio.create_task(
-            self._migration.fail_over(server, self._run, is_broken=is_broken)
+    async def fail_over(self, server: Server) -> bool:
+        """Move the run of a stream that broke off; returns whether it was."""
+        if self._move is not None and await self._settle(server):
+            return True
+        if self._has_ready_successor:
+            return False
+        self._begin_move(
+            self._migration.fail_over(server, self._run, is_broken=True),
+            StreamMoved,
         )
-        try:
-            left_s = self._generation.client_wait_s - self._silence_s
-            await asyncio.wait({move}, timeout=max(0.0, MOVE_SHARE * left_s))
-            if not move.done():
-                self._prepare_successor(server)
-            if self._successor is not None:
-                await asyncio.wait(
-                    {move, self._successor.task},
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-            is_ready = self._has_ready_successor and not move.done()
-            if is_ready and not _has_data(task):
-                return False
-            return await move
-        finally:
-            await cancel_and_wait(move)
+        return await self._settle(server)
 
     async def pop_successor(self) -> Preparation | None:
         """Return the engine that is being prepared once it is ready.
@@ -179,26 +215,92 @@
     def _has_ready_successor(self) -> bool:
         return self._successor is not None and self._successor.is_ready
 
+    def _begin_move(
+        self, move: Coroutine[Any, Any, bool], moved_by: type[Failure]
+    ) -> None:
+        self._move = asyncio.create_task(move)
+        self._moved_by = moved_by
+
+    def _give_up_move(self) -> None:
+        """Stop waiting for a move; its copy is released when it is known."""
+        move, self._move = self._move, None
+        if move is not None:
+            self._generation.ctx.spawn(cancel_and_wait(move))
+
+    async def _settle(self, server: Server) -> bool:
+        """Wait for the move of a stream that has ended.
+
+        If the engine takes long to answer, another one is prepared beside it,
+        and the move is given up when that is ready first. Returns whether the
+        run was moved.
+        """
+        move = self._move
+        assert move is not None
+        await asyncio.wait({move}, timeout=self._move_wait_s)
+        if not move.done():
+            self._prepare_successor(server)
+        if self._successor is not None:
+            await asyncio.wait(
+                {move, self._successor.task},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        if not move.done() and self._has_ready_successor:
+            self._give_up_move()
+            return False
+        await asyncio.wait({move})
+        self._move = None
+        return move.result()
+
+    async def _has_moved(
+        self, server: Server, task: asyncio.Future[Any]
+    ) -> bool:
+        """Whether a move that has ended has moved the run.
+
+        What the engine had sent before it stopped the run is read.
+        """
+        move = self._move
+        assert move is not None
+        if move.result():
+            await asyncio.wait({task}, timeout=STREAM_CLOSE_TIMEOUT_S)
+            return True
+        self._move = None
+        if self._is_stalled:
+            self._prepare_if_lost(server)
+        return False
+
     def _check_successor(self, server: Server) -> None:
         """Raise ``StreamStalled`` if another engine is ready."""
         if self._has_ready_successor:
+            self._give_up_move()
             raise StreamStalled(
                 f"{server.address}: silent for {self._silence_s:.2f} s"
             )
 
-    async def _is_done_in_time(self, task: asyncio.Future[T]) -> bool:
-        """Wait for data, and return whether it has come.
+    def _check_times(self, server: Server) -> None:
+        """Act if the stream has stalled, or its move takes long."""
+        now_s = self._generation.ctx.now_s()
+        if now_s >= self._successor_due_s:
+            self._successor_due_s = math.inf
+            if self._move is not None:
+                self._prepare_successor(server)
+        if self._progress.until_check_s(now_s) <= 0:
+            self._handle_stall(server)
 
-        The wait ends as well when the stream is to be checked, and when
-        another engine is ready for it.
+    async def _wait_for_change(self, task: asyncio.Future[Any]) -> None:
+        """Wait for data, a move, another engine, or the next check.
 
         Data that arrived while the event loop of this process was late is read
         first, and the delay is no silence of the engine.
         """
         ctx = self._generation.ctx
         started_s = ctx.now_s()
-        wait_s = self._progress.until_check_s(started_s)
-        awaited: set[asyncio.Future[Any]] = {task}
+        wait_s = min(
+            self._progress.until_check_s(started_s),
+            max(0.0, self._successor_due_s - started_s),
+        )
+        awaited = {task}
+        if self._move is not None:
+            awaited.add(self._move)
         successor = self._successor
         if successor is not None and not successor.task.done():
             awaited.add(successor.task)
@@ -211,12 +313,17 @@
             self._progress.exclude(late_s)
         if not task.done():
             await asyncio.wait({task}, timeout=READ_GRACE_S)
-        return task.done()
 
     @property
     def _silence_s(self) -> float:
         return self._progress.silence_s(self._generation.ctx.now_s())
 
+    @property
+    def _move_wait_s(self) -> float:
+        """Time to wait for a move before another engine is prepared."""
+        left_s = self._generation.client_wait_s - self._silence_s
+        return max(0.0, MOVE_SHARE * left_s)
+
     def _log_delay(self, late_s: float) -> None:
         generation = self._generation
         late_ms = round(1_000 * late_s)
@@ -225,38 +332,47 @@
         )
         generation.ctx.metrics.observe("event_loop_late_ms", late_ms)
 
-    async def _handle_stall(
-        self, server: Server, task: asyncio.Future[Any]
-    ) -> None:
-        """Move a run without progress, or prepare another engine for it.
+    def _handle_stall(self, server: Server) -> None:
+        """Begin to move a run without progress.
 
         A run that cannot be moved may still continue where it is, and is kept
-        until another engine is ready. That is prepared if the request may be
-        executed again and its engine does not answer, or has been silent for
-        a large part of the time that clients wait.
+        until another engine is ready.
         """
         generation = self._generation
-        silence_s = self._silence_s
+        now_s = generation.ctx.now_s()
         generation.log(
             "stalled",
             server=server.instance,
             events=generation.events_sent,
-            silence_ms=round(1_000 * silence_s),
+            silence_ms=round(1_000 * self._silence_s),
         )
-        if await self.fail_over(server, task):
-            raise StreamMoved(f"{server.address}: stream idle timeout")
-        if not _has_data(task):
-            self._check_successor(server)
-        is_lost = (
-            self._migration.is_source_unreachable
-            or silence_s >= STALL_SHARE * generation.client_wait_s
+        self._is_stalled = True
+        if self._move is None:
+            self._begin_move(
+                self._migration.fail_over(server, self._run), StreamMoved
+            )
+        self._successor_due_s = min(
+            self._successor_due_s, now_s + self._move_wait_s
         )
-        if is_lost:
+        self._progress.postpone_check(now_s)
+
+    def _prepare_if_lost(self, server: Server) -> None:
+        """Prepare another engine for a run that may not go on.
+
+        Its engine does not answer, or has been silent for a large part of the
+        time that clients wait.
+        """
+        if (
+            self._migration.is_source_unreachable
+            or self._silence_s >= STALL_SHARE * self._generation.client_wait_s
+        ):
             self._prepare_successor(server)
-        self._progress.postpone_check(generation.ctx.now_s())
 
     def _prepare_successor(self, server: Server) -> None:
-        """Begin to prepare another engine, if none is being prepared."""
+        """Begin to prepare another engine, if none is being prepared.
+
+        The request must be one that may be executed again.
+        """
         if self._successor is not None and not self._successor.task.done():
             return
         self.cancel_successor()
@@ -269,8 +385,8 @@
             self._successor = Successor(generation, server, spent_s)
 
 
-def _has_data(task: asyncio.Future[Any] | None) -> bool:
-    """Whether a read has brought data, not the end of its stream."""
-    if task is None or not task.done() or task.cancelled():
+def _has_data(task: asyncio.Future[Any], ends_whole: bool) -> bool:
+    """Whether a read has brought data, or the end of a whole stream."""
+    if not task.done() or task.cancelled() or task.exception() is not None:
         return False
-    return task.exception() is None and bool(task.result())
+    return ends_whole or task.result() != b""
