Let interrupted streams alone go first, and only where they compete

- the successor of a merely silent stream took memory before new generations, and where only the stream's own engine had memory it blocked the line;
- a broken stream waited behind such a successor, also before;
- a large stream starved: its line is that of its version, and new ones of the line for any version took each freed part, also before;
- memory that an engine had admitted a begun stream to was given back for a smaller new run of another gateway, also before.

Change: a stream goes first once no engine runs it. A successor has a line of its own. Engines that an interrupted stream waits for are kept from the lines behind it, and it yields no memory. Load notices carry a rank for each service (turns; the old field stays for older receivers), with the priority in it. Queued generations compare by identity.

--- a/src/gooseberrypost/gateway/notices.py
+++ b/src/gooseberrypost/gateway/notices.py
@@ -16,6 +16,7 @@
 from gooseberrypost.errors import Failure
 from gooseberrypost.gateway.quarantine import CrashReport
 from gooseberrypost.policy.enginememory import RunSize
+from gooseberrypost.policy.queueorder import QueueRanks
 from gooseberrypost.policy.serverlimit import LimitNotice
 from gooseberrypost.policy.serverload import PeerLoad
 from gooseberrypost.policy.suspects import Suspect
@@ -51,8 +52,8 @@
     """Generations that wait for memory at the sender."""
     outputs: dict[str, float]
     """Typical output tokens by service."""
-    rank_ms: int | None
-    """Queue rank of the sender's first waiting generation."""
+    ranks_ms: QueueRanks
+    """Queue ranks of the sender's first waiting generations."""
     unreachable: tuple[str, ...]
     """Identities of servers that the sender could not reach."""
     crashes: tuple[CrashReport, ...]
@@ -113,7 +114,7 @@
             output.service_name: _non_negative(output.tokens)
             for output in message.outputs or ()
         },
-        message.turn_ms,
+        _ranks(message),
         tuple(message.gone or ()),
         tuple(
             CrashReport(
@@ -253,3 +254,12 @@
     if not 0 <= value < math.inf:
         raise NoticeInvalid(f"{value} is out of range")
     return value
+
+
+def _ranks(message: Any) -> QueueRanks:
+    if message.turns is None:
+        # The sender does not tell services apart.
+        return QueueRanks({}, message.turn_ms)
+    return QueueRanks(
+        {_text(turn.service_name): int(turn.rank_ms) for turn in message.turns}
+    )
--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -205,7 +205,7 @@
             notice.loads,
             notice.waiting,
             notice.outputs,
-            notice.rank_ms,
+            notice.ranks_ms,
             notice.unreachable,
         )
         quarantine = self._ctx.quarantine
@@ -266,6 +266,7 @@
     def _build_notice(self) -> Any:
         outputs = self._ctx.local_typical_outputs()
         quarantine = self._ctx.quarantine
+        ranks_ms = self._ctx.reservation_queue.head_ranks_ms()
         return idl.LoadNotice(
             name=self._ctx.settings.name,
             incarnation=self._incarnation,
@@ -277,7 +278,7 @@
             ],
             configuration_version=self._ctx.directory.configuration.version,
             waiting=self._ctx.reservation_queue.waiting_count,
-            turn_ms=self._ctx.reservation_queue.head_rank_ms,
+            turn_ms=min(ranks_ms.values(), default=None),
             gone=self._ctx.loads.unreachable(time.monotonic()),
             outputs=[
                 idl.OutputNotice(service_name=service, tokens=tokens)
@@ -304,6 +305,10 @@
                 encode_versions(service, versions)
                 for service, versions in self._ctx.versions.mixed.items()
             ],
+            turns=[
+                idl.TurnNotice(service_name=service, rank_ms=rank_ms)
+                for service, rank_ms in ranks_ms.items()
+            ],
         )
 
     async def _keep_registered(self) -> None:
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -16,7 +16,7 @@
 
 from gooseberrypost.errors import NotRun
 from gooseberrypost.gateway.model import Stage
-from gooseberrypost.gateway.reserver import PendingReservation, Reserver
+from gooseberrypost.gateway.reserver import Line, PendingReservation, Reserver
 from gooseberrypost.gateway.shutdown import SHUTDOWN_RETRY_AFTER_MS
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.policy.queueorder import (
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from gooseberrypost.gateway.context import GatewayContext
     from gooseberrypost.gateway.transport import Reservation
@@ -74,7 +74,7 @@
         self._ctx = ctx
         self._queue: list[PendingReservation] = []
         self._wakeup = asyncio.Event()
-        self._capacity_since_s: dict[tuple[str, str | None], float] = {}
+        self._capacity_since_s: dict[Line, float] = {}
         """Time since which memory is free for the head of each line."""
         self._reserver = Reserver(ctx)
 
@@ -284,28 +284,34 @@
                 pending, now_s, self._first_event_delay_s(pending)
             ):
                 self._refuse(pending, self._no_capacity(pending))
-        # Lines share engines, and a stream that has begun has a line of its
-        # version.
-        lines = dict.fromkeys(one.line for one in self._ordered(self._queue))
-        for line in lines:
-            while pending := self._next(line):
-                # The rest of the line waits for its head. Otherwise small
-                # generations would starve large ones.
-                if not self._may_reserve(pending):
-                    break
-                if not await self._reserver.start(pending):
-                    break
-                self._capacity_since_s.pop(line, None)
-
-    def _head(
-        self, line: tuple[str, str | None] | None = None
-    ) -> PendingReservation | None:
+        kept: dict[str, set[str]] = {}
+        for line in dict.fromkeys(one.line for one in self._ordered()):
+            await self._allocate_line(line, kept.setdefault(line[0], set()))
+
+    async def _allocate_line(self, line: Line, kept: set[str]) -> None:
+        """Reserve for one line, at engines that are not ``kept`` for others.
+
+        The rest of the line waits for its head. Otherwise small generations
+        would starve large ones. For the same reason the engines that an
+        interrupted stream waits for are kept from the lines after it.
+        """
+        while pending := self._next(line):
+            if not self._may_reserve(pending, kept) or (
+                not await self._reserver.start(pending, kept)
+            ):
+                if pending.is_interrupted:
+                    servers = self._reserver.servers(pending)
+                    kept.update(server.identity for server in servers)
+                return
+            self._capacity_since_s.pop(line, None)
+
+    def _head(self, line: Line | None = None) -> PendingReservation | None:
         """Return the head of one line, or of the whole queue."""
         return self._first(
             pending for pending in self._queue if line in (None, pending.line)
         )
 
-    def _next(self, line: tuple[str, str | None]) -> PendingReservation | None:
+    def _next(self, line: Line) -> PendingReservation | None:
         """Return the first of a line for which no engine has been asked."""
         return self._first(
             pending
@@ -319,13 +325,16 @@
         return next(iter(self._ordered(pendings)), None)
 
     def _ordered(
-        self, pendings: Iterable[PendingReservation]
+        self, pendings: Iterable[PendingReservation] | None = None
     ) -> list[PendingReservation]:
-        waiting = list(pendings)
+        """Return some or all of the queue, the head first."""
+        waiting = list(self._queue if pendings is None else pendings)
         delay_s = max(map(self._first_event_delay_s, waiting), default=0.0)
         return queue_order(waiting, self._ctx.now_s(), delay_s)
 
-    def _may_reserve(self, pending: PendingReservation) -> bool:
+    def _may_reserve(
+        self, pending: PendingReservation, kept: Collection[str]
+    ) -> bool:
         """Whether a generation may reserve the memory that is free now.
 
         All gateways detect at once that memory has become free. A gateway
@@ -334,7 +343,7 @@
         """
         ctx = self._ctx
         now_s = ctx.now_s()
-        if not self._reserver.candidates(pending):
+        if not self._reserver.candidates(pending, kept):
             self._capacity_since_s.pop(pending.line, None)
             return False
         since_s = self._capacity_since_s.setdefault(pending.line, now_s)
@@ -342,7 +351,8 @@
             pending, now_s, self._first_event_delay_s(pending)
         )
         peers_ahead = min(
-            ctx.loads.peers_ahead(rank_ms, now_s), MAX_PEERS_AHEAD
+            ctx.loads.peers_ahead(pending.service, rank_ms, now_s),
+            MAX_PEERS_AHEAD,
         )
         wait_s = since_s + peers_ahead * RESERVATION_TIME_S - now_s
         if wait_s <= 0:
@@ -350,15 +360,15 @@
         asyncio.get_running_loop().call_later(wait_s, self._wakeup.set)
         return False
 
-    @property
-    def head_rank_ms(self) -> int | None:
-        """Queue rank of the head of the queue; ``None`` if it is empty."""
-        pending = self._head()
-        if pending is None:
-            return None
-        return queue_rank_ms(
-            pending, self._ctx.now_s(), self._first_event_delay_s(pending)
-        )
+    def head_ranks_ms(self) -> dict[str, int]:
+        """Return the rank of the first generation of each service."""
+        now_s = self._ctx.now_s()
+        ranks_ms: dict[str, int] = {}
+        for pending in self._ordered():
+            delay_s = self._first_event_delay_s(pending)
+            rank_ms = queue_rank_ms(pending, now_s, delay_s)
+            ranks_ms.setdefault(pending.service, rank_ms)
+        return ranks_ms
 
     def _first_event_delay_s(self, pending: PendingReservation) -> float:
         return self._ctx.first_event_delay_s(pending.service)
--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -40,6 +40,9 @@
 """Share of the expected output that is reserved in addition to the prompt."""
 
 
+Line = tuple[str, str | None, str]
+
+
 @dataclass(slots=True, eq=False)
 class PendingReservation(QueuedGeneration):
     """A queued generation and the future of its reservation."""
@@ -54,8 +57,6 @@
     run: Run = field(default_factory=lambda: Run(0, 0))
     version: str | None = None
     """Software version at which the stream must go on; None for any."""
-    source: str = ""
-    """Identity of an engine that still runs the generation; empty if none."""
     is_reserving: bool = False
     """Whether an engine has been asked, or has reserved memory.
 
@@ -67,12 +68,12 @@
     """Result of the wait: the reservation or a refusal."""
 
     @property
-    def line(self) -> tuple[str, str | None]:
-        """Service and version.
+    def line(self) -> Line:
+        """Service, version, and engine that still runs the generation.
 
-        Only generations that share both wait for each other.
+        Only generations that share all of them wait for each other.
         """
-        return self.service, self.version
+        return self.service, self.version, self.source
 
 
 class Reserver:
@@ -85,16 +86,19 @@
         self._tasks: set[asyncio.Task[None]] = set()
         """Reservations that are under way."""
 
-    async def start(self, pending: PendingReservation) -> bool:
+    async def start(
+        self, pending: PendingReservation, kept: Collection[str]
+    ) -> bool:
         """Ask engines, and wait for them unless they are slow.
 
-        Returns whether one has reserved memory, or may still do so.
+        Those that are ``kept`` for others are not asked. Returns whether one
+        has reserved memory, or may still do so.
         """
-        server = self._next_server(pending, ())
+        server = self._next_server(pending, kept)
         if server is None:
             return False
         pending.is_reserving = True
-        task = asyncio.create_task(self._reserve(pending, server))
+        task = asyncio.create_task(self._reserve(pending, server, kept))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         await asyncio.wait({task}, timeout=SLOW_RESERVATION_S)
@@ -120,10 +124,13 @@
         return None
 
     async def _reserve(
-        self, pending: PendingReservation, server: Server | None
+        self,
+        pending: PendingReservation,
+        server: Server | None,
+        kept: Collection[str],
     ) -> None:
         """Ask one engine after the other until one has reserved memory."""
-        tried: set[str] = set()
+        tried = set(kept)
         try:
             while server is not None:
                 if await self._reserve_at(server, pending):
@@ -160,20 +167,27 @@
         self, server: Server, pending: PendingReservation
     ) -> bool:
         """Whether to cancel, as other gateways reserved the same memory."""
+        if pending.is_interrupted:
+            return False
         ctx = self._ctx
         sizes = ctx.loads.run_sizes(server.identity, ctx.now_s())
         kv_tokens = ctx.engine_spec(pending.service).kv_tokens
         return must_release_reservation(sizes, pending.run.size, kv_tokens)
 
-    def candidates(self, pending: PendingReservation) -> list[Server]:
+    def candidates(
+        self, pending: PendingReservation, kept: Collection[str] = ()
+    ) -> list[Server]:
         """Return the engines that can admit a generation, in order.
 
+        Those that are ``kept`` for others are left out.
+
         Engines that refused this generation before come in only if no other
         one has memory: they may have refused a KV cache that had expired.
         """
-        return self._ranked(pending, pending.excluded) or (
+        ranked = self._ranked(pending, pending.excluded) or (
             self._ranked(pending, ()) if pending.excluded else []
         )
+        return [server for server in ranked if server.identity not in kept]
 
     def _ranked(
         self, pending: PendingReservation, excluded: Collection[str]
--- a/src/gooseberrypost/policy/queueorder.py
+++ b/src/gooseberrypost/policy/queueorder.py
@@ -27,8 +27,12 @@
 """
 LATE_RANK_OFFSET_MS: Final = 100_000
 """Offset that ranks late generations after all that can be in time."""
-BEGUN_RANK_OFFSET_MS: Final = 2 * LATE_RANK_OFFSET_MS
-"""Offset that ranks generations that have begun before all new ones."""
+INTERRUPTED_RANK_OFFSET_MS: Final = 2 * LATE_RANK_OFFSET_MS
+"""Offset that ranks interrupted streams before all new generations."""
+PRIORITY_RANK_OFFSET_MS: Final = 4 * LATE_RANK_OFFSET_MS
+"""Offset that ranks each priority after all higher ones."""
+MAX_RANKED_PRIORITY: Final = 1_000
+"""Priority from which on all rank alike."""
 FIRST_ATTEMPT_MIN_SHARE: Final = 0.83
 """Minimum share of the route's timeout that is left at a first attempt.
 
@@ -37,7 +41,7 @@
 """
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class QueuedGeneration:
     """A generation that waits for memory at a decode engine."""
 
@@ -53,6 +57,32 @@
     """Priority of the route; lower values are served first."""
     has_begun: bool = False
     """Whether a part of the answer has been sent."""
+    source: str = ""
+    """Identity of an engine that still runs the generation; empty if none."""
+
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether an answer has begun that no engine goes on with."""
+        return self.has_begun and not self.source
+
+
+class QueueRanks:
+    """Ranks of the first queued generation of each service at a gateway.
+
+    ``default`` is that of services without one of their own.
+    """
+
+    __slots__ = ("_by_service", "_default")
+
+    def __init__(
+        self, by_service: dict[str, int], default: int | None = None
+    ) -> None:
+        self._by_service = by_service
+        self._default = default
+
+    def of(self, service: str) -> int | None:
+        """Return the rank in ms; None if no generation is queued."""
+        return self._by_service.get(service, self._default)
 
 
 QueuedT = TypeVar("QueuedT", bound=QueuedGeneration)
@@ -63,8 +93,8 @@
 ) -> list[QueuedT]:
     """Sort queued generations by the order in which they get memory.
 
-    Within a priority, generations that have begun come first, as a refused
-    one can be sent again and a stream that was cut cannot. Then come those
+    Within a priority, interrupted streams come first, as a refused request
+    can be sent again and a stream that was cut cannot. Then come those
     that can still be in time; each group is ordered by due time. A burst then
     delays only requests that are late already instead of every request after
     them as well. ``first_event_delay_s`` is the time from a reservation to
@@ -74,7 +104,7 @@
     def key(queued: QueuedGeneration) -> tuple[int, bool, bool, float]:
         due_s = queued.first_event_due_s
         is_late = now_s + first_event_delay_s > due_s
-        return queued.priority, not queued.has_begun, is_late, due_s
+        return queued.priority, not queued.is_interrupted, is_late, due_s
 
     return sorted(queue, key=key)
 
@@ -84,9 +114,9 @@
 ) -> int:
     """Return the rank by which gateways compare the heads of their queues.
 
-    It is the time in ms until the first event is due, with offsets for
-    generations that are late and for those that have begun; the lowest rank is
-    served first.
+    It is the time in ms until the first event is due, with offsets for the
+    priority, for generations that are late and for interrupted streams; the
+    lowest rank is served first.
 
     >>> queued = QueuedGeneration(
     ...     first_event_due_s=2.0, abandon_s=3.0, tokens=1
@@ -101,9 +131,10 @@
     rank_ms = max(left_ms, -LATE_RANK_OFFSET_MS)
     if is_late:
         rank_ms += LATE_RANK_OFFSET_MS
-    if queued.has_begun:
-        rank_ms -= BEGUN_RANK_OFFSET_MS
-    return rank_ms
+    if queued.is_interrupted:
+        rank_ms -= INTERRUPTED_RANK_OFFSET_MS
+    priority = min(queued.priority, MAX_RANKED_PRIORITY)
+    return rank_ms + priority * PRIORITY_RANK_OFFSET_MS
 
 
 def first_event_due_in_s(
--- a/src/gooseberrypost/policy/serverload.py
+++ b/src/gooseberrypost/policy/serverload.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable, Iterable
 
     from gooseberrypost.policy.enginememory import Run
+    from gooseberrypost.policy.queueorder import QueueRanks
 
 MIN_SUSPECT_S: Final = 0.5
 """Time for which a server is avoided after a first failure."""
@@ -208,8 +209,8 @@
         self._queued: dict[str, int] = {}
         self._unreachable: dict[str, frozenset[str]] = {}
         """Servers that each peer reports as unreachable."""
-        self._queue_ranks: dict[str, tuple[int, float]] = {}
-        """Rank in ms of each peer's first queued generation, and its time."""
+        self._queue_ranks: dict[str, tuple[QueueRanks, float]] = {}
+        """Ranks of each peer's first queued generations, and their time."""
         self._outputs: dict[str, dict[str, float]] = {}
         """Mean output tokens by service, for each peer."""
 
@@ -248,18 +249,18 @@
         loads: dict[str, PeerLoad],
         queued: int = 0,
         outputs: dict[str, float] | None = None,
-        rank_ms: int | None = None,
+        ranks_ms: QueueRanks | None = None,
         unreachable: Iterable[str] = (),
     ) -> None:
         """Replace the recorded state of a peer by its latest load notice.
 
-        ``rank_ms`` is the queue rank of its first queued generation, None if
-        it has none; the mean ``outputs`` are kept where the notice has none.
+        ``ranks_ms`` are the queue ranks of its first queued generations; the
+        mean ``outputs`` are kept where the notice has none.
         """
-        if rank_ms is None:
+        if ranks_ms is None:
             self._queue_ranks.pop(name, None)
         else:
-            self._queue_ranks[name] = rank_ms, now_s
+            self._queue_ranks[name] = ranks_ms, now_s
         if outputs:
             self._outputs[name] = outputs
         self._peers[name] = (now_s, loads)
@@ -294,12 +295,16 @@
         self.drop_stale_peers(now_s)
         return len(self._peers)
 
-    def peers_ahead(self, rank_ms: int, now_s: float) -> int:
-        """Return the number of peers whose first generation ranks earlier."""
+    def peers_ahead(self, service: str, rank_ms: int, now_s: float) -> int:
+        """Return the number of peers whose first generation ranks earlier.
+
+        Generations of other services do not compete for the same memory.
+        """
         self.refresh()
         return sum(
             peer_rank_ms - 1_000 * (now_s - received_s) < rank_ms
-            for peer_rank_ms, received_s in self._queue_ranks.values()
+            for ranks_ms, received_s in self._queue_ranks.values()
+            if (peer_rank_ms := ranks_ms.of(service)) is not None
         )
 
     def mean_output_tokens(self, service: str, own: float) -> float:
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -328,6 +328,11 @@
   2: list<string> versions,    // software versions whose streams may be taken up
 }
 
+struct TurnNotice {
+  1: string service_name,
+  2: i32 rank_ms,              // queue rank of the first queued generation
+}
+
 struct LoadNotice {
   1: string name,              // name of the sending gateway
   2: i64 incarnation,
@@ -336,11 +341,12 @@
   5: i64 configuration_version,
   6: optional i32 waiting,     // generations queued for capacity
   7: optional list<OutputNotice> outputs,
-  8: optional i32 turn_ms,     // queue rank of the generation at the head of the queue
+  8: optional i32 turn_ms,     // lowest rank, for receivers that do not read turns
   9: optional list<string> gone,  // servers that the sender found to be gone
   10: optional list<CrashNotice> crashes,  // recent reports of the sender
   11: optional list<ConvictionNotice> convictions,
   12: optional list<ServerLimitNotice> limits,
   13: optional list<StreamNotice> streams,  // streams that the sender began
   14: optional list<VersionsNotice> versions,  // of services with several
+  15: optional list<TurnNotice> turns,  // services for which generations are queued
 }
--- a/tests/test_gateway_robustness.py
+++ b/tests/test_gateway_robustness.py
@@ -66,6 +66,17 @@
     configuration_version=st.integers(0, 9),
     waiting=st.one_of(st.none(), NUMBERS),
     turn_ms=st.one_of(st.none(), NUMBERS),
+    turns=st.one_of(
+        st.none(),
+        st.lists(
+            st.builds(
+                idl.TurnNotice,
+                service_name=st.one_of(st.none(), st.just("llm")),
+                rank_ms=st.one_of(st.none(), NUMBERS),
+            ),
+            max_size=2,
+        ),
+    ),
     outputs=st.one_of(
         st.none(),
         st.lists(
