--- a/tests/test_review_renewals.py
+++ b/tests/test_review_renewals.py
@@ -9,7 +9,7 @@
 
 from gooseberrypost.claims.client import StoredAnswer
 from gooseberrypost.entry import decoding
-from gooseberrypost.errors import Superseded
+from gooseberrypost.errors import Superseded, UnknownOutcome
 from gooseberrypost.state.claim import GrantRequest, Verdict
 from gooseberrypost.state.claims import ShardClaims
 from gooseberrypost.wire.messages import idl
@@ -34,12 +34,15 @@
         super().__init__()
         self.renewing = asyncio.Event()
         self.may_renew = asyncio.Event()
+        self.renews = True
         self.renewed = asyncio.Event()
 
     async def renew(self, req, attempt):
         self.renewing.set()
         await self.may_renew.wait()
         self.renewed.set()
+        if not self.renews:
+            return Err(UnknownOutcome("no claim owner replied"))
         return await super().renew(req, attempt)
 
     async def complete(self, key, attempt, answer):
@@ -49,12 +52,18 @@
         return await super().complete(key, self.attempts[key], answer)
 
 
-def test_stream_that_goes_on_during_a_renewal_keeps_its_claim():
-    """Guards against a sound stream whose own entry abandons its claim."""
+@pytest.mark.parametrize("renews", [True, False])
+def test_stream_that_goes_on_during_a_renewal_keeps_its_claim(renews):
+    """Guards against a sound stream whose own entry abandons its claim.
+
+    The network of the entry fails for a while, so that the stream stalls and
+    the renewal hangs. Then both go on, or the renewal fails.
+    """
 
     async def scenario(rig):
         agent = rig.agents["d1"]
         claims = SlowClaims()
+        claims.renews = renews
         rig.daemon.context.collaborators.claims = claims
         silent = SilentRun(agent)
         held = asyncio.Event()
