Keep the claim of a stream that goes on during a renewal

A stream of tokens stalled, and the claim was renewed for a successor. If the stream went on before the owner had answered, callers saw the whole stream and then a connection that was cut: no end, and no stored answer.

RequestClaim took the cancelled preparation for a caller that had left. It abandoned the claim when the renewal was answered, also if that had failed, so that the owner refused the completion as superseded.

Now the claim is abandoned only when the request ends. A renewal whose caller was cancelled goes on, and its grant is adopted. A second renewal joins one that is under way. The completion does not wait for a renewal: the owner takes the number before it. If the owner refuses that number, the answer to the renewal is awaited, and the completion is sent under its number.

--- a/src/gooseberrypost/entry/context.py
+++ b/src/gooseberrypost/entry/context.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
 
@@ -26,6 +26,8 @@
 from gooseberrypost.policy.warmup import ColdPrefixes
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from gooseberrypost.entry.admission_queue import AdmissionQueue
     from gooseberrypost.entry.agents import AgentClient, BackgroundTasks
     from gooseberrypost.entry.collaborators import (
@@ -190,12 +192,21 @@
     ``release`` abandons the claim unless an answer was recorded with it.
     """
 
-    __slots__ = ("_completed", "_ctx", "_live", "_request", "grant")
+    __slots__ = (
+        "_completed",
+        "_ctx",
+        "_live",
+        "_pending",
+        "_request",
+        "grant",
+    )
 
     def __init__(self, ctx: EntryContext, live: LiveRequest) -> None:
         self._ctx = ctx
         self._live = live
         self._completed = False
+        self._pending: asyncio.Task[Result[Grant, Failure]] | None = None
+        """Claim or renewal that is not answered yet."""
         self._request: ClaimRequest | None = None
         self.grant: Grant | None = None
 
@@ -222,7 +233,7 @@
             fresh=not live.key_from_caller,
         )
         granted = await self._await_grant(
-            asyncio.create_task(self._ctx.collaborators.claims.claim(req))
+            self._ctx.collaborators.claims.claim(req)
         )
         live.claim_answered = True
         if isinstance(granted, Ok):
@@ -230,13 +241,19 @@
         return granted
 
     async def renew(self) -> Result[Grant, Failure]:
-        """Replace the current attempt by the next one."""
+        """Replace the current attempt by the next one.
+
+        A renewal whose caller was cancelled goes on. If it is not answered
+        yet, its grant is awaited, and another one is sent only if it fails.
+        """
         assert self._request is not None
+        if self._pending is not None:
+            granted = await asyncio.shield(self._pending)
+            if isinstance(granted, Ok):
+                return granted
         return await self._await_grant(
-            asyncio.create_task(
-                self._ctx.collaborators.claims.renew(
-                    self._request, self._live.attempt
-                )
+            self._ctx.collaborators.claims.renew(
+                self._request, self._live.attempt
             )
         )
 
@@ -246,13 +263,10 @@
         Unless this succeeds, a JSON answer must not be sent and an event
         stream must not be ended as complete.
         """
-        assert self.grant is not None
         self._live.stage = Stage.COMPLETE
         result: Result[None, Failure] = Err(UnknownOutcome("not completed"))
         for _ in range(MAX_COMPLETE_TRIES):
-            result = await self._ctx.collaborators.claims.complete(
-                self._live.key, self.grant.attempt, answer
-            )
+            result = await self._complete_once(answer)
             if isinstance(result, Ok):
                 self._completed = True
                 return result
@@ -264,7 +278,14 @@
         )
 
     def release(self) -> None:
-        """Abandon the claim in the background unless it was completed."""
+        """Abandon the claim in the background unless it was completed.
+
+        A claim or renewal that is not answered yet is awaited before that,
+        or the key would stay claimed.
+        """
+        if self._pending is not None:
+            self._ctx.background.spawn(self._release_late(self._pending))
+            return
         if self.grant is None or self._completed:
             return
         not_run = not (self._live.may_have_run or self._live.ran_before)
@@ -274,30 +295,51 @@
             )
         )
 
+    async def _complete_once(
+        self, answer: StoredAnswer
+    ) -> Result[None, Failure]:
+        renewing = self._pending
+        result = await self._send_complete(answer)
+        if renewing is None or not (
+            isinstance(result, Err)
+            and isinstance(result.err_value, Superseded)
+        ):
+            return result
+        # The owner may know the attempt by the number of the renewal only.
+        await asyncio.wait([renewing])
+        return await self._send_complete(answer)
+
+    async def _send_complete(
+        self, answer: StoredAnswer
+    ) -> Result[None, Failure]:
+        assert self.grant is not None
+        return await self._ctx.collaborators.claims.complete(
+            self._live.key, self.grant.attempt, answer
+        )
+
     async def _await_grant(
-        self, pending: asyncio.Task[Result[Grant, Failure]]
+        self, answer: Coroutine[Any, Any, Result[Grant, Failure]]
+    ) -> Result[Grant, Failure]:
+        # The owner may grant it although its caller is cancelled.
+        self._pending = asyncio.create_task(self._adopt_grant(answer))
+        return await asyncio.shield(self._pending)
+
+    async def _adopt_grant(
+        self, answer: Coroutine[Any, Any, Result[Grant, Failure]]
     ) -> Result[Grant, Failure]:
-        # If the request is cancelled, the grant may still arrive. It is then
-        # abandoned in the background, or the key would stay claimed.
         try:
-            granted = await asyncio.shield(pending)
-        except asyncio.CancelledError:
-            self._ctx.background.spawn(self._abandon_late_grant(pending))
-            # Until then, ``release`` must not abandon the claim.
-            self._completed = True
-            raise
+            granted = await answer
+        finally:
+            self._pending = None
         if isinstance(granted, Ok):
             self.grant = granted.ok_value
             self._live.attempt = self.grant.attempt
         return granted
 
-    async def _abandon_late_grant(
+    async def _release_late(
         self, pending: asyncio.Task[Result[Grant, Failure]]
     ) -> None:
-        granted = await pending
-        if isinstance(granted, Ok):
-            self.grant = granted.ok_value
-            if self.grant.ran_before:
-                self._live.ran_before = True
-        self._completed = False
+        await pending
+        if self.grant is not None and self.grant.ran_before:
+            self._live.ran_before = True
         self.release()
--- a/tests/test_review_renewals.py
+++ b/tests/test_entry_renewals.py
@@ -5,9 +5,9 @@
 import asyncio
 
 import pytest
-from result import Err
+from result import Err, Ok
 
-from gooseberrypost.claims.client import StoredAnswer
+from gooseberrypost.claims.client import Grant, StoredAnswer
 from gooseberrypost.entry import decoding
 from gooseberrypost.errors import Superseded, UnknownOutcome
 from gooseberrypost.state.claim import GrantRequest, Verdict
@@ -101,6 +101,108 @@
     run(scenario)
 
 
+class ShardOwner(MemoryClaims):
+    """Claims that an owner decides on, and whose renewals are slow.
+
+    A renewal waits before it reaches the owner, or for its reply.
+    """
+
+    def __init__(self, is_reply_late, knows_predecessor):
+        super().__init__()
+        self.shard = ShardClaims(shard=0, epoch=1)
+        self.renewing, self.may_renew = asyncio.Event(), asyncio.Event()
+        self.verdicts = []
+        self._is_reply_late = is_reply_late
+        self._knows_predecessor = knows_predecessor
+
+    async def claim(self, req):
+        request = GrantRequest(req.key, req.digest, True, req.deadline_ms)
+        decision = self.shard.claim(request, "e1/1", 0)
+        return Ok(Grant(req.key, decision.attempt, False))
+
+    async def renew(self, req, attempt):
+        if self._is_reply_late:
+            decision = self._renew(req.key, attempt)
+        self.renewing.set()
+        await self.may_renew.wait()
+        if not self._is_reply_late:
+            decision = self._renew(req.key, attempt)
+        if decision.verdict is not Verdict.GRANTED:
+            return Err(Superseded("renewal"))
+        return Ok(Grant(req.key, decision.attempt, False))
+
+    async def complete(self, key, attempt, answer):
+        decision = self.shard.complete(key, attempt, answer, 2)
+        self.verdicts.append(decision.verdict)
+        if decision.verdict is Verdict.GRANTED:
+            return Ok(None)
+        self.may_renew.set()
+        return Err(Superseded("completion"))
+
+    def _renew(self, key, attempt):
+        decision = self.shard.renew(key, attempt, 1)
+        if not self._knows_predecessor:
+            self.shard.claims[key].renewed_from = 0
+        return decision
+
+
+@pytest.mark.parametrize(
+    ("is_reply_late", "knows_predecessor", "verdicts"),
+    [
+        (False, True, [Verdict.GRANTED]),
+        (True, True, [Verdict.GRANTED]),
+        (True, False, [Verdict.SUPERSEDED, Verdict.GRANTED]),
+    ],
+)
+def test_stream_that_ends_during_a_renewal_is_completed_once(
+    is_reply_late, knows_predecessor, verdicts
+):
+    """Guards against a sound stream that is cut, or completed twice (P2).
+
+    The renewal reaches the owner after the completion, or its reply is late.
+    The owner may be one that replayed the claim under its new number only.
+    """
+
+    async def scenario(rig):
+        agent = rig.agents["d1"]
+        claims = ShardOwner(is_reply_late, knows_predecessor)
+        rig.daemon.context.collaborators.claims = claims
+        silent = SilentRun(agent)
+        response = await rig.complete(stream=True).__aenter__()
+        async with asyncio.timeout(5):
+            await claims.renewing.wait()
+        silent.speaks.set()
+        async with asyncio.timeout(5):
+            assert text_of(await response.text()) == "".join(TOKENS)
+        claims.may_renew.set()
+        await rig.daemon.requests.idle()
+        assert claims.verdicts == verdicts
+        assert claims.abandoned == []
+
+    run(scenario)
+
+
+def test_caller_that_leaves_during_a_renewal_ends_the_renewed_claim():
+    """Guards against a key that stays claimed after its caller has gone."""
+
+    async def scenario(rig):
+        claims = SlowClaims()
+        rig.daemon.context.collaborators.claims = claims
+        SilentRun(rig.agents["d1"])
+        response = await rig.complete(stream=True, key="k1").__aenter__()
+        async with asyncio.timeout(5):
+            await claims.renewing.wait()
+        response.close()
+        await rig.daemon.requests.idle()
+        assert claims.abandoned == []
+        claims.may_renew.set()
+        await rig.daemon.context.background.wait_or_cancel(5)
+        await rig.daemon.context.background.wait_or_cancel(5)
+        assert claims.abandoned == [("k1", 2, False)]
+
+    run(scenario)
+
+
 def test_owner_completes_no_claim_that_its_holder_abandoned():
     """Guards against a fake above that is stricter than the owner."""
     shard = ShardClaims(shard=0, epoch=1)
