Use the successor that is being prepared when a stalled run ends

A stream stalled, and a successor was prepared on another engine. If the agent then answered that it did not have the run, or had released it, callers waited for one more prefill.

Succession took the end of the old run for the end of the need: it dropped the preparation, and the request began again under a third number.

Now the preparation is awaited if the run failed so that another attempt is due, as at the gateway. It is dropped if the successor is refused or the budget forbids it, so that an ordinary attempt follows, which may use the old engine again. A run that ended with an answer drops its successor as before.

--- a/src/gooseberrypost/entry/model_request.py
+++ b/src/gooseberrypost/entry/model_request.py
@@ -13,15 +13,13 @@
 from gooseberrypost.entry.context import RequestClaim, next_attempt
 from gooseberrypost.entry.placing import RequestState
 from gooseberrypost.entry.sections import Stage
-from gooseberrypost.entry.succession import Succession, view_of_grant
-from gooseberrypost.errors import (
-    CallerGone,
-    Failure,
-    NoCapacity,
-    Quarantined,
-    Superseded,
-    TargetUnreachable,
+from gooseberrypost.entry.succession import (
+    NON_RETRYABLE_FAILURES,
+    Succession,
+    reached_output_limit,
+    view_of_grant,
 )
+from gooseberrypost.errors import Failure, NoCapacity, TargetUnreachable
 from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.views import AgentView, RequestView
 from gooseberrypost.state.prefix import (
@@ -44,8 +42,6 @@
 
 MAX_PREFIX_BLOCKS: Final = 512
 """Prompt blocks compared in prefix matching, about 32,000 tokens."""
-NON_RETRYABLE_FAILURES: Final = (CallerGone, Quarantined, Superseded)
-"""Failures that are not retried, since another attempt cannot help."""
 CAPACITY_PAUSE_S: Final = 0.1
 """Pause before a started request checks for capacity again, in seconds."""
 
@@ -231,7 +227,7 @@
             _apply_grant(state, grant)
             attempt = ModelAttempt(self._ctx, state)
             result = await succession.run(state, attempt)
-            if isinstance(result, Ok) or _reached_output_limit(state):
+            if isinstance(result, Ok) or reached_output_limit(state):
                 return await self._finish(state)
             failure = result.err_value
             if isinstance(failure, NoCapacity) and attempt.is_reusable:
@@ -294,11 +290,3 @@
     """Continue the request under the attempt number of a new grant."""
     state.stream.restart(grant.attempt)
     state.view = view_of_grant(state.view, grant)
-
-
-def _reached_output_limit(state: RequestState) -> bool:
-    """Return whether the stream has every token up to the output limit.
-
-    A failure has then lost only the end frame, so the answer is complete.
-    """
-    return state.stream.next_sequence >= state.view.max_output_tokens
--- a/src/gooseberrypost/entry/succession.py
+++ b/src/gooseberrypost/entry/succession.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Final
 
@@ -10,16 +11,24 @@
 
 from gooseberrypost.entry.attempt import ModelAttempt
 from gooseberrypost.entry.context import count_failure, renew_attempt
-from gooseberrypost.errors import Failure, NoCapacity
+from gooseberrypost.errors import (
+    CallerGone,
+    Failure,
+    NoCapacity,
+    Quarantined,
+    Superseded,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
 
     from gooseberrypost.claims.client import Grant
     from gooseberrypost.entry.context import EntryContext, RequestClaim
     from gooseberrypost.entry.placing import RequestState
     from gooseberrypost.policy.views import RequestView
 
+NON_RETRYABLE_FAILURES: Final = (CallerGone, Quarantined, Superseded)
+"""Failures that are not retried, since another attempt cannot help."""
 RENEWAL_PAUSE_S: Final = 1.0
 """Pause before another claim of a successor that was refused, in seconds."""
 
@@ -29,7 +38,8 @@
 
     A stalled stream is kept until its successor holds a reservation and a
     prefill result: its engine may be sound, and the agent may only be out of
-    reach. If the stream goes on before that, the successor is dropped.
+    reach. If the stream goes on before that, the successor is dropped. If the
+    attempt fails before that, the successor is awaited.
     """
 
     def __init__(
@@ -41,6 +51,8 @@
         self._ctx = ctx
         self._claim = claim
         self._probe = probe
+        self._is_pausing = asyncio.Event()
+        """No successor is being prepared: the last one was refused."""
 
     async def run(
         self, state: RequestState, attempt: ModelAttempt
@@ -83,16 +95,24 @@
         attempt: ModelAttempt,
         running: asyncio.Task[Result[None, Failure]],
     ) -> ModelAttempt | None:
-        """Return the successor if it is ready before the stall ends."""
-        preparing = asyncio.create_task(self._prepare(state, attempt))
+        """Return the successor, or ``None`` if it is not needed or refused."""
+        failure = attempt.stall.failure
+        if failure is None:
+            return None
+        self._is_pausing.clear()
+        preparing = asyncio.create_task(self._prepare(state, attempt, failure))
         is_kept = False
         try:
             await _wait_for_first(running, preparing, attempt.stall.ended())
-            is_kept = (
-                preparing.done()
-                and not running.done()
-                and attempt.stall.failure is not None
+            lost = _failure_to_retry(state, running)
+            if lost is not None:
+                await _wait_for_first(preparing, self._is_pausing.wait())
+            is_needed = lost is not None or (
+                not running.done() and attempt.stall.failure is not None
             )
+            is_kept = preparing.done() and is_needed
+            if is_kept and lost is not None:
+                count_failure(state.live, lost)
             return preparing.result() if is_kept else None
         finally:
             if not is_kept:
@@ -102,11 +122,9 @@
                     preparing.result().abandon()
 
     async def _prepare(
-        self, state: RequestState, attempt: ModelAttempt
+        self, state: RequestState, attempt: ModelAttempt, failure: Failure
     ) -> ModelAttempt:
         """Prepare a successor on another decode engine, as often as needed."""
-        failure = attempt.stall.failure
-        assert failure is not None
         grant: Grant | None = None
         while True:
             if grant is None:
@@ -123,8 +141,9 @@
             failure = prepared.err_value
             if not (isinstance(failure, NoCapacity) and successor.is_reusable):
                 grant = None
-            await asyncio.sleep(RENEWAL_PAUSE_S)
-            await self._probe(state.view)
+            with self._pausing():
+                await asyncio.sleep(RENEWAL_PAUSE_S)
+                await self._probe(state.view)
 
     async def _renew(self, state: RequestState, failure: Failure) -> Grant:
         """Renew the claim once the retry budget and the owner allow it."""
@@ -134,7 +153,22 @@
             )
             if not isinstance(renewed, Err):
                 return renewed.ok_value
-            await asyncio.sleep(RENEWAL_PAUSE_S)
+            with self._pausing():
+                await asyncio.sleep(RENEWAL_PAUSE_S)
+
+    @contextmanager
+    def _pausing(self) -> Iterator[None]:
+        self._is_pausing.set()
+        yield
+        self._is_pausing.clear()
+
+
+def reached_output_limit(state: RequestState) -> bool:
+    """Return whether the stream has every token up to the output limit.
+
+    A failure has then lost only the end frame, so the answer is complete.
+    """
+    return state.stream.next_sequence >= state.view.max_output_tokens
 
 
 def view_of_grant(view: RequestView, grant: Grant) -> RequestView:
@@ -144,6 +178,18 @@
     )
 
 
+def _failure_to_retry(
+    state: RequestState, running: asyncio.Task[Result[None, Failure]]
+) -> Failure | None:
+    """Return the failure of an attempt that ended and needs a successor."""
+    if not running.done() or running.cancelled() or running.exception():
+        return None
+    failure = running.result().err()
+    if reached_output_limit(state):
+        return None
+    return None if isinstance(failure, NON_RETRYABLE_FAILURES) else failure
+
+
 async def _wait_for_first(*awaitables: Awaitable[Any]) -> None:
     """Wait until the first of several is done; tasks among them go on."""
     waits = [
--- a/tests/test_entry_renewals.py
+++ b/tests/test_entry_renewals.py
@@ -1,4 +1,4 @@
-"""Renewals of claims that are under way when a stalled stream goes on."""
+"""Stalled streams that go on or end before their successors are ready."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 from gooseberrypost.state.claim import GrantRequest, Verdict
 from gooseberrypost.state.claims import ShardClaims
 from gooseberrypost.wire.messages import idl
-from tests.entry_fakes import TOKENS, MemoryClaims, run
-from tests.test_entry_model import text_of
+from tests.entry_fakes import TOKENS, MemoryClaims, hang, refuse, run
+from tests.test_entry_model import cut_after, text_of
 from tests.test_entry_successors import TIMEOUT_MS, SilentRun
 
 SETTLE_S = 0.05
-"""Time in which an abandonment would be recorded."""
+"""Time in which an abandonment or another renewal would be recorded."""
 
 
 @pytest.fixture(autouse=True)
@@ -36,8 +36,10 @@
         self.may_renew = asyncio.Event()
         self.renews = True
         self.renewed = asyncio.Event()
+        self.renewals = 0
 
     async def renew(self, req, attempt):
+        self.renewals += 1
         self.renewing.set()
         await self.may_renew.wait()
         self.renewed.set()
@@ -214,3 +216,112 @@
     assert shard.complete("k", attempt, answer, 3).verdict is (
         Verdict.SUPERSEDED
     )
+
+
+@pytest.mark.parametrize("code", ["stale_attempt", "caller_gone"])
+def test_successor_is_used_if_the_stalled_run_ends_before_it_is_ready(code):
+    """Guards against a prefill that is thrown away when it is needed.
+
+    The agent is out of reach, and then its successor process answers that it
+    does not have the run.
+    """
+
+    async def scenario(rig):
+        agent, other, source = (
+            rig.agents[name] for name in ("d1", "d2", "p1")
+        )
+        is_known_lost, may_prefill = asyncio.Event(), asyncio.Event()
+
+        async def answer_late(session, correlation, message):
+            await is_known_lost.wait()
+            await refuse(code)(session, correlation, message)
+
+        async def prefill_late(session, correlation, message):
+            await may_prefill.wait()
+            await source.prefill(session, correlation, message)
+
+        agent.script[idl.Decode] = [cut_after(agent, 2, hang)]
+        agent.script[idl.Reattach] = [answer_late] * 100
+        source.script[idl.Prefill] = [source.prefill, prefill_late]
+        response = await rig.complete(stream=True).__aenter__()
+        await source.wait_for(idl.Prefill, 2)
+        is_known_lost.set()
+        await agent.wait_for(idl.Cancel)
+        may_prefill.set()
+        assert text_of(await response.text()) == "".join(TOKENS)
+        assert len(source.messages_of(idl.Prefill)) == 2
+        [decode] = other.messages_of(idl.Decode)
+        assert decode.attempt == 2
+
+    run(scenario)
+
+
+def test_ordinary_attempt_follows_a_successor_that_is_refused():
+    """Guards against a wait for a successor that no other engine can take.
+
+    The engine of the old run has capacity again.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        is_known_lost = asyncio.Event()
+
+        async def answer_late(session, correlation, message):
+            await is_known_lost.wait()
+            await refuse("stale_attempt")(session, correlation, message)
+
+        async def refuse_late(session, correlation, message):
+            await agent.wait_for(idl.Cancel)
+            await refuse("no_capacity")(session, correlation, message)
+
+        agent.script[idl.Decode] = [cut_after(agent, 2, hang)]
+        agent.script[idl.Reattach] = [answer_late] * 100
+        other.script[idl.Reserve] = [refuse_late] * 100
+        response = await rig.complete(stream=True).__aenter__()
+        await other.wait_for(idl.Reserve)
+        is_known_lost.set()
+        async with asyncio.timeout(5):
+            assert text_of(await response.text()) == "".join(TOKENS)
+        assert len(agent.messages_of(idl.Decode)) == 2
+
+    run(scenario)
+
+
+def test_run_lost_during_a_renewal_uses_its_grant():
+    """Guards against two renewals of one claim at a time.
+
+    The stream goes on for a token, so that its successor is dropped, and is
+    lost before the owner has answered.
+    """
+
+    async def scenario(rig):
+        agent, other = rig.agents["d1"], rig.agents["d2"]
+        claims = SlowClaims()
+        rig.daemon.context.collaborators.claims = claims
+        is_known_lost = asyncio.Event()
+
+        async def send_a_token(session, correlation, message):
+            await claims.renewing.wait()
+            await agent.tokens(session, correlation, message, 2, 3)
+            await is_known_lost.wait()
+            await refuse("stale_attempt")(session, correlation, message)
+
+        agent.script[idl.Decode] = [cut_after(agent, 2, hang)]
+        agent.script[idl.Reattach] = [send_a_token] * 100
+        response = await rig.complete(stream=True).__aenter__()
+        received = b""
+        async with asyncio.timeout(5):
+            while TOKENS[2].encode() not in received:
+                received += await response.content.readany()
+        is_known_lost.set()
+        await agent.wait_for(idl.Cancel)
+        await asyncio.sleep(SETTLE_S)
+        assert claims.renewals == 1
+        claims.may_renew.set()
+        async with asyncio.timeout(5):
+            received += await response.content.read()
+        assert text_of(received.decode()) == "".join(TOKENS)
+        [decode] = other.messages_of(idl.Decode)
+        assert (decode.attempt, decode.first_sequence) == (2, 3)
+
+    run(scenario)
