End the drain of an entry beside a request past its deadline

If an entry's drain timed out during the cleanup of a request whose deadline had passed, the drain failed before it closed the connections, and callers of all other unfinished requests saw their connections cut.

stop_unfinished() moved the timeouts of all requests, and asyncio raises RuntimeError for a timeout that is expiring. Now such a timeout is skipped: it ends its request already.

--- a/src/gooseberrypost/entry/requests.py
+++ b/src/gooseberrypost/entry/requests.py
@@ -80,7 +80,9 @@
         self._is_stopped = True
         now_s = asyncio.get_running_loop().time()
         for timeout in self._timeouts:
-            timeout.reschedule(now_s)
+            # A timeout that has passed ends its request, and is not movable.
+            if not timeout.expired():
+                timeout.reschedule(now_s)
 
     async def serve(
         self,
--- a/tests/test_entry_termination.py
+++ b/tests/test_entry_termination.py
@@ -9,11 +9,14 @@
 import pytest
 from aiohttp import web
 
+from gooseberrypost.entry.requests import RequestController
 from gooseberrypost.errors import AccountLimited, TargetUnreachable
 from gooseberrypost.wire.messages import idl
 from tests.entry_fakes import TOKENS, hang, refuse, run
 from tests.test_entry_model import cut_after, text_of
 
+CLEANUP_S = 0.5
+
 
 @pytest.mark.parametrize(
     ("name", "kind"),
@@ -214,6 +217,33 @@
     run(scenario, drain_timeout_ms=200)
 
 
+def test_stop_during_the_cleanup_of_a_request_past_its_deadline(monkeypatch):
+    """Guards against a drain that fails, and cuts all other requests.
+
+    The deadline of one request has passed, and its cleanup is under way.
+    """
+    cleaning = asyncio.Event()
+
+    async def slow_to_end(self, live, service, handler):
+        try:
+            await asyncio.sleep(60)
+        finally:
+            cleaning.set()
+            await asyncio.sleep(CLEANUP_S)
+
+    async def scenario(rig):
+        monkeypatch.setattr(RequestController, "_run_limited", slow_to_end)
+        headers = {"X-Gooseberrypost-Deadline-Ms": "200"}
+        task = asyncio.create_task(rig.complete(headers=headers).__aenter__())
+        async with asyncio.timeout(5):
+            await cleaning.wait()
+        rig.daemon.requests.stop_unfinished()
+        response = await task
+        assert response.status in (503, 504)
+
+    run(scenario)
+
+
 def test_a_request_that_crosses_the_close_of_an_entry_is_not_read(
     monkeypatch,
 ):
