Read claim heads of a later version

What callers would see: in a rolling upgrade that adds a field to claim heads, the entries not yet replaced take over no shard whose head the new version wrote, so that calls with keys of their own are refused until the upgrade ends.

Cause: the reader passed all fields of the stored object to the constructor, and an unknown one made the head invalid. Types were not checked either: a head with the epoch "3" was read, and failed where an owner adds 1 to it.

The reader now takes the fields that it knows, with their types.

--- a/src/gooseberrypost/state/heads.py
+++ b/src/gooseberrypost/state/heads.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import json
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
 from gooseberrypost.state.segments import InvalidSegment
-from gooseberrypost.strictjson import parse_json
+from gooseberrypost.strictjson import InvalidField, parse_json
+
+if TYPE_CHECKING:
+    from dataclasses import Field
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,10 +36,21 @@
 
     @classmethod
     def parse(cls, text: str) -> Result[ShardHead, InvalidSegment]:
-        """Parse a stored value; empty text: the shard had no owner yet."""
+        """Parse a stored value; empty text: the shard had no owner yet.
+
+        Fields of later versions are skipped.
+        """
         try:
-            return Ok(cls(**parse_json(text)) if text else cls())
-        except (ValueError, TypeError) as exc:
+            document = parse_json(text) if text else {}
+            if not isinstance(document, dict):
+                raise InvalidField(f"{type(document).__name__} is no object")
+            known = {
+                field.name: _checked(field, document[field.name])
+                for field in fields(cls)
+                if field.name in document
+            }
+            return Ok(cls(**known))
+        except ValueError as exc:
             return Err(InvalidSegment(f"head: {exc!r}"))
 
     def text(self) -> str:
@@ -43,6 +58,13 @@
         return json.dumps(asdict(self), sort_keys=True)
 
 
+def _checked(field: Field[Any], value: Any) -> Any:
+    """Return the value of a field; raises ``InvalidField``."""
+    if type(value) is not type(field.default) or value < field.default:
+        raise InvalidField(f"{field.name} is {value!r:.40}")
+    return value
+
+
 def head_key(shard: int) -> str:
     """Key of a shard's head record."""
     return f"claims/{shard}/head"
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -135,6 +135,22 @@
     assert ShardHead.parse(text).is_err()
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"epoch": "3"}',
+        '{"epoch": -1}',
+        '{"epoch": true}',
+        '{"name": 5}',
+        '{"segment": 0.5}',
+        '{"renewal": []}',
+    ],
+)
+def test_a_head_with_a_field_of_another_type_is_a_typed_failure(text):
+    """Guards against an exception where the owner uses the field."""
+    assert ShardHead.parse(text).is_err()
+
+
 @given(st.lists(st.text(max_size=20), max_size=10))
 def test_segments_survive_a_round_trip(keys):
     """Guards against records whose content breaks the line format."""
--- a/tests/test_upgrade_samples.py
+++ b/tests/test_upgrade_samples.py
@@ -115,6 +115,13 @@
     return {k: add_unknown(v) for k, v in value.items()} | {"new": 1}
 
 
+def test_unknown_field_of_a_claim_head_is_skipped():
+    """Guards against shards that nobody can take in a rolling upgrade."""
+    form = FORMS["claim head"]
+    text = json.dumps(add_unknown(json.loads(form.write())))
+    assert form.read(text) == form.read(form.write())
+
+
 @pytest.mark.parametrize(
     "name", ["records of gateways", "documents of the platform"]
 )
