Read claim records of a later version

What callers would see: in a rolling upgrade that appends an element to claim records, an entry of the version before cannot replay a log, so nobody of that version serves the shard. An element of another type was worse: it was read, and bytes.fromhex or a comparison failed in the replay, outside of any handler.

Cause: all elements went to the constructor, unchecked. The reader now takes those that it knows, with their types, and skips what a later version appends to a record, a batch or the header.

--- a/src/gooseberrypost/state/segments.py
+++ b/src/gooseberrypost/state/segments.py
@@ -18,7 +18,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import Failure
-from gooseberrypost.strictjson import parse_json
+from gooseberrypost.strictjson import InvalidField, parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -51,6 +51,31 @@
     not_run: bool = False
     """The attempt is proven not to have run; ``abandon`` only."""
 
+    @classmethod
+    def parse(cls, elements: Any) -> LogRecord:
+        """Build a record from its elements; raises ``ValueError``.
+
+        Elements that a later version has appended are skipped.
+        """
+        if not isinstance(elements, list):
+            raise InvalidField(f"{type(elements).__name__} is no record")
+        known = elements[: len(_ELEMENT_TYPES)]
+        types = [type(element) for element in known]
+        if (
+            len(known) < REQUIRED_ELEMENTS
+            or types != _ELEMENT_TYPES[: len(known)]
+        ):
+            raise InvalidField(f"record {elements!r:.80}")
+        record = cls(*known)
+        bytes.fromhex(record.digest)
+        return record
+
+
+REQUIRED_ELEMENTS: Final = len(LogRecord._fields) - len(
+    LogRecord._field_defaults
+)
+_ELEMENT_TYPES: Final = [str, str, int, str, str, bool, int, bool]
+
 
 @dataclass(slots=True, frozen=True)
 class Segment:
@@ -67,14 +92,16 @@
         """Parse a stored value, including its records."""
         header, *lines = text.splitlines() or [""]
         try:
-            epoch, sealed_by = parse_json(header)
+            epoch, sealed_by, *_ = parse_json(header)
+            if type(epoch) is not int or type(sealed_by) is not int:
+                raise InvalidField(f"header {header:.80}")
             for line in lines:
-                _, records = parse_json(line)
+                _, records, *_ = parse_json(line)
                 for record in records:
-                    LogRecord(*record)
+                    LogRecord.parse(record)
         except (ValueError, TypeError) as exc:
             return Err(InvalidSegment(f"segment: {exc!r}"))
-        return Ok(cls(int(epoch), int(sealed_by), tuple(lines)))
+        return Ok(cls(epoch, sealed_by, tuple(lines)))
 
     def text(self) -> str:
         """Serialise to the value to store."""
@@ -105,6 +132,6 @@
     def records(self) -> Iterator[LogRecord]:
         """Return all records in append order."""
         for line in self.lines:
-            fields: Any
-            for fields in parse_json(line)[1]:
-                yield LogRecord(*fields)
+            elements: Any
+            for elements in parse_json(line)[1]:
+                yield LogRecord.parse(elements)
--- a/tests/test_claim_state.py
+++ b/tests/test_claim_state.py
@@ -151,6 +151,24 @@
     assert ShardHead.parse(text).is_err()
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        '["3", 0]',
+        '"30"',
+        "[3, null]",
+        '[3, 0]\n["3.1", ["abc"]]',
+        '[3, 0]\n["3.1", [["claim", "k", "1"]]]',
+        '[3, 0]\n["3.1", [["claim", "k", 1, "xy"]]]',
+        '[3, 0]\n["3.1", [["claim", 5, 1]]]',
+        '[3, 0]\n["3.1", [["claim", "k", 1, "", "", false, "9"]]]',
+    ],
+)
+def test_a_segment_with_an_element_of_another_type_is_damaged(text):
+    """Guards against a replay that ends the process of the next owner."""
+    assert Segment.parse(text).is_err()
+
+
 @given(st.lists(st.text(max_size=20), max_size=10))
 def test_segments_survive_a_round_trip(keys):
     """Guards against records whose content breaks the line format."""
--- a/tests/test_upgrade_samples.py
+++ b/tests/test_upgrade_samples.py
@@ -122,6 +122,21 @@
     assert form.read(text) == form.read(form.write())
 
 
+def test_unknown_field_of_a_claim_record_is_skipped():
+    """Guards against a log that an owner of this version cannot replay."""
+    form = FORMS["claim segment"]
+    header, *lines = form.write().splitlines()
+    for number, line in enumerate(lines):
+        batch, records = json.loads(line)
+        records = [[*record, ["new"]] for record in records]
+        text = json.dumps([batch, records], separators=(",", ":"))
+        lines[number] = text
+    found = form.read("\n".join((header, *lines)))
+    assert found["has_batches"] == [True, True, False]
+    keys = [record["key"] for record in found["records"]]
+    assert keys == ["k1", "k1", "k1", "k2"]
+
+
 @pytest.mark.parametrize(
     "name", ["records of gateways", "documents of the platform"]
 )
