Read configuration records of a later version

What callers would see: in a rolling upgrade that adds a field to service or engine records, the service vanishes from every process not yet replaced as soon as an operator applies its record: unknown_model, 404. Those processes omit records that they cannot parse.

Cause: an unknown field made a record invalid. Types were not checked: a burst of "10" was read, and failed where a request is admitted. Misspelt fields in an operator's file are refused by settings/records.py, before a record is made.

The reader now takes the fields that it knows, with their types. Five tests failed before: test_unknown_field_of_a_configuration_record_is_skipped and test_a_record_with_a_field_of_another_type_is_invalid (4 of 6).

--- a/src/gooseberrypost/state/records.py
+++ b/src/gooseberrypost/state/records.py
@@ -14,12 +14,15 @@
 import json
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any, Self
+from typing import TYPE_CHECKING, Any, Final, Self
 
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import Failure
-from gooseberrypost.strictjson import parse_json
+from gooseberrypost.strictjson import InvalidField, parse_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class InvalidRecord(Failure):
@@ -56,14 +59,43 @@
 
     @classmethod
     def from_json(cls, text: str) -> Result[Self, InvalidRecord]:
-        """Parse a record; unknown and missing fields are an error."""
+        """Parse a record; a missing field or another type is an error.
+
+        Fields of later versions are skipped.
+        """
         try:
             document: Any = parse_json(text)
-            return Ok(cls(**document))
-        except (TypeError, ValueError, InvalidRecord) as exc:
+            if not isinstance(document, dict):
+                raise InvalidField(f"{type(document).__name__} is no object")
+            known = {
+                field.name: _checked(field, document[field.name])
+                for field in dataclasses.fields(cls)
+                if field.name in document
+            }
+            return Ok(cls(**known))
+        except (TypeError, ValueError) as exc:
             return Err(InvalidRecord(f"{cls.__name__}: {exc}"))
 
 
+def _checked(field: dataclasses.Field[Any], value: Any) -> Any:
+    """Return the value of a field; raises ``InvalidField``."""
+    if not _TYPE_CHECKS[str(field.type)](value):
+        raise InvalidField(f"{field.name} is {value!r:.40}")
+    return value
+
+
+_TYPE_CHECKS: Final[dict[str, Callable[[Any], bool]]] = {
+    "str": lambda value: isinstance(value, str),
+    "int": lambda value: type(value) is int,
+    "float": lambda value: type(value) in (int, float),
+    "list[str]": lambda value: (
+        isinstance(value, list)
+        and all(isinstance(item, str) for item in value)
+    ),
+}
+"""Checks of the field types of all records."""
+
+
 @dataclass(slots=True, frozen=True)
 class ServiceRecord(Record):
     """A service with its latency targets and limits."""
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from gooseberrypost.configsync.apply import Applier, ApplyUnknown
 from gooseberrypost.configsync.members import PEER_SUBSET_SIZE, ZoneMembers
 from gooseberrypost.state.configuration import (
@@ -187,6 +189,22 @@
     assert late.records == {}
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"name": "a", "burst": "10"}',
+        '{"name": "a", "burst": null}',
+        '{"name": "a", "requests_per_s": true}',
+        '{"name": ["a"]}',
+        '{"burst": 10}',
+        "[]",
+    ],
+)
+def test_a_record_with_a_field_of_another_type_is_invalid(text):
+    """Guards against an exception where the limits of requests are used."""
+    assert AccountRecord.from_json(text).is_err()
+
+
 def test_the_planned_two_year_size_fits_and_more_is_too_large():
     """Guards against a write that the key-value service cannot store."""
     engines = {
--- a/tests/test_upgrade_samples.py
+++ b/tests/test_upgrade_samples.py
@@ -137,6 +137,18 @@
     assert keys == ["k1", "k1", "k1", "k2"]
 
 
+def test_unknown_field_of_a_configuration_record_is_skipped():
+    """Guards against services that vanish from processes not yet replaced."""
+    form = FORMS["configuration"]
+    document = json.loads(form.write())
+    for key, (text, number) in document["records"].items():
+        later = json.dumps(add_unknown(json.loads(text)))
+        document["records"][key] = [later, number]
+    document["new"] = 1
+    found = form.read(json.dumps(document))
+    assert found["records"] == form.read(form.write())["records"]
+
+
 @pytest.mark.parametrize(
     "name", ["records of gateways", "documents of the platform"]
 )
