Refuse a stored configuration with values of another type

What callers would see: one value under config/head with a version that is a text or a list, and each entry that watches it fails in the comparison of versions, outside of the handling of invalid configurations.

Cause: parse_head passed the elements of records, removals and applied changes on unchecked. They are checked now, and further elements of a later version are skipped. A text that can't be encoded is invalid, too, as it can't be handed on.

--- a/src/gooseberrypost/state/document.py
+++ b/src/gooseberrypost/state/document.py
@@ -16,7 +16,7 @@
     Document,
     RecordEntry,
 )
-from gooseberrypost.strictjson import parse_json
+from gooseberrypost.strictjson import InvalidField, parse_json
 
 MAX_HEAD_BYTES: Final = 1_000_000
 """Largest value that the key-value service accepts under one key."""
@@ -79,11 +79,20 @@
         found: Any = parse_json(_unpack(text))
         return Ok(
             Document(
-                int(found["version"]),
-                {k: RecordEntry(*e) for k, e in found["records"].items()},
-                dict(found["removed"]),
-                int(found["floor"]),
-                tuple(AppliedChange(*a) for a in found["applies"]),
+                _version(found["version"]),
+                {
+                    _text(key): RecordEntry(_text(text), _version(version))
+                    for key, (text, version, *_) in found["records"].items()
+                },
+                {
+                    _text(key): _version(version)
+                    for key, version in found["removed"].items()
+                },
+                _version(found["floor"]),
+                tuple(
+                    AppliedChange(_text(apply_id), _version(version))
+                    for apply_id, version, *_ in found["applies"]
+                ),
             )
         )
     except (
@@ -97,6 +106,21 @@
         return Err(InvalidConfiguration(repr(exc)))
 
 
+def _version(value: Any) -> int:
+    """Return a version; raises ``InvalidField``."""
+    if type(value) is not int or value < 0:
+        raise InvalidField(f"version {value!r:.40}")
+    return value
+
+
+def _text(value: Any) -> str:
+    """Return a text that can be sent on; raises ``InvalidField``."""
+    if not isinstance(value, str):
+        raise InvalidField(f"text {value!r:.40}")
+    value.encode()
+    return value
+
+
 def _unpack(text: str) -> str:
     if not text.startswith(COMPRESSED_PREFIX):
         return text
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -205,6 +206,28 @@
     assert AccountRecord.from_json(text).is_err()
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "7"},
+        {"version": -1},
+        {"records": {"account/a": ["{}", "7"]}},
+        {"records": {"account/a": [5, 7]}},
+        {"records": {"account/a": ["\ud800", 7]}},
+        {"records": {"account/a": "ab"}},
+        {"records": {"account/\ud800": ["{}", 7]}},
+        {"removed": {"account/b": None}},
+        {"removed": [["account/b", 1]]},
+        {"applies": [["a", []]]},
+    ],
+)
+def test_a_head_with_a_value_of_another_type_is_invalid(changes):
+    """Guards against one stored value that ends every entry that reads it."""
+    head = {"version": 7, "floor": 0, "applies": []}
+    head |= {"records": {}, "removed": {}, **changes}
+    assert parse_head(json.dumps(head)).is_err()
+
+
 def test_the_planned_two_year_size_fits_and_more_is_too_large():
     """Guards against a write that the key-value service cannot store."""
     engines = {
