Read claim messages that lack fields

What callers would see: an entry that leaves out a field of a claim message gets outcome_unknown, with a traceback in the owner's log for each message. A claim without a digest stayed in the owner's table as running, because the exception came after it had been entered.

Cause: the handlers of claims used fields as they came; agents set absent ones to zero before. fill_defaults is now in wire/defaults.py, and claim owners use it, too.

test_odd_frames_cost_only_their_sender[claim owner] failed before; it sends odd messages of each type to a claim owner, an agent and an entry.

--- a/src/gooseberrypost/agent/checks.py
+++ b/src/gooseberrypost/agent/checks.py
@@ -4,24 +4,15 @@
 
 from typing import TYPE_CHECKING, Any, Final
 
-from thriftpy2.thrift import TType
-
 from gooseberrypost.errors import DeadlinePassed, MalformedRequest, NotRun
 from gooseberrypost.identity import Attempt
+from gooseberrypost.wire.defaults import fill_defaults
 from gooseberrypost.wire.listener import refusal_message
 
 if TYPE_CHECKING:
     from gooseberrypost.wire.dispatch import Dispatcher, MessageHandler
     from gooseberrypost.wire.listener import Session
 
-ZERO_VALUES: Final[dict[int, Any]] = {
-    TType.BOOL: False,
-    TType.I32: 0,
-    TType.I64: 0,
-    TType.STRING: "",
-    TType.BINARY: b"",
-}
-"""Values for absent fields, by thrift type."""
 NON_NEGATIVE_FIELDS: Final = (
     "deadline_ms",
     "expected_start_ms",
@@ -36,20 +27,6 @@
 """Message fields that must not be negative."""
 
 
-def fill_defaults(message: Any) -> None:
-    """Set absent scalar fields to the zero value of their type.
-
-    >>> from gooseberrypost.wire.messages import idl
-    >>> message = idl.Cancel(key="k")
-    >>> fill_defaults(message)
-    >>> message.attempt
-    0
-    """
-    for spec in message.thrift_spec.values():
-        if getattr(message, spec[1]) is None and spec[0] in ZERO_VALUES:
-            setattr(message, spec[1], ZERO_VALUES[spec[0]])
-
-
 def validation_error(message: Any) -> NotRun | None:
     """Return why a message about an attempt is refused, if it is."""
     if not message.key or message.attempt < 1:
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -13,7 +13,6 @@
 from mode import Service
 from result import Err, Ok, Result
 
-from gooseberrypost.agent.checks import fill_defaults
 from gooseberrypost.agent.engine import EngineClient
 from gooseberrypost.agent.lifecycle import DrainReason
 from gooseberrypost.agent.log import log_decision, log_refusal
@@ -27,6 +26,7 @@
 from gooseberrypost.policy.rolechange import LOAD_MODEL, SET_ROLE
 from gooseberrypost.state.fencing import Fence, FencingToken
 from gooseberrypost.state.records import EngineRole
+from gooseberrypost.wire.defaults import fill_defaults
 from gooseberrypost.wire.listener import refusal_message
 from gooseberrypost.wire.messages import idl
 
--- a/src/gooseberrypost/claims/_handlers.py
+++ b/src/gooseberrypost/claims/_handlers.py
@@ -16,6 +16,7 @@
 from gooseberrypost.identity import check_key
 from gooseberrypost.policy.suspects import Suspect
 from gooseberrypost.state.claim import GrantRequest, RenewedContent, Verdict
+from gooseberrypost.wire.defaults import fill_defaults
 from gooseberrypost.wire.listener import refusal_message
 from gooseberrypost.wire.messages import idl
 
@@ -40,7 +41,11 @@
 async def dispatch_message(
     owner: ClaimOwnerController, message: Any, holder: str
 ) -> Any:
-    """Handle a claim message of another process or of this entry."""
+    """Handle a claim message of another process or of this entry.
+
+    Absent scalar fields count as zero.
+    """
+    fill_defaults(message)
     return await _HANDLERS[type(message)](owner, message, holder)
 
 
@@ -102,14 +107,15 @@
     owner: ClaimOwnerController, msg: Any, holder: str
 ) -> Any:
     """Record crash evidence, which takes effect before it is stored."""
+    digests = msg.digests or ()
     suspects = {
         digest: Suspect(
             frozenset(part.hex() for part in parts), bool(has_begun)
         )
         for digest, parts, has_begun in zip_longest(
-            msg.digests,
-            (msg.parts or ())[: len(msg.digests)],
-            (msg.begun or ())[: len(msg.digests)],
+            digests,
+            (msg.parts or ())[: len(digests)],
+            (msg.begun or ())[: len(digests)],
             fillvalue=(),
         )
     }
