Log unexpected errors of message handlers once a second

What operators would see: a peer whose messages meet an unexpected error wrote a traceback for each of them, and pushed other lines out of the log, which takes 2,000 a second.

The listener writes one line a second and counts the others in omitted. test_unexpected_errors_are_logged_at_a_bounded_rate failed before: 100 lines for 100 messages.

--- a/src/gooseberrypost/logs.py
+++ b/src/gooseberrypost/logs.py
@@ -9,6 +9,7 @@
 
 import json
 import re
+import time
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -17,7 +18,7 @@
 from absl import logging
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 MAX_LINES_PER_REQUEST: Final = 32
 
@@ -41,6 +42,37 @@
     return " ".join(f"{name}={quote(value)}" for name, value in fields)
 
 
+class LineLimit:
+    """Admits one line of a kind for each interval, and counts the others.
+
+    >>> limit = LineLimit(10.0, clock=iter([0, 1, 2, 10]).__next__)
+    >>> [limit.admit() for _ in range(4)], limit.omitted
+    ([True, False, False, True], 2)
+    """
+
+    __slots__ = ("_clock", "_interval_s", "_next_s", "_since", "omitted")
+
+    def __init__(
+        self, interval_s: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.omitted = 0
+        """Lines that were left out before the one admitted last."""
+        self._interval_s = interval_s
+        self._clock = clock
+        self._next_s = float("-inf")
+        self._since = 0
+
+    def admit(self) -> bool:
+        """Whether a line may be written now."""
+        now_s = self._clock()
+        if now_s < self._next_s:
+            self._since += 1
+            return False
+        self._next_s = now_s + self._interval_s
+        self.omitted, self._since = self._since, 0
+        return True
+
+
 class Decision(ABC):
     """A decision about one request, logged as a single line."""
 
--- a/src/gooseberrypost/wire/listener.py
+++ b/src/gooseberrypost/wire/listener.py
@@ -12,6 +12,7 @@
 
 from gooseberrypost.address import Address, split_address
 from gooseberrypost.errors import Failure, ProtocolFailure, UnknownOutcome
+from gooseberrypost.logs import LineLimit
 from gooseberrypost.wire.codec import Frame, encode, read_frame
 from gooseberrypost.wire.messages import idl
 
@@ -20,6 +21,8 @@
 
 HELLO_TIMEOUT_MS: Final = 2_000
 WRITE_BUFFER_BYTES: Final = 256 * 1024
+LOG_INTERVAL_S: Final = 1.0
+"""Interval of log lines on rejected frames, and on handlers that fail."""
 
 
 def refusal_message(failure: Failure, load: Any = None) -> Any:
@@ -105,10 +108,11 @@
 class Listener:
     """Accepts connections and passes their messages to a handler."""
 
-    __slots__ = ("_handler", "_server", "_sessions")
+    __slots__ = ("_handler", "_log_limit", "_server", "_sessions")
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
+        self._log_limit = LineLimit(LOG_INTERVAL_S)
         self._server: asyncio.Server | None = None
         self._sessions: set[Session] = set()
 
@@ -245,7 +249,12 @@
             await session.send(frame.correlation, refusal_message(failure))
         except Exception:
             name = type(frame.message).__name__
-            logging.exception("event=handler_failed message=%s", name)
+            if self._log_limit.admit():
+                logging.exception(
+                    "event=handler_failed message=%s omitted=%d",
+                    name,
+                    self._log_limit.omitted,
+                )
             await session.send(
                 frame.correlation, refusal_message(UnknownOutcome(name))
             )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -195,3 +195,27 @@
     data = codec.encode(codec.Frame(1, message))
     found = codec.decode(data[codec.LENGTH_BYTES :]).unwrap().message
     assert found.records == records
+
+
+class FailingHandler(EchoHandler):
+    """Fails at each message in a way that was not foreseen."""
+
+    async def handle(self, session, correlation, message):
+        raise KeyError(message.key)
+
+
+def test_unexpected_errors_are_logged_at_a_bounded_rate(caplog):
+    """Guards against a peer that fills the log with tracebacks."""
+
+    async def run():
+        handler = FailingHandler()
+        async with Listener.serving("127.0.0.1:0", handler) as listener:
+            channel = (await Channel.connect(listener.address, HELLO)).unwrap()
+            for number in range(100):
+                reply = await channel.request(idl.Explain(key="k"), 2_000)
+                assert reply.unwrap().code == "outcome_unknown", number
+            await channel.close()
+
+    asyncio.run(run())
+    lines = [r for r in caplog.messages if "event=handler_failed" in r]
+    assert 1 <= len(lines) <= 3
