Log rejected frames

What operators would see: a process of another protocol version, or any other peer that is cut off for what it sent, left no trace but a number that is not exported.

An entry and an agent write event=frame_rejected with the reason, at most once a second. test_rejected_frames_are_logged_at_a_bounded_rate failed before: no line for 30 connections.

--- a/src/gooseberrypost/wire/dispatch.py
+++ b/src/gooseberrypost/wire/dispatch.py
@@ -5,8 +5,16 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from absl import logging
+
 from gooseberrypost.errors import ProtocolFailure
-from gooseberrypost.wire.listener import Handler, Session, refusal_message
+from gooseberrypost.logs import LineLimit
+from gooseberrypost.wire.listener import (
+    LOG_INTERVAL_S,
+    Handler,
+    Session,
+    refusal_message,
+)
 
 MessageHandler = Callable[[Session, int, Any], Awaitable[None]]
 SessionObserver = Callable[[Session], None]
@@ -20,6 +28,7 @@
         self._on_connect: list[SessionObserver] = []
         self._on_disconnect: list[SessionObserver] = []
         self.rejected_frames = 0
+        self._log_limit = LineLimit(LOG_INTERVAL_S)
 
     def register(self, message_type: type, handler: MessageHandler) -> None:
         """Register the handler of a message type; replaces an earlier one."""
@@ -58,3 +67,9 @@
     def rejected(self, failure: ProtocolFailure) -> None:
         """Count an invalid frame, or a missing or late ``Hello``."""
         self.rejected_frames += 1
+        if self._log_limit.admit():
+            logging.warning(
+                "event=frame_rejected detail=%r omitted=%d",
+                failure.detail,
+                self._log_limit.omitted,
+            )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,6 +18,7 @@
 )
 from gooseberrypost.wire import codec
 from gooseberrypost.wire.channel import Channel
+from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Handler, Listener
 from gooseberrypost.wire.messages import TYPE_NUMBERS, idl
 
@@ -219,3 +220,25 @@
     asyncio.run(run())
     lines = [r for r in caplog.messages if "event=handler_failed" in r]
     assert 1 <= len(lines) <= 3
+
+
+def test_rejected_frames_are_logged_at_a_bounded_rate(caplog):
+    """Guards against a peer that is cut off, and no line tells why."""
+
+    async def run():
+        dispatcher = Dispatcher()
+        async with Listener.serving("127.0.0.1:0", dispatcher) as listener:
+            host, port = listener.address.split(":")
+            for _ in range(30):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET / HTTP/1.1\r\n\r\n")
+                async with asyncio.timeout(5):
+                    assert await reader.read() == b""
+                writer.close()
+                await writer.wait_closed()
+        assert dispatcher.rejected_frames == 30
+
+    asyncio.run(run())
+    lines = [r for r in caplog.messages if "event=frame_rejected" in r]
+    assert 1 <= len(lines) <= 3
+    assert "out of range" in lines[0]
