Check the text in structs of messages

A frame whose struct field holds text that is no UTF-8, such as the model in the load of a probe's reply, passed the decoder, which checked texts and lists only. The entry got bytes where it compares models. The check goes into structs now. test_text_in_a_struct_of_a_message_is_checked failed before; tests of wire and samples after: 180 passed.

--- a/src/gooseberrypost/wire/codec.py
+++ b/src/gooseberrypost/wire/codec.py
@@ -123,6 +123,9 @@
                 isinstance(item, bytes) for item in value
             ):
                 return name
+        elif kind == TType.STRUCT and value is not None:
+            if _find_undecoded_text(value):
+                return name
         elif kind == TType.STRING and isinstance(value, bytes):
             return name
     return ""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -186,6 +186,19 @@
     assert peak < 16 * 1024 * 1024
 
 
+def test_text_in_a_struct_of_a_message_is_checked():
+    """Guards against bytes where the load of an agent has its model."""
+    load = idl.Load(slots=1, model="mmmm")
+    for message in (
+        idl.ProbeReply(server="s", load=load),
+        idl.End(key="k", load=load),
+    ):
+        data = codec.encode(codec.Frame(1, message))[codec.LENGTH_BYTES :]
+        assert codec.decode(data).is_ok()
+        damaged = data.replace(b"mmmm", b"m\xff\xfem")
+        assert "UTF-8" in codec.decode(damaged).unwrap_err().detail
+
+
 def test_the_largest_configuration_is_within_the_limits():
     """Guards against a frame limit that rejects valid configurations."""
     records = [
