Log a claim log that cannot be read

What operators would see: a damaged segment keeps every entry from taking the shard, calls with keys of it end as claims_unavailable, and no line tells why.

A takeover that fails at a segment writes event=segment_invalid, at most once a second. test_damaged_segment_is_logged_at_a_bounded_rate failed before: it waited for the line in vain. Tests of claim owners, mechanisms, holders and malformed frames after: 44 passed.

--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -21,6 +21,7 @@
 from gooseberrypost.claims.shard import OwnedShard
 from gooseberrypost.errors import Failure
 from gooseberrypost.identity import new_incarnation
+from gooseberrypost.logs import LineLimit
 from gooseberrypost.policy.shards import (
     CANDIDATE_CHECK_INTERVAL_MS,
     check_interval_ms,
@@ -28,6 +29,7 @@
     take_delay_ms,
 )
 from gooseberrypost.state.heads import ShardHead, head_key, lease_key
+from gooseberrypost.state.segments import InvalidSegment
 from gooseberrypost.state.shard_log import ShardLog
 from gooseberrypost.stores.keyvalue import Conflict
 
@@ -54,6 +56,8 @@
 HOLDER_PROBE_INTERVAL_MS: Final = 1_000
 LEASE_RETRY_INTERVAL_MS: Final = 500
 FLUSH_TIMEOUT_MS: Final = 2_000
+LOG_INTERVAL_S: Final = 1.0
+"""Interval of log lines on a log that cannot be read."""
 SECTION_OWNER: Final = "ClaimOwnerController"
 
 
@@ -95,6 +99,7 @@
         self._next_check_ms: dict[int, int] = {}
         self._trim_schedule = TrimSchedule(cfg.claims.retention_ms)
         self._needs_lease = False
+        self._log_limit = LineLimit(LOG_INTERVAL_S)
         self._heads_lock = asyncio.Lock()
         self._holder_prober = HolderProber(pool) if pool is not None else None
         self._handlers = MessageHandlers(self)
@@ -304,13 +309,23 @@
                 return
             taken = await run_steps(log.acquire(), self._store)
             if isinstance(taken, Err):
-                if isinstance(taken.err_value, Conflict):
-                    self._unowned_since_ms.pop(number, None)
+                self._handle_failed_takeover(number, taken.err_value)
                 return
             # The first claim needs the evidence that the former owner had.
             await self._run_with_timeout(self.evidence_store.sync())
             self._start_serving(log)
 
+    def _handle_failed_takeover(self, number: int, failure: Failure) -> None:
+        if isinstance(failure, Conflict):
+            self._unowned_since_ms.pop(number, None)
+        elif isinstance(failure, InvalidSegment) and self._log_limit.admit():
+            logging.error(
+                "event=segment_invalid shard=%d detail=%r omitted=%d",
+                number,
+                failure.detail,
+                self._log_limit.omitted,
+            )
+
     def _start_serving(self, log: ShardLog) -> None:
         shard = OwnedShard(
             self.cfg.claims,
--- a/tests/test_malformed_frames.py
+++ b/tests/test_malformed_frames.py
@@ -11,9 +11,11 @@
 import pytest
 from absl import logging as absl_logging
 
+from gooseberrypost.stores.keyvalue import Versioned
 from gooseberrypost.wire import codec
 from gooseberrypost.wire.messages import TYPE_NUMBERS, idl
 from tests import agent_kit, claim_cluster, entry_fakes
+from tests.fake_store import SharedState
 from tests.mutations import mutate_bytes, odd_message
 
 EXAMPLES = int(os.environ.get("GOOSEBERRYPOST_FUZZ_EXAMPLES", "200"))
@@ -149,3 +151,34 @@
 
     found = asyncio.run(work())
     assert not [line for line in found if "handler_failed" in line]
+
+
+def test_damaged_segment_is_logged_at_a_bounded_rate(caplog):
+    """Guards against a shard that nobody takes, without a line on it."""
+
+    async def work():
+        shared = SharedState()
+        shared.values["claims/0/log/0"] = Versioned("[1, 0]\nx", 1)
+        entry = claim_cluster.Entry("e1", shared, random.Random(1))
+        await entry.listener.start("127.0.0.1:0")
+        await entry.start([entry])
+        shards = entry.owner.section.shards
+        try:
+            await claim_cluster.wait_until(
+                lambda: len(shards) == claim_cluster.SHARDS - 1
+            )
+            await claim_cluster.wait_until(
+                lambda: any("segment_invalid" in r for r in caplog.messages)
+            )
+            for _ in range(30):
+                await entry.owner._take_over(0)
+            assert 0 not in shards
+        finally:
+            await entry.pool.close()
+            await entry.owner.stop()
+            await entry.listener.stop()
+
+    asyncio.run(work())
+    lines = [r for r in caplog.messages if "event=segment_invalid" in r]
+    assert 1 <= len(lines) <= 10
+    assert "shard=0" in lines[0]
