--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
+
+import pytest
 
 from gooseberrypost.configsync.apply import Applier, ApplyUnknown
 from gooseberrypost.configsync.members import PEER_SUBSET_SIZE, ZoneMembers
@@ -187,6 +190,44 @@
     assert late.records == {}
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"name": "a", "burst": "10"}',
+        '{"name": "a", "burst": null}',
+        '{"name": "a", "requests_per_s": true}',
+        '{"name": ["a"]}',
+        '{"burst": 10}',
+        "[]",
+    ],
+)
+def test_a_record_with_a_field_of_another_type_is_invalid(text):
+    """Guards against an exception where the limits of requests are used."""
+    assert AccountRecord.from_json(text).is_err()
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "7"},
+        {"version": -1},
+        {"records": {"account/a": ["{}", "7"]}},
+        {"records": {"account/a": [5, 7]}},
+        {"records": {"account/a": ["\ud800", 7]}},
+        {"records": {"account/a": "ab"}},
+        {"records": {"account/\ud800": ["{}", 7]}},
+        {"removed": {"account/b": None}},
+        {"removed": [["account/b", 1]]},
+        {"applies": [["a", []]]},
+    ],
+)
+def test_a_head_with_a_value_of_another_type_is_invalid(changes):
+    """Guards against one stored value that ends every entry that reads it."""
+    head = {"version": 7, "floor": 0, "applies": []}
+    head |= {"records": {}, "removed": {}, **changes}
+    assert parse_head(json.dumps(head)).is_err()
+
+
 def test_the_planned_two_year_size_fits_and_more_is_too_large():
     """Guards against a write that the key-value service cannot store."""
     engines = {
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,6 +18,7 @@
 )
 from gooseberrypost.wire import codec
 from gooseberrypost.wire.channel import Channel
+from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Handler, Listener
 from gooseberrypost.wire.messages import TYPE_NUMBERS, idl
 
@@ -185,6 +186,19 @@
     assert peak < 16 * 1024 * 1024
 
 
+def test_text_in_a_struct_of_a_message_is_checked():
+    """Guards against bytes where the load of an agent has its model."""
+    load = idl.Load(slots=1, model="mmmm")
+    for message in (
+        idl.ProbeReply(server="s", load=load),
+        idl.End(key="k", load=load),
+    ):
+        data = codec.encode(codec.Frame(1, message))[codec.LENGTH_BYTES :]
+        assert codec.decode(data).is_ok()
+        damaged = data.replace(b"mmmm", b"m\xff\xfem")
+        assert "UTF-8" in codec.decode(damaged).unwrap_err().detail
+
+
 def test_the_largest_configuration_is_within_the_limits():
     """Guards against a frame limit that rejects valid configurations."""
     records = [
@@ -195,3 +209,49 @@
     data = codec.encode(codec.Frame(1, message))
     found = codec.decode(data[codec.LENGTH_BYTES :]).unwrap().message
     assert found.records == records
+
+
+class FailingHandler(EchoHandler):
+    """Fails at each message in a way that was not foreseen."""
+
+    async def handle(self, session, correlation, message):
+        raise KeyError(message.key)
+
+
+def test_unexpected_errors_are_logged_at_a_bounded_rate(caplog):
+    """Guards against a peer that fills the log with tracebacks."""
+
+    async def run():
+        handler = FailingHandler()
+        async with Listener.serving("127.0.0.1:0", handler) as listener:
+            channel = (await Channel.connect(listener.address, HELLO)).unwrap()
+            for number in range(100):
+                reply = await channel.request(idl.Explain(key="k"), 2_000)
+                assert reply.unwrap().code == "outcome_unknown", number
+            await channel.close()
+
+    asyncio.run(run())
+    lines = [r for r in caplog.messages if "event=handler_failed" in r]
+    assert 1 <= len(lines) <= 3
+
+
+def test_rejected_frames_are_logged_at_a_bounded_rate(caplog):
+    """Guards against a peer that is cut off, and no line tells why."""
+
+    async def run():
+        dispatcher = Dispatcher()
+        async with Listener.serving("127.0.0.1:0", dispatcher) as listener:
+            host, port = listener.address.split(":")
+            for _ in range(30):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET / HTTP/1.1\r\n\r\n")
+                async with asyncio.timeout(5):
+                    assert await reader.read() == b""
+                writer.close()
+                await writer.wait_closed()
+        assert dispatcher.rejected_frames == 30
+
+    asyncio.run(run())
+    lines = [r for r in caplog.messages if "event=frame_rejected" in r]
+    assert 1 <= len(lines) <= 3
+    assert "out of range" in lines[0]
