Take no own pause for a silent peer at connections

Seen: after a pause of a process, agents and entries count as unreachable although their connection was established meanwhile. Accepted connections are dropped although their Hello waits in the socket, and with it the messages behind it; their sender cannot tell whether they had an effect.

Cause: Channel.connect and the wait for the Hello used plain timers, which asyncio runs before the tasks whose data has arrived.

Change: both use RunningTimeout, which counts only the time in which the event loop runs.

--- a/src/gooseberrypost/wire/channel.py
+++ b/src/gooseberrypost/wire/channel.py
@@ -18,6 +18,7 @@
     TimedOut,
     failure_from_code,
 )
+from gooseberrypost.timeouts import RunningTimeout
 from gooseberrypost.wire.codec import Frame, encode, read_frame
 from gooseberrypost.wire.messages import idl
 
@@ -116,10 +117,13 @@
     async def connect(
         cls, address: str, hello: Any, timeout_ms: float = CONNECT_TIMEOUT_MS
     ) -> Result[Channel, PeerUnreachable]:
-        """Connect to ``host:port`` and send ``hello``."""
+        """Connect to ``host:port`` and send ``hello``.
+
+        Delays of this process do not count towards the timeout.
+        """
         try:
             host, port = split_address(address)
-            async with asyncio.timeout(timeout_ms / 1_000):
+            with RunningTimeout(timeout_ms / 1_000):
                 reader, writer = await asyncio.open_connection(host, port)
         except (OSError, TimeoutError, ValueError) as exc:
             return Err(PeerUnreachable(f"{address}: {exc!r}"))
--- a/src/gooseberrypost/wire/listener.py
+++ b/src/gooseberrypost/wire/listener.py
@@ -12,6 +12,7 @@
 
 from gooseberrypost.address import Address, split_address
 from gooseberrypost.errors import Failure, ProtocolFailure, UnknownOutcome
+from gooseberrypost.timeouts import RunningTimeout
 from gooseberrypost.wire.codec import Frame, encode, read_frame
 from gooseberrypost.wire.messages import idl
 
@@ -186,7 +187,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> Session | None:
         try:
-            async with asyncio.timeout(HELLO_TIMEOUT_MS / 1_000):
+            with RunningTimeout(HELLO_TIMEOUT_MS / 1_000):
                 first = await read_frame(reader)
         except TimeoutError:
             self._handler.rejected(
