Take no resets of an agent's link for a crash of its engine

Seen: when the connections to a sound engine are reset for 0.4 s, all its runs end as engine_crashed, and their requests are reported as having crashed it, which is evidence for their quarantine.

Cause: three load checks that were lost within 0.1 s counted as a crash, and so did each failure to connect, such as a missing route. Runs of a crash that was reported were let go later without a check of their own.

Change: refused connections show a crash, which is confirmed by a connection of its own, and so does an engine that answers but has lost several of its runs. Resets and silence are checked again for as long as the health checks wait for load reports before a server is down; what is still unclear then is not a crash, and is logged as crash_unclear. After an unclear check only runs that have begun show a restart, as the engine may have dropped the results of others or never received them. A run that was reported is kept if the engine still lists it. Runs whose connections break together share their checks, so that a silent engine does not delay them one after the other.

--- a/src/gooseberrypost/agent/crash.py
+++ b/src/gooseberrypost/agent/crash.py
@@ -7,14 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any, Final
 
 from result import Err, Ok, Result
 
+from gooseberrypost.address import split_address
 from gooseberrypost.agent.engine import EngineClient
 from gooseberrypost.agent.jobs import Attempts
+from gooseberrypost.agent.lifecycle import FAILED_POLLS_UNTIL_DOWN
 from gooseberrypost.agent.log import log_decision
-from gooseberrypost.errors import ConnectionLost, PeerUnreachable
+from gooseberrypost.errors import ConnectionLost, PeerUnreachable, TimedOut
+from gooseberrypost.timeouts import RunningTimeout
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.messages import idl
 
@@ -26,27 +31,48 @@
     from gooseberrypost.errors import Failure
     from gooseberrypost.identity import Attempt, ProcessId
 
-MAX_LOAD_CHECKS: Final = 3
-"""Load checks with a lost connection before the server counts as crashed.
-
-A refused connection counts as a crash at once. A check without a reply in time
-does not count as one: the server may only be busy.
-"""
 LOAD_CHECK_INTERVAL_MS: Final = 50
 MIN_LOST_REQUESTS: Final = 2
 """Lost requests needed to conclude that a responding server restarted."""
 LOAD_REPORT_TIMEOUT_MS: Final = 500
+MAX_CHECK_TIME_MS: Final = FAILED_POLLS_UNTIL_DOWN * LOAD_REPORT_TIMEOUT_MS
+"""Time after which a check without a clear result is given up.
+
+The health checks wait for as many load reports before the server is down.
+"""
 CRASH_REPORT_TIMEOUT_MS: Final = 300
 
 
+class ServerState(StrEnum):
+    """What a check has shown of the server's process."""
+
+    ANSWERS = "answers"
+    REFUSES = "refuses"
+    """No process accepts connections, so the one before has ended."""
+    UNCLEAR = "unclear"
+    """The link may be broken, or the server may only be busy."""
+
+
+@dataclass(slots=True, frozen=True)
+class ServerCheck:
+    """Result of one check of the server."""
+
+    state: ServerState
+    attempts: frozenset[Attempt] | None = None
+    """Attempts that the server has; None if it does not list them."""
+
+
 class CrashReporter:
     """Detects backend server crashes and reports them to the claim owners."""
 
     __slots__ = (
         "_attempts",
         "_backend",
+        "_checks_begun",
         "_claim_owners",
         "_crashes",
+        "_latest",
+        "_latest_number",
         "_lifecycle",
         "_lock",
         "_pool",
@@ -72,6 +98,10 @@
         self._claim_owners = set(peers)
         self._lock = asyncio.Lock()
         self._crashes = 0
+        self._checks_begun = 0
+        self._latest = ServerCheck(ServerState.UNCLEAR)
+        self._latest_number = 0
+        """Number of the check that ``_latest`` is the result of."""
         self._reported: set[Attempt] = set()
         self._report_tasks: set[asyncio.Task[Any]] = set()
 
@@ -83,14 +113,56 @@
     async def detect_crash(self, attempt: Attempt) -> bool:
         """Return whether a server crash broke the connection of an attempt.
 
-        The server has crashed if it cannot be connected to, or if it gives a
-        load report but has lost every one of several running requests. The
-        crash is reported, once, before this returns.
+        The server has crashed if it refuses connections, or if it answers but
+        has lost every one of several running requests. The crash is reported,
+        once, before this returns. While connections are reset or nothing is
+        answered the check is repeated; what then is still unclear does not
+        count as a crash.
+        """
+        running = {job.attempt for job in self._attempts.running}
+        known = running
+        clock = asyncio.get_running_loop().time
+        end_s = clock() + MAX_CHECK_TIME_MS / 1_000
+        while True:
+            crashed = await self._check_crash(attempt, running, known)
+            if crashed is not None:
+                return crashed
+            if clock() >= end_s:
+                log_decision(
+                    "crash_unclear", key=attempt.key, attempt=attempt.number
+                )
+                return False
+            # The server may never have received the others, or may have
+            # ended them meanwhile.
+            known = {
+                job.attempt
+                for job in self._attempts.running
+                if job.attempt in running and job.has_begun
+            }
+            await asyncio.sleep(LOAD_CHECK_INTERVAL_MS / 1_000)
+
+    async def _check_crash(
+        self, attempt: Attempt, running: set[Attempt], known: set[Attempt]
+    ) -> bool | None:
+        """Check the server once; None if that shows nothing.
+
+        ``running`` are the attempts that ran when the connection broke, and
+        ``known`` those of them that the server must still have.
         """
+        begun = self._checks_begun
         async with self._lock:
-            if attempt in self._reported:
+            if attempt in self._reported and not self._is_engine:
+                # The service does not list its calls, and no call can be
+                # resumed.
                 return True
-            lost = await self._lost_attempts()
+            if self._latest_number <= begun:
+                await self._check_server()
+            check = self._latest
+            if check.state is ServerState.UNCLEAR:
+                return None
+            if attempt in self._reported:
+                return self._is_still_lost(attempt, check)
+            lost = self._lost_attempts(running, known, check)
             if attempt not in lost:
                 return False
             await self._report(lost)
@@ -98,29 +170,70 @@
             self._reported = {a for a in self._reported if a in jobs} | lost
             return True
 
-    async def _lost_attempts(self) -> set[Attempt]:
-        running = {job.attempt for job in self._attempts.running}
-        for _ in range(MAX_LOAD_CHECKS):
-            on_server = await self._attempts_on_server()
-            if isinstance(on_server, Ok):
-                return _lost_in_restart(running, on_server.ok_value)
-            if isinstance(on_server.err_value, PeerUnreachable):
-                break
-            if not isinstance(on_server.err_value, ConnectionLost):
-                return set()
-            # The fault that broke the request may have broken this check too.
-            await asyncio.sleep(LOAD_CHECK_INTERVAL_MS / 1_000)
-        return running
+    def _is_still_lost(self, attempt: Attempt, check: ServerCheck) -> bool:
+        """Whether an attempt that was reported is not on the server."""
+        if check.state is ServerState.REFUSES:
+            return True
+        if check.attempts is None:
+            return False
+        if attempt in check.attempts:
+            self._reported.discard(attempt)
+            return False
+        return True
 
-    async def _attempts_on_server(self) -> Result[set[Attempt], Failure]:
+    def _lost_attempts(
+        self, running: set[Attempt], known: set[Attempt], check: ServerCheck
+    ) -> set[Attempt]:
+        still_running = {job.attempt for job in self._attempts.running}
+        still_running -= self._reported
+        if check.state is ServerState.REFUSES:
+            return still_running
+        if check.attempts is None:
+            return set()
+        if len(known & still_running) < MIN_LOST_REQUESTS:
+            # A single lost request does not prove a restart: the server may
+            # have finished it, and only the end of its stream was lost.
+            return set()
+        lost = running & still_running
+        return set() if lost & check.attempts else lost
+
+    async def _check_server(self) -> None:
+        """Check the server for all callers that wait for a result."""
+        self._checks_begun += 1
+        number = self._checks_begun
+        self._latest = await self._ask_server()
+        self._latest_number = number
+
+    async def _ask_server(self) -> ServerCheck:
+        listed = await self._attempts_on_server()
+        if isinstance(listed, Ok):
+            return ServerCheck(ServerState.ANSWERS, listed.ok_value)
+        failure = listed.err_value
+        if isinstance(failure, PeerUnreachable):
+            is_refused = await _is_refused(self._backend.address)
+            state = ServerState.REFUSES if is_refused else ServerState.UNCLEAR
+            return ServerCheck(state)
+        if isinstance(failure, ConnectionLost | TimedOut):
+            return ServerCheck(ServerState.UNCLEAR)
+        return ServerCheck(ServerState.ANSWERS)
+
+    async def _attempts_on_server(
+        self,
+    ) -> Result[frozenset[Attempt] | None, Failure]:
         """List the attempts that the server has, if it responds."""
         report = await self._backend.load(LOAD_REPORT_TIMEOUT_MS)
         if isinstance(report, Err):
             return report
         if not isinstance(self._backend, EngineClient):
-            return Ok({job.attempt for job in self._attempts.running})
+            return Ok(None)
         requests = await self._backend.requests()
-        return requests.map(lambda items: {item.attempt for item in items})
+        return requests.map(
+            lambda items: frozenset(item.attempt for item in items)
+        )
+
+    @property
+    def _is_engine(self) -> bool:
+        return isinstance(self._backend, EngineClient)
 
     async def _report(self, lost: set[Attempt]) -> None:
         self._crashes += 1
@@ -177,15 +290,15 @@
         )
 
 
-def _lost_in_restart(
-    running: set[Attempt], on_server: set[Attempt]
-) -> set[Attempt]:
-    """Return the attempts lost in a restart that no load check noticed.
-
-    A restart between two checks looks like a broken connection. A single lost
-    request does not prove a restart: the server may have finished the request,
-    and only the end of its stream was lost with the connection.
-    """
-    if len(running) < MIN_LOST_REQUESTS or running & on_server:
-        return set()
-    return running
+async def _is_refused(address: str) -> bool:
+    """Whether no process accepts connections at an address."""
+    try:
+        host, port = split_address(address)
+        with RunningTimeout(LOAD_REPORT_TIMEOUT_MS / 1_000):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, ValueError):
+        return False
+    writer.close()
+    return False
