Refuse ids that are no text and sizes out of range

A client got a bare 500 for a streaming request whose attempt id or Resumes was not UTF-8 (UnicodeEncodeError where the stream's key is made), or whose Token-Usage had 400 digits (OverflowError in the forecast of memory; a size beyond 32 bits would also have kept load notices from being encoded). Evidence of crashes with digests that are no text, written by somebody else, ended the claim owner that wrote it again.

The adapter refuses such requests with 400, and Evidence.parse such evidence. The sample of a load notice reads the rank that now has a class of its own.

--- a/src/gooseberrypost/platform/requests.py
+++ b/src/gooseberrypost/platform/requests.py
@@ -19,6 +19,8 @@
 
 MAX_DEADLINE_MS: Final = 3_600_000
 """Upper bound of a client's deadline, which keeps the arithmetic finite."""
+MAX_TOKENS: Final = 2**30
+"""Most tokens of one prompt or output; sums of two fit load notices."""
 
 
 def decode_request(
@@ -33,6 +35,9 @@
     request_id = headers.get(names.REQUEST_ID, "")
     if not request_id:
         return Err(MalformedRequest(f"{names.REQUEST_ID} is missing"))
+    begun_by = headers.get(names.RESUMES, "")
+    if not (_is_text(request_id) and _is_text(begun_by)):
+        return Err(MalformedRequest("id of a request is not UTF-8"))
     deadline = _milliseconds(headers.get(names.DEADLINE_MS))
     if deadline is None:
         return Err(MalformedRequest(f"{names.DEADLINE_MS} is not a number"))
@@ -50,7 +55,7 @@
             deadline_s=arrived_s + deadline / 1_000,
             prompt=prompt.ok_value,
             resume_after=headers.get(names.LAST_EVENT_ID, ""),
-            begun_by=headers.get(names.RESUMES, ""),
+            begun_by=begun_by,
         )
     )
 
@@ -87,6 +92,15 @@
     )
 
 
+def _is_text(value: str) -> bool:
+    """Whether a header is UTF-8; other bytes are read as lone surrogates."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _milliseconds(text: str | None) -> float | None:
     if text is None:
         return MAX_DEADLINE_MS
@@ -114,6 +128,7 @@
             parts.append((part, int(size)))
     except (ValueError, OverflowError) as exc:
         return Err(MalformedRequest(f"invalid prompt sizes: {exc}"))
-    if tokens < 0 or output < 0:
-        return Err(MalformedRequest("number of tokens is negative"))
-    return Ok(Prompt(tokens, output, max(hint, 0), tuple(parts)))
+    if min(tokens, output) < 0 or max(tokens, output) > MAX_TOKENS:
+        return Err(MalformedRequest("number of tokens is out of range"))
+    hint = min(max(hint, 0), MAX_TOKENS)
+    return Ok(Prompt(tokens, output, hint, tuple(parts)))
--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -41,7 +41,7 @@
 
 from gooseberrypost.errors import Failure
 from gooseberrypost.policy.suspects import Suspect, common_cause, tally
-from gooseberrypost.strictjson import parse_json
+from gooseberrypost.strictjson import InvalidField, parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -179,7 +179,7 @@
         try:
             document = parse_json(text) if text else [[], {}]
             for crash, digests, at_ms in document[0]:
-                suspects = dict.fromkeys(digests, Suspect())
+                suspects = dict.fromkeys(map(_digest, digests), Suspect())
                 evidence._add(str(crash), suspects, int(at_ms))
             for digest, at_ms in document[1].items():
                 evidence.convicted[digest] = int(at_ms)
@@ -479,3 +479,10 @@
     return next(
         (k for k in keys if given.issuperset(k.split(KEY_SEPARATOR))), None
     )
+
+
+def _digest(value: object) -> str:
+    """Return a stored digest; raises ``InvalidField``."""
+    if not isinstance(value, str):
+        raise InvalidField(f"digest {value!r:.40}")
+    return value
--- a/tests/stored_samples.py
+++ b/tests/stored_samples.py
@@ -437,10 +437,17 @@
     return lambda text: plain(load(text, "sample").unwrap())
 
 
+def _read_notice(text: str) -> dict[str, Any]:
+    found = plain(decode_notice(bytes.fromhex(text)))
+    # A notice that names no services has one rank for all of them.
+    found["rank_ms"] = found.pop("ranks_ms").of("any")
+    return found
+
+
 FORMS: dict[str, Form] = {
     "load notice": Form(
         lambda: encode_filled(idl.LoadNotice).hex(),
-        lambda text: plain(decode_notice(bytes.fromhex(text))),
+        _read_notice,
     ),
     "records of gateways": Form(
         lambda: json.dumps(written_records()), read_records
