Take no requests that never arrived for lost ones

Seen: if the connections of two requests break before a sound engine has received them, and it runs nothing else, both end as engine_crashed and are reported as having crashed it.

Cause: an engine that lists none of several running requests counted as started again, also if it had never had them.

Change: only token streams that the engine has opened count, as it keeps them until they have been read; the requests beside them are reported as before. A restart that is so short that no check is refused is therefore not noticed if only prefills were running, or fewer than two streams.

Before, on, test_requests_that_never_arrived_have_not_crashed_their_engine failed: assert 'engine_crashed' != 'engine_crashed'

Now it passes. test_wire, test_agent_*, test_crash_checks, test_late_channels, test_late_event_loop and test_entry_successors: 145 passed. test_chaos and test_entry_integration: 21 passed; scenarios with a crash: 4 passed. The tests of crashes that must be recognised (test_a_crash_is_reported_before_its_requests_end, test_a_prompt_that_crashes_its_prefill_is_reported, test_engine_that_started_again_behind_a_broken_link_has_crashed) passed in 24 of 24 runs, two at once, on a busy machine.

--- a/src/gooseberrypost/agent/crash.py
+++ b/src/gooseberrypost/agent/crash.py
@@ -19,6 +19,7 @@
 from gooseberrypost.agent.lifecycle import FAILED_POLLS_UNTIL_DOWN
 from gooseberrypost.agent.log import log_decision
 from gooseberrypost.errors import ConnectionLost, PeerUnreachable, TimedOut
+from gooseberrypost.state.attempts import AttemptState, Phase
 from gooseberrypost.timeouts import RunningTimeout
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.messages import idl
@@ -27,13 +28,14 @@
     from collections.abc import Collection
 
     from gooseberrypost.agent.backend import Backend
+    from gooseberrypost.agent.jobs import Job
     from gooseberrypost.agent.lifecycle import LifecycleController
     from gooseberrypost.errors import Failure
     from gooseberrypost.identity import Attempt, ProcessId
 
 LOAD_CHECK_INTERVAL_MS: Final = 50
 MIN_LOST_REQUESTS: Final = 2
-"""Lost requests needed to conclude that a responding server restarted."""
+"""Lost token streams from which to conclude that a server restarted."""
 LOAD_REPORT_TIMEOUT_MS: Final = 500
 MAX_CHECK_TIME_MS: Final = FAILED_POLLS_UNTIL_DOWN * LOAD_REPORT_TIMEOUT_MS
 """Time after which a check without a clear result is given up.
@@ -114,17 +116,16 @@
         """Return whether a server crash broke the connection of an attempt.
 
         The server has crashed if it refuses connections, or if it answers but
-        has lost every one of several running requests. The crash is reported,
-        once, before this returns. While connections are reset or nothing is
-        answered the check is repeated; what then is still unclear does not
-        count as a crash.
+        has lost all running requests, several token streams among them. The
+        crash is reported, once, before this returns. While connections are
+        reset or nothing is answered the check is repeated; what then is still
+        unclear does not count as a crash.
         """
         running = {job.attempt for job in self._attempts.running}
-        known = running
         clock = asyncio.get_running_loop().time
         end_s = clock() + MAX_CHECK_TIME_MS / 1_000
         while True:
-            crashed = await self._check_crash(attempt, running, known)
+            crashed = await self._check_crash(attempt, running)
             if crashed is not None:
                 return crashed
             if clock() >= end_s:
@@ -132,22 +133,14 @@
                     "crash_unclear", key=attempt.key, attempt=attempt.number
                 )
                 return False
-            # The server may never have received the others, or may have
-            # ended them meanwhile.
-            known = {
-                job.attempt
-                for job in self._attempts.running
-                if job.attempt in running and job.has_begun
-            }
             await asyncio.sleep(LOAD_CHECK_INTERVAL_MS / 1_000)
 
     async def _check_crash(
-        self, attempt: Attempt, running: set[Attempt], known: set[Attempt]
+        self, attempt: Attempt, running: set[Attempt]
     ) -> bool | None:
         """Check the server once; None if that shows nothing.
 
-        ``running`` are the attempts that ran when the connection broke, and
-        ``known`` those of them that the server must still have.
+        ``running`` are the attempts that ran when the connection broke.
         """
         begun = self._checks_begun
         async with self._lock:
@@ -162,7 +155,7 @@
                 return None
             if attempt in self._reported:
                 return self._is_still_lost(attempt, check)
-            lost = self._lost_attempts(running, known, check)
+            lost = self._lost_attempts(running, check)
             if attempt not in lost:
                 return False
             await self._report(lost)
@@ -182,20 +175,29 @@
         return True
 
     def _lost_attempts(
-        self, running: set[Attempt], known: set[Attempt], check: ServerCheck
+        self, running: set[Attempt], check: ServerCheck
     ) -> set[Attempt]:
-        still_running = {job.attempt for job in self._attempts.running}
-        still_running -= self._reported
+        jobs = self._attempts.running
+        still_running = {job.attempt for job in jobs} - self._reported
         if check.state is ServerState.REFUSES:
             return still_running
         if check.attempts is None:
             return set()
-        if len(known & still_running) < MIN_LOST_REQUESTS:
-            # A single lost request does not prove a restart: the server may
-            # have finished it, and only the end of its stream was lost.
-            return set()
         lost = running & still_running
-        return set() if lost & check.attempts else lost
+        taken = {job.attempt for job in jobs if self._is_taken(job)}
+        # A single lost request does not prove a restart: the server may have
+        # finished it, and only the end of its stream was lost.
+        if len(lost & taken) < MIN_LOST_REQUESTS or lost & check.attempts:
+            return set()
+        return lost
+
+    def _is_taken(self, job: Job) -> bool:
+        """Whether the server has a job until its stream has been read.
+
+        It may never have received others, or may have dropped their results.
+        """
+        state = self._attempts.table.state(job.attempt, Phase.DECODE)
+        return job.has_begun or state is AttemptState.DECODING
 
     async def _check_server(self) -> None:
         """Check the server for all callers that wait for a result."""
--- a/tests/test_agent_successors.py
+++ b/tests/test_agent_successors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import asynccontextmanager
 
 import pytest
 from result import Err
@@ -226,6 +227,35 @@
     asyncio.run(run())
 
 
+def test_requests_that_never_arrived_have_not_crashed_their_engine():
+    """Guards against crash evidence from requests that an engine never had."""
+
+    async def run():
+        async with running_rig() as rig:
+            attempts = rig.decode_agent.context.attempts
+
+            @asynccontextmanager
+            async def lose(attempt, options):
+                await until(lambda: len(attempts.running) == 2)
+                raise ConnectionLost("reset")
+                yield
+
+            rig.decode_agent.backend.decode = lose
+            prepared = {key: await rig.prepare(key) for key in ("a", "b")}
+            for end in await asyncio.gather(
+                *(read_end(rig, key, *prepared[key]) for key in prepared)
+            ):
+                assert end.code != "engine_crashed"
+            assert rig.decode_agent.lifecycle.lifecycle.crashes == 0
+
+    async def read_end(rig, key, reserved, prefilled):
+        req = decode(reserved, prefilled, key)
+        async with rig.decode_channel.stream(req) as replies:
+            return (await collect(replies))[1]
+
+    asyncio.run(run())
+
+
 def test_reported_run_that_goes_on_is_kept():
     """Guards against runs let go without a check after a crash report.
 
