--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -155,7 +155,10 @@
         if property_name == "exit":
             return self.cluster.processes[name].exit_code
         status = await self.cluster.status(name)
-        return None if status is None else getattr(status, property_name)
+        if status is None:
+            return None
+        value = getattr(status, property_name)
+        return len(value) if isinstance(value, list) else value
 
     def _measure_fleet(self, property_name: str) -> int:
         if property_name == "answers":
