Agents: let nothing lapse for a delay of the agent itself

What callers saw, after an agent stood still for some seconds: a place at a decode engine was gone and went to another request, though its renewals waited in the agent's socket, so that a prefill was in vain; `Decode` was refused with stale_attempt ("reservation 1 does not exist"); a stream was cancelled as `entry_gone` although its entry had connected again during the pause. The release of a prefill result found no allocation, so that the engine kept the memory.

The timer of the maintenance fires before the messages that arrived meanwhile are handled, and its limits counted the delay of the agent.

Change: `OwnDelay` finds the delay between two checks. Reservations and prefill results lapse later by it, and at the first late check nothing is dropped, so that what has arrived is read first. A reservation that the ledger still holds may be started: nobody else has got its capacity. Each check counts its interval, and only the first of several late ones skips the maintenance, so that the memory of an entry that is gone is freed also by an agent whose event loop is always late.

--- a/src/gooseberrypost/agent/capacity.py
+++ b/src/gooseberrypost/agent/capacity.py
@@ -102,6 +102,12 @@
         """
         return self._notified(self.capacity.ledger.release_reserved(owner))
 
+    def postpone_expiry(self, delay_ms: int) -> None:
+        """Let reservations and prefill results lapse later by a delay."""
+        for allocation in self.capacity.ledger.allocations:
+            if not allocation.running:
+                allocation.expires_ms += delay_ms
+
     def expire(self, now_ms: int) -> list[Attempt]:
         """Release lapsed reservations and prefill results."""
         return self._notified(self.capacity.ledger.expire(now_ms))
--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -19,6 +19,7 @@
 from gooseberrypost.agent.decoding import DecodeRunner
 from gooseberrypost.agent.jobs import DecodeJob
 from gooseberrypost.agent.log import log_decision
+from gooseberrypost.agent.owndelay import OwnDelay
 from gooseberrypost.agent.ownership import OwnerMonitor
 from gooseberrypost.agent.prefilling import PrefillRunner
 from gooseberrypost.agent.reconcile import Reconciler
@@ -61,6 +62,7 @@
         self._owner_monitor = OwnerMonitor(context, self._canceller)
         self.reconciler = Reconciler(context, self._canceller)
         self._started_ms = context.now_ms()
+        self._own_delay = OwnDelay(MAINTENANCE_INTERVAL_MS, self._started_ms)
 
     def register(self, dispatcher: Dispatcher) -> None:
         """Register the handlers of attempt messages and of connections."""
@@ -200,8 +202,12 @@
         stale = error_or_none(table.check(attempt, Phase.DECODE))
         if stale is not None:
             return stale
+        # What the ledger still holds has been given to nobody else. The time
+        # limit may have passed while this process did not read the request.
+        held = context.capacity.ledger.find(attempt)
+        valid_ms = min(now_ms, held.expires_ms - 1) if held else now_ms
         started = context.capacity_controller.start_reservation(
-            req.reservation, attempt, now_ms
+            req.reservation, attempt, valid_ms
         )
         if isinstance(started, Err):
             return started.err_value
@@ -285,9 +291,17 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_MS / 1_000)
 
     def maintain(self) -> None:
-        """Free expired reservations and cancel the jobs of lost entries."""
+        """Free expired reservations and cancel the jobs of lost entries.
+
+        A delay of this process does not count, and what arrived meanwhile is
+        read first.
+        """
         context = self._context
         now_ms = context.now_ms()
+        delay_ms = self._own_delay.check(now_ms)
+        context.capacity_controller.postpone_expiry(delay_ms)
+        if self._own_delay.may_be_unread:
+            return
         for attempt in context.capacity_controller.expire(now_ms):
             context.attempts.table.unreserve(attempt)
         self._owner_monitor.cancel_orphans(now_ms)
