Agents: wait for entries to reattach without the agent's own delay

What callers saw: a restarted agent that stood still past `reattach_ms` cancelled the runs that it had adopted, although their entries had reattached during the pause.

Cause: the sleep before `cancel_not_reattached` ends in the first pass of the event loop after the pause, before the connections of that time are accepted.

Change: the wait counts only the time in which the event loop runs. It lasts at most a fifth longer with an event loop that is always late.

Evidence: `python -m pytest -n 2 tests/test_agent_pauses.py -k adopted`; before, the Reattach was refused as stale_attempt. With it tests/test_agent_pauses.py and tests/test_agent_ownership.py passed twice.

--- a/src/gooseberrypost/agent/reconcile.py
+++ b/src/gooseberrypost/agent/reconcile.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, Final
 
 from result import Err
@@ -10,6 +11,7 @@
 from gooseberrypost.agent.engine import EngineClient, EngineRequest
 from gooseberrypost.agent.log import log_decision
 from gooseberrypost.agent.retention import RECORD_RETENTION_MS
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,12 +68,20 @@
             return
         await self.adopt()
         self._context.lifecycle_controller.mark_reconciled()
-        await asyncio.sleep(self._context.cfg.reattach_ms / 1_000)
+        await self._wait_for_entries()
         self.cancel_not_reattached()
         while not should_stop():
             await self.sweep()
             await asyncio.sleep(SWEEP_INTERVAL_MS / 1_000)
 
+    async def _wait_for_entries(self) -> None:
+        """Give entries time to reattach, without delays of this process."""
+        with (
+            suppress(TimeoutError),
+            RunningTimeout(self._context.cfg.reattach_ms / 1_000),
+        ):
+            await asyncio.Event().wait()
+
     async def adopt(self) -> None:
         """Adopt the engine's requests; retries until the engine lists them."""
         while True:
--- a/tests/test_agent_pauses.py
+++ b/tests/test_agent_pauses.py
@@ -17,7 +17,9 @@
     decode,
     prefill,
     reserve,
+    running,
     running_rig,
+    settings,
     until,
 )
 from tests.test_late_event_loop import late_loop
@@ -159,6 +161,24 @@
     asyncio.run(run())
 
 
+def test_adopted_stream_whose_entry_reattaches_in_a_pause_is_kept():
+    """Guards against runs that a new agent cancels after its own pause."""
+
+    async def run():
+        async with running_rig(decode_options={"token_ms": 20}) as rig:
+            reserved, prefilled = await rig.prepare()
+            req = decode(reserved, prefilled, max_tokens=100)
+            async with rig.decode_channel.stream(req) as replies:
+                (await replies.next(1_000)).unwrap()
+                await rig.decode_agent.stop()
+            cfg = settings(rig.decode_engine, reattach_ms=GRACE_MS)
+            async with running(cfg) as successor:
+                end = await reattach_in_a_pause(successor)
+            assert (end.code, end.tokens) == ("", 100)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("holder", ["silent", "gone"])
 def test_reservation_lapses_although_the_event_loop_is_always_late(holder):
     """Guards against memory held for ever by an entry that is gone."""
