Agents: give lost entries their time without the agent's own delay

What callers saw: a stream was cancelled as `entry_gone` 0.1 s after a pause of its agent. An entry that was paused on the same host, or whose connection broke during the pause, had no time left to connect again.

Cause: `reattach_ms` counted the delay of the agent. The maintenance that reads first what has arrived gives one interval only.

Change: connections that were lost, runs without a connection and ended streams that are kept for a reattachment are given the delay found by the maintenance.

Evidence: `python -m pytest -n 2 tests/test_agent_pauses.py -k also_after`, which failed before with ('caller_gone', 'entry_gone'). The same test waits until all is released, as nobody connects. tests/test_agent_pauses.py and tests/test_agent_ownership.py passed twice.

--- a/src/gooseberrypost/agent/execution.py
+++ b/src/gooseberrypost/agent/execution.py
@@ -300,6 +300,7 @@
         now_ms = context.now_ms()
         delay_ms = self._own_delay.check(now_ms)
         context.capacity_controller.postpone_expiry(delay_ms)
+        self._owner_monitor.postpone(delay_ms)
         if self._own_delay.may_be_unread:
             return
         for attempt in context.capacity_controller.expire(now_ms):
--- a/src/gooseberrypost/agent/ownership.py
+++ b/src/gooseberrypost/agent/ownership.py
@@ -61,6 +61,16 @@
             if job.session is session:
                 job.orphaned_ms = now_ms
 
+    def postpone(self, delay_ms: int) -> None:
+        """Give disconnected entries more time, after a delay of the agent."""
+        for owner in self._disconnected_ms:
+            self._disconnected_ms[owner] += delay_ms
+        for job in self._context.attempts.jobs.values():
+            if job.orphaned_ms is not None:
+                job.orphaned_ms += delay_ms
+            if isinstance(job, DecodeJob):
+                job.ended_ms += delay_ms
+
     def cancel_orphans(self, now_ms: int) -> None:
         """Cancel jobs of disconnected or silent entries.
 
--- a/tests/test_agent_pauses.py
+++ b/tests/test_agent_pauses.py
@@ -207,3 +207,30 @@
             assert time.monotonic() - begun_s < 1.5
 
     asyncio.run(run())
+
+
+def test_entry_has_its_time_to_connect_again_also_after_a_pause():
+    """Guards against runs of an entry that was paused with its agent."""
+
+    async def run():
+        async with running_rig(
+            decode_options={"token_ms": 20}, reattach_ms=2 * GRACE_MS
+        ) as rig:
+            await ask(rig.decode_channel, reserve("other", ttl_ms=LONG_MS))
+            reserved, prefilled = await rig.prepare()
+            req = decode(reserved, prefilled, max_tokens=100)
+            async with rig.decode_channel.stream(req) as replies:
+                (await replies.next(1_000)).unwrap()
+                (job,) = rig.decode_agent.context.attempts.jobs.values()
+                await rig.decode_channel.close()
+            await until(lambda: job.orphaned_ms)
+            stand_still(PAUSE_S)
+            count = job.next_sequence
+            # The engine sends a token each 20 ms, so this is 0.2 s or more.
+            await until(lambda: job.end or job.next_sequence >= count + 10)
+            assert job.end is None
+            assert len(reservations(rig)) == 2
+            # Nobody connects, so that all is released after the time.
+            await until(lambda: not reservations(rig))
+
+    asyncio.run(run())
