Agents: read what has arrived before a run ends at its deadline

What callers saw: an answer that was whole before its deadline ended as timed_out, and its run was cancelled, because the agent stood still past the deadline.

Cause: the timer of the deadline cancels the run in the first pass of the event loop after the pause, in which its lines were received but not yet read.

Change: the deadline of a run is a `Deadline`: after a delay it lets the run read what has arrived, and prolongs nothing else.

Evidence: `python -m pytest -n 2 tests/test_agent_pauses.py -k "ends_its_run or goes_on"`. The first failed before with ('timed_out', 0) in place of ('', 20); the second holds that a run that goes on is ended after a pause, before and now. With it tests/test_agent_*.py pass.

--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -20,7 +20,7 @@
     UnknownOutcome,
 )
 from gooseberrypost.state.attempts import AttemptState, Phase
-from gooseberrypost.timeouts import RunningTimeout
+from gooseberrypost.timeouts import Deadline, RunningTimeout
 
 if TYPE_CHECKING:
     from gooseberrypost.agent.cancellation import AttemptCanceller
@@ -60,7 +60,7 @@
         context = self._context
         failure: Failure | None = None
         try:
-            async with asyncio.timeout(deadline_ms / 1_000):
+            with Deadline(deadline_ms / 1_000) as deadline, deadline.limit():
                 await coroutine
         except TimeoutError:
             failure = TimedOut("the deadline passed during decoding")
--- a/tests/test_agent_pauses.py
+++ b/tests/test_agent_pauses.py
@@ -234,3 +234,46 @@
             await until(lambda: not reservations(rig))
 
     asyncio.run(run())
+
+
+def test_answer_that_came_in_a_pause_ends_its_run_as_complete():
+    """Guards against a whole answer that is dropped at a deadline."""
+
+    async def run():
+        async with running_rig() as rig:
+            engine = rig.decode_engine
+            stream = engine.stream
+
+            async def stream_at_once(request, attempt, sequence):
+                await until(lambda: attempt.finished)
+                response = await stream(request, attempt, sequence)
+                stand_still(PAUSE_S)
+                return response
+
+            engine.stream = stream_at_once
+            reserved, prefilled = await rig.prepare()
+            req = decode(reserved, prefilled, deadline_ms=1_500)
+            async with rig.decode_channel.stream(req) as replies:
+                _, end = await collect(replies)
+            assert (end.code, end.tokens) == ("", req.max_tokens)
+
+    asyncio.run(run())
+
+
+def test_run_that_goes_on_after_its_deadline_is_ended_after_a_pause():
+    """Guards against a deadline that is prolonged by a pause."""
+
+    async def run():
+        async with running_rig(decode_options={"token_ms": 20}) as rig:
+            reserved, prefilled = await rig.prepare()
+            req = decode(reserved, prefilled, deadline_ms=500, max_tokens=500)
+            async with rig.decode_channel.stream(req) as replies:
+                (await replies.next(1_000)).unwrap()
+                stand_still(1.0)
+                begun_s = time.monotonic()
+                _, end = await collect(replies)
+            assert end.code == "timed_out"
+            assert time.monotonic() - begun_s < 0.5
+            await until(rig.is_decode_free)
+
+    asyncio.run(run())
