Entries: read a body that came while the event loop was late

What callers saw: 408 request_incomplete for a body that had arrived in time, when the entry stood still past `read_timeout_ms`.

Cause: the timer of the timeout ends the read in the first pass of the event loop after the pause, before the body is read.

Change: the time in which the event loop was late does not count.

Evidence: `python -m pytest -n 2 tests/test_entry_pauses.py -k body`, which failed before with 408. tests/test_entry_input.py, with the callers that stop sending, passes.

--- a/src/gooseberrypost/entry/http.py
+++ b/src/gooseberrypost/entry/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING, Any, Final
 
@@ -55,6 +54,7 @@
 )
 from gooseberrypost.identity import content_digest
 from gooseberrypost.state.records import Kind
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -201,9 +201,7 @@
             return Err(too_large)
         body = bytearray()
         try:
-            async with asyncio.timeout(
-                self._ctx.settings.read_timeout_ms / 1_000
-            ):
+            with RunningTimeout(self._ctx.settings.read_timeout_ms / 1_000):
                 while data := await request.content.readany():
                     body += data
                     if len(body) > limit:
