Entries: cut no caller that read while the event loop was late

What callers saw: a stream that broke off although its caller had read on, when the entry stood still past `write_timeout_ms` while its buffer was full.

Cause: the timer of the write ends it in the first pass of the event loop after the pause, before the socket is written to again.

Change: the time in which the event loop was late does not count.

Evidence: `python -m pytest -n 2 tests/test_entry_pauses.py -k caller_that_read`, which failed before (no end of the stream). tests/test_entry_input.py, tests/test_entry_model.py and tests/test_entry_termination.py, with the caller that reads nothing, pass.

--- a/src/gooseberrypost/entry/answer.py
+++ b/src/gooseberrypost/entry/answer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
@@ -19,6 +18,7 @@
 )
 from gooseberrypost.entry.parse import IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER
 from gooseberrypost.errors import CallerGone, Failure, Outcome, Superseded
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -67,7 +67,7 @@
         response.content_length = length
         self._response = response
         try:
-            async with asyncio.timeout(self._write_timeout_s):
+            with RunningTimeout(self._write_timeout_s):
                 await response.prepare(self._request)
         except (TimeoutError, ConnectionError) as exc:
             raise self._abort_and_report(exc) from exc
@@ -76,7 +76,7 @@
         """Send part of the body; ``CallerGone`` on a failed write."""
         assert self._response is not None
         try:
-            async with asyncio.timeout(self._write_timeout_s):
+            with RunningTimeout(self._write_timeout_s):
                 await self._response.write(data)
         except (TimeoutError, ConnectionError) as exc:
             raise self._abort_and_report(exc) from exc
@@ -85,7 +85,7 @@
         """Send the end of the body; ``CallerGone`` on a failed write."""
         assert self._response is not None
         try:
-            async with asyncio.timeout(self._write_timeout_s):
+            with RunningTimeout(self._write_timeout_s):
                 await self._response.write_eof()
         except (TimeoutError, ConnectionError) as exc:
             raise self._abort_and_report(exc) from exc
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+from gooseberrypost.wire.messages import idl
 from tests.entry_fakes import run
 
 PAUSE_S = 0.6
@@ -56,3 +57,39 @@
         assert b" 200 OK" in await read_all(sock)
 
     run(scenario, read_timeout_ms=TIMEOUT_MS)
+
+
+def test_caller_that_read_in_a_pause_is_not_slow():
+    """Guards against a stream that is cut for a delay of the entry."""
+
+    async def scenario(rig):
+        d1 = rig.agents["d1"]
+        text = "x" * 1_000_000
+        sock = connect(rig)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+
+        async def decode_long(session, correlation, message):
+            for n in range(8):
+                token = idl.Token(
+                    key=message.key,
+                    attempt=message.attempt,
+                    sequence=n,
+                    text=text,
+                )
+                await session.send(correlation, token)
+            end = idl.End(
+                key=message.key, attempt=message.attempt, tokens=8, code=""
+            )
+            await session.send(correlation, end)
+
+        d1.script[idl.Decode] = [decode_long]
+        body = REQUEST[:-1] + b', "stream": true}'
+        sock.sendall(head(len(body)) + body)
+        await d1.wait_for(idl.Decode)
+        await asyncio.sleep(TIMEOUT_MS / 2_000)
+        part = sock.recv(4_000_000)
+        stand_still()
+        answer = part + await read_all(sock)
+        assert answer.endswith(b"[DONE]\n\n\r\n0\r\n\r\n")
+
+    run(scenario, write_timeout_ms=TIMEOUT_MS)
