Entries: read what has arrived before a request ends at its deadline

What callers saw: 504 after an engine or a service had answered in time, when the entry stood still past the deadline. The answer was dropped, and a call that may run once was reported as unknown.

Cause: the timer of the deadline cancels the request in the first pass of the event loop after the pause, in which its answer was received but not yet read.

Change: the deadline of a request is a `Deadline`: after a delay it lets the request read what has arrived, and prolongs nothing else. The stop of an entry ends requests by a timeout of its own.

Evidence: `python -m pytest -n 2 tests/test_entry_pauses.py -k "answer or call_that"`.

--- a/src/gooseberrypost/entry/requests.py
+++ b/src/gooseberrypost/entry/requests.py
@@ -25,6 +25,7 @@
     UnknownOutcome,
 )
 from gooseberrypost.state.records import AccountRecord, EngineRole
+from gooseberrypost.timeouts import Deadline
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -59,8 +60,8 @@
         self._ctx = ctx
         self._lifecycle = lifecycle
         self._guards: dict[str, Guards] = {}
-        self._timeouts: set[asyncio.Timeout] = set()
-        """Timeouts of the requests in flight."""
+        self._stops: set[asyncio.Timeout] = set()
+        """Timeouts that end the requests in flight when the entry stops."""
         self._is_stopped = False
         board.add(LiveRequests(), OWNER)
         self._section = board.write(LiveRequests, OWNER)
@@ -79,8 +80,8 @@
         """End the requests in flight with a failure for their callers."""
         self._is_stopped = True
         now_s = asyncio.get_running_loop().time()
-        for timeout in self._timeouts:
-            timeout.reschedule(now_s)
+        for stop in self._stops:
+            stop.reschedule(now_s)
 
     async def serve(
         self,
@@ -135,12 +136,8 @@
     ) -> Result[None, Failure]:
         seconds = (live.deadline_ms + grace_ms - live.arrived_ms) / 1_000
         try:
-            async with asyncio.timeout(seconds) as timeout:
-                self._timeouts.add(timeout)
-                try:
-                    return await self._run_limited(live, service, handler)
-                finally:
-                    self._timeouts.discard(timeout)
+            with Deadline(seconds) as deadline, deadline.limit():
+                return await self._run_until_stopped(live, service, handler)
         except TimeoutError:
             if self._is_stopped:
                 return Err(_stop_failure(live))
@@ -152,6 +149,19 @@
         except Failure as failure:
             return Err(failure)
 
+    async def _run_until_stopped(
+        self,
+        live: LiveRequest,
+        service: ServiceRecord,
+        handler: RequestHandler,
+    ) -> Result[None, Failure]:
+        async with asyncio.timeout(None) as stop:
+            self._stops.add(stop)
+            try:
+                return await self._run_limited(live, service, handler)
+            finally:
+                self._stops.discard(stop)
+
     async def _run_limited(
         self,
         live: LiveRequest,
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -6,8 +6,12 @@
 import socket
 import time
 
+import pytest
+
+from gooseberrypost.entry.plain_request import REVOKE_TIMEOUT_MS
 from gooseberrypost.wire.messages import idl
-from tests.entry_fakes import run
+from tests.entry_fakes import TOKENS, run
+from tests.test_entry_model import text_of
 
 PAUSE_S = 0.6
 """Longer than each of the timeouts here."""
@@ -59,6 +63,48 @@
     run(scenario, read_timeout_ms=TIMEOUT_MS)
 
 
+@pytest.mark.parametrize("stream", [False, True])
+def test_answer_that_came_in_a_pause_is_passed_on(stream):
+    """Guards against an answer that is dropped at a deadline in a pause."""
+
+    async def scenario(rig):
+        d1 = rig.agents["d1"]
+
+        async def decode_in_a_pause(session, correlation, message):
+            await d1.decode(session, correlation, message)
+            stand_still()
+
+        d1.script[idl.Decode] = [decode_in_a_pause]
+        headers = {"X-Gooseberrypost-Deadline-Ms": str(TIMEOUT_MS)}
+        async with rig.complete(headers=headers, stream=stream) as response:
+            text = await response.text()
+            assert response.status == 200
+            if stream:
+                assert text_of(text) == "".join(TOKENS)
+
+    run(scenario)
+
+
+def test_call_that_was_answered_in_a_pause_is_completed():
+    """Guards against an answer that is dropped at a deadline in a pause."""
+
+    async def scenario(rig):
+        s1 = rig.agents["s1"]
+
+        async def call_in_a_pause(session, correlation, message):
+            await s1.call(session, correlation, message)
+            stand_still(PAUSE_S + REVOKE_TIMEOUT_MS / 1_000)
+
+        s1.script[idl.Call] = [call_in_a_pause]
+        headers = {"X-Gooseberrypost-Deadline-Ms": str(TIMEOUT_MS)}
+        async with rig.post(
+            "/services/desk/check", data=b"x", headers=headers
+        ) as response:
+            assert response.status == 201
+
+    run(scenario)
+
+
 def test_caller_that_read_in_a_pause_is_not_slow():
     """Guards against a stream that is cut for a delay of the entry."""
 
