Entries: read what has arrived before a drain ends its requests

What callers saw: 502 outcome_unknown from an entry that was asked to stop, although the answer had arrived before the end of the drain, when the entry stood still past it.

Cause: the timer of the drain ends the requests in the first pass of the event loop after the pause, in which their answers were received but not yet read.

Change: the end of the drain is a `Deadline`. The drain takes no longer, apart from the moment to read.

Evidence: `python -m pytest -n 2 tests/test_entry_pauses.py -k not_cut_by_a_drain`, which failed before with 502.

--- a/src/gooseberrypost/entry/daemon.py
+++ b/src/gooseberrypost/entry/daemon.py
@@ -24,6 +24,7 @@
 from gooseberrypost.lifecycle import LifecycleController, State
 from gooseberrypost.logs import DecisionLog
 from gooseberrypost.metrics import Metrics
+from gooseberrypost.timeouts import Deadline
 from gooseberrypost.wire.channel import ChannelPool
 from gooseberrypost.wire.dispatch import Dispatcher
 from gooseberrypost.wire.listener import Listener
@@ -181,8 +182,9 @@
         """
         self.lifecycle.drain()
         logging.info("event=draining in_flight=%d", self.requests.in_flight)
+        timeout_s = self.settings.drain_timeout_ms / 1_000
         try:
-            async with asyncio.timeout(self.settings.drain_timeout_ms / 1_000):
+            with Deadline(timeout_s) as deadline, deadline.limit():
                 await self.requests.idle()
         except TimeoutError:
             logging.warning(
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -105,6 +105,35 @@
     run(scenario)
 
 
+def test_request_is_not_cut_by_a_drain_whose_end_is_in_a_pause():
+    """Guards against answers that are dropped at the end of a drain."""
+
+    async def scenario(rig):
+        d1 = rig.agents["d1"]
+        released = asyncio.Event()
+
+        async def decode_late(session, correlation, message):
+            await released.wait()
+            await d1.decode(session, correlation, message)
+            stand_still()
+
+        d1.script[idl.Decode] = [decode_late]
+
+        async def complete():
+            async with rig.complete() as response:
+                return response.status
+
+        task = asyncio.create_task(complete())
+        await d1.wait_for(idl.Decode)
+        draining = asyncio.create_task(rig.daemon.drain())
+        await asyncio.sleep(0)
+        released.set()
+        assert await task == 200
+        await draining
+
+    run(scenario, drain_timeout_ms=TIMEOUT_MS)
+
+
 def test_caller_that_read_in_a_pause_is_not_slow():
     """Guards against a stream that is cut for a delay of the entry."""
 
