Entries: finish clean-up whose reply came while the event loop was late

What callers saw: capacity at agents that stays held, or a claim that stays granted, after an entry stopped: the reply to a clean-up had arrived, but the entry stood still past the time limit of the clean-up and cancelled it before its next step.

Cause: the timer of the limit fires before the reply is read.

Change: the time in which the event loop was late does not count.

Evidence: `python -m pytest -n 2 tests/test_entry_pauses.py -k clean_up`. The one whose reply came in a pause failed before; the one without a reply is ended before and now.

--- a/src/gooseberrypost/entry/agents.py
+++ b/src/gooseberrypost/entry/agents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, Final
 
 from absl import logging
@@ -17,6 +18,7 @@
     failure_from_code,
 )
 from gooseberrypost.logs import format_fields
+from gooseberrypost.timeouts import RunningTimeout
 from gooseberrypost.wire.channel import failure_from_refusal
 from gooseberrypost.wire.messages import idl
 
@@ -56,10 +58,12 @@
 
     async def wait_or_cancel(self, timeout_s: float) -> None:
         """Wait for the tasks; cancel those unfinished after the timeout."""
-        if not self._tasks:
+        tasks = set(self._tasks)
+        if not tasks:
             return
-        _, unfinished = await asyncio.wait(set(self._tasks), timeout=timeout_s)
-        for task in unfinished:
+        with suppress(TimeoutError), RunningTimeout(timeout_s):
+            await asyncio.wait(tasks)
+        for task in tasks:
             task.cancel()
 
 
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from gooseberrypost.entry.agents import BackgroundTasks
 from gooseberrypost.entry.plain_request import REVOKE_TIMEOUT_MS
 from gooseberrypost.wire.messages import idl
 from tests.entry_fakes import TOKENS, run
@@ -168,3 +169,42 @@
         assert answer.endswith(b"[DONE]\n\n\r\n0\r\n\r\n")
 
     run(scenario, write_timeout_ms=TIMEOUT_MS)
+
+
+def test_clean_up_whose_reply_came_in_a_pause_is_finished():
+    """Guards against capacity that stays held when an entry stops."""
+
+    async def scenario(rig):
+        d1, agents = rig.agents["d1"], rig.daemon.context.agents
+        (view,) = rig.daemon.fleet.candidates("llm", "decode", "m", {"d2"})
+        finished = []
+
+        async def accept_in_a_pause(session, correlation, message):
+            await d1.accept(session, correlation, message)
+            stand_still()
+
+        async def clean_up():
+            message = idl.Cancel(key="k", attempt=1)
+            finished.append(await agents.request(view, message, 5_000))
+
+        d1.script[idl.Cancel] = [accept_in_a_pause]
+        background = BackgroundTasks()
+        background.spawn(clean_up())
+        await background.wait_or_cancel(TIMEOUT_MS / 1_000)
+        assert finished
+
+    run(scenario)
+
+
+def test_clean_up_without_a_reply_is_ended():
+    """Guards against an entry that never stops."""
+
+    async def scenario(rig):
+        background = BackgroundTasks()
+        task = background.spawn(asyncio.sleep(3_600))
+        asyncio.get_running_loop().call_soon(stand_still)
+        await background.wait_or_cancel(TIMEOUT_MS / 1_000)
+        await asyncio.wait([task], timeout=1)
+        assert task.cancelled()
+
+    run(scenario)
