Entries and agents: time to read all that arrived before a deadline

What callers saw: 504 after a pause of the entry past the deadline, although the answer had arrived, if the owner of its claim is another entry, or if the entry got little processor time after the pause.

Cause: a `Deadline` ends 5 ms after a late timer. An entry reads the tokens, writes them, and has the answer recorded by the owner of its claim.

Change: `Deadline` takes the time to read as an argument, 5 ms as before for gateways. Requests and drains of entries have 100 ms, runs of agents 50 ms, and only if the deadline passed while the process was late.

--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -31,6 +31,8 @@
 MIN_RESUME_PAUSE_S: Final = 0.02
 """Pause after the second of several resumes that yield no token."""
 MAX_RESUME_PAUSE_S: Final = 0.5
+STREAM_READ_S: Final = 0.05
+"""Time to read lines that arrived during a pause past the deadline."""
 
 
 class DecodeRunner:
@@ -60,7 +62,10 @@
         context = self._context
         failure: Failure | None = None
         try:
-            with Deadline(deadline_ms / 1_000) as deadline, deadline.limit():
+            with (
+                Deadline(deadline_ms / 1_000, STREAM_READ_S) as deadline,
+                deadline.limit(),
+            ):
                 await coroutine
         except TimeoutError:
             failure = TimedOut("the deadline passed during decoding")
--- a/src/gooseberrypost/entry/daemon.py
+++ b/src/gooseberrypost/entry/daemon.py
@@ -19,7 +19,10 @@
 from gooseberrypost.entry.fleet import FleetController
 from gooseberrypost.entry.http import HttpController
 from gooseberrypost.entry.operators import OperatorHandlers
-from gooseberrypost.entry.requests import RequestController
+from gooseberrypost.entry.requests import (
+    ANSWER_READ_S,
+    RequestController,
+)
 from gooseberrypost.identity import new_incarnation
 from gooseberrypost.lifecycle import LifecycleController, State
 from gooseberrypost.logs import DecisionLog
@@ -184,7 +187,10 @@
         logging.info("event=draining in_flight=%d", self.requests.in_flight)
         timeout_s = self.settings.drain_timeout_ms / 1_000
         try:
-            with Deadline(timeout_s) as deadline, deadline.limit():
+            with (
+                Deadline(timeout_s, ANSWER_READ_S) as deadline,
+                deadline.limit(),
+            ):
                 await self.requests.idle()
         except TimeoutError:
             logging.warning(
--- a/src/gooseberrypost/entry/requests.py
+++ b/src/gooseberrypost/entry/requests.py
@@ -41,6 +41,11 @@
 ANONYMOUS: Final = "anonymous"
 UNLIMITED_ACCOUNT: Final = AccountRecord(ANONYMOUS)
 DRAINING_RETRY_MS: Final = 1_000
+ANSWER_READ_S: Final = 0.1
+"""Time to read and record an answer that arrived during a pause, in seconds.
+
+It applies only if the deadline passed during the pause.
+"""
 
 RequestHandler = (
     "Callable[[LiveRequest, Guards], Awaitable[Result[None, Failure]]]"
@@ -136,7 +141,10 @@
     ) -> Result[None, Failure]:
         seconds = (live.deadline_ms + grace_ms - live.arrived_ms) / 1_000
         try:
-            with Deadline(seconds) as deadline, deadline.limit():
+            with (
+                Deadline(seconds, ANSWER_READ_S) as deadline,
+                deadline.limit(),
+            ):
                 return await self._run_until_stopped(live, service, handler)
         except TimeoutError:
             if self._is_stopped:
--- a/src/gooseberrypost/timeouts.py
+++ b/src/gooseberrypost/timeouts.py
@@ -160,12 +160,21 @@
                 body = await response.read()
 
     A wait that it ends raises ``TimeoutError``, or ``LateTimeout`` if the
-    event loop was late.
+    event loop was late. Then what had arrived may be read for ``read_s``.
     """
 
-    __slots__ = ("_due_s", "_handle", "_is_late", "_is_over", "_loop", "_open")
+    __slots__ = (
+        "_due_s",
+        "_handle",
+        "_is_late",
+        "_is_over",
+        "_loop",
+        "_open",
+        "_read_s",
+    )
 
-    def __init__(self, timeout_s: float) -> None:
+    def __init__(self, timeout_s: float, read_s: float = READ_S) -> None:
+        self._read_s = read_s
         self._loop = asyncio.get_running_loop()
         self._due_s = self._loop.time() + timeout_s
         self._handle: asyncio.Handle | None = None
@@ -206,7 +215,7 @@
         late_s = self._loop.time() - self._due_s
         self._is_late = late_s > MAX_DELAY_S
         if self._is_late:
-            self._handle = self._loop.call_later(READ_S, self._end)
+            self._handle = self._loop.call_later(self._read_s, self._end)
         else:
             self._end()
 
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -64,6 +64,10 @@
     run(scenario, read_timeout_ms=TIMEOUT_MS)
 
 
+RECORD_S = 0.02
+"""Time in which the owner of a claim records an answer."""
+
+
 @pytest.mark.parametrize("stream", [False, True])
 def test_answer_that_came_in_a_pause_is_passed_on(stream):
     """Guards against an answer that is dropped at a deadline in a pause."""
@@ -106,6 +110,29 @@
     run(scenario)
 
 
+def test_answer_that_came_in_a_pause_is_recorded_at_a_remote_owner():
+    """Guards against an answer that is dropped because its claim is remote."""
+
+    async def scenario(rig):
+        d1, complete = rig.agents["d1"], rig.claims.complete
+
+        async def decode_in_a_pause(session, correlation, message):
+            await d1.decode(session, correlation, message)
+            stand_still()
+
+        async def complete_at_a_distance(*args):
+            await asyncio.sleep(RECORD_S)
+            return await complete(*args)
+
+        d1.script[idl.Decode] = [decode_in_a_pause]
+        rig.claims.complete = complete_at_a_distance
+        headers = {"X-Gooseberrypost-Deadline-Ms": str(TIMEOUT_MS)}
+        async with rig.complete(headers=headers) as response:
+            assert response.status == 200
+
+    run(scenario)
+
+
 def test_request_is_not_cut_by_a_drain_whose_end_is_in_a_pause():
     """Guards against answers that are dropped at the end of a drain."""
 
