Agents: read answers of the server that came during a pause

What callers saw: a prefill that was computed and dropped, a call that was run and reported as timed out, after a pause of the agent past the deadline. Two load reports that were lost in this way make the agent refuse work for a server that is up.

Cause: the timers of aiohttp end an exchange whose answer has arrived while the event loop was late.

Change: prefills and calls have a `Deadline`, which lets them read what has arrived; load reports, lists, cancellations and releases have a `RunningTimeout`. Orders keep the timeout of aiohttp: nothing of them may be sent after the lease.

Evidence: `python -m pytest -n 2 tests/test_agent_late_calls.py`. Before, the six cases with an answer failed as timed_out; the six without one end as timed_out before and now.

--- a/src/gooseberrypost/agent/backend.py
+++ b/src/gooseberrypost/agent/backend.py
@@ -4,6 +4,7 @@
 
 import time
 from abc import ABC, abstractmethod
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final
 
@@ -24,12 +25,19 @@
 )
 from gooseberrypost.policy.serverlimit import ServerLimits, parse_limit
 from gooseberrypost.strictjson import parse_json
+from gooseberrypost.timeouts import Deadline, RunningTimeout
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from gooseberrypost.settings.agent import BackendSettings
 
 SHORT_CALL_TIMEOUT_MS: Final = 2_000
 """Timeout of requests that run no model, such as the load report."""
+UNTIMED: Final = aiohttp.ClientTimeout()
+"""For requests that are limited by a timeout of this project."""
+ANSWER_READ_S: Final = 0.05
+"""Time to read what arrived during a pause past the deadline of a run."""
 HTTP_NOT_FOUND: Final = 404
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
 """Requests per second that the server accepts."""
@@ -144,9 +152,31 @@
     ) -> Result[Any, Failure]:
         """Send a JSON request and return the JSON reply or the failure.
 
-        ``is_run`` tells that the server runs a model for it.
+        ``is_run`` tells that the server runs a model for it. The timeout of a
+        run is a deadline; that of other requests excludes own delays.
+        """
+        limit = run_limit if is_run else RunningTimeout
+        try:
+            with limit(timeout_ms / 1_000):
+                return await self.exchange_json(
+                    method, path, body, UNTIMED, is_run=is_run
+                )
+        except TimeoutError as exc:
+            return Err(failure_from_exception(exc))
+
+    async def exchange_json(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        timeout: aiohttp.ClientTimeout,
+        *,
+        is_run: bool = False,
+    ) -> Result[Any, Failure]:
+        """Send a JSON request under a timeout of the HTTP client.
+
+        Nothing is sent after that timeout, also if this process is late.
         """
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
         try:
             async with self.session.request(
                 method, path, json=body, timeout=timeout
@@ -160,6 +190,13 @@
             return Err(failure_from_exception(exc))
 
 
+@contextmanager
+def run_limit(timeout_s: float) -> Iterator[None]:
+    """End a run at its deadline, but let it read what has arrived."""
+    with Deadline(timeout_s, ANSWER_READ_S) as deadline, deadline.limit():
+        yield
+
+
 TRANSPORT_ERRORS: Final = (aiohttp.ClientError, ConnectionLost, TimeoutError)
 """Exceptions of a request that got no complete reply."""
 
--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, Final
 
+from gooseberrypost.agent.backend import run_limit
 from gooseberrypost.agent.engine import EndLine, TokenStream
 from gooseberrypost.agent.log import log_decision
 from gooseberrypost.errors import (
@@ -20,7 +21,7 @@
     UnknownOutcome,
 )
 from gooseberrypost.state.attempts import AttemptState, Phase
-from gooseberrypost.timeouts import Deadline, RunningTimeout
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from gooseberrypost.agent.cancellation import AttemptCanceller
@@ -31,8 +32,6 @@
 MIN_RESUME_PAUSE_S: Final = 0.02
 """Pause after the second of several resumes that yield no token."""
 MAX_RESUME_PAUSE_S: Final = 0.5
-STREAM_READ_S: Final = 0.05
-"""Time to read lines that arrived during a pause past the deadline."""
 
 
 class DecodeRunner:
@@ -62,10 +61,7 @@
         context = self._context
         failure: Failure | None = None
         try:
-            with (
-                Deadline(deadline_ms / 1_000, STREAM_READ_S) as deadline,
-                deadline.limit(),
-            ):
+            with run_limit(deadline_ms / 1_000):
                 await coroutine
         except TimeoutError:
             failure = TimedOut("the deadline passed during decoding")
--- a/src/gooseberrypost/agent/engine.py
+++ b/src/gooseberrypost/agent/engine.py
@@ -193,7 +193,8 @@
         self, body: dict[str, Any], timeout_ms: float
     ) -> Result[Any, Failure]:
         """Send an order, such as a role change, to the engine."""
-        return await self.request_json("POST", "/orders", body, timeout_ms)
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
+        return await self.exchange_json("POST", "/orders", body, timeout)
 
     @asynccontextmanager
     async def _stream(
--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
-import aiohttp
 from result import Err, Ok, Result
 from yarl import URL
 
@@ -12,9 +11,11 @@
     HTTP_NOT_FOUND,
     SHORT_CALL_TIMEOUT_MS,
     TRANSPORT_ERRORS,
+    UNTIMED,
     Backend,
     LoadReport,
     failure_from_exception,
+    run_limit,
 )
 from gooseberrypost.answerprotocol import is_framed
 from gooseberrypost.boundedread import MAX_REPLY_BYTES, read_bounded
@@ -25,6 +26,7 @@
     ProtocolFailure,
 )
 from gooseberrypost.strictjson import parse_json
+from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -67,17 +69,20 @@
 
         A service that has no ``/load`` path counts as idle.
         """
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
         try:
-            async with self.session.get("/load", timeout=timeout) as reply:
-                if reply.status == HTTP_NOT_FOUND:
-                    return Ok(LoadReport())
-                content = await read_bounded(reply, MAX_REPLY_BYTES)
-                document = parse_json(content)
-            return LoadReport.from_document(document)
+            with RunningTimeout(timeout_ms / 1_000):
+                return await self._load()
         except (*TRANSPORT_ERRORS, ValueError) as exc:
             return Err(failure_from_exception(exc))
 
+    async def _load(self) -> Result[LoadReport, Failure]:
+        async with self.session.get("/load", timeout=UNTIMED) as reply:
+            if reply.status == HTTP_NOT_FOUND:
+                return Ok(LoadReport())
+            content = await read_bounded(reply, MAX_REPLY_BYTES)
+            document = parse_json(content)
+        return LoadReport.from_document(document)
+
     async def call(
         self, call: Any, timeout_ms: int
     ) -> Result[PlainResponse, Failure]:
@@ -89,35 +94,38 @@
             return Err(
                 MalformedRequest(f"path {call.path!r} must start with /")
             )
+        try:
+            with run_limit(timeout_ms / 1_000):
+                return await self._forward(call)
+        except (*TRANSPORT_ERRORS, ValueError) as exc:
+            return Err(failure_from_exception(exc))
+
+    async def _forward(self, call: Any) -> Result[PlainResponse, Failure]:
         # Joined to a base URL, a path like "//host" would select another host.
         url = URL(f"http://{self.address}{call.path}", encoded=True)
         headers = forwarded_headers(
             (h.name, h.value) for h in call.headers or ()
         )
         headers.append((IDEMPOTENCY_KEY_HEADER, call.key))
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
-        try:
-            async with self.session.request(
-                call.method,
-                url,
-                data=call.body,
-                headers=headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as reply:
-                self.record_limit(reply, is_run=True)
-                body = await read_bounded(reply, MAX_REPLY_BYTES)
-                if not is_framed(reply) and not await self._is_running():
-                    return Err(
-                        ConnectionLost(
-                            "response ended without framing and its server "
-                            "does not respond"
-                        )
+        async with self.session.request(
+            call.method,
+            url,
+            data=call.body,
+            headers=headers,
+            timeout=UNTIMED,
+            allow_redirects=False,
+        ) as reply:
+            self.record_limit(reply, is_run=True)
+            body = await read_bounded(reply, MAX_REPLY_BYTES)
+            if not is_framed(reply) and not await self._is_running():
+                return Err(
+                    ConnectionLost(
+                        "response ended without framing and its server "
+                        "does not respond"
                     )
-                response_headers = forwarded_headers(reply.headers.items())
-                return Ok(PlainResponse(reply.status, response_headers, body))
-        except (*TRANSPORT_ERRORS, ValueError) as exc:
-            return Err(failure_from_exception(exc))
+                )
+            response_headers = forwarded_headers(reply.headers.items())
+            return Ok(PlainResponse(reply.status, response_headers, body))
 
     async def _is_running(self) -> bool:
         """Whether the service responds, with a load report or without."""
