Agents: withdraw no order for a delay of the agent

What callers saw: an order or a planned change was refused as draining ("requests still running") after a pause, although the release of the last request had arrived.

Cause: the timer of the wait for an idle engine fires before the release is handled.

Change: the wait ends as a deadline that lets the agent read first. Whether the lease still allows the order is checked afterwards, as before. `run_limit` becomes `deadline_limit`.

Evidence: `python -m pytest -n 2 tests/test_agent_pauses.py -k order_is`, which failed before. The same look at the drain of an agent showed no fault: test_agent_that_drains_sends_an_answer_that_came_in_a_pause passed before, as replies have 2 s after the drain. tests/test_agent_*.py pass.

--- a/src/gooseberrypost/agent/backend.py
+++ b/src/gooseberrypost/agent/backend.py
@@ -37,7 +37,7 @@
 UNTIMED: Final = aiohttp.ClientTimeout()
 """For requests that are limited by a timeout of this project."""
 ANSWER_READ_S: Final = 0.05
-"""Time to read what arrived during a pause past the deadline of a run."""
+"""Time to read what arrived during a pause past a deadline."""
 HTTP_NOT_FOUND: Final = 404
 SERVER_LIMIT_HEADER: Final = "Server-Limit"
 """Requests per second that the server accepts."""
@@ -155,7 +155,7 @@
         ``is_run`` tells that the server runs a model for it. The timeout of a
         run is a deadline; that of other requests excludes own delays.
         """
-        limit = run_limit if is_run else RunningTimeout
+        limit = deadline_limit if is_run else RunningTimeout
         try:
             with limit(timeout_ms / 1_000):
                 return await self.exchange_json(
@@ -191,8 +191,8 @@
 
 
 @contextmanager
-def run_limit(timeout_s: float) -> Iterator[None]:
-    """End a run at its deadline, but let it read what has arrived."""
+def deadline_limit(timeout_s: float) -> Iterator[None]:
+    """End a block at a deadline, but let it read what has arrived."""
     with Deadline(timeout_s, ANSWER_READ_S) as deadline, deadline.limit():
         yield
 
--- a/src/gooseberrypost/agent/decoding.py
+++ b/src/gooseberrypost/agent/decoding.py
@@ -6,7 +6,7 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, Final
 
-from gooseberrypost.agent.backend import run_limit
+from gooseberrypost.agent.backend import deadline_limit
 from gooseberrypost.agent.engine import EndLine, TokenStream
 from gooseberrypost.agent.log import log_decision
 from gooseberrypost.errors import (
@@ -61,7 +61,7 @@
         context = self._context
         failure: Failure | None = None
         try:
-            with run_limit(deadline_ms / 1_000):
+            with deadline_limit(deadline_ms / 1_000):
                 await coroutine
         except TimeoutError:
             failure = TimedOut("the deadline passed during decoding")
--- a/src/gooseberrypost/agent/orders.py
+++ b/src/gooseberrypost/agent/orders.py
@@ -13,6 +13,7 @@
 from mode import Service
 from result import Err, Ok, Result
 
+from gooseberrypost.agent.backend import deadline_limit
 from gooseberrypost.agent.checks import fill_defaults
 from gooseberrypost.agent.engine import EngineClient
 from gooseberrypost.agent.lifecycle import DrainReason
@@ -170,7 +171,7 @@
         capacity: Capacity = self._context.capacity
         timeout_ms = self._context.cfg.drain_timeout_ms
         try:
-            async with asyncio.timeout(timeout_ms / 1_000):
+            with deadline_limit(timeout_ms / 1_000):
                 while not capacity.ledger.is_idle:
                     await capacity.changed()
         except TimeoutError:
--- a/src/gooseberrypost/agent/plain.py
+++ b/src/gooseberrypost/agent/plain.py
@@ -14,8 +14,8 @@
     UNTIMED,
     Backend,
     LoadReport,
+    deadline_limit,
     failure_from_exception,
-    run_limit,
 )
 from gooseberrypost.answerprotocol import is_framed
 from gooseberrypost.boundedread import MAX_REPLY_BYTES, read_bounded
@@ -95,7 +95,7 @@
                 MalformedRequest(f"path {call.path!r} must start with /")
             )
         try:
-            with run_limit(timeout_ms / 1_000):
+            with deadline_limit(timeout_ms / 1_000):
                 return await self._forward(call)
         except (*TRANSPORT_ERRORS, ValueError) as exc:
             return Err(failure_from_exception(exc))
--- a/tests/test_agent_pauses.py
+++ b/tests/test_agent_pauses.py
@@ -8,6 +8,7 @@
 from contextlib import AsyncExitStack
 
 import pytest
+from result import Ok
 
 from gooseberrypost.wire.codec import Frame, encode, read_frame
 from gooseberrypost.wire.messages import idl
@@ -277,3 +278,50 @@
             await until(rig.is_decode_free)
 
     asyncio.run(run())
+
+
+def test_order_is_carried_out_if_its_engine_became_idle_in_a_pause():
+    """Guards against a planned change that is withdrawn for an own delay."""
+
+    async def run():
+        async with running_rig(drain_timeout_ms=GRACE_MS) as rig:
+            orders = rig.decode_agent.orders
+            reserved = await ask(rig.decode_channel, reserve())
+            idle = asyncio.create_task(orders._wait_idle())
+            await asyncio.sleep(0.1)
+            message = idl.ReleaseReservation(
+                key="k", attempt=1, reservation=reserved.reservation
+            )
+            await pause(ask(rig.decode_channel, message), 1.0)
+            assert isinstance(await idle, Ok)
+
+    asyncio.run(run())
+
+
+def test_agent_that_drains_sends_an_answer_that_came_in_a_pause():
+    """Guards against streams that a stopping agent cuts for an own delay."""
+
+    async def run():
+        async with running_rig(drain_timeout_ms=GRACE_MS) as rig:
+            engine = rig.decode_engine
+            stream = engine.stream
+            draining = []
+
+            async def stream_at_once(request, attempt, sequence):
+                await until(lambda: attempt.finished)
+                draining.append(asyncio.create_task(rig.decode_agent.drain()))
+                await asyncio.sleep(0.05)
+                response = await stream(request, attempt, sequence)
+                stand_still(1.0)
+                return response
+
+            engine.stream = stream_at_once
+            reserved, prefilled = await rig.prepare()
+            req = decode(reserved, prefilled)
+            async with rig.decode_channel.stream(req) as replies:
+                _, end = await collect(replies)
+            assert (end.code, end.tokens) == ("", req.max_tokens)
+            await rig.decode_channel.close()
+            await draining[0]
+
+    asyncio.run(run())
