Claims: a lease id that was given out again is not the own lease

An owner whose lease the service lost renewed the lease of another process that had got the same id, believed its own to be held, and could have said "not run" while a successor ran the key.

Cause: the id of a lease was taken for unique. A service that comes back from an older copy gives ids out again.

--- a/tests/test_claim_memories.py
+++ b/tests/test_claim_memories.py
@@ -9,6 +9,10 @@
 import asyncio
 import itertools
 
+from result import Ok
+
+from gooseberrypost.claims._clocks import monotonic_ms
+from gooseberrypost.claims._lease import OwnerLease
 from gooseberrypost.state.claim import GrantRequest, Verdict
 from gooseberrypost.state.claims import ShardClaims
 from tests.claim_cluster import (
@@ -18,6 +22,7 @@
     owned_shard_count,
     wait_until,
 )
+from tests.fake_store import FakeStore, SharedState
 from tests.test_claim_owner import ANSWER
 
 DEADLINE_MS = 8_000
@@ -231,6 +236,31 @@
     asyncio.run(run())
 
 
+def test_a_lease_whose_id_was_given_out_again_counts_as_lost():
+    """Guards against "not run" under the lease of another process (P4)."""
+
+    async def run():
+        shared = SharedState()
+        store = FakeStore(shared)
+        own = OwnerLease("e1", 1, 10_000, store, monotonic_ms)
+        other = OwnerLease("e2", 2, 10_000, store, monotonic_ms)
+        written = []
+
+        async def write_heads():
+            written.append(own.held.is_held(monotonic_ms()))
+            return Ok(None)
+
+        assert (await own.renew(write_heads)).is_ok()
+        restore(shared, ({}, {}))
+        shared.lease_ids = itertools.count(1)
+        assert (await other.renew(write_heads)).is_ok()
+        assert (await own.renew(write_heads)).is_ok()
+        assert written == [False, True, False]
+        assert len(shared.values) == 2
+
+    asyncio.run(run())
+
+
 def served_claims(epoch, *requests):
     """Claims of an owner that granted each request to ``e1``."""
     claims = ShardClaims(0, epoch)
