Claims: an entry without shards puts lost crash evidence back

Evidence that only an entry without shards had in memory stayed lost after the key-value service came back from an older copy, and a later owner would have granted convicted content.

Cause: only owners of shards merged their evidence with what is stored.

--- a/src/gooseberrypost/claims/owner.py
+++ b/src/gooseberrypost/claims/owner.py
@@ -196,7 +196,7 @@
     @Service.task
     async def _sync_evidence(self) -> None:
         while not self.should_stop:
-            if self.section.shards:
+            if self.section.shards or not self.evidence_store.is_empty:
                 await self.evidence_store.sync()
             await self.sleep(EVIDENCE_SYNC_INTERVAL_MS / 1_000)
 
--- a/tests/test_claim_memories.py
+++ b/tests/test_claim_memories.py
@@ -15,6 +15,7 @@
 from gooseberrypost.claims._lease import OwnerLease
 from gooseberrypost.state.claim import GrantRequest, Verdict
 from gooseberrypost.state.claims import ShardClaims
+from gooseberrypost.wire.messages import idl
 from tests.claim_cluster import (
     SHARDS,
     entries,
@@ -236,6 +237,28 @@
     asyncio.run(run())
 
 
+def test_an_owner_without_shards_puts_its_evidence_back():
+    """Guards against convicted content that the service has forgotten."""
+
+    async def run():
+        async with entries(3, owners=[0]) as cluster:
+            _, second, third = cluster
+            shared = second.store.shared
+            copy = take_copy(shared)
+            for crash in ("c1", "c2"):
+                report = idl.CrashReport(
+                    crash_id=crash, server="s1", digests=[b"p", crash.encode()]
+                )
+                address = second.listener.address
+                done = await third.pool.request(address, report, 2_000)
+                assert isinstance(done.unwrap(), idl.Ok)
+            restore(shared, copy)
+            assert "claims/evidence" not in shared.values
+            await wait_until(lambda: "claims/evidence" in shared.values)
+
+    asyncio.run(run())
+
+
 def test_a_lease_whose_id_was_given_out_again_counts_as_lost():
     """Guards against "not run" under the lease of another process (P4)."""
 
