Take out the recall of claims again

It mended test_claims_restored.py, but a review by somebody else showed, each by a test, that it brings faults of its own: an answered key is granted again if the service goes back twice, a newer grant replaces an answer, 'not run' is told in doubt, calls beside Recall and HandOver are cut off at processes of an older build, a damaged reply ends the owner, and each takeover asks silent peers one after the other.

--- a/src/gooseberrypost/claims/_handlers.py
+++ b/src/gooseberrypost/claims/_handlers.py
@@ -126,19 +126,6 @@
     return idl.Ok()
 
 
-async def _recall(owner: ClaimOwnerController, msg: Any, holder: str) -> Any:
-    return owner.recalled(msg)
-
-
-async def _hand_over(
-    owner: ClaimOwnerController, msg: Any, holder: str
-) -> Any:
-    match await owner.accept_memory(msg):
-        case Err(failure):
-            return refusal_message(failure)
-    return idl.Ok()
-
-
 def _reply(result: ClaimResult, owner_address: str) -> Any:
     stored = result.answer
     return idl.ClaimReply(
@@ -161,8 +148,6 @@
     idl.Complete: _complete,
     idl.Abandon: _abandon,
     idl.CrashReport: _report_crash,
-    idl.Recall: _recall,
-    idl.HandOver: _hand_over,
 }
 
 
--- a/src/gooseberrypost/claims/_lease.py
+++ b/src/gooseberrypost/claims/_lease.py
@@ -77,8 +77,6 @@
         """
         if self._lease_id:
             renewed = await self._store.keep_alive(self._lease_id)
-            if isinstance(renewed, Ok):
-                renewed = await self._check_lease_key()
             if not isinstance(renewed.err(), LeaseLost):
                 return renewed
             self._lease_id = 0
@@ -90,21 +88,6 @@
         self._lease_id = granted.ok_value
         return Ok(None)
 
-    async def _check_lease_key(self) -> Result[None, Failure]:
-        """Check that the lease that was renewed is the own one.
-
-        A service that came back from an older copy gives out the ids of
-        leases again.
-        """
-        if not self._has_written_keys:
-            return Ok(None)
-        found = await self._store.get(self._key)
-        if isinstance(found, Err):
-            return found
-        if found.ok_value.value == str(self._lease_id):
-            return Ok(None)
-        return Err(LeaseLost(f"lease {self._lease_id} is that of another"))
-
     async def _write_keys(
         self, rewrite_heads: Callable[[], Awaitable[Result[None, Failure]]]
     ) -> Result[None, Failure]:
--- a/src/gooseberrypost/claims/evidence.py
+++ b/src/gooseberrypost/claims/evidence.py
@@ -32,11 +32,6 @@
         self._wall_ms = wall_ms
         self._lock = asyncio.Lock()
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether this process knows of no crash."""
-        return Evidence().covers(self.evidence)
-
     def suspicion(self, digest: bytes) -> Suspicion:
         """Suspicion of a content digest by the evidence in memory."""
         return self.evidence.verdict(digest.hex())
--- a/src/gooseberrypost/claims/shard.py
+++ b/src/gooseberrypost/claims/shard.py
@@ -20,16 +20,14 @@
     Verdict,
 )
 from gooseberrypost.state.claims import ShardClaims
-from gooseberrypost.state.shard_log import OwnershipLost
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
     from gooseberrypost.claims.client import StoredAnswer
     from gooseberrypost.claims.evidence import EvidenceStore
     from gooseberrypost.settings.entry import ClaimSettings
     from gooseberrypost.state.leases import HeldLease
-    from gooseberrypost.state.segments import LogRecord
     from gooseberrypost.state.shard_log import ShardLog
     from gooseberrypost.stores.keyvalue import KeyValueStore
 
@@ -83,16 +81,7 @@
         )
         self.claims.replay(log.replayed_records, clock_ms())
         log.replayed_records = []
-        self.taken_at_ms = clock_ms()
-        self.unasked: set[str] = set()
-        """Peers that may remember claims which the service lost."""
         self.is_lost = False
-        self.has_successor = False
-        """A new owner has asked for the claims.
-
-        What the log confirms from then on may be lost to it: nothing that
-        needs a record is told any more, and nothing counts as not run.
-        """
         self.is_stalled = False
         """The key-value service did not answer the last call of the log."""
         self._linger_ms = cfg.linger_ms
@@ -102,8 +91,6 @@
         self._clock_ms = clock_ms
         self._state_changed = asyncio.Event()
         self._has_records = asyncio.Event()
-        self._is_writing = False
-        self._handed_over_sequence = 0
 
     async def run_writer(self) -> None:
         """Append records to the log in batches until the shard is lost."""
@@ -217,11 +204,6 @@
         if self.claims.tick(self._clock_ms()):
             self._notify_waiters()
 
-    def yield_to_successor(self) -> None:
-        """Tell nothing more that needs a record in the log."""
-        self.has_successor = True
-        self._handed_over_sequence = self.claims.confirmed_sequence
-
     def mark_lost(self) -> None:
         """Stop granting; waiting requests are redirected to the successor."""
         self.is_lost = True
@@ -237,63 +219,23 @@
                 return
             await self._wait_for_change(left_ms)
 
-    def merge(self, records: Sequence[LogRecord]) -> None:
-        """Add claims that another process remembers."""
-        self.claims.merge(records, self._clock_ms())
-        self._wake_writer()
-        self._notify_waiters()
-
-    async def accept_memory(
-        self, records: Sequence[LogRecord]
-    ) -> Result[None, Failure]:
-        """Add what a former owner remembers; ``Ok`` once it is logged."""
-        decision = self.claims.merge(records, self._clock_ms())
-        self._wake_writer()
-        self._notify_waiters()
-        if await self._wait_until_confirmed(
-            decision, COMPLETE_CONFIRM_TIMEOUT_MS
-        ):
-            return Ok(None)
-        return Err(NotOwner(f"shard {self.log.shard} cannot be written"))
-
-    async def verify(self) -> None:
-        """Give the shard up if the service no longer has what was written.
-
-        An append checks that itself, so only an idle shard is verified.
-        """
-        sequence = self.claims.confirmed_sequence
-        if self.claims.unconfirmed:
-            return
-        steps = self.log.verify()
-        verified = await run_steps(steps, self._store)
-        if self.claims.confirmed_sequence != sequence:
-            return
-        if self._is_writing or not isinstance(verified.err(), OwnershipLost):
-            return
-        self._log_loss(verified.err_value)
-
     async def _write_batch(self) -> None:
-        self._is_writing = True
         batch = self.claims.take_outbox()
         appended = await run_steps(
             self.log.append(batch), self._store, self._set_stalled
         )
-        self._is_writing = False
         if isinstance(appended, Err):
-            self._log_loss(appended.err_value)
+            logging.warning(
+                "event=shard_lost shard=%d epoch=%d reason=%s",
+                self.log.shard,
+                self.log.epoch,
+                appended.err_value,
+            )
+            self.mark_lost()
             return
         self.claims.confirm(len(batch))
         self._notify_waiters()
 
-    def _log_loss(self, reason: Failure) -> None:
-        logging.warning(
-            "event=shard_lost shard=%d epoch=%d reason=%s",
-            self.log.shard,
-            self.log.epoch,
-            reason,
-        )
-        self.mark_lost()
-
     def _set_stalled(self, answered: bool) -> None:
         self.is_stalled = not answered
 
@@ -338,10 +280,7 @@
         if keep_in_memory and request.idempotent:
             left_ms = self._lease.remaining_ms(self._clock_ms())
             wait_ms = max(wait_ms, min(request.deadline_ms, left_ms))
-        is_logged = await self._wait_until_confirmed(decision, wait_ms)
-        # The successor was told that a logged claim was not granted yet.
-        is_late = self.has_successor and decision.required_sequence > 0
-        if is_late or not is_logged:
+        if not await self._wait_until_confirmed(decision, wait_ms):
             verdict = self.claims.withdraw(
                 request.key, decision.attempt, self._clock_ms()
             )
@@ -371,21 +310,15 @@
 
         After the lease has lapsed a successor may have run the request.
         """
-        is_held = self._lease.is_held(self._clock_ms())
-        if self.has_successor or not is_held:
+        if not self._lease.is_held(self._clock_ms()):
             verdict = Verdict.UNKNOWN
         return ClaimResult(verdict, retry_after_ms=RETRY_AFTER_MS)
 
-    def _is_confirmed(self, decision: Decision) -> bool:
-        if self.has_successor:
-            return decision.required_sequence <= self._handed_over_sequence
-        return self.claims.is_confirmed(decision)
-
     async def _wait_until_confirmed(
         self, decision: Decision, timeout_ms: int
     ) -> bool:
         end_ms = self._clock_ms() + timeout_ms
-        while not self._is_confirmed(decision):
+        while not self.claims.is_confirmed(decision):
             left_ms = end_ms - self._clock_ms()
             if self.is_lost or left_ms <= 0:
                 return False
--- a/src/gooseberrypost/state/_claim_table.py
+++ b/src/gooseberrypost/state/_claim_table.py
@@ -48,13 +48,6 @@
         """Records that are not yet passed to the log, oldest first."""
         self.confirmed_sequence = 0
         """Highest sequence number that is known to be in the log."""
-        self.merged_sequence = 0
-        """Sequence number of the last record that another process sent."""
-        self.is_doubtful = False
-        """The service lost records, and not all processes could be asked.
-
-        A key that is not known may have run.
-        """
         self.stored_answers_bytes = 0
         self._max_answers_bytes = answers_bytes
         self._retention_ms = retention_ms
--- a/src/gooseberrypost/state/claims.py
+++ b/src/gooseberrypost/state/claims.py
@@ -23,7 +23,6 @@
 
 from __future__ import annotations
 
-from itertools import groupby
 from typing import TYPE_CHECKING, Final
 
 from gooseberrypost.identity import MintedKey
@@ -38,12 +37,6 @@
     RenewedContent,
     Verdict,
 )
-from gooseberrypost.state.recall import (
-    is_completed,
-    proves_not_run,
-    records_of,
-    supersede,
-)
 from gooseberrypost.state.segments import (
     ABANDON,
     CLAIM,
@@ -244,7 +237,6 @@
         claim.may_have_run = claim.may_have_run_before or not not_run
         self._end_attempt(claim, self._state_after_abandon(claim), now_ms)
         if not claim.minted:
-            not_run = not claim.may_have_run
             self._append_record(
                 LogRecord(ABANDON, key, attempt, not_run=not_run)
             )
@@ -265,94 +257,12 @@
         for record in records:
             self._apply_record(record, now_ms)
 
-    def recollect(self, now_ms: int) -> list[LogRecord]:
-        """Return records of every claim that another owner must know.
-
-        A minted key that was granted once is not among them, as no other
-        epoch grants it, nor is a claim that was not logged and so not told.
-        """
-        told_sequence = max(self.confirmed_sequence, self.merged_sequence)
-        records: list[LogRecord] = []
-        for claim in self.claims.values():
-            is_logged = 0 < claim.claim_sequence <= told_sequence
-            if not (is_logged or claim.replayed):
-                continue
-            is_answered = self.is_confirmed(self._completion_decision(claim))
-            records += records_of(claim, now_ms, is_answered)
-        return records
-
-    def merge(self, records: Iterable[LogRecord], now_ms: int) -> Decision:
-        """Add what another process remembers of the shard, and log it.
-
-        A later attempt prevails, so that a process that was deposed long ago
-        replaces nothing newer. The decision is confirmed once the log holds
-        all of it.
-        """
-        before = self._last_sequence
-        for key, group in groupby(records, key=lambda record: record.key):
-            self._merge_claim(self.claims.get(key), list(group), now_ms)
-        if self._last_sequence > before:
-            self.merged_sequence = self._last_sequence
-        return Decision(
-            Verdict.GRANTED, required_sequence=self.merged_sequence
-        )
-
-    def _merge_claim(
-        self, claim: Claim | None, records: list[LogRecord], now_ms: int
-    ) -> None:
-        if claim is not None and not supersede(records, claim):
-            self._note_other_run(claim, records, now_ms)
-            return
-        if claim is not None:
-            self._end_attempt(claim, ClaimState.ORPHANED, now_ms)
-            self._evict_answer(claim)
-        for record in records:
-            sequence = self._append_record(record)
-            self._apply_record(record, now_ms)
-        merged = self.claims[records[0].key]
-        merged.claim_sequence = merged.completion_sequence = sequence
-
-    def _note_other_run(
-        self, claim: Claim, records: list[LogRecord], now_ms: int
-    ) -> None:
-        """Note a run that was unknown when a newer attempt was granted."""
-        if claim.state is ClaimState.COMPLETED or proves_not_run(records):
-            return
-        is_same = records[-1].attempt == claim.attempt
-        if is_same and records[0].holder == claim.holder:
-            return
-        if is_completed(records):
-            self._supersede_attempt(claim, ClaimState.COMPLETED, now_ms)
-        elif is_same or not claim.may_have_run:
-            self._supersede_attempt(claim, ClaimState.ABANDONED, now_ms)
-        else:
-            claim.may_have_run_before = True
-
-    def _supersede_attempt(
-        self, claim: Claim, state: ClaimState, now_ms: int
-    ) -> None:
-        """End a claim under a number that no holder has."""
-        claim.attempt = self._next_attempt(claim.attempt)
-        claim.renewed_from = 0
-        claim.may_have_run = True
-        if state is ClaimState.ABANDONED:
-            state = self._state_after_abandon(claim)
-        self._end_attempt(claim, state, now_ms)
-        kind = COMPLETE if state is ClaimState.COMPLETED else ABANDON
-        sequence = self._append_record(
-            LogRecord(kind, claim.key, claim.attempt)
-        )
-        if kind == COMPLETE:
-            claim.completion_sequence = sequence
-
     def _decide_first_use(
         self, request: GrantRequest, holder: str, now_ms: int, convicted: bool
     ) -> Decision:
         minted = MintedKey.parse(request.key).ok()
         if minted is not None and minted.epoch != self.epoch:
             return self._decide_other_epoch(minted)
-        if self.is_doubtful and minted is None:
-            return Decision(Verdict.UNKNOWN)
         if convicted:
             return Decision(Verdict.QUARANTINED, requires_lease=minted is None)
         claim = Claim(request.key, request.digest, request.idempotent, holder)
--- a/src/gooseberrypost/state/shard_log.py
+++ b/src/gooseberrypost/state/shard_log.py
@@ -69,27 +69,6 @@
 """Operation that yields its calls to the key-value service."""
 
 
-class LogTail(NamedTuple):
-    """Place of a batch in the log; each batch has a line of its own."""
-
-    segment: int = 0
-    line: str = ""
-    """The batch as stored; empty if the log has none."""
-
-
-def find_tail(shard: int, tail: LogTail) -> StoreSteps[Result[bool, Failure]]:
-    """Whether the stored log holds a batch, and so all batches before it."""
-    reply = yield Get(segment_key(shard, tail.segment))
-    if isinstance(reply, Err):
-        return reply
-    found: Versioned = reply.ok_value
-    if not found.version:
-        return Ok(False)
-    return Segment.parse(found.value).map(
-        lambda segment: tail.line in segment.lines
-    )
-
-
 class ShardLog:
     """Log of one shard, for one owner in one epoch."""
 
@@ -107,14 +86,9 @@
         """Number of the segment that the next batch is appended to."""
         self.replayed_records: list[LogRecord] = []
         """Records of earlier epochs, in order; set by ``acquire``."""
-        self.replayed_lines: set[str] = set()
-        """Batches that ``replayed_records`` come from, as stored."""
-        self.tail = LogTail()
-        """Last batch that is known to be in the log."""
-        self.went_back = False
-        """The head had an epoch below the one that this process knew."""
         self._own_head = ShardHead(name, address, incarnation)
         self._segment_bytes = segment_bytes
+        self._head_version = 0
         self._segment = Segment(0)
         self._segment_version = 0
         self._batch_count = 0
@@ -124,15 +98,9 @@
         """Epoch in which this owner holds the shard."""
         return self.head.epoch
 
-    def acquire(
-        self, known_epoch: int = 0
-    ) -> StoreSteps[Result[None, Failure]]:
+    def acquire(self) -> StoreSteps[Result[None, Failure]]:
         """Acquire a free shard: write the head, then seal and replay the log.
 
-        The new epoch is above ``known_epoch``, the highest epoch that this
-        process has seen. A service that came back from a copy may have lost
-        that epoch, and attempts and minted keys must not get its numbers.
-
         The head is read before the lease key of the current owner. An owner
         that regains its lease writes the lease key before the head, so one of
         the two compare-and-swaps of the head fails. Fails with
@@ -146,11 +114,8 @@
         free = yield from self._check_not_leased(former)
         if isinstance(free, Err):
             return free
-        self.went_back = former.epoch < known_epoch
         target = replace(
-            self._own_head,
-            epoch=max(former.epoch, known_epoch) + 1,
-            segment=former.segment,
+            self._own_head, epoch=former.epoch + 1, segment=former.segment
         )
         written = yield from self._cas_head(target, found.version)
         if isinstance(written, Err):
@@ -163,34 +128,12 @@
         ``Conflict`` means that a successor has acquired the shard.
         """
         target = replace(self.head, renewal=self.head.renewal + 1)
-        return (yield from self._replace_head(target))
+        return (yield from self._cas_head(target, self._head_version))
 
     def release(self) -> StoreSteps[Result[None, Failure]]:
         """Release the shard, so that a successor need not await the lease."""
         target = replace(self.head, name="", address="", incarnation=0)
-        return (yield from self._replace_head(target))
-
-    def verify(self) -> StoreSteps[Result[None, Failure]]:
-        """Check that the head and the current segment are as last written.
-
-        ``OwnershipLost`` means that another owner wrote one of them, or that
-        the service came back from an older copy. The result holds only if no
-        append ran meanwhile.
-        """
-        reply = yield Get(head_key(self.shard))
-        if isinstance(reply, Err):
-            return reply
-        if reply.ok_value.value != self.head.text():
-            return Err(
-                OwnershipLost(f"head of {self.shard} is not as written")
-            )
-        key = segment_key(self.shard, self.segment_number)
-        reply = yield Get(key)
-        if isinstance(reply, Err):
-            return reply
-        if not self._is_as_written(reply.ok_value):
-            return Err(OwnershipLost(f"{key} is not as written"))
-        return Ok(None)
+        return (yield from self._cas_head(target, self._head_version))
 
     def delete_segments_before(
         self, first: int
@@ -202,7 +145,7 @@
         """
         old = range(self.head.segment, min(first, self.segment_number))
         target = replace(self.head, segment=old.stop)
-        written = yield from self._replace_head(target)
+        written = yield from self._cas_head(target, self._head_version)
         if isinstance(written, Err):
             return written
         for number in old:
@@ -222,9 +165,7 @@
         delayed write.
         """
         self._batch_count += 1
-        batch = (
-            f"{self.epoch}.{self._batch_count}.{self._own_head.incarnation:x}"
-        )
+        batch = f"{self.epoch}.{self._batch_count}"
         grown = self._segment.with_batch(batch, records)
         if self._segment.lines and grown.size_bytes() > self._segment_bytes:
             rolled = yield from self._roll_over()
@@ -258,24 +199,6 @@
             )
         return Ok(None)
 
-    def _replace_head(
-        self, target: ShardHead
-    ) -> StoreSteps[Result[None, Failure]]:
-        """Replace the own head, compared by value.
-
-        A service that came back from a copy gives out versions again, so
-        that another owner's head may have the version of the own one.
-        """
-        reply = yield Get(head_key(self.shard))
-        if isinstance(reply, Err):
-            return reply
-        found: Versioned = reply.ok_value
-        if found.value not in (self.head.text(), target.text()):
-            return Err(
-                Conflict(f"head of shard {self.shard} is not as written")
-            )
-        return (yield from self._cas_head(target, found.version))
-
     def _cas_head(
         self, target: ShardHead, version: int
     ) -> StoreSteps[Result[None, Failure]]:
@@ -298,6 +221,7 @@
             else:
                 reply = yield Put(key, target.text(), version)
         self.head = target
+        self._head_version = reply.ok_value
         return Ok(None)
 
     def _seal_log(self) -> StoreSteps[Result[None, Failure]]:
@@ -305,9 +229,7 @@
 
         If the last existing segment is already sealed, the next one is created
         as sealed. An earlier owner that is rolling over to that segment then
-        fails to create it. A segment that was open may have successors after
-        the service came back from a copy: a late write of a former owner
-        replaced the seal, whose version was given out again.
+        fails to create it.
         """
         records: list[LogRecord] = []
         number = self.head.segment
@@ -317,16 +239,9 @@
                 return step
             segment, is_last = step.ok_value
             records.extend(segment.records())
-            self.replayed_lines.update(segment.lines)
-            if segment.lines:
-                self.tail = LogTail(number, segment.lines[-1])
             number += 1
             if is_last:
-                following = yield Get(segment_key(self.shard, number))
-                if isinstance(following, Err):
-                    return following
-                if not following.ok_value.version:
-                    break
+                break
         self.replayed_records = records
         self.segment_number = number
         self._segment = Segment(self.epoch)
@@ -399,29 +314,19 @@
                 return reply
             self._segment = value
             self._segment_version = reply.ok_value
-            if value.lines:
-                self.tail = LogTail(self.segment_number, value.lines[-1])
             return Ok(None)
 
-    def _is_as_written(self, found: Versioned) -> bool:
-        if not self._segment_version:
-            return not found.version
-        return found.value == self._segment.text()
-
     def _resolve_write(
         self, key: str, is_own_write: Any, failure: Failure
     ) -> StoreSteps[Result[int, OwnershipLost] | None]:
-        """Read back a write that was not confirmed; ``None``: write again.
-
-        Values are compared, as a service that came back from a copy gives out
-        versions again.
-        """
+        """Read back a write that was not confirmed; ``None``: write again."""
+        if isinstance(failure, KeyValueUnavailable):
+            return None
         reply = yield Get(key)
         while isinstance(reply, Err):
             reply = yield Get(key)
         found: Versioned = reply.ok_value
-        if self._is_as_written(found):
-            self._segment_version = found.version
+        if found.version == self._segment_version:
             return None
         parsed = self._parse_found(found)
         if isinstance(parsed, Ok) and is_own_write(parsed.ok_value):
--- a/src/gooseberrypost/wire/gooseberrypost.thrift
+++ b/src/gooseberrypost/wire/gooseberrypost.thrift
@@ -264,28 +264,6 @@
   5: optional list<bool> begun,  // whether a part of each answer had been produced
 }
 
-struct Recall {                // a new owner asks what a peer remembers of the shard
-  1: i32 shard,
-  2: i32 epoch,                // epoch of the new owner; a former owner stops granting
-  3: i32 first,                // number of the first record to send
-  4: i32 limit,                // largest number of records to send
-  5: i64 incarnation,          // of the new owner
-}
-
-struct Recalled {
-  1: i32 epoch,                // highest epoch of any other owner that the peer knows
-  2: string tail,              // last batch in the log that the peer knows; empty if none
-  3: i32 total,                // number of records that the peer remembers; claims, if limit is 0
-  4: string records,           // JSON list of log records
-  5: optional bool doubtful,   // the peer served the shard and did not reach all of its own peers
-}
-
-struct HandOver {              // a former owner sends what it remembers to the present one
-  1: i32 shard,
-  2: i32 epoch,                // epoch of the former owner
-  3: string records,           // JSON list of log records
-}
-
 // ---- configuration ----
 
 struct Record { 1: string key, 2: string value, 3: i64 version }
