--- a/tests/test_refused_beside_moves.py
+++ b/tests/test_refused_beside_moves.py
@@ -9,7 +9,7 @@
 from tests.gateway_kit import serving
 from tests.silent_engine import SilentEngine, add_engines, stream, whole
 from tests.standins.platform_engine import UNAVAILABLE
-from tests.test_review_moves import CLIENT_WAIT_S, RefusingPrefill
+from tests.test_ends_beside_moves import CLIENT_WAIT_S, RefusingPrefill
 from tests.test_stream_successors import run, running_at
 
 REFUSED_AFTER_S = 2.0
--- a/tests/test_second_silence.py
+++ b/tests/test_second_silence.py
@@ -8,7 +8,7 @@
 
 from tests.gateway_kit import serving
 from tests.silent_engine import SilentEngine, add_engines, stream, whole
-from tests.test_review_moves import CLIENT_WAIT_S
+from tests.test_ends_beside_moves import CLIENT_WAIT_S
 from tests.test_stream_successors import run, running_at
 
 LONG_S = 12.0
