--- a/src/gooseberrypost/timeouts.py
+++ b/src/gooseberrypost/timeouts.py
@@ -34,6 +34,10 @@
 """Time to read what had arrived when a timer fired late at a deadline."""
 
 
+class OutsideOfTask(RuntimeError):
+    """A timeout was entered where there is no task to cancel."""
+
+
 class LateTimeout(TimeoutError):
     """The event loop was late, so the wait says nothing about the peer."""
 
@@ -72,7 +76,7 @@
     def __enter__(self) -> Self:
         self._task = asyncio.current_task()
         if self._task is None:
-            raise RuntimeError("timeout outside of a task")
+            raise OutsideOfTask
         self._cancellations = self._task.cancelling()
         return self
 
--- a/tests/test_agent_late_calls.py
+++ b/tests/test_agent_late_calls.py
@@ -42,6 +42,7 @@
     with conn:
         conn.recv(65_536)
         loop.call_soon_threadsafe(time.sleep, pause_s)
+        # This server has a thread of its own.
         time.sleep(ANSWER_S)
         if document is None:
             time.sleep(2 * PAUSE_S)
--- a/tests/test_agent_pauses.py
+++ b/tests/test_agent_pauses.py
@@ -33,6 +33,7 @@
 
 
 def stand_still(pause_s: float):
+    """Block the event loop of the test, as a pause of its process does."""
     time.sleep(pause_s)
 
 
--- a/tests/test_agent_successors.py
+++ b/tests/test_agent_successors.py
@@ -354,4 +354,5 @@
 
 
 def stand_still(pause_s: float):
+    """Block the event loop of the test, as a pause of its process does."""
     time.sleep(pause_s)
--- a/tests/test_entry_pauses.py
+++ b/tests/test_entry_pauses.py
@@ -21,6 +21,7 @@
 
 
 def stand_still(pause_s: float = PAUSE_S):
+    """Block the event loop of the test, as a pause of its process does."""
     time.sleep(pause_s)
 
 
--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -33,6 +33,7 @@
 
 
 def stand_still(pause_s: float):
+    """Block the event loop of the test, as a pause of its process does."""
     time.sleep(pause_s)
 
 
--- a/tests/test_late_channels.py
+++ b/tests/test_late_channels.py
@@ -36,6 +36,7 @@
                 Channel.connect(one.address, HELLO, TIMEOUT_MS)
             )
             await asyncio.sleep(0)
+            # The process stands still, and the answer waits in its socket.
             time.sleep(PAUSE_S)  # noqa: ASYNC251
             connected = await connecting
             assert connected.is_ok(), connected
