Store calls: log failures with size, duration and limit, and the age of the configuration

Each kind of failed call now has a line at most every 0.5 s, with what had arrived of the answer. Refusals with 404 and 401 name the time since the last evidence of being current, which is also a metric, as are failed calls of the feed. No decision is changed.

--- a/src/gooseberrypost/gateway/authentication.py
+++ b/src/gooseberrypost/gateway/authentication.py
@@ -179,6 +179,7 @@
                 ("route", route.name),
                 *([("account", req.account)] if req.account else []),
                 ("configuration", self._directory.configuration.version),
+                ("age_ms", self._directory.age_ms(self._now_s())),
                 ("omitted", limit.omitted),
             ]
             logging.info("%s", format_fields(fields))
--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
@@ -238,6 +239,14 @@
             self.configuration.version, now_s, propagation_s
         )
 
+    def age_ms(self, now_s: float) -> int:
+        """Return the time for which the configuration is unconfirmed.
+
+        It is -1 before the first answer of the store.
+        """
+        age_s = self.freshness.age_s(now_s)
+        return -1 if math.isinf(age_s) else round(1_000 * age_s)
+
     def available_servers(self, service: str, now_s: float) -> list[Server]:
         """Return a service's servers except engines that change stage."""
         return [
@@ -336,6 +345,8 @@
                 self._revision = 0
                 continue
             except FeedLost as lost:
+                kind = "watch" if self._revision else "read"
+                self._metrics.count("feed_failures_total", call=kind)
                 await self._handle_feed_lost(lost)
                 continue
             self._handle_answer()
@@ -396,7 +407,10 @@
 
     def _handle_answer(self) -> None:
         if self._is_store_unavailable:
-            logging.info("event=dependency_regained dependency=store")
+            logging.info(
+                "event=dependency_regained dependency=store age_ms=%d",
+                self._directory.age_ms(time.monotonic()),
+            )
             self._directory.servers.record_reconnect(time.monotonic())
         self._is_store_unavailable = False
         self._backoff_s = MIN_BACKOFF_S
--- a/src/gooseberrypost/gateway/freshness.py
+++ b/src/gooseberrypost/gateway/freshness.py
@@ -38,6 +38,10 @@
         if version > self._peer_version:
             self._peer_version, self._peer_heard_s = version, heard_s
 
+    def age_s(self, now_s: float) -> float:
+        """Return the time since the newest evidence from the store."""
+        return now_s - self._answered_s
+
     def is_current(
         self, version: int, now_s: float, propagation_s: float
     ) -> bool:
--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -318,7 +318,13 @@
         cfg = directory.configuration
         route = cfg.route(req.host, req.path)
         if route is None:
-            self._ctx.log("no_route", req, host=req.host, target=req.target)
+            self._ctx.log(
+                "no_route",
+                req,
+                host=req.host,
+                target=req.target,
+                age_ms=directory.age_ms(self._ctx.now_s()),
+            )
             raise NoRoute(f"no route for {req.host} {req.path}")
         return route
 
--- a/src/gooseberrypost/gateway/monitoring.py
+++ b/src/gooseberrypost/gateway/monitoring.py
@@ -108,6 +108,11 @@
 
     def _set_gauges(self) -> None:
         metrics, memory = self._ctx.metrics, self._ctx.memory
+        directory = self._ctx.directory
+        metrics.gauge("configuration_version", directory.configuration.version)
+        metrics.gauge(
+            "configuration_age_ms", directory.age_ms(self._ctx.now_s())
+        )
         metrics.gauge("memory_budget_bytes", memory.total_bytes)
         for use in Use:
             used = memory.used(use)
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -7,8 +7,9 @@
 
 import base64
 import binascii
-import functools
+import time
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
 import aiohttp
@@ -19,6 +20,7 @@
 from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
 from gooseberrypost.errors import ConnectionLost, Failure
 from gooseberrypost.gateway.directory import FeedLost, HistoryLost
+from gooseberrypost.logs import LineLimit, format_fields
 from gooseberrypost.platform import names
 from gooseberrypost.platform.connections import new_tcp_socket
 from gooseberrypost.singlesend import disable_automatic_retry
@@ -39,6 +41,8 @@
 """Upper bound of the timeout; it doubles after each failed call, as the store
 may be slow."""
 CONNECT_TIMEOUT_S: Final = 1.0
+FAILURE_LOG_INTERVAL_S: Final = 0.5
+"""Interval of log lines on failed calls, for each kind of call."""
 MAX_PAGES: Final = 1_000
 """Maximum number of pages read of a range; a page has 500 items.
 
@@ -69,6 +73,31 @@
         """Current state of the keys of the condition."""
 
 
+class CallKind(Enum):
+    """Calls of the store that differ in the size or time of their answers."""
+
+    RANGE = "range"
+    WATCH = "watch"
+    WRITE = "write"
+    GRANT = "grant"
+    RENEW = "renew"
+    REVOKE = "revoke"
+
+
+class CallProgress:
+    """Time and size of the answer to a call so far."""
+
+    __slots__ = ("began_s", "received_bytes")
+
+    def __init__(self) -> None:
+        self.began_s = time.monotonic()
+        self.received_bytes = 0
+
+    def add(self, size: int) -> None:
+        """Record that a part of the body has arrived."""
+        self.received_bytes += size
+
+
 @dataclass(slots=True, frozen=True)
 class Item:
     """A key, its value and the revision of its last write.
@@ -123,6 +152,7 @@
     __slots__ = (
         "_address",
         "_era",
+        "_failure_lines",
         "_lease_eras",
         "_response_timeout_s",
         "_session",
@@ -138,6 +168,9 @@
         Its id may be given out again in a later one.
         """
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        self._failure_lines = {
+            kind: LineLimit(FAILURE_LOG_INTERVAL_S) for kind in CallKind
+        }
         # Each call has a new connection. After a network fault every pooled
         # connection may be dead, and each would cost one call's timeout.
         self._session = aiohttp.ClientSession(
@@ -169,7 +202,9 @@
             query = {"path_prefix": prefix}
             if after:
                 query["after"] = after
-            answer, page_era = await self._call("GET", names.RANGE_PATH, query)
+            answer, page_era = await self._call(
+                CallKind.RANGE, "GET", names.RANGE_PATH, query
+            )
             if items and page_era != era:
                 raise StoreUnavailable(
                     f"{names.RANGE_PATH}: era {page_era} after {era}"
@@ -193,7 +228,11 @@
             "wait_ms": str(wait_ms),
         }
         answer, era = await self._call(
-            "GET", names.WATCH_PATH, query, wait_s=wait_ms / 1_000
+            CallKind.WATCH,
+            "GET",
+            names.WATCH_PATH,
+            query,
+            wait_s=wait_ms / 1_000,
         )
         events = tuple(_items(answer, "events"))
         return Items(events, _integer(answer, "at"), era)
@@ -230,7 +269,11 @@
             "remove": list(removed),
         }
         answer, era = await self._call(
-            "POST", names.TXN_PATH, body=body, timeout_s=timeout_s
+            CallKind.WRITE,
+            "POST",
+            names.TXN_PATH,
+            body=body,
+            timeout_s=timeout_s,
         )
         for lease in leases:
             self._check_lease(lease)
@@ -239,7 +282,7 @@
     async def grant_lease(self, ttl_ms: int) -> int:
         """Create a lease and return its id."""
         answer, era = await self._call(
-            "POST", names.LEASE_PATH, body={"ttl_ms": ttl_ms}
+            CallKind.GRANT, "POST", names.LEASE_PATH, body={"ttl_ms": ttl_ms}
         )
         lease = _integer(answer, "lease")
         self._lease_eras = {
@@ -256,7 +299,8 @@
         Raises ``LeaseEnded`` if it has expired or was lost with its era.
         """
         self._check_lease(lease)
-        await self._call("POST", f"{names.LEASE_RENEW_PATH}{lease}")
+        path = f"{names.LEASE_RENEW_PATH}{lease}"
+        await self._call(CallKind.RENEW, "POST", path)
         self._check_lease(lease)
 
     def _check_lease(self, lease: int) -> None:
@@ -269,7 +313,8 @@
         Raises ``LeaseEnded`` likewise.
         """
         self._check_lease(lease)
-        await self._call("DELETE", f"{names.LEASE_REVOKE_PATH}{lease}")
+        path = f"{names.LEASE_REVOKE_PATH}{lease}"
+        await self._call(CallKind.REVOKE, "DELETE", path)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -277,6 +322,7 @@
 
     async def _call(
         self,
+        kind: CallKind,
         method: str,
         path: str,
         query: Mapping[str, str] | None = None,
@@ -286,9 +332,13 @@
     ) -> tuple[dict[str, Any], int]:
         """Make a call and return its answer and the answer's era."""
         limit_s = (timeout_s or self._response_timeout_s) + wait_s
-        call = functools.partial(
-            self._call_once, method, path, query, body, limit_s
-        )
+        progress = CallProgress()
+
+        async def call() -> tuple[int, bytes, str | None]:
+            return await self._call_once(
+                method, path, query, body, limit_s, progress
+            )
+
         try:
             try:
                 status, content, era_text = await call()
@@ -306,8 +356,11 @@
             self._response_timeout_s = min(
                 2 * self._response_timeout_s, MAX_RESPONSE_TIMEOUT_S
             )
+            self._log_failure(kind, progress, limit_s, repr(exc))
             raise StoreUnavailable(f"{path}: {exc!r}") from exc
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        if status >= 500 or status == 429:
+            self._log_failure(kind, progress, limit_s, f"status {status}")
         era = self._record_era(path, era_text)
         return _decode_response(path, status, content), era
 
@@ -318,6 +371,7 @@
         query: Mapping[str, str] | None,
         body: Any,
         timeout_s: float,
+        progress: CallProgress,
     ) -> tuple[int, bytes, str | None]:
         """Return status and body of an answer, and the era that it names."""
         url = URL(f"http://{self._address}{path}")
@@ -326,12 +380,37 @@
             async with self._session.request(
                 method, url, params=query, json=body, timeout=timeout
             ) as response:
-                content = await read_bounded(response, MAX_STORE_BYTES)
+                content = await read_bounded(
+                    response, MAX_STORE_BYTES, progress.add
+                )
                 if not (content or is_framed(response)):
                     raise ConnectionLost("answer ended in or before its body")
                 era = response.headers.get(names.STORE_ERA)
                 return response.status, content, era
 
+    def _log_failure(
+        self,
+        kind: CallKind,
+        progress: CallProgress,
+        limit_s: float,
+        detail: str,
+    ) -> None:
+        """Log a call that failed, with what had arrived of its answer."""
+        lines = self._failure_lines[kind]
+        if not lines.admit():
+            return
+        after_s = time.monotonic() - progress.began_s
+        fields = [
+            ("event", "store_call_failed"),
+            ("call", kind.value),
+            ("after_ms", round(1_000 * after_s)),
+            ("limit_ms", round(1_000 * limit_s)),
+            ("received", progress.received_bytes),
+            ("detail", detail),
+            ("omitted", lines.omitted),
+        ]
+        logging.warning("%s", format_fields(fields))
+
     def _record_era(self, path: str, text: str | None) -> int:
         """Return the era of an answer; 0 from a store that names none."""
         try:
