--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 
 from aiohttp import web
 
 from tests.standins.server import FakeServer
 
+PACKET_BYTES = 8 * 1024
+
 
 class FakePlatformStore(FakeServer):
     """Key-value store with revisions, watches, transactions and leases."""
@@ -24,7 +27,10 @@
         self.leases: dict[int, asyncio.TimerHandle] = {}
         self.ttl_ms: dict[int, int] = {}
         self.changed = asyncio.Event()
+        self._link = asyncio.Lock()
         self.calls: list[str] = []
+        self.queries: list[tuple[str, str | None]] = []
+        """Path and prefix of each call."""
         self.deaf = False
         """Fault: watches return no events until they time out."""
         self.down = False
@@ -36,6 +42,14 @@
         self.compacted = 0
         """Watches from before this revision are answered with 410, as if the
         history had been compacted."""
+        self.bytes_per_s = 0
+        """Rate of its link, which all answers share; 0 for no limit."""
+        self.trickles = False
+        """Fault: answers begin, and then bring a byte at a time."""
+        self.refusal = 0
+        """Fault: status with which calls are refused; 0 for none."""
+        self.skips_events = False
+        """Fault: watches skip the change of the configuration for good."""
         self.endless = False
         """Fault: answers have a body that ends when the caller closes."""
         self.sent_bytes = 0
@@ -53,13 +67,37 @@
     @web.middleware
     async def _inject_faults(self, request, handler):
         self.calls.append(request.path)
+        self.queries.append((request.path, request.query.get("path_prefix")))
         if self.silent:
             await asyncio.sleep(3_600)
         if self.endless:
             return await self._send_endlessly(request)
         if self.down:
             return web.json_response({}, status=503)
-        return await handler(request)
+        if self.refusal:
+            return web.json_response({}, status=self.refusal)
+        response = await handler(request)
+        if self.bytes_per_s or self.trickles:
+            return await self._send_slowly(request, response.body)
+        return response
+
+    async def _send_slowly(self, request, body: bytes):
+        """Send a body at the rate of the link, or a byte at a time."""
+        response = web.StreamResponse()
+        response.headers["Content-Length"] = str(len(body))
+        response.content_type = "application/json"
+        await response.prepare(request)
+        size = 1 if self.trickles else PACKET_BYTES
+        with contextlib.suppress(ConnectionError):
+            for start in range(0, len(body), size):
+                part = body[start : start + size]
+                if self.trickles:
+                    await asyncio.sleep(0.1)
+                else:
+                    async with self._link:
+                        await asyncio.sleep(len(part) / self.bytes_per_s)
+                await response.write(part)
+        return response
 
     async def _name_era(self, request, response):
         response.headers["Store-Era"] = str(self.era)
@@ -158,6 +196,7 @@
                 for event in self.history
                 if event["revision"] > after
                 and event["key"].startswith(prefix)
+                and not (self.skips_events and event["key"] == "op/config")
             ]
             if events and not self.deaf:
                 break
