Store: a response may last as long as it makes progress

Cause: each call had 0.5 s for its whole response. A configuration of 640 KB takes longer on a link of 10 Mbit/s that it shares with traffic. The limit doubled after a failure, but all calls had one, and each renewal of a lease set it back.

Change: the limit holds until the response begins, and follows the responses of each kind of call. After that only a pause of 1 s, or a rate below 16 KB a second, ends a response. It stays bounded by its size.

test_large_configuration_arrives_over_a_slow_link failed before, in both cases, and passes.

--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -23,23 +23,30 @@
 from gooseberrypost.logs import LineLimit, format_fields
 from gooseberrypost.platform import names
 from gooseberrypost.platform.connections import new_tcp_socket
+from gooseberrypost.policy.responsetimeout import ResponseTimeouts
 from gooseberrypost.singlesend import disable_automatic_retry
 from gooseberrypost.strictjson import parse_json
-from gooseberrypost.timeouts import RunningTimeout
+from gooseberrypost.timeouts import TransferTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
 MIN_RESPONSE_TIMEOUT_S: Final = 0.5
-"""Timeout of a call, in addition to the wait of a watch.
+"""Time for a response to begin, in addition to the wait of a watch.
 
 A call usually takes a few ms. The timeout is short enough to detect a dead
 connection within the 2 s in which a change of the configuration must take
 effect.
 """
 MAX_RESPONSE_TIMEOUT_S: Final = 2.0
-"""Upper bound of the timeout; it doubles after each failed call, as the store
-may be slow."""
+"""Upper bound of this time, for a store that is slow."""
+MAX_PAUSE_S: Final = 1.0
+"""Longest pause in a response that has begun.
+
+A configuration may take seconds over a link that it shares with traffic.
+"""
+MIN_BYTES_PER_S: Final = 16 * 1024
+"""Rate below which a response is given up, as it would never end."""
 CONNECT_TIMEOUT_S: Final = 1.0
 FAILURE_LOG_INTERVAL_S: Final = 0.5
 """Interval of log lines on failed calls, for each kind of call."""
@@ -85,17 +92,21 @@
 
 
 class CallProgress:
-    """Time and size of the answer to a call so far."""
+    """Times and size of the answer to a call so far."""
 
-    __slots__ = ("began_s", "received_bytes")
+    __slots__ = ("answered_s", "began_s", "received_bytes")
 
     def __init__(self) -> None:
         self.began_s = time.monotonic()
+        self.answered_s: float | None = None
+        """Monotonic time at which the answer began."""
         self.received_bytes = 0
 
-    def add(self, size: int) -> None:
-        """Record that a part of the body has arrived."""
-        self.received_bytes += size
+    @property
+    def response_s(self) -> float:
+        """Time after which the answer began; until now if it has not."""
+        answered_s = self.answered_s
+        return (answered_s or time.monotonic()) - self.began_s
 
 
 @dataclass(slots=True, frozen=True)
@@ -154,8 +165,8 @@
         "_era",
         "_failure_lines",
         "_lease_eras",
-        "_response_timeout_s",
         "_session",
+        "_timeouts",
     )
 
     def __init__(self, address: str) -> None:
@@ -167,7 +178,9 @@
 
         Its id may be given out again in a later one.
         """
-        self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        self._timeouts = ResponseTimeouts(
+            MIN_RESPONSE_TIMEOUT_S, MAX_RESPONSE_TIMEOUT_S
+        )
         self._failure_lines = {
             kind: LineLimit(FAILURE_LOG_INTERVAL_S) for kind in CallKind
         }
@@ -331,10 +344,12 @@
         timeout_s: float = 0.0,
     ) -> tuple[dict[str, Any], int]:
         """Make a call and return its answer and the answer's era."""
-        limit_s = (timeout_s or self._response_timeout_s) + wait_s
+        limit_s = (timeout_s or self._timeouts.of(kind)) + wait_s
         progress = CallProgress()
 
         async def call() -> tuple[int, bytes, str | None]:
+            nonlocal progress
+            progress = CallProgress()
             return await self._call_once(
                 method, path, query, body, limit_s, progress
             )
@@ -353,12 +368,13 @@
             OSError,
             TimeoutError,
         ) as exc:
-            self._response_timeout_s = min(
-                2 * self._response_timeout_s, MAX_RESPONSE_TIMEOUT_S
-            )
+            if progress.answered_s is None and isinstance(exc, TimeoutError):
+                self._timeouts.record_timeout(kind)
             self._log_failure(kind, progress, limit_s, repr(exc))
             raise StoreUnavailable(f"{path}: {exc!r}") from exc
-        self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
+        # The store may answer a watch at any time of its wait.
+        response_s = max(0.0, progress.response_s - wait_s)
+        self._timeouts.record_response(kind, response_s)
         if status >= 500 or status == 429:
             self._log_failure(kind, progress, limit_s, f"status {status}")
         era = self._record_era(path, era_text)
@@ -370,18 +386,26 @@
         path: str,
         query: Mapping[str, str] | None,
         body: Any,
-        timeout_s: float,
+        limit_s: float,
         progress: CallProgress,
     ) -> tuple[int, bytes, str | None]:
         """Return status and body of an answer, and the era that it names."""
         url = URL(f"http://{self._address}{path}")
         timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
-        with RunningTimeout(timeout_s):
+        transfer = TransferTimeout(limit_s, MAX_PAUSE_S, MIN_BYTES_PER_S)
+
+        def record_data(size: int) -> None:
+            progress.received_bytes += size
+            transfer.receive(size)
+
+        with transfer:
             async with self._session.request(
                 method, url, params=query, json=body, timeout=timeout
             ) as response:
+                progress.answered_s = time.monotonic()
+                transfer.begin()
                 content = await read_bounded(
-                    response, MAX_STORE_BYTES, progress.add
+                    response, MAX_STORE_BYTES, record_data
                 )
                 if not (content or is_framed(response)):
                     raise ConnectionLost("answer ended in or before its body")
--- a/src/gooseberrypost/timeouts.py
+++ b/src/gooseberrypost/timeouts.py
@@ -5,8 +5,9 @@
 timeouts then end waits for replies that are already there.
 
 ``RunningTimeout`` limits a wait that may be prolonged: the time in which the
-event loop was late does not count. ``Deadline`` limits a call that may not,
-and only lets it read what has arrived.
+event loop was late does not count. ``TransferTimeout`` limits the pauses of a
+transfer, however long all of it takes. ``Deadline`` limits a call that may not
+be prolonged, and only lets it read what has arrived.
 
 >>> async def fetch(reader):
 ...     with RunningTimeout(0.25):
@@ -116,11 +117,19 @@
     and ``LateTimeout`` if more parts would have to be repeated.
     """
 
-    __slots__ = ("_delay_s", "_due_s", "_part_s", "_parts", "_repeats")
+    __slots__ = (
+        "_delay_s",
+        "_due_s",
+        "_part_s",
+        "_parts",
+        "_repeats",
+        "_timeout_s",
+    )
 
     def __init__(self, timeout_s: float) -> None:
         super().__init__()
-        self._part_s = timeout_s / PARTS
+        self._timeout_s = timeout_s
+        self._part_s = 0.0
         self._parts = PARTS
         self._repeats = MAX_REPEATS
         self._due_s = 0.0
@@ -129,9 +138,20 @@
 
     def __enter__(self) -> Self:
         super().__enter__()
-        self._start_part()
+        self._start(self._timeout_s)
         return self
 
+    def _start(self, timeout_s: float) -> None:
+        """Begin to wait, in place of the wait so far."""
+        if self._handle is not None:
+            self._handle.cancel()
+        self._part_s = timeout_s / PARTS
+        self._parts = PARTS
+        self._repeats = MAX_REPEATS
+        self._delay_s = 0.0
+        self._is_late = False
+        self._start_part()
+
     def _start_part(self) -> None:
         self._due_s = self._loop.time() + self._part_s
         self._handle = self._loop.call_at(self._due_s, self._end_part)
@@ -152,6 +172,47 @@
             self.expire(is_late=self._is_late)
 
 
+class TransferTimeout(RunningTimeout):
+    """Timeout of a transfer that lasts as long as data arrives.
+
+    Usage::
+
+        with TransferTimeout(response_s, pause_s, min_rate) as timeout:
+            response = await send()
+            timeout.begin()
+            async for chunk in response:
+                timeout.receive(len(chunk))
+
+    A wait ends when the response has not begun after ``response_s``, when
+    nothing has arrived for ``pause_s``, or when less than ``min_rate`` bytes a
+    second have arrived and ``pause_s`` has passed as well, so that a peer
+    cannot hold the call with a byte at a time.
+    """
+
+    __slots__ = ("_allowed_until_s", "_min_rate", "_pause_s")
+
+    def __init__(
+        self, response_s: float, pause_s: float, min_rate: float
+    ) -> None:
+        super().__init__(response_s)
+        self._pause_s = pause_s
+        self._min_rate = min_rate
+        self._allowed_until_s = 0.0
+        """Time until which the data so far allows the transfer to last."""
+
+    def begin(self) -> None:
+        """Record that the response has begun."""
+        self._allowed_until_s = self._loop.time() + self._pause_s
+        self._start(self._pause_s)
+
+    def receive(self, size: int) -> None:
+        """Record that bytes have arrived."""
+        self._allowed_until_s += size / self._min_rate
+        left_s = self._allowed_until_s - self._loop.time()
+        if left_s > 0:
+            self._start(min(self._pause_s, left_s))
+
+
 class Deadline:
     """Deadline of a call that waits several times, maybe in several tasks.
 
