Routes: a gateway that may be outdated does not answer 404

It asked whether its configuration is current for unknown keys only.

The check is now a class that keys and routes share. Without it a path that is not known is refused with 503, X-Failure route_unverified and a Retry-After of a quarter of the propagation time, in which this or another gateway knows it.

test_outdated_gateway_does_not_deny_a_route failed before in both cases; the one with a peer now waits for longer than the interval at which notices are decoded.

--- a/src/gooseberrypost/gateway/authentication.py
+++ b/src/gooseberrypost/gateway/authentication.py
@@ -1,7 +1,7 @@
 """Decides to which client account a request belongs.
 
 A key that is unknown here may be new. So it is refused for good only by a
-gateway whose configuration is current.
+gateway whose configuration is current, see ``CurrencyCheck``.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from gooseberrypost.gateway.currency import CurrencyCheck
     from gooseberrypost.gateway.directory import Directory
     from gooseberrypost.gateway.model import Route
     from gooseberrypost.gateway.request import ClientRequest
@@ -28,15 +29,6 @@
 """Account names in metrics; the other accounts are counted together."""
 REFUSAL_LOG_INTERVAL_S: Final = 1.0
 """Interval of log lines on refused keys, for each code."""
-NOTICE_REFRESH_INTERVAL_S: Final = 0.01
-"""Shortest interval at which an unknown key has load notices decoded.
-
-It bounds the cost of clients that try many keys. With 0.1 s a new key was
-called unknown although a notice with a higher version had arrived.
-"""
-UNVERIFIED_RETRY_SHARE: Final = 0.25
-"""``Retry-After`` for a key that may be new, as a share of the propagation
-time: by then this gateway, or the one that takes the retry, knows the key."""
 
 
 class KeyRefused(NotRun):
@@ -80,13 +72,11 @@
     """Assigns requests to accounts by their keys, and counts refusals."""
 
     __slots__ = (
+        "_currency",
         "_directory",
         "_line_limits",
         "_metrics",
-        "_next_refresh_s",
         "_now_s",
-        "_propagation_s",
-        "_refresh",
         "account_names",
     )
 
@@ -94,18 +84,13 @@
         self,
         directory: Directory,
         metrics: Metrics,
-        propagation_s: float,
-        refresh: Callable[[], None],
+        currency: CurrencyCheck,
         now_s: Callable[[], float],
     ) -> None:
         self._directory = directory
         self._metrics = metrics
-        self._propagation_s = propagation_s
-        """Time within which a change of the configuration is in effect."""
-        self._refresh = refresh
-        """Applies pending load notices."""
+        self._currency = currency
         self._now_s = now_s
-        self._next_refresh_s = float("-inf")
         self._line_limits: dict[str, LineLimit] = {}
         """Limits of log lines by failure code."""
         self.account_names = LabelNames(MAX_ACCOUNT_LABELS)
@@ -148,21 +133,13 @@
         if not req.key:
             return KeyMissing(f"header {req.key_header} is missing")
         # A key that was known before was removed by a newer version.
-        if req.account or self._is_current():
+        if req.account or self._currency.is_current():
             return KeyUnknown(f"the key in header {req.key_header} is unknown")
-        retry_s = UNVERIFIED_RETRY_SHARE * self._propagation_s
         return KeyUnverified(
             "the configuration may be outdated",
-            retry_after_ms=round(1_000 * retry_s),
+            retry_after_ms=self._currency.retry_after_ms,
         )
 
-    def _is_current(self) -> bool:
-        now_s = self._now_s()
-        if now_s >= self._next_refresh_s:
-            self._next_refresh_s = now_s + NOTICE_REFRESH_INTERVAL_S
-            self._refresh()
-        return self._directory.is_current(now_s, self._propagation_s)
-
     def _refuse(
         self, req: ClientRequest, route: Route, failure: NotRun
     ) -> NoReturn:
--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from gooseberrypost.gateway.authentication import Authenticator
+from gooseberrypost.gateway.currency import CurrencyCheck
 from gooseberrypost.gateway.model import EngineSpec
 from gooseberrypost.gateway.plainqueue import PlainQueues, QueueEnvironment
 from gooseberrypost.gateway.prefillgate import PrefillGate
@@ -99,6 +100,8 @@
     notify_loads_changed: Callable[[], None] = lambda: None
     """Callback to call when this gateway's load on the engines changes."""
     quarantine: Quarantine = field(init=False)
+    currency: CurrencyCheck = field(init=False)
+    """Tells whether an unknown route or key may be refused for good."""
     authenticator: Authenticator = field(init=False)
     versions: VersionKeeper = field(init=False)
     """Software versions of streams; set by the daemon."""
@@ -140,13 +143,15 @@
             )
         )
         self.quarantine = Quarantine(self)
-        self.authenticator = Authenticator(
+        self.currency = CurrencyCheck(
             self.directory,
-            self.metrics,
             self.settings.propagation_ms / 1_000,
             lambda: self.loads.refresh(),
             self.now_s,
         )
+        self.authenticator = Authenticator(
+            self.directory, self.metrics, self.currency, self.now_s
+        )
         self.quotas = GatewayQuotas(
             self.directory, self.metrics, self.rng, lambda: self.now_s()
         )
--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -73,6 +73,12 @@
     http_status = 404
 
 
+class RouteUnverified(NotRun):
+    """No known route matches, but the configuration may be outdated."""
+
+    code = "route_unverified"
+
+
 class NotReady(NotRun):
     """No configuration has been received yet."""
 
@@ -311,23 +317,40 @@
             self._ctx.spawn(_complete_after_disconnect(task))
 
     def _select_route(self, req: ClientRequest) -> Route:
-        """Return the route; raises ``NotReady`` or ``NoRoute``."""
+        """Return the route.
+
+        Raises ``NotReady``, ``NoRoute`` or ``RouteUnverified``.
+        """
         directory = self._ctx.directory
         if not directory.is_loaded:
             raise NotReady("no configuration received yet")
         cfg = directory.configuration
         route = cfg.route(req.host, req.path)
         if route is None:
-            self._ctx.log(
-                "no_route",
-                req,
-                host=req.host,
-                target=req.target,
-                age_ms=directory.age_ms(self._ctx.now_s()),
-            )
-            raise NoRoute(f"no route for {req.host} {req.path}")
+            raise self._no_route(req)
         return route
 
+    def _no_route(self, req: ClientRequest) -> NoRoute | RouteUnverified:
+        """Log and return why a request without a route is refused."""
+        currency = self._ctx.currency
+        failure: NoRoute | RouteUnverified
+        if currency.is_current():
+            failure = NoRoute(f"no route for {req.host} {req.path}")
+        else:
+            failure = RouteUnverified(
+                "the configuration may be outdated",
+                retry_after_ms=currency.retry_after_ms,
+            )
+        self._ctx.log(
+            "no_route",
+            req,
+            code=failure.code,
+            host=req.host,
+            target=req.target,
+            age_ms=self._ctx.directory.age_ms(self._ctx.now_s()),
+        )
+        return failure
+
     def _create_exchange(
         self, req: ClientRequest, route: Route, reply: HttpReply
     ) -> Exchange:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -16,6 +16,7 @@
     KeyUnknown,
     KeyUnverified,
 )
+from gooseberrypost.gateway.currency import CurrencyCheck
 from gooseberrypost.gateway.directory import Directory
 from gooseberrypost.gateway.freshness import Freshness
 from gooseberrypost.gateway.model import (
@@ -229,8 +230,12 @@
         self.authenticator = Authenticator(
             self.directory,
             self.metrics,
-            PROPAGATION_S,
-            self._refresh,
+            CurrencyCheck(
+                self.directory,
+                PROPAGATION_S,
+                self._refresh,
+                lambda: self.now_s,
+            ),
             lambda: self.now_s,
         )
         self.apply(*accounts)
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -171,6 +171,7 @@
             else:
                 kit.store.deaf = True
                 tell_peer_version(kit, 9)
+                await asyncio.sleep(0.05)
             got = await kit.call("/nowhere/x")
             assert got.status == 503
             assert got.headers["X-Failure"] == "route_unverified"
