--- a/src/gooseberrypost/stores/http.py
+++ b/src/gooseberrypost/stores/http.py
@@ -24,12 +24,16 @@
     Versioned,
 )
 from gooseberrypost.strictjson import parse_json
+from gooseberrypost.timeouts import TransferTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 REQUEST_TIMEOUT_MS: Final = 2_000
+"""Time for a response to begin, and longest pause in it."""
 CONNECT_TIMEOUT_MS: Final = 500
+MIN_BYTES_PER_S: Final = 16 * 1024
+"""Rate below which a response is given up, as it would never end."""
 
 _FAILURES_BY_CODE: Final[dict[str, type[Failure]]] = {
     kind.code: kind
@@ -160,14 +164,22 @@
     ) -> Result[dict[str, Any], Failure]:
         no_response_failure = KeyValueUnknown if write else KeyValueUnavailable
         timeout = aiohttp.ClientTimeout(
-            total=(self._timeout_ms + extra_timeout_ms) / 1_000,
-            sock_connect=self._connect_timeout_ms / 1_000,
+            sock_connect=self._connect_timeout_ms / 1_000
+        )
+        # A value of 1 MiB may take seconds over a link that is in use.
+        transfer = TransferTimeout(
+            (self._timeout_ms + extra_timeout_ms) / 1_000,
+            self._timeout_ms / 1_000,
+            MIN_BYTES_PER_S,
         )
         try:
-            async with self._open_session().post(
-                f"http://{address}/v1/{name}", json=body, timeout=timeout
-            ) as response:
-                content = await read_bounded(response, MAX_STORE_BYTES)
+            with transfer:
+                async with self._open_session().post(
+                    f"http://{address}/v1/{name}", json=body, timeout=timeout
+                ) as response:
+                    content = await read_bounded(
+                        response, MAX_STORE_BYTES, transfer.receive
+                    )
                 return _parse_response(
                     response.status, content, no_response_failure
                 )
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import json
 import time
 
 import pytest
 
 from gooseberrypost.platform.store import PlatformStore, StoreUnavailable
+from gooseberrypost.stores.http import HttpKeyValueStore
 from gooseberrypost.wire.codec import Frame, encode
 from gooseberrypost.wire.messages import idl
 from tests.gateway_kit import configuration, serving
@@ -223,3 +225,31 @@
             await until_version(kit, 8, 2.0)
 
     run(work)
+
+
+def test_large_value_arrives_from_the_key_value_service_over_a_slow_link():
+    """Guards against a value that no attempt reads to its end."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"}")
+        body = json.dumps({"value": "x" * 600_000, "version": 7}).encode()
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        )
+        for start in range(0, len(body), 60_000):
+            await asyncio.sleep(0.1)
+            writer.write(body[start : start + 60_000])
+        writer.close()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        store = HttpKeyValueStore([f"{host}:{port}"], timeout_ms=400)
+        try:
+            found = await store.get("key")
+            assert found.unwrap().version == 7
+        finally:
+            await store.close()
+            server.close()
+
+    run(work)
