Key-value service and VM list: answers without end are cut early

Gateways and agents cut them off; the clients of the key-value service and of the list of VMs used aiohttp's own protocol, which reads chunk sizes and extensions without end.

They now read answers with the protocol of the other clients.

--- a/src/gooseberrypost/stores/http.py
+++ b/src/gooseberrypost/stores/http.py
@@ -12,6 +12,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from gooseberrypost.answerprotocol import new_connector
 from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
 from gooseberrypost.errors import Failure
 from gooseberrypost.stores.keyvalue import (
@@ -164,7 +165,7 @@
     ) -> Result[dict[str, Any], Failure]:
         no_response_failure = KeyValueUnknown if write else KeyValueUnavailable
         timeout = aiohttp.ClientTimeout(
-            sock_connect=self._connect_timeout_ms / 1_000
+            connect=self._connect_timeout_ms / 1_000
         )
         # A value of 1 MiB may take seconds over a link that is in use.
         transfer = TransferTimeout(
@@ -190,10 +191,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None or self._session.closed:
-            # A watch occupies its connection while it waits, so the number
-            # of connections is not limited.
-            connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(connector=new_connector())
         return self._session
 
 
--- a/src/gooseberrypost/stores/vms.py
+++ b/src/gooseberrypost/stores/vms.py
@@ -12,6 +12,7 @@
 import aiohttp
 from result import Err, Ok, Result
 
+from gooseberrypost.answerprotocol import new_connector
 from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
 from gooseberrypost.errors import Failure, NotRun
 from gooseberrypost.strictjson import parse_json
@@ -72,7 +73,9 @@
     async def list(self) -> Result[list[VmRecord], Failure]:
         """Read the list once."""
         if self._session is None:
-            self._session = aiohttp.ClientSession(timeout=self._timeout)
+            self._session = aiohttp.ClientSession(
+                connector=new_connector(), timeout=self._timeout
+            )
         url = f"http://{self._address}/v1/vms"
         try:
             async with self._session.get(url) as response:
