Tests: an engine whose control answers all have no end

A prefill, a reservation or a report without end, at an engine of either stage, beside clients of sound engines. Passes without a change: the answers to control calls, also of moves, are read up to a limit.

--- a/tests/test_gateway_trouble.py
+++ b/tests/test_gateway_trouble.py
@@ -219,6 +219,35 @@
     run(work)
 
 
+@pytest.mark.parametrize("stage", ["prefill", "decode"])
+def test_engine_whose_answers_all_have_no_end_harms_no_other_client(stage):
+    """Guards against control answers that fill the memory of a gateway.
+
+    Prefills, reservations and reports of the engine do not end, and other
+    clients are served meanwhile.
+    """
+
+    async def work():
+        async with serving(
+            ("p", "llm", "prefill"), ("d", "llm", "decode")
+        ) as kit:
+            await kit.add("a", "desk")
+            engine = await add_troubled(kit, "x", "llm", stage)
+            engine.endless_control = True
+            streams = [asyncio.create_task(kit.generate()) for _ in range(8)]
+            plain = [await kit.call("/safe/x", "GET") for _ in range(10)]
+            assert {got.status for got in plain} == {200}
+            for got in await asyncio.gather(*streams):
+                assert got.complete
+                assert got.status in (200, 503)
+            await kit.until(lambda: not engine.tasks)
+            calls = len(engine.control) + len(engine.received)
+            assert calls
+            assert engine.sent_bytes <= calls * 4 * 1024 * 1024
+
+    run(work)
+
+
 def test_store_answer_without_end_is_cut():
     """Guards against a store whose answer fills the memory of a gateway."""
 
