Soak: large configurations over a slow link of the store

The soak of gateways never asked whether each gateway has the newest version, its configurations were small, and the store's link had no rate: it could not find outdated gateways.

--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -92,6 +92,10 @@
 """Numbers of the servers whose rate limit is checked."""
 CHECKED_LIMIT_PER_S = 2.0
 MAX_ACTIVE_FAULTS = 4
+MORE_ROUTES = 400
+"""Routes that make a configuration large."""
+SNAPSHOT_S = 1.2
+"""Time that a snapshot takes for each gateway in the last check."""
 INTERPRETER_START_S = 0.2
 """Time in which the Python interpreter starts, before the gateway's code."""
 RECOVERY_TIMEOUT_S = 12.0
@@ -136,6 +140,7 @@
         self.take_up_rng = random.Random(f"take up {seed}")
         self.method_rng = random.Random(f"method {seed}")
         self.odd_rng = random.Random(f"odd {seed}")
+        self.link_rng = random.Random(f"link {seed}")
         self.poison_routes: dict[str, str] = {}
         """Route of each crashing request."""
         self.crashes = dict.fromkeys(POISON_ROUTES, 0)
@@ -155,6 +160,7 @@
             clients.append(asyncio.create_task(self._restore_store()))
             clients.append(asyncio.create_task(self._leave_odd_entries()))
             clients.append(asyncio.create_task(self._repeat_refusals()))
+            clients.append(asyncio.create_task(self._slow_store_link()))
             restarts = asyncio.create_task(self._restart_crashed())
             await self._faults()
             for client in clients:
@@ -393,6 +399,19 @@
             finally:
                 engine.old_refusal = None
 
+    async def _slow_store_link(self):
+        """Let the configuration take long over the store's link."""
+        rng = self.link_rng
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            size = len(self.store.items["op/config"]["value"])
+            self.store.bytes_per_s = size / rng.uniform(0.3, 1.5)
+            self._record_fault("store link", round(self.store.bytes_per_s))
+            try:
+                await asyncio.sleep(rng.uniform(0.5, 4.0))
+            finally:
+                self.store.bytes_per_s = 0
+
     async def _check_quarantine(self):
         """Check the limits on crashing requests, without other faults."""
         for route in POISON_ROUTES:
@@ -589,11 +608,22 @@
             self.relays[number].heal()
             gateway.signal(signal.SIGCONT)
         await self._wait_for(self._all_ready, "all gateways ready again")
+        await self._check_slow_snapshots()
         await self._wait_for(self._all_serve, "every route served everywhere")
         await self._wait_for(
             self._all_idle, "no server runs an abandoned request"
         )
 
+    async def _check_slow_snapshots(self):
+        """Check that snapshots arrive that take long for each gateway."""
+        await self._change_configuration()
+        size = len(self.store.items["op/config"]["value"])
+        self.store.bytes_per_s = self.gateway_count * size / SNAPSHOT_S
+        self.store.compacted = self.store.revision
+        self.store.abort_connections()
+        await self._wait_for(self._all_current, "newest version everywhere")
+        self.store.bytes_per_s = 0
+
     async def _wait_for(self, condition, expectation: str):
         loop = asyncio.get_running_loop()
         end_s = loop.time() + RECOVERY_TIMEOUT_S
@@ -613,6 +643,28 @@
                 return False
         return True
 
+    async def _all_current(self) -> bool:
+        """Whether each gateway serves the route of the newest version."""
+        timeout = aiohttp.ClientTimeout(total=4)
+        route = newest_route(self.version)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for number, gateway in enumerate(self.gateways):
+                address = gateway.settings["listen"]["frontend"]
+                headers = {
+                    "Host": HOST,
+                    "X-Gooseberrypost-Attempt-Id": f"current-{number}",
+                    "X-Gooseberrypost-Deadline-Ms": "2000",
+                }
+                try:
+                    async with session.get(
+                        f"http://{address}/{route}/x", headers=headers
+                    ) as response:
+                        if response.status != 200:
+                            return False
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    return False
+        return True
+
     async def _all_serve(self) -> bool:
         timeout = aiohttp.ClientTimeout(total=4)
         first = len(self.sent)
@@ -687,8 +739,19 @@
 
 
 def configuration_with_long_events(version: int) -> dict:
-    """Return a configuration of engines with 200 tokens per stream event."""
+    """Return a large configuration with a route that only its version has.
+
+    Its engines have 200 tokens per stream event.
+    """
     document = configuration(version)
+    (plain,) = (r for r in document["routes"] if r["name"] == "safe")
+    document["routes"] += [
+        {**plain, "name": name, "path_prefix": f"/{name}/"}
+        for name in (
+            newest_route(version),
+            *(f"more-{number}" for number in range(MORE_ROUTES)),
+        )
+    ]
     for service in document["services"]:
         if "engine" in service:
             service["engine"] = {
@@ -698,6 +761,10 @@
     return document
 
 
+def newest_route(version: int) -> str:
+    return f"since-{version}"
+
+
 async def soak(
     seed: int,
     seconds: float,
