Feed: detect changes that the answer to a watch hides

From then on watches from older revisions are silent: one from revision 92 was open for 752 ms without the head of an answer, though version 36 of the configuration and eight registrations were later. The 410 came with the next write, 2 s later.

An answer names the revision of the store, and a watch of all keys shows each revision. The revision advances to the last event shown, not further, and also past an entry that cannot be decoded: without other changes a gateway watched that entry again and again without a pause.

Failed before: test_history_that_was_dropped_does_not_hide_changes (outage), test_entry_that_cannot_be_decoded_is_read_once.

--- a/src/gooseberrypost/gateway/directory.py
+++ b/src/gooseberrypost/gateway/directory.py
@@ -109,6 +109,8 @@
 
     Revisions of different eras cannot be compared.
     """
+    hides_changes: bool = False
+    """Whether the store has later changes that the update does not show."""
 
     @property
     def is_empty(self) -> bool:
--- a/src/gooseberrypost/gateway/feedwatch.py
+++ b/src/gooseberrypost/gateway/feedwatch.py
@@ -147,6 +147,8 @@
         self._wait_ms = self._watch_wait_ms
         """Wait of the last watch."""
         self._is_store_unavailable = False
+        self._is_hiding = False
+        """Whether the last answer left out changes that the store has."""
         self._sought_version = 0
         """Highest version of another gateway for which a snapshot was read."""
 
@@ -191,10 +193,10 @@
             except Exception:
                 # A failed update must not stop the watch.
                 logging.exception("event=batch_failed at=%d", update.revision)
-            if update.is_snapshot or not update.is_empty:
-                # An empty update does not advance the revision: a watch that
-                # missed a change may still return a revision later than that
-                # change, and watching from there would skip it.
+            if self._are_changes_lost(update):
+                logging.info("event=changes_hidden at=%d", self._revision)
+                self._revision = 0
+            elif update.revision != self._revision:
                 self._revision = update.revision
                 await self.sleep(
                     self._coalesce_s
@@ -202,6 +204,15 @@
                     else self._streams_coalesce_s
                 )
 
+    def _are_changes_lost(self, update: FeedUpdate) -> bool:
+        """Whether watches from this revision will not show all changes.
+
+        One may end just before a change; the next one then shows it at once.
+        """
+        is_repeated = self._is_hiding and update.revision == self._revision
+        self._is_hiding = update.hides_changes
+        return update.hides_changes and is_repeated
+
     async def _next_update(self) -> FeedUpdate:
         is_resumed = self._is_store_unavailable
         if is_resumed and self._directory.is_behind(self._propagation_s):
@@ -209,8 +220,9 @@
             self._revision = 0
         if not self._revision:
             return await self._feed.read()
-        # After an outage the changes so far are returned at once.
-        self._wait_ms = 0 if is_resumed else self._watch_wait_ms
+        # Changes that are known to be there are returned at once.
+        is_due = is_resumed or self._is_hiding
+        self._wait_ms = 0 if is_due else self._watch_wait_ms
         watch = asyncio.ensure_future(
             self._feed.watch(self._revision, self._wait_ms)
         )
@@ -258,6 +270,8 @@
         that is handled later, by a process that was paused, proves no more
         than that. A snapshot is read at the start of its call.
         """
+        if update.hides_changes:
+            return
         wait_s = 0.0 if update.is_snapshot else self._wait_ms / 1_000
         self._directory.freshness.record_answer(
             min(answered_s, called_s + wait_s)
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -69,7 +69,13 @@
     async def watch(self, after_revision: int, wait_ms: int) -> FeedUpdate:
         """Return the changes after a revision."""
         changes = await self._store.watch(ALL_KEYS, after_revision, wait_ms)
-        return _update(changes, is_snapshot=False)
+        # The watch covers all keys, so each revision is one of its events. A
+        # store that has dropped its history may leave events out.
+        shown = max(
+            (item.revision for item in changes.items), default=after_revision
+        )
+        update = _update(replace(changes, revision=shown), is_snapshot=False)
+        return replace(update, hides_changes=changes.revision > shown)
 
 
 def _update(read: Items, *, is_snapshot: bool) -> FeedUpdate:
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -52,6 +52,9 @@
         """Fault: answers to watches lack their fields."""
         self.skips_events = False
         """Fault: watches skip the change of the configuration for good."""
+        self.forgets = False
+        """Fault: watches from before the last change are silent until the
+        next one, and are answered with 410 only then."""
         self.endless = False
         """Fault: answers have a body that ends when the caller closes."""
         self.sent_bytes = 0
@@ -190,6 +193,7 @@
         after = int(request.query["after"])
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + int(request.query["wait_ms"]) / 1_000
+        called_at = self.revision
         while True:
             if after < self.compacted or after > self.revision:
                 return web.json_response({}, status=410)
@@ -201,7 +205,10 @@
                 and event["key"].startswith(prefix)
                 and not (self.skips_events and event["key"] == "op/config")
             ]
-            if events and not self.deaf:
+            is_forgotten = self.forgets and after < called_at
+            if is_forgotten and self.revision > called_at:
+                return web.json_response({}, status=410)
+            if events and not (self.deaf or is_forgotten):
                 break
             try:
                 async with asyncio.timeout(max(deadline_s - loop.time(), 0)):
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from gooseberrypost.platform.feeds import StoreFeed
 from gooseberrypost.platform.store import PlatformStore, StoreUnavailable
 from gooseberrypost.stores.http import HttpKeyValueStore
 from gooseberrypost.wire.codec import Frame, encode
@@ -253,3 +254,63 @@
             server.close()
 
     run(work)
+
+
+@pytest.mark.parametrize("lost", ["outage", "pause"])
+def test_history_that_was_dropped_does_not_hide_changes(lost):
+    """Guards against a watch that is silent on changes the store has dropped.
+
+    It is answered without events and without an error, at a later revision.
+    """
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            if lost == "outage":
+                kit.store.refusal = 503
+                kit.store.abort_connections()
+                await asyncio.sleep(0.3)
+            else:
+                # The gateway waits after a change before it watches again.
+                kit.register("a", "desk", state="draining")
+                await asyncio.sleep(0.05)
+            kit.store.put("op/config", configuration(8))
+            kit.store.forgets = True
+            kit.store.refusal = 0
+            await until_version(kit, 8, 2.0)
+
+    run(work)
+
+
+def test_gateway_is_not_current_while_changes_are_hidden():
+    """Guards against 404 on the evidence of an answer that hides changes."""
+
+    async def work():
+        async with serving(*PLAIN, propagation_ms=500) as kit:
+            kit.store.deaf = True
+            kit.store.put("op/config", configuration(8))
+            feed = kit.daemon.context.directory.freshness
+            age_s = feed.age_s(time.monotonic())
+            update = await StoreFeed(kit.clients[0]).watch(2, 10)
+            assert update.hides_changes
+            assert update.is_empty
+            assert age_s < 0.5
+
+    run(work)
+
+
+def test_entry_that_cannot_be_decoded_is_read_once():
+    """Guards against calls without a pause for an entry of another writer."""
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            # Without other changes, which would advance the revision.
+            await asyncio.sleep(1.0)
+            kit.store.put("servers/odd", b"")
+            kit.store.queries.clear()
+            await asyncio.sleep(0.7)
+            watches = [
+                path for path, _ in kit.store.queries if "watch" in path
+            ]
+            assert len(watches) <= 2
+
+    run(work)
