Tests: a server that left while one gateway had lost the store

With logs: c-5 reaches neither the store nor engines from 7.0 to 10.8 s; a server is removed at 7.16 s; on its return c-5 logs it as lapsed and keeps it for 2.3 s more, as after an outage of the store.

A trial took a removal after another write for a departure. Its own test refuted it: a write from just before an outage looks alike.

--- a/tests/test_feed_recovery.py
+++ b/tests/test_feed_recovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -21,6 +22,7 @@
     MIN_RESPONSE_TIMEOUT_S,
 )
 from gooseberrypost.policy.responsetimeout import ResponseTimeouts
+from tests.gateway_kit import serving
 from tests.virtual_loop import run_virtual
 
 ROUND_TRIP_S = 0.004
@@ -192,3 +194,38 @@
         assert len(during) <= 20.0 / 0.4
 
     run_virtual(work())
+
+
+async def used_after_a_loss_of_contact(*, is_store_in_use: bool) -> set[str]:
+    """Return the servers in use, one of which was removed meanwhile."""
+    async with serving(("a", "desk", ""), ("b", "desk", "")) as kit:
+        servers = kit.daemon.context.directory.servers
+        kit.store.refusal = 503
+        kit.store.abort_connections()
+        await asyncio.sleep(0.3)
+        if is_store_in_use:
+            kit.store.put("gooseberrypost/gateways/other", b"127.0.0.1:9")
+        kit.store.remove("servers/b")
+        kit.store.refusal = 0
+        feed = kit.daemon.context.directory.freshness
+        await kit.until(lambda: feed.age_s(time.monotonic()) < 0.2)
+        used = servers.of("desk", time.monotonic())
+        return {server.instance for server in used}
+
+
+def test_server_that_left_during_a_loss_of_contact_is_not_used():
+    """Guards against using a server for seconds after it has left.
+
+    Only this gateway had lost the store, in which others wrote meanwhile.
+    """
+    used = asyncio.run(used_after_a_loss_of_contact(is_store_in_use=True))
+    assert used == {"a"}
+
+
+def test_server_that_lapsed_during_an_outage_stays_in_use():
+    """Guards against dropping servers whose registrations a store has lost.
+
+    They are written again soon after the outage.
+    """
+    used = asyncio.run(used_after_a_loss_of_contact(is_store_in_use=False))
+    assert used == {"a", "b"}
