Feed: the interval of probes grows until a real call succeeds

The watcher began again with the shortest interval whenever a probe was answered. A store that answers small reads and refuses watches, as one at its rate limit may, got 28 watches in 3 s from one gateway, and as many probes. The interval now grows until the feed has an answer: at most 9 in 3 s.

test_store_that_refuses_all_but_small_calls_is_not_pressed failed before.

--- a/src/gooseberrypost/gateway/feedwatch.py
+++ b/src/gooseberrypost/gateway/feedwatch.py
@@ -147,6 +147,7 @@
         self._wait_ms = self._watch_wait_ms
         """Wait of the last watch."""
         self._is_store_unavailable = False
+        self._probe_interval_s = MIN_PROBE_INTERVAL_S
         self._is_hiding = False
         """Whether the last answer left out changes that the store has."""
         self._sought_version = 0
@@ -296,16 +297,24 @@
         """Call the store at growing intervals until it answers.
 
         The probes are small, so that a link which other traffic fills does not
-        delay the recovery further.
+        delay the recovery further. A store that answers them may still fail
+        the call that follows, so the interval grows until one succeeds.
         """
-        interval_s = MIN_PROBE_INTERVAL_S
-        await self.sleep(interval_s)
+        await self.sleep(self._grow_probe_interval())
         with open_probes() as probes:
             while not self.should_stop:
                 probes.start(self._feed)
-                if await probes.wait(interval_s):
+                if await probes.wait(self._probe_interval_s):
                     return
-                interval_s = min(2 * interval_s, self._max_probe_interval_s)
+                self._grow_probe_interval()
+
+    def _grow_probe_interval(self) -> float:
+        """Double the interval of probes; return what it was."""
+        interval_s = self._probe_interval_s
+        self._probe_interval_s = min(
+            2 * interval_s, self._max_probe_interval_s
+        )
+        return interval_s
 
     def _record_answer(self) -> None:
         if self._is_store_unavailable:
@@ -316,6 +325,7 @@
             )
             self._directory.servers.record_reconnect(now_s)
         self._is_store_unavailable = False
+        self._probe_interval_s = MIN_PROBE_INTERVAL_S
 
     def apply(self, update: FeedUpdate, now_s: float) -> None:
         """Apply an update to the directory and log each change."""
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -48,6 +48,8 @@
         """Fault: answers begin, and then bring a byte at a time."""
         self.refusal = 0
         """Fault: status with which calls are refused; 0 for none."""
+        self.refuses_watches = False
+        """Fault: watches are refused with 429."""
         self.bad_watches = False
         """Fault: answers to watches lack their fields."""
         self.skips_events = False
@@ -79,6 +81,8 @@
             return await self._send_endlessly(request)
         if self.down:
             return web.json_response({}, status=503)
+        if self.refuses_watches and "watch" in request.path:
+            return web.json_response({}, status=429)
         if self.refusal:
             return web.json_response({}, status=self.refusal)
         response = await handler(request)
--- a/tests/test_feed_recovery.py
+++ b/tests/test_feed_recovery.py
@@ -229,3 +229,23 @@
     """
     used = asyncio.run(used_after_a_loss_of_contact(is_store_in_use=False))
     assert used == {"a", "b"}
+
+
+def test_store_that_refuses_all_but_small_calls_is_not_pressed():
+    """Guards against calls at the shortest interval while a store is busy.
+
+    It answers probes and refuses each watch.
+    """
+
+    async def work():
+        async with serving(("a", "desk", "")) as kit:
+            kit.store.refuses_watches = True
+            kit.store.abort_connections()
+            kit.store.queries.clear()
+            await asyncio.sleep(3.0)
+            paths = [path for path, _ in kit.store.queries]
+            watches = [path for path in paths if "watch" in path]
+            # Two in the first 0.3 s, and then one each 0.5 s.
+            assert 2 <= len(watches) <= 9
+
+    asyncio.run(work())
