Store, feed: calls and probes are modules of their own

The client of the store had 537 lines, with its protocol and the limits, retry and log lines of its calls in one class; the latter are platform/storecalls.py now.

--- a/src/gooseberrypost/gateway/feedwatch.py
+++ b/src/gooseberrypost/gateway/feedwatch.py
@@ -23,6 +23,7 @@
     FeedUnusable,
     HistoryLost,
 )
+from gooseberrypost.gateway.feedprobes import ProbeInterval, open_probes
 from gooseberrypost.gateway.tasks import keep_running
 
 if TYPE_CHECKING:
@@ -48,58 +49,6 @@
 PEER_CHECK_SHARE: Final = 0.125
 """Interval at which an open watch is compared with the versions of the other
 gateways, as a fraction of the same time limit."""
-MIN_PROBE_INTERVAL_S: Final = 0.1
-MAX_PROBE_INTERVAL_S: Final = 0.8
-"""Below 1 s, so that a store that recovers is used within a second."""
-MAX_PROBE_SHARE: Final = 0.25
-"""Upper bound of the same as a fraction of the time limit for a change."""
-
-
-class Probes:
-    """Calls to a store that does not answer, several of which may be open.
-
-    A call from before the end of an outage may hang until its timeout. A later
-    one is answered at once.
-    """
-
-    __slots__ = ("_calls",)
-
-    def __init__(self) -> None:
-        self._calls: set[asyncio.Task[None]] = set()
-
-    def start(self, feed: Feed) -> None:
-        """Make one more call."""
-        self._calls.add(asyncio.create_task(feed.probe()))
-
-    async def wait(self, wait_s: float) -> bool:
-        """Wait for an answer to any call; False after ``wait_s`` seconds."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + wait_s
-        while self._calls and (left_s := end_s - loop.time()) > 0:
-            done, self._calls = await asyncio.wait(
-                self._calls,
-                timeout=left_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if any(_is_answered(call) for call in done):
-                return True
-        await asyncio.sleep(max(0.0, end_s - loop.time()))
-        return False
-
-    def cancel(self) -> None:
-        """Cancel the open calls."""
-        for call in self._calls:
-            call.cancel()
-
-
-@contextmanager
-def open_probes() -> Iterator[Probes]:
-    """Provide probes, whose open calls are cancelled at the end."""
-    probes = Probes()
-    try:
-        yield probes
-    finally:
-        probes.cancel()
 
 
 @contextmanager
@@ -111,14 +60,6 @@
         task.cancel()
 
 
-def _is_answered(call: asyncio.Task[None]) -> bool:
-    """Whether a call was answered; raises what is no loss of the store."""
-    failure = call.exception()
-    if failure is not None and not isinstance(failure, FeedLost):
-        raise failure
-    return failure is None
-
-
 class FeedWatcher(Service):
     """Watches the feed and applies its updates to the directory."""
 
@@ -138,16 +79,13 @@
         self._watch_wait_ms = round(WATCH_WAIT_SHARE * propagation_ms)
         self._coalesce_s = COALESCE_SHARE * propagation_s
         self._streams_coalesce_s = STREAMS_COALESCE_SHARE * propagation_s
-        self._max_probe_interval_s = min(
-            MAX_PROBE_INTERVAL_S, MAX_PROBE_SHARE * propagation_s
-        )
+        self._interval = ProbeInterval(propagation_s)
         self._directory = directory
         self._revision = 0
         """Revision to watch from; 0 to read a snapshot next."""
         self._wait_ms = self._watch_wait_ms
         """Wait of the last watch."""
         self._is_store_unavailable = False
-        self._probe_interval_s = MIN_PROBE_INTERVAL_S
         self._is_hiding = False
         """Whether the last answer left out changes that the store has."""
         self._sought_version = 0
@@ -162,21 +100,8 @@
             called_s = self._now_s()
             try:
                 update = await self._next_update()
-            except HistoryLost as lost:
-                logging.info(
-                    "event=history_lost at=%d detail=%r",
-                    self._revision,
-                    lost.detail,
-                )
-                self._revision = 0
-                continue
-            except FeedOutdated as outdated:
-                logging.info(
-                    "event=feed_outdated at=%d detail=%r",
-                    self._revision,
-                    outdated.detail,
-                )
-                self._revision = 0
+            except (HistoryLost, FeedOutdated) as lost:
+                self._read_again(lost.code, lost.detail)
                 continue
             except FeedLost as lost:
                 self._record_lost(lost)
@@ -195,8 +120,7 @@
                 # A failed update must not stop the watch.
                 logging.exception("event=batch_failed at=%d", update.revision)
             if self._are_changes_lost(update):
-                logging.info("event=changes_hidden at=%d", self._revision)
-                self._revision = 0
+                self._read_again("changes_hidden")
             elif update.revision != self._revision:
                 self._revision = update.revision
                 await self.sleep(
@@ -205,6 +129,11 @@
                     else self._streams_coalesce_s
                 )
 
+    def _read_again(self, event: str, detail: str = "") -> None:
+        """Have a snapshot read next, as a watch does not show all changes."""
+        logging.info("event=%s at=%d detail=%r", event, self._revision, detail)
+        self._revision = 0
+
     def _are_changes_lost(self, update: FeedUpdate) -> bool:
         """Whether watches from this revision will not show all changes.
 
@@ -300,21 +229,12 @@
         delay the recovery further. A store that answers them may still fail
         the call that follows, so the interval grows until one succeeds.
         """
-        await self.sleep(self._grow_probe_interval())
-        with open_probes() as probes:
+        await self.sleep(self._interval.next_s())
+        with open_probes(self._feed) as probes:
             while not self.should_stop:
-                probes.start(self._feed)
-                if await probes.wait(self._probe_interval_s):
+                probes.start()
+                if await probes.wait(self._interval.next_s()):
                     return
-                self._grow_probe_interval()
-
-    def _grow_probe_interval(self) -> float:
-        """Double the interval of probes; return what it was."""
-        interval_s = self._probe_interval_s
-        self._probe_interval_s = min(
-            2 * interval_s, self._max_probe_interval_s
-        )
-        return interval_s
 
     def _record_answer(self) -> None:
         if self._is_store_unavailable:
@@ -325,7 +245,7 @@
             )
             self._directory.servers.record_reconnect(now_s)
         self._is_store_unavailable = False
-        self._probe_interval_s = MIN_PROBE_INTERVAL_S
+        self._interval.reset()
 
     def apply(self, update: FeedUpdate, now_s: float) -> None:
         """Apply an update to the directory and log each change."""
--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -18,7 +18,7 @@
     decode_server,
     decode_stage_order,
 )
-from gooseberrypost.platform.store import CallKind, StoreUnavailable
+from gooseberrypost.platform.storecalls import StoreUnavailable
 from gooseberrypost.strictjson import MAX_WHOLE
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
     @property
     def is_receiving(self) -> bool:
         """Whether changes are arriving."""
-        return self._store.is_receiving(CallKind.WATCH)
+        return self._store.is_receiving_changes
 
     async def probe(self) -> None:
         """Return once the store has answered a read of no keys."""
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -7,53 +7,26 @@
 
 import base64
 import binascii
-import time
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
-import aiohttp
 from absl import logging
-from yarl import URL
-
-from gooseberrypost.answerprotocol import is_framed, new_connector
-from gooseberrypost.boundedread import MAX_STORE_BYTES, read_bounded
-from gooseberrypost.errors import ConnectionLost, Failure
-from gooseberrypost.gateway.directory import (
-    FeedLost,
-    FeedUnusable,
-    HistoryLost,
-)
-from gooseberrypost.logs import LineLimit, format_fields
+
+from gooseberrypost.errors import Failure
+from gooseberrypost.gateway.directory import HistoryLost
 from gooseberrypost.platform import names
-from gooseberrypost.platform.connections import new_tcp_socket
-from gooseberrypost.policy.responsetimeout import ResponseTimeouts
-from gooseberrypost.singlesend import disable_automatic_retry
+from gooseberrypost.platform.storecalls import (
+    CallKind,
+    ResponseUnusable,
+    StoreCall,
+    StoreCaller,
+    StoreUnavailable,
+)
 from gooseberrypost.strictjson import parse_json
-from gooseberrypost.timeouts import TransferTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-MIN_RESPONSE_TIMEOUT_S: Final = 0.5
-"""Time for a response to begin, in addition to the wait of a watch.
-
-A call usually takes a few ms. The timeout is short enough to detect a dead
-connection within the 2 s in which a change of the configuration must take
-effect.
-"""
-MAX_RESPONSE_TIMEOUT_S: Final = 2.0
-"""Upper bound of this time, for a store that is slow."""
-MAX_PAUSE_S: Final = 1.0
-"""Longest pause in a response that has begun.
-
-A configuration may take seconds over a link that it shares with traffic.
-"""
-MIN_BYTES_PER_S: Final = 16 * 1024
-"""Rate below which a response is given up, as it would never end."""
-CONNECT_TIMEOUT_S: Final = 1.0
-FAILURE_LOG_INTERVAL_S: Final = 0.5
-"""Interval of log lines on failed calls, for each kind of call."""
 MAX_PAGES: Final = 1_000
 """Maximum number of pages read of a range; a page has 500 items.
 
@@ -61,18 +34,6 @@
 """
 
 
-class StoreUnavailable(FeedLost):
-    """The store did not answer, or answered with an error."""
-
-    code = "store_unavailable"
-
-
-class ResponseUnusable(StoreUnavailable, FeedUnusable):
-    """The response broke off, stalled, is too large or cannot be decoded."""
-
-    code = "store_response_unusable"
-
-
 class LeaseEnded(Failure):
     """The lease has expired, and its keys were removed."""
 
@@ -90,35 +51,6 @@
         """Current state of the keys of the condition."""
 
 
-class CallKind(Enum):
-    """Calls of the store that differ in the size or time of their answers."""
-
-    RANGE = "range"
-    WATCH = "watch"
-    WRITE = "write"
-    GRANT = "grant"
-    RENEW = "renew"
-    REVOKE = "revoke"
-
-
-class CallProgress:
-    """Times and size of the answer to a call so far."""
-
-    __slots__ = ("answered_s", "began_s", "received_bytes")
-
-    def __init__(self) -> None:
-        self.began_s = time.monotonic()
-        self.answered_s: float | None = None
-        """Monotonic time at which the first data of the body arrived."""
-        self.received_bytes = 0
-
-    @property
-    def response_s(self) -> float:
-        """Time after which the answer began; until now if it has not."""
-        answered_s = self.answered_s
-        return (answered_s or time.monotonic()) - self.began_s
-
-
 @dataclass(slots=True, frozen=True)
 class Item:
     """A key, its value and the revision of its last write.
@@ -171,17 +103,13 @@
     """
 
     __slots__ = (
-        "_address",
+        "_caller",
         "_era",
-        "_failure_lines",
         "_lease_eras",
-        "_open_calls",
-        "_session",
-        "_timeouts",
     )
 
     def __init__(self, address: str) -> None:
-        self._address = address
+        self._caller = StoreCaller(address)
         self._era = 0
         """Newest era that an answer named; 0 before the first one."""
         self._lease_eras: dict[int, int] = {}
@@ -189,36 +117,21 @@
 
         Its id may be given out again in a later one.
         """
-        self._open_calls: dict[CallKind, CallProgress] = {}
-        """Last open call of each kind."""
-        self._timeouts = ResponseTimeouts(
-            MIN_RESPONSE_TIMEOUT_S, MAX_RESPONSE_TIMEOUT_S
-        )
-        self._failure_lines = {
-            kind: LineLimit(FAILURE_LOG_INTERVAL_S) for kind in CallKind
-        }
-        # Each call has a new connection. After a network fault every pooled
-        # connection may be dead, and each would cost one call's timeout.
-        self._session = aiohttp.ClientSession(
-            connector=new_connector(socket_factory=new_tcp_socket),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            middlewares=(disable_automatic_retry,),
-        )
 
     @property
     def address(self) -> str:
         """Address of the store; another address may mean another store."""
-        return self._address
+        return self._caller.address
 
     @address.setter
     def address(self, address: str) -> None:
-        if address != self._address:
-            self._address, self._era = address, 0
+        if address != self._caller.address:
+            self._caller.address, self._era = address, 0
 
-    def is_receiving(self, kind: CallKind) -> bool:
-        """Whether a part of the answer to the open call has arrived."""
-        progress = self._open_calls.get(kind)
-        return progress is not None and progress.answered_s is not None
+    @property
+    def is_receiving_changes(self) -> bool:
+        """Whether a part of the answer to an open watch has arrived."""
+        return self._caller.is_receiving(CallKind.WATCH)
 
     async def range(self, prefix: str) -> Items:
         """Read all items under a prefix, page by page.
@@ -349,7 +262,7 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._session.close()
+        await self._caller.close()
 
     async def _call(
         self,
@@ -362,100 +275,11 @@
         timeout_s: float = 0.0,
     ) -> tuple[dict[str, Any], int]:
         """Make a call and return its answer and the answer's era."""
-        limit_s = (timeout_s or self._timeouts.of(kind)) + wait_s
-        progress = CallProgress()
-
-        async def call() -> tuple[int, bytes, str | None]:
-            nonlocal progress
-            self._open_calls[kind] = progress = CallProgress()
-            return await self._call_once(
-                method, path, query, body, limit_s, progress
-            )
-
-        try:
-            try:
-                status, content, era_text = await call()
-            except ConnectionLost:
-                # A read may be repeated. The store cuts watches at times.
-                if method != "GET":
-                    raise
-                status, content, era_text = await call()
-        except (
-            aiohttp.ClientError,
-            ConnectionLost,
-            OSError,
-            TimeoutError,
-        ) as exc:
-            self._log_failure(kind, progress, limit_s, repr(exc))
-            if progress.answered_s is not None:
-                raise ResponseUnusable(f"{path}: {exc!r}") from exc
-            if isinstance(exc, TimeoutError):
-                self._timeouts.record_timeout(kind)
-            raise StoreUnavailable(f"{path}: {exc!r}") from exc
-        finally:
-            self._open_calls.pop(kind, None)
-        # The store may answer a watch at any time of its wait.
-        response_s = max(0.0, progress.response_s - wait_s)
-        self._timeouts.record_response(kind, response_s)
-        if status >= 500 or status == 429:
-            self._log_failure(kind, progress, limit_s, f"status {status}")
-        era = self._record_era(path, era_text)
-        return _decode_response(path, status, content), era
-
-    async def _call_once(
-        self,
-        method: str,
-        path: str,
-        query: Mapping[str, str] | None,
-        body: Any,
-        limit_s: float,
-        progress: CallProgress,
-    ) -> tuple[int, bytes, str | None]:
-        """Return status and body of an answer, and the era that it names."""
-        url = URL(f"http://{self._address}{path}")
-        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
-        transfer = TransferTimeout(limit_s, MAX_PAUSE_S, MIN_BYTES_PER_S)
-
-        def record_data(size: int) -> None:
-            if progress.answered_s is None:
-                progress.answered_s = time.monotonic()
-            progress.received_bytes += size
-            transfer.receive(size)
-
-        with transfer:
-            async with self._session.request(
-                method, url, params=query, json=body, timeout=timeout
-            ) as response:
-                content = await read_bounded(
-                    response, MAX_STORE_BYTES, record_data
-                )
-                if not (content or is_framed(response)):
-                    raise ConnectionLost("answer ended in or before its body")
-                era = response.headers.get(names.STORE_ERA)
-                return response.status, content, era
-
-    def _log_failure(
-        self,
-        kind: CallKind,
-        progress: CallProgress,
-        limit_s: float,
-        detail: str,
-    ) -> None:
-        """Log a call that failed, with what had arrived of its answer."""
-        lines = self._failure_lines[kind]
-        if not lines.admit():
-            return
-        after_s = time.monotonic() - progress.began_s
-        fields = [
-            ("event", "store_call_failed"),
-            ("call", kind.value),
-            ("after_ms", round(1_000 * after_s)),
-            ("limit_ms", round(1_000 * limit_s)),
-            ("received", progress.received_bytes),
-            ("detail", detail),
-            ("omitted", lines.omitted),
-        ]
-        logging.warning("%s", format_fields(fields))
+        call = StoreCall(kind, method, path, query, body, wait_s, timeout_s)
+        response = await self._caller.send(call)
+        era = self._record_era(path, response.era_text)
+        answer = _decode_response(path, response.status, response.content)
+        return answer, era
 
     def _record_era(self, path: str, text: str | None) -> int:
         """Return the era of an answer; 0 from a store that names none."""
--- a/tests/test_feed_recovery.py
+++ b/tests/test_feed_recovery.py
@@ -17,7 +17,7 @@
 from gooseberrypost.gateway.feedwatch import FeedWatcher
 from gooseberrypost.gateway.model import Configuration
 from gooseberrypost.metrics import Metrics
-from gooseberrypost.platform.store import (
+from gooseberrypost.platform.storecalls import (
     MAX_RESPONSE_TIMEOUT_S,
     MIN_RESPONSE_TIMEOUT_S,
 )
