Feed: after an outage another holder may have just sent a stage order

A record that was written and removed in the outage is not among the changes, as only the last change of a key counts, so that a new holder could order within the lease of the former one. Found by reading; the assumption is back.

test_order_of_another_holder_may_have_been_sent_during_an_outage failed before.

--- a/src/gooseberrypost/gateway/feedwatch.py
+++ b/src/gooseberrypost/gateway/feedwatch.py
@@ -244,6 +244,8 @@
                 self._directory.age_ms(now_s),
             )
             self._directory.servers.record_reconnect(now_s)
+            # The changes do not show an order whose record was removed again.
+            self._directory.last_stage_order_s[UNKNOWN_HOLDER] = now_s
         self._is_store_unavailable = False
         self._interval.reset()
 
--- a/tests/test_feed_recovery.py
+++ b/tests/test_feed_recovery.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gooseberrypost.gateway.directory import (
+    UNKNOWN_HOLDER,
     Directory,
     Feed,
     FeedLost,
@@ -249,3 +250,28 @@
             assert 2 <= len(watches) <= 9
 
     asyncio.run(work())
+
+
+def test_order_of_another_holder_may_have_been_sent_during_an_outage():
+    """Guards against two lock holders that order within one lease.
+
+    A record that was written and removed meanwhile is not among the changes.
+    """
+
+    async def work():
+        async with serving(("a", "desk", "")) as kit:
+            directory = kit.daemon.context.directory
+            await asyncio.sleep(0.3)
+            kit.store.refusal = 503
+            kit.store.abort_connections()
+            await asyncio.sleep(0.3)
+            kit.store.put("gooseberrypost/stage-orders/i", b"{}")
+            kit.store.remove("gooseberrypost/stage-orders/i")
+            regained_s = time.monotonic()
+            kit.store.refusal = 0
+            await kit.until(
+                lambda: directory.freshness.age_s(time.monotonic()) < 0.2
+            )
+            assert directory.last_stage_order_s[UNKNOWN_HOLDER] > regained_s
+
+    asyncio.run(work())
