Feed: a server that drained and left during a loss of contact has left

A gateway that had lost the store took each removal that it read afterwards for a registration that lapsed, and used the server for 2.3 s more, also where the changes had its last registration, which says that it drains: only the last change of a key counted.

test_server_that_drained_during_a_loss_of_contact_is_not_used failed before.

--- a/src/gooseberrypost/platform/feeds.py
+++ b/src/gooseberrypost/platform/feeds.py
@@ -101,6 +101,7 @@
             instance = key.removeprefix(names.SERVERS_PREFIX)
             if item.value is None:
                 removed.append(instance)
+                servers += _drained(instance, read)
             else:
                 decoded = decode_server(
                     instance, item.value, item.revision, read.era
@@ -156,6 +157,22 @@
     )
 
 
+def _drained(instance: str, read: Items) -> list[Server]:
+    """Return the last registration of a removed server if it drained.
+
+    Without it, the removal could be a registration that lapsed.
+    """
+    key = names.SERVERS_PREFIX + instance
+    written = [item for item in read.items if item.key == key and item.value]
+    if not written:
+        return []
+    last = written[-1]
+    decoded = decode_server(
+        instance, last.value or b"", last.revision, read.era
+    )
+    return [server for server in _keep_valid(last, decoded) if server.draining]
+
+
 def _text(item: Item) -> str | None:
     """Return the text of an item; None if it was removed."""
     if item.value is None:
--- a/tests/test_feed_recovery.py
+++ b/tests/test_feed_recovery.py
@@ -197,7 +197,9 @@
     run_virtual(work())
 
 
-async def used_after_a_loss_of_contact(*, is_store_in_use: bool) -> set[str]:
+async def used_after_a_loss_of_contact(
+    *, is_store_in_use: bool = False, has_drained: bool = False
+) -> set[str]:
     """Return the servers in use, one of which was removed meanwhile."""
     async with serving(("a", "desk", ""), ("b", "desk", "")) as kit:
         servers = kit.daemon.context.directory.servers
@@ -206,6 +208,8 @@
         await asyncio.sleep(0.3)
         if is_store_in_use:
             kit.store.put("gooseberrypost/gateways/other", b"127.0.0.1:9")
+        if has_drained:
+            kit.register("b", "desk", state="draining")
         kit.store.remove("servers/b")
         kit.store.refusal = 0
         feed = kit.daemon.context.directory.freshness
@@ -223,12 +227,21 @@
     assert used == {"a"}
 
 
+def test_server_that_drained_during_a_loss_of_contact_is_not_used():
+    """Guards against using a server for seconds after it has left.
+
+    Its last registration is in the changes, and says that it drains.
+    """
+    used = asyncio.run(used_after_a_loss_of_contact(has_drained=True))
+    assert used == {"a"}
+
+
 def test_server_that_lapsed_during_an_outage_stays_in_use():
     """Guards against dropping servers whose registrations a store has lost.
 
     They are written again soon after the outage.
     """
-    used = asyncio.run(used_after_a_loss_of_contact(is_store_in_use=False))
+    used = asyncio.run(used_after_a_loss_of_contact())
     assert used == {"a", "b"}
 
 
