--- a/src/gooseberrypost/gateway/authentication.py
+++ b/src/gooseberrypost/gateway/authentication.py
@@ -1,7 +1,7 @@
 """Decides to which client account a request belongs.
 
 A key that is unknown here may be new. So it is refused for good only by a
-gateway whose configuration is current, see ``CurrencyCheck``.
+gateway whose configuration is current, see ``FreshnessCheck``.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from gooseberrypost.gateway.currency import CurrencyCheck
     from gooseberrypost.gateway.directory import Directory
+    from gooseberrypost.gateway.freshness import FreshnessCheck
     from gooseberrypost.gateway.model import Route
     from gooseberrypost.gateway.request import ClientRequest
     from gooseberrypost.metrics import Metrics
@@ -72,8 +72,8 @@
     """Assigns requests to accounts by their keys, and counts refusals."""
 
     __slots__ = (
-        "_currency",
         "_directory",
+        "_freshness",
         "_line_limits",
         "_metrics",
         "_now_s",
@@ -84,12 +84,12 @@
         self,
         directory: Directory,
         metrics: Metrics,
-        currency: CurrencyCheck,
+        freshness: FreshnessCheck,
         now_s: Callable[[], float],
     ) -> None:
         self._directory = directory
         self._metrics = metrics
-        self._currency = currency
+        self._freshness = freshness
         self._now_s = now_s
         self._line_limits: dict[str, LineLimit] = {}
         """Limits of log lines by failure code."""
@@ -133,11 +133,11 @@
         if not req.key:
             return KeyMissing(f"header {req.key_header} is missing")
         # A key that was known before was removed by a newer version.
-        if req.account or self._currency.is_current():
+        if req.account or self._freshness.is_current():
             return KeyUnknown(f"the key in header {req.key_header} is unknown")
         return KeyUnverified(
             "the configuration may be outdated",
-            retry_after_ms=self._currency.retry_after_ms,
+            retry_after_ms=self._freshness.retry_after_ms,
         )
 
     def _refuse(
--- a/src/gooseberrypost/gateway/context.py
+++ b/src/gooseberrypost/gateway/context.py
@@ -10,7 +10,7 @@
 from absl import logging
 
 from gooseberrypost.gateway.authentication import Authenticator
-from gooseberrypost.gateway.currency import CurrencyCheck
+from gooseberrypost.gateway.freshness import FreshnessCheck
 from gooseberrypost.gateway.model import EngineSpec
 from gooseberrypost.gateway.plainqueue import PlainQueues, QueueEnvironment
 from gooseberrypost.gateway.prefillgate import PrefillGate
@@ -100,7 +100,7 @@
     notify_loads_changed: Callable[[], None] = lambda: None
     """Callback to call when this gateway's load on the engines changes."""
     quarantine: Quarantine = field(init=False)
-    currency: CurrencyCheck = field(init=False)
+    freshness: FreshnessCheck = field(init=False)
     """Tells whether an unknown route or key may be refused for good."""
     authenticator: Authenticator = field(init=False)
     versions: VersionKeeper = field(init=False)
@@ -143,14 +143,14 @@
             )
         )
         self.quarantine = Quarantine(self)
-        self.currency = CurrencyCheck(
+        self.freshness = FreshnessCheck(
             self.directory,
             self.settings.propagation_ms / 1_000,
             lambda: self.loads.refresh(),
             self.now_s,
         )
         self.authenticator = Authenticator(
-            self.directory, self.metrics, self.currency, self.now_s
+            self.directory, self.metrics, self.freshness, self.now_s
         )
         self.quotas = GatewayQuotas(
             self.directory, self.metrics, self.rng, lambda: self.now_s()
--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -332,14 +332,14 @@
 
     def _no_route(self, req: ClientRequest) -> NoRoute | RouteUnverified:
         """Log and return why a request without a route is refused."""
-        currency = self._ctx.currency
+        freshness = self._ctx.freshness
         failure: NoRoute | RouteUnverified
-        if currency.is_current():
+        if freshness.is_current():
             failure = NoRoute(f"no route for {req.host} {req.path}")
         else:
             failure = RouteUnverified(
                 "the configuration may be outdated",
-                retry_after_ms=currency.retry_after_ms,
+                retry_after_ms=freshness.retry_after_ms,
             )
         self._ctx.log(
             "no_route",
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -16,9 +16,8 @@
     KeyUnknown,
     KeyUnverified,
 )
-from gooseberrypost.gateway.currency import CurrencyCheck
 from gooseberrypost.gateway.directory import Directory
-from gooseberrypost.gateway.freshness import Freshness
+from gooseberrypost.gateway.freshness import Freshness, FreshnessCheck
 from gooseberrypost.gateway.model import (
     Configuration,
     RequestKind,
@@ -230,7 +229,7 @@
         self.authenticator = Authenticator(
             self.directory,
             self.metrics,
-            CurrencyCheck(
+            FreshnessCheck(
                 self.directory,
                 PROPAGATION_S,
                 self._refresh,
