--- a/src/gooseberrypost/gateway/freshness.py
+++ b/src/gooseberrypost/gateway/freshness.py
@@ -42,7 +42,7 @@
         """Monotonic time until which the store had no unknown changes."""
         self._peer_version = 0
         self._peer_heard_s = float("-inf")
-        """Monotonic time at which it was first named."""
+        """Monotonic time at which ``peer_version`` was first named."""
 
     def record_answer(self, proven_s: float) -> None:
         """Record that the store had no unknown changes at a time."""
