Tests: an address whose port is free for streams and datagrams

And the test of endless control answers sent its streams before the gateway had seen the engine, so that none of them reached it (calls were 0): it waits for the engine now, which is the only one of its stage.

--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -68,6 +68,9 @@
     }
 
 
+MAX_PORT_TRIES = 10
+
+
 class ClientResponse:
     """Response as a client received it.
 
@@ -185,14 +188,18 @@
     """
     high, low = divmod(os.getpid() % 62_500, 250)
     host = f"127.{high + 2}.{low + 1}.1"
-    with (
-        socket.socket() as stream,
-        socket.socket(type=socket.SOCK_DGRAM) as datagram,
-    ):
-        stream.bind((host, 0))
-        port = stream.getsockname()[1]
-        datagram.bind((host, port))
-    return f"{host}:{port}"
+    for _ in range(MAX_PORT_TRIES):
+        with (
+            socket.socket() as stream,
+            socket.socket(type=socket.SOCK_DGRAM) as datagram,
+        ):
+            stream.bind((host, 0))
+            port = stream.getsockname()[1]
+            # A gateway of this process may have the port for datagrams.
+            with contextlib.suppress(OSError):
+                datagram.bind((host, port))
+                return f"{host}:{port}"
+    raise AssertionError("no port is free for streams and datagrams")
 
 
 @asynccontextmanager
--- a/tests/test_gateway_trouble.py
+++ b/tests/test_gateway_trouble.py
@@ -228,12 +228,13 @@
     """
 
     async def work():
-        async with serving(
-            ("p", "llm", "prefill"), ("d", "llm", "decode")
-        ) as kit:
+        other = {"prefill": "decode", "decode": "prefill"}[stage]
+        async with serving(("y", "llm", other)) as kit:
             await kit.add("a", "desk")
             engine = await add_troubled(kit, "x", "llm", stage)
             engine.endless_control = True
+            servers = kit.daemon.context.directory.servers
+            await kit.until(lambda: len(servers.all()) == 3)
             streams = [asyncio.create_task(kit.generate()) for _ in range(8)]
             plain = [await kit.call("/safe/x", "GET") for _ in range(10)]
             assert {got.status for got in plain} == {200}
