--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -23,6 +23,8 @@
 from gooseberrypost.platform.requests import decode_request
 from gooseberrypost.platform.store import PlatformStore
 from gooseberrypost.settings.gateway import GatewaySettings
+from gooseberrypost.wire.codec import Frame, encode
+from gooseberrypost.wire.messages import idl
 from tests.standins.platform_engine import FakePlatformEngine
 from tests.standins.platform_store import FakePlatformStore
 
@@ -71,6 +73,18 @@
 MAX_PORT_TRIES = 10
 
 
+def version_notice(version: int, sequence: int) -> bytes:
+    """Return a load notice of another gateway with a version."""
+    message = idl.LoadNotice(
+        name="other",
+        incarnation=1,
+        sequence=sequence,
+        servers=[],
+        configuration_version=version,
+    )
+    return encode(Frame(sequence, message))
+
+
 class ClientResponse:
     """Response as a client received it.
 
--- a/tests/test_gateway_accounts.py
+++ b/tests/test_gateway_accounts.py
@@ -19,9 +19,13 @@
 from gooseberrypost.gateway.frontend import Frontend
 from gooseberrypost.metrics import Metrics
 from gooseberrypost.platform.documents import decode_configuration
-from gooseberrypost.wire.codec import LENGTH_BYTES, Frame, decode, encode
-from gooseberrypost.wire.messages import idl
-from tests.gateway_kit import GatewayKit, configuration, serving
+from gooseberrypost.wire.codec import LENGTH_BYTES, decode
+from tests.gateway_kit import (
+    GatewayKit,
+    configuration,
+    serving,
+    version_notice,
+)
 
 CREDENTIAL = "X-Gooseberrypost-Credential"
 TENANT = "tenant"
@@ -73,18 +77,6 @@
     return await kit.call(f"/{route}/x", **headers)
 
 
-def notice(version: int, sequence: int) -> bytes:
-    """Return a load notice of another gateway with a version."""
-    message = idl.LoadNotice(
-        name="other",
-        incarnation=1,
-        sequence=sequence,
-        servers=[],
-        configuration_version=version,
-    )
-    return encode(Frame(sequence, message))
-
-
 @pytest.fixture
 def lines(caplog):
     absl_logging.use_absl_handler()
@@ -288,7 +280,9 @@
         async with serving_accounts(*PLAIN) as kit:
             assert (await call(kit, "once", "new")).status == 401
             await asyncio.sleep(0.02)
-            kit.daemon.peers.datagram_received(notice(5, 1), ("127.0.0.1", 9))
+            kit.daemon.peers.datagram_received(
+                version_notice(5, 1), ("127.0.0.1", 9)
+            )
             got = await call(kit, "once", "new")
             assert got.status == 503
             assert got.headers["X-Failure"] == "key_unverified"
@@ -352,7 +346,7 @@
         async with serving_accounts(*PLAIN, propagation_ms=400) as kit:
             statuses = []
             for sequence in range(1, 16):
-                data = notice(9, sequence)
+                data = version_notice(9, sequence)
                 kit.daemon.peers.datagram_received(data, ("127.0.0.1", 9))
                 statuses.append((await call(kit, "once", "x")).status)
                 await asyncio.sleep(0.1)
@@ -427,7 +421,9 @@
     async def work():
         async with serving(*PLAIN, *POOLS) as kit:
             await put(kit, configuration(4) | {"tenants": tenants})
-            kit.daemon.peers.datagram_received(notice(9, 1), ("127.0.0.1", 9))
+            kit.daemon.peers.datagram_received(
+                version_notice(9, 1), ("127.0.0.1", 9)
+            )
             for route in ROUTES:
                 for key in (None, KEY):
                     assert (await call(kit, route, key)).status == 200
--- a/tests/test_outdated_configuration.py
+++ b/tests/test_outdated_configuration.py
@@ -12,9 +12,7 @@
 from gooseberrypost.platform.feeds import StoreFeed
 from gooseberrypost.platform.store import PlatformStore, StoreUnavailable
 from gooseberrypost.stores.http import HttpKeyValueStore
-from gooseberrypost.wire.codec import Frame, encode
-from gooseberrypost.wire.messages import idl
-from tests.gateway_kit import configuration, serving
+from tests.gateway_kit import configuration, serving, version_notice
 from tests.standins.platform_store import FakePlatformStore
 
 PLAIN = (("a", "desk", ""),)
@@ -51,14 +49,7 @@
 
 
 def tell_peer_version(kit, version: int, sequence: int = 1) -> None:
-    message = idl.LoadNotice(
-        name="other",
-        incarnation=1,
-        sequence=sequence,
-        servers=[],
-        configuration_version=version,
-    )
-    data = encode(Frame(sequence, message))
+    data = version_notice(version, sequence)
     kit.daemon.peers.datagram_received(data, ("127.0.0.1", 9))
 
 
