Gateway: log what goes on for clients that have left

No line told what was still under way for a request whose client had left, so that the ways in which work goes on could not be told apart.

client_left has the time without reading (unread_ms), sent_without_client names each call that begins afterwards, ended_without_client tells when nothing is under way any more, and unneeded_reservation tells of engines that are asked for, or grant, memory that nobody waits for. The logic is unchanged.

--- a/src/gooseberrypost/clientconnection.py
+++ b/src/gooseberrypost/clientconnection.py
@@ -61,10 +61,12 @@
         "_head_limits",
         "_head_timer",
         "_last_payload",
+        "_reading_paused_s",
         "_table",
         "_unread_timer",
         "_unsent",
         "answer_due_s",
+        "unread_s",
     )
 
     def __init__(
@@ -114,6 +116,10 @@
         self._unread_timer: asyncio.TimerHandle | None = None
         self._unsent: Lease | None = None
         """Bytes of an ended request that the client has not read."""
+        self._reading_paused_s: float | None = None
+        """Event-loop time since which the connection is not read."""
+        self.unread_s = 0.0
+        """Time without reading since the last request was taken."""
         self.answer_due_s = 0.0
         """Event-loop time until which the client may leave its answer."""
 
@@ -162,12 +168,31 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release what the connection holds."""
+        self._end_reading_pause()
         self._table.remove(self)
         self._accepted = None
         self._stop_head_timer()
         self._end_unread()
         super().connection_lost(exc)
 
+    def _pause_transport_reading(self) -> None:
+        """Stop reading; aiohttp calls this for its queue and for bodies."""
+        super()._pause_transport_reading()
+        if self._reading_paused_s is None:
+            self._reading_paused_s = self._loop.time()
+            self._table.unread_count += 1
+
+    def _resume_transport_reading(self) -> None:
+        """Read again."""
+        self._end_reading_pause()
+        super()._resume_transport_reading()
+
+    def _end_reading_pause(self) -> None:
+        if self._reading_paused_s is not None:
+            self.unread_s += self._loop.time() - self._reading_paused_s
+            self._reading_paused_s = None
+            self._table.unread_count -= 1
+
     def abort(self) -> None:
         """Close the connection at once, without its unsent bytes."""
         accepted = self._accepted
@@ -221,6 +246,7 @@
 
     async def _handle_request(self, *args: Any) -> Any:
         """Handle one request, then parse what waits behind it."""
+        self.unread_s = 0.0
         result = await super()._handle_request(*args)
         if not self._messages and self._parser is not None:
             # The parser counts a request that is taken before its body has
--- a/src/gooseberrypost/connectiontable.py
+++ b/src/gooseberrypost/connectiontable.py
@@ -78,6 +78,7 @@
         "max_by_address",
         "max_connections",
         "refusals",
+        "unread_count",
     )
 
     def __init__(
@@ -91,6 +92,8 @@
         self.budget = budget
         self.max_connections = max_connections
         self.max_by_address = max_by_address or max_connections
+        self.unread_count = 0
+        """Connections whose reading is paused."""
         self._connections: dict[ClientConnection, str] = {}
         """Address of each connection, in the order of their opening."""
         self._by_address: Counter[str] = Counter()
--- a/src/gooseberrypost/gateway/daemon.py
+++ b/src/gooseberrypost/gateway/daemon.py
@@ -86,7 +86,12 @@
         self.frontend = Frontend(self.context, section, decode, refusals)
         for service in (
             self.lifecycle,
-            MonitoringServer(self.context, section, refusals),
+            MonitoringServer(
+                self.context,
+                section,
+                refusals,
+                lambda: self.frontend.unread_connections,
+            ),
             self.context.reservation_queue,
             self.frontend,
             FeedWatcher(
--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -160,6 +160,7 @@
             ),
             ctx.settings.connections_per_address,
         )
+        self._table = table
         self._server = ClientServer(ctx, self._handle, table)
         self._listener: HttpListener | None = None
         self._busy_connections: set[web.RequestHandler] = set()
@@ -176,6 +177,11 @@
         """Number of connections with a request in flight."""
         return len(self._busy_connections)
 
+    @property
+    def unread_connections(self) -> int:
+        """Number of connections whose reading is paused."""
+        return self._table.unread_count
+
     async def on_start(self) -> None:
         """Bind the port; raises ``OSError`` if it is in use."""
         address = self._ctx.settings.client_address
@@ -287,6 +293,7 @@
 
         def end(_: asyncio.Task[None]) -> None:
             self._exchanges.discard(exchange)
+            exchange.log_end_without_client()
             req.memory.close()
             connection.hold_unsent()
 
@@ -297,18 +304,27 @@
             if reply.is_aborted:
                 # The gateway closed the connection, not the client.
                 return
-            self._handle_disconnect(req, exchange, task)
+            self._handle_disconnect(connection, exchange, task)
             raise
 
     def _handle_disconnect(
-        self, req: ClientRequest, exchange: Exchange, task: asyncio.Task[None]
+        self,
+        connection: web.RequestHandler,
+        exchange: Exchange,
+        task: asyncio.Task[None],
     ) -> None:
         cancels = exchange.cancels_on_disconnect
-        self._ctx.log(
+        exchange.client_left_s = self._ctx.now_s()
+        unread_s = (
+            connection.unread_s
+            if isinstance(connection, ClientConnection)
+            else 0.0
+        )
+        exchange.log(
             "client_left",
-            req,
             attempts=exchange.attempts,
             action="stopped" if cancels else "finished",
+            unread_ms=round(1_000 * unread_s),
         )
         self._ctx.metrics.count("clients_left_total")
         if cancels:
--- a/src/gooseberrypost/gateway/monitoring.py
+++ b/src/gooseberrypost/gateway/monitoring.py
@@ -14,6 +14,8 @@
 from gooseberrypost.state.memoryuse import Use
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from gooseberrypost.clientrefusals import ClientRefusals
     from gooseberrypost.gateway.context import GatewayContext
     from gooseberrypost.lifecycle import Lifecycle
@@ -64,9 +66,11 @@
         ctx: GatewayContext,
         lifecycle: Lifecycle,
         refusals: ClientRefusals,
+        unread_connections: Callable[[], int],
     ) -> None:
         super().__init__()
         self._ctx = ctx
+        self._unread_connections = unread_connections
         self._lifecycle = lifecycle
         table = ConnectionTable(refusals, ctx.memory, MAX_CONNECTIONS)
         self._server = MonitoringConnections(self._handle, table)
@@ -113,6 +117,7 @@
         metrics.gauge(
             "configuration_age_ms", directory.age_ms(self._ctx.now_s())
         )
+        metrics.gauge("unread_connections", self._unread_connections())
         metrics.gauge("memory_budget_bytes", memory.total_bytes)
         for use in Use:
             used = memory.used(use)
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -213,6 +213,7 @@
 
     async def _attempt(self, server: Server) -> BufferedAnswer:
         remaining_s = self.remaining_s
+        self.log_send(server, "request")
         self.log(
             "routed",
             server=server.instance,
--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -153,11 +153,13 @@
     ) -> bool:
         """Ask an engine; returns whether the generation needs no other one."""
         ctx = self._ctx
+        self._log_unneeded(server, pending, "asked")
         reservation = await self._try_reserve(server, pending)
         if reservation is None:
             self.remove_run(server, pending)
             return False
         is_waiting = not pending.granted.done()
+        self._log_unneeded(server, pending, "granted")
         if is_waiting and not self._must_release(server, pending):
             pending.granted.set_result(reservation)
             return True
@@ -167,6 +169,20 @@
         ctx.spawn(ctx.transport.cancel_reservation(reservation))
         return not is_waiting
 
+    def _log_unneeded(
+        self, server: Server, pending: PendingReservation, step: str
+    ) -> None:
+        """Log a reservation for a generation that does not wait any more."""
+        if not pending.granted.done():
+            return
+        logging.info(
+            "event=unneeded_reservation request=%s server=%s step=%s",
+            pending.request,
+            server.instance,
+            step,
+        )
+        self._ctx.metrics.count("unneeded_reservations_total", step=step)
+
     def _must_release(
         self, server: Server, pending: PendingReservation
     ) -> bool:
