--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -299,6 +299,9 @@
         for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
+        metrics = self._ctx.metrics
+        metrics.count("notices_sent_total", len(addresses))
+        metrics.count("notices_sent_bytes_total", len(addresses) * len(data))
 
     def _peer_addresses(self) -> list[str]:
         now_s = time.monotonic()
