Plain requests: a call whose client has left is not sent to another server

A call that may not be repeated runs to its end when its client leaves after it was sent.

The class: the client's leaving decides once, at the moment it is seen, and not again at the next step. Each attempt now begins with the question whether its client is still there.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -9,7 +9,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
-from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
+from gooseberrypost.errors import CallerGone, Failure, NotRun, UnknownOutcome
 from gooseberrypost.gateway.authentication import (
     KeyRefused,
     failure_answer,
@@ -201,6 +201,11 @@
             raise DeadlineExceeded("no time left for another attempt")
         raise NoServer("deadline reached before a server was available")
 
+    def check_client(self) -> None:
+        """Raise ``CallerGone`` if nobody waits for another attempt."""
+        if self.client_left_s is not None:
+            raise CallerGone("the client left during an earlier attempt")
+
     @property
     def has_begun(self) -> bool:
         """Whether part of an answer arrived in the current attempt."""
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -62,7 +62,8 @@
     def cancels_on_disconnect(self) -> bool:
         """Whether to cancel the call when the client disconnects.
 
-        A non-idempotent call that was sent runs to completion.
+        A non-idempotent call that was sent runs to completion. If it turns out
+        not to have run, ``check_client`` ends it.
         """
         return self.is_repeatable or not self.attempts
 
@@ -85,6 +86,7 @@
         """Return the answer of the first server that gives one."""
         queue = self.ctx.plain_queues.of(self.service)
         while True:
+            self.check_client()
             self.check_deadline()
             self.check_quarantine()
             if queue.must_wait(self.servers):
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -65,6 +65,8 @@
         """Time that a plain call takes."""
         self.prefill_s = 0.0
         """Time that a prefill takes."""
+        self.late_refusal: asyncio.Future[str] | None = None
+        """Result of the next refusal, which waits for it."""
         self.has_room = True
         self.orders = 0
         self.registrations = 0
@@ -444,6 +446,18 @@
     async def _mode_reset(self, request, writer):
         reset_connection(writer)
 
+    async def _mode_late_refusal(self, request, writer):
+        """Refuse a call once ``refuse_running`` is called."""
+        self.late_refusal = asyncio.get_running_loop().create_future()
+        if await self.late_refusal == "reset":
+            return reset_connection(writer)
+        await self._refuse(request, writer, UNAVAILABLE)
+
+    def refuse_running(self, how: str):
+        """Refuse the call that waits for it, if there is one."""
+        if self.late_refusal is not None:
+            self.late_refusal.set_result(how)
+
     async def _mode_hang(self, request, writer):
         await asyncio.sleep(3_600)
 
--- /dev/null
+++ b/tests/test_clients_that_left.py
@@ -0,0 +1,102 @@
+"""Clients that close their connection before they have their answer."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from gooseberrypost.gateway.transport import ServerUnreachable
+from gooseberrypost.platform.engines import HttpTransport
+from tests.gateway_kit import configuration
+from tests.test_gateway_clients import connect, head, run
+
+DESK = ("a", "desk", "")
+OTHER_DESK = ("b", "desk", "")
+LONG_MS = 30_000
+"""Time limit of routes that ends no request of a test."""
+TICK_S = 0.1
+
+
+async def allow_long_requests(kit):
+    """Let requests last beyond the test."""
+    kit.store.put("op/config", configuration(4, timeout_ms=LONG_MS))
+    directory = kit.daemon.context.directory
+    await kit.until(lambda: directory.configuration.version == 4)
+
+
+def request(path: str, number: int, *fields: str, method="GET") -> bytes:
+    """Return a request with an id and a deadline of its own."""
+    whole = head(path, *fields, method=method)
+    whole = whole.replace(b"Attempt-Id: r1", b"Attempt-Id: r%d" % number)
+    return whole.replace(b"Ms: 2000", b"Ms: %d" % LONG_MS)
+
+
+@pytest.mark.parametrize("outcome", ["refused", "reset"])
+def test_call_without_client_is_not_sent_to_another_server(outcome):
+    """Guards against a call that is sent on after its client has left.
+
+    A call that was sent and may not be repeated runs to its end. If it has not
+    run there, nobody waits for it to run elsewhere.
+    """
+
+    async def work(kit):
+        await allow_long_requests(kit)
+        engines = kit.engines["a"], kit.engines["b"]
+        for engine in engines:
+            engine.mode = "late_refusal"
+        await leave_during_call(
+            kit, lambda: any(engine.running for engine in engines)
+        )
+        for engine in engines:
+            engine.refuse_running(outcome)
+        await asyncio.sleep(3 * TICK_S)
+        assert sum(len(engine.received) for engine in engines) == 1
+        assert not sent_without_client(kit)
+
+    run(work, DESK, OTHER_DESK)
+
+
+def test_call_without_client_is_not_sent_after_a_failed_connection(
+    monkeypatch,
+):
+    """Guards against a call that is sent on after its client has left.
+
+    The connection to the first server times out while the client leaves.
+    """
+    is_opening, is_over = asyncio.Event(), asyncio.Event()
+
+    @asynccontextmanager
+    async def time_out(transport, server, req, options):
+        is_opening.set()
+        await is_over.wait()
+        raise ServerUnreachable(server.address)
+        yield
+
+    async def work(kit):
+        await allow_long_requests(kit)
+        with monkeypatch.context() as patch:
+            patch.setattr(HttpTransport, "open", time_out)
+            await leave_during_call(kit, is_opening.is_set)
+        is_over.set()
+        await asyncio.sleep(3 * TICK_S)
+        engines = kit.engines["a"], kit.engines["b"]
+        assert not any(engine.received for engine in engines)
+        assert not sent_without_client(kit)
+
+    run(work, DESK, OTHER_DESK)
+
+
+async def leave_during_call(kit, is_sent):
+    """Close a connection while a call that may not be repeated is sent."""
+    _, writer = await connect(kit)
+    writer.write(request("/once/x", 0))
+    await kit.until(is_sent)
+    writer.close()
+    await kit.until(lambda: not kit.daemon.frontend.in_flight)
+
+
+def sent_without_client(kit) -> int:
+    metrics = kit.daemon.context.metrics
+    return metrics.value("sends_without_client_total", call="request")
