Reservations: no more engines are asked once a generation waits no more

The task that asks the engines is not cancelled with its generation, since what an engine grants has to be released. It now stops before the next one.

The test had two engines asked instead of one before this change.

--- a/src/gooseberrypost/gateway/reserver.py
+++ b/src/gooseberrypost/gateway/reserver.py
@@ -133,13 +133,19 @@
         server: Server | None,
         kept: Collection[str],
     ) -> None:
-        """Ask one engine after the other until one has reserved memory."""
+        """Ask one engine after the other until one has reserved memory.
+
+        Ends as well once the generation waits no more: its client has left,
+        or it was refused.
+        """
         tried = set(kept)
         try:
             while server is not None:
                 if await self._reserve_at(server, pending):
                     return
                 tried.add(server.identity)
+                if pending.granted.done():
+                    break
                 server = self._next_server(pending, tried)
         except Exception:
             # The generation stays in the queue, and is tried again.
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -14,6 +14,8 @@
 
 DESK = ("a", "desk", "")
 OTHER_DESK = ("b", "desk", "")
+PREFILL, DECODE = ("p", "llm", "prefill"), ("d", "llm", "decode")
+OTHER_DECODE = ("e", "llm", "decode")
 LONG_MS = 30_000
 """Time limit of routes that ends no request of a test."""
 TICK_S = 0.1
@@ -100,3 +102,30 @@
 def sent_without_client(kit) -> int:
     metrics = kit.daemon.context.metrics
     return metrics.value("sends_without_client_total", call="request")
+
+
+def test_no_more_engines_are_asked_for_memory_without_a_client():
+    """Guards against reservations for a generation that nobody waits for."""
+
+    async def work(kit):
+        await allow_long_requests(kit)
+        engines = kit.engines["d"], kit.engines["e"]
+        for engine in engines:
+            engine.has_room, engine.control_delay_s = False, 2 * TICK_S
+        _, writer = await connect(kit)
+        writer.write(request("/text/x", 0))
+        metrics = kit.daemon.context.metrics
+        queue = kit.daemon.context.reservation_queue
+        await kit.until(lambda: any(p.is_reserving for p in queue._queue))
+        writer.close()
+        await kit.until(lambda: not queue.has_waiting)
+        await asyncio.sleep(6 * TICK_S)
+        unneeded = "unneeded_reservations_total"
+        assert not metrics.value(unneeded, step="asked")
+        assert sum(_reservations(engine) for engine in engines) == 1
+
+    run(work, PREFILL, DECODE, OTHER_DECODE)
+
+
+def _reservations(engine) -> int:
+    return sum(one.target == "/-/hold-take" for one in engine.control)
