Peers: load notices take at most a quarter of the link

The cause: a gateway sends a notice to each of 30 others at each change of its load, 1 to 1.5 KB each and up to 35 rounds a second in a burst. Datagrams are queued by the link without telling their sender. Calls that time out change the load again, so that it lasts.

The class: an effort that grows with the trouble, in a medium that the work itself needs, without a limit. The notices now take at most a quarter of the rate that the settings state (limits.link_mbps), a tenth of a second of it at once. Each holds the whole load, so that the next one replaces what was left out. At an unknown rate nothing changes. TokenBucket moves to policy/, as its second user is there.

test_notice_pace.py: 219 KB on a link of 40 KB/s in 2.5 s before, at most 50 KB now.

--- a/src/gooseberrypost/gateway/peers.py
+++ b/src/gooseberrypost/gateway/peers.py
@@ -29,6 +29,7 @@
 )
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.identity import new_incarnation
+from gooseberrypost.policy.noticepace import NoticePace
 from gooseberrypost.wire.codec import (
     MAX_CORRELATION,
     Frame,
@@ -129,6 +130,7 @@
         """Monotonic time at which stale peer loads were last dropped."""
         self._next_invalid_log_s = float("-inf")
         self._load_changed = asyncio.Event()
+        self._pace = NoticePace(ctx.settings.link_bytes_per_s)
         self._paces_due_s = float("-inf")
         self._accounts_due_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
@@ -268,7 +270,8 @@
             try:
                 async with asyncio.timeout(NOTICE_INTERVAL_S):
                     await self._load_changed.wait()
-                await asyncio.sleep(COALESCE_S)
+                pace_s = self._pace.wait_s(time.monotonic())
+                await asyncio.sleep(max(COALESCE_S, pace_s))
             except TimeoutError:
                 # An unchanged load is sent again at each interval.
                 pass
@@ -299,6 +302,7 @@
         for address in addresses:
             host, _, port = address.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
+        self._pace.record_sent(len(addresses), len(data), time.monotonic())
         metrics = self._ctx.metrics
         metrics.count("notices_sent_total", len(addresses))
         metrics.count("notices_sent_bytes_total", len(addresses) * len(data))
--- a/src/gooseberrypost/platform/settings.py
+++ b/src/gooseberrypost/platform/settings.py
@@ -22,6 +22,7 @@
 ANSWER_BUFFER_SHARE: Final = 0.2
 """Share of a VM's memory for answers that are buffered."""
 BYTES_PER_MB: Final = 1_000_000
+BYTES_PER_S_PER_MBPS: Final = 125_000
 DEFAULT_MEMORY_MB: Final = 128
 """Memory of a VM whose settings do not state it."""
 
@@ -156,6 +157,8 @@
         memory_budget_bytes=round(
             reader.number("limits.memory_budget_bytes", 0)
         ),
+        link_bytes_per_s=BYTES_PER_S_PER_MBPS
+        * reader.number("limits.link_mbps", 0),
         file_descriptors=round(reader.number("limits.file_descriptors", 0)),
         connections_per_address=round(
             reader.number("limits.connections_per_address", 0)
--- a/src/gooseberrypost/settings/gateway.py
+++ b/src/gooseberrypost/settings/gateway.py
@@ -63,6 +63,9 @@
 
     The limit on client connections is derived from it.
     """
+    link_bytes_per_s: float = 0.0
+    """Rate of the VM's link, of which load notices take a part; 0 if it is not
+    known."""
     connections_per_address: int = 0
     """Connections of one client address; 0 for as many as of all."""
     queue_plain_requests: bool = False
--- a/src/gooseberrypost/stores/weights.py
+++ b/src/gooseberrypost/stores/weights.py
@@ -19,7 +19,7 @@
 from result import Err, Ok, Result
 
 from gooseberrypost.errors import ExecutionFailed, Failure, NotRun
-from gooseberrypost.stores._token_bucket import TokenBucket
+from gooseberrypost.policy.tokenbucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
