Clients: a request ends when its client leaves before it has read

A stream whose client reads nothing for a while, and then sends its end, went on at its engine until the client's connection was closed for other reasons: asyncio reports the loss of a connection only once everything that was written has been sent. The request in work is now ended with the end of the connection; what was written is still sent.

The class is that of a connection that is not read: the leaving is known, and waits behind something that need not happen.

--- a/src/gooseberrypost/clientconnection.py
+++ b/src/gooseberrypost/clientconnection.py
@@ -197,6 +197,16 @@
             self._reading_paused_s = None
             self._table.hangups.remove(self._descriptor)
 
+    def eof_received(self) -> None:
+        """End the request in work, as its client has left.
+
+        asyncio tells of the loss of a connection once all is sent, for which
+        it waits as long as the client reads nothing.
+        """
+        handler = self._task_handler
+        if handler is not None and self.writing_paused:
+            handler.cancel()
+
     def abort(self) -> None:
         """Close the connection at once, without its unsent bytes."""
         accepted = self._accepted
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -59,6 +59,8 @@
         """Start of the process in ms, as reports and entries state it."""
         self.events = 3
         self.event_s = 0.0
+        self.event_bytes = 0
+        """Least size of the data of an event."""
         self.body: bytes | None = None
         """Body of the answers to plain calls; None for a short one."""
         self.answer_s = 0.0
@@ -388,7 +390,8 @@
         await writer.drain()
 
     def _event(self, number: int) -> bytes:
-        return f"id: {number}\ndata: {number}\n\n".encode()
+        data = str(number).ljust(self.event_bytes, "x")
+        return f"id: {number}\ndata: {data}\n\n".encode()
 
     async def _mode_unframed(self, request, writer):
         """Answer without a length or chunks, ended by its connection."""
--- a/tests/test_clients_that_left.py
+++ b/tests/test_clients_that_left.py
@@ -86,6 +86,34 @@
     run(work, DESK, PREFILL, DECODE)
 
 
+def test_work_ends_when_its_client_leaves_before_it_has_read():
+    """Guards against an end that is acted on once all is sent.
+
+    The client reads nothing of its stream, then sends its end.
+    """
+
+    async def work(kit):
+        await allow_long_requests(kit)
+        engine = kit.engines["d"]
+        engine.events, engine.event_bytes = 200, 64 * 1024
+        _, writer = await connect(kit)
+        writer.transport.pause_reading()
+        writer.write(request("/text/x", 0))
+        await kit.until(lambda: is_unread(kit))
+        writer.write_eof()
+        await asyncio.sleep(0)
+        await kit.until(lambda: "r0" in engine.closed_early, NOTICED_S)
+        await kit.until(lambda: not kit.daemon.frontend.in_flight)
+
+    run(work, PREFILL, DECODE)
+
+
+def is_unread(kit) -> bool:
+    """Whether a part of an answer waits for its client to read."""
+    connections = kit.daemon.frontend._busy_connections
+    return any(one.writing_paused for one in connections)
+
+
 @pytest.mark.parametrize("outcome", ["refused", "reset"])
 def test_call_without_client_is_not_sent_to_another_server(outcome):
     """Guards against a call that is sent on after its client has left.
