--- a/tests/overload/test_entry_crowds.py
+++ b/tests/overload/test_entry_crowds.py
@@ -78,14 +78,16 @@
     return False
 
 
-async def check(folder, name, process, address_of, path, client, slow_ms=0):
-    """Send a crowd to a process and check it while and after."""
+async def check(
+    folder, name, process, address_of, path, client, slow_ms=0, watched=""
+):
+    """Send a crowd to a process and check it, or another one behind it."""
     async with cluster_under_load(folder) as cluster:
         cluster.servers["plain-1"].slow_ms = slow_ms
-        target = cluster.processes[process]
+        address = cluster.processes[process].settings[address_of]
+        target = cluster.processes[watched or process]
         watch = Watch(target)
         async with watch.sampling():
-            address = target.settings[address_of]
             await crowd.attack(address, path, client, CLIENTS)
         answered = await answers(cluster)
         watch.note(name, answered)
@@ -104,17 +106,22 @@
     asyncio.run(check(tmp_path, name, "entry-1", "http_address", path, client))
 
 
-def test_whole_bodies_for_slow_servers_do_not_exhaust_an_entry(tmp_path):
-    """Guards against bodies that take more memory than is counted for them."""
+@pytest.mark.parametrize("watched", ["entry-1", "plain-1"])
+def test_whole_bodies_for_slow_servers_exhaust_no_process(tmp_path, watched):
+    """Guards against bodies that take more memory than is counted for them.
+
+    They are held by the entry and by the agent behind it.
+    """
     asyncio.run(
         check(
             tmp_path,
-            "entry: complete_bodies, slow server",
+            f"entry: complete_bodies, slow server, {watched}",
             "entry-1",
             "http_address",
             PATHS["route"],
             KINDS["complete_bodies"],
             slow_ms=SLOW_ANSWER_MS,
+            watched=watched,
         )
     )
 
