Clients: the error answer that is kept for a client is released at the end

The cause is that of the bodies: an answer of up to 8 MB with a server error is kept, in case that no other server gives one, and stayed with the ended exchange until a garbage collection, with its memory counted as free. The exchange now releases all that memory was counted for, in one method.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -138,6 +138,16 @@
         if self._task is not None:
             self._task.cancel()
 
+    def release(self) -> None:
+        """Let go of what memory was counted for, and give that back.
+
+        The exchange and its parts refer to each other, so that they stay in
+        memory until the next garbage collection.
+        """
+        self.req.body = b""
+        self.error_answer = None
+        self.req.memory.close()
+
     @abstractmethod
     async def serve(self) -> None:
         """Answer the client, or raise the failure to report to it."""
--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -294,10 +294,7 @@
         def end(_: asyncio.Task[None]) -> None:
             self._exchanges.discard(exchange)
             exchange.log_end_without_client()
-            # The exchange and its parts refer to each other, so that they
-            # stay in memory until the next garbage collection.
-            req.body = b""
-            req.memory.close()
+            exchange.release()
             connection.hold_unsent()
 
         task.add_done_callback(end)
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -478,7 +478,8 @@
         await self._send(writer, "200 OK", [], b"no signature")
 
     async def _mode_error(self, request, writer):
-        await self._send(writer, "500 Oops", [SIGNATURE], b"failed")
+        body = self.body or b"failed"
+        await self._send(writer, "500 Oops", [SIGNATURE], body)
 
 
 def reset_connection(writer: asyncio.StreamWriter):
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import tracemalloc
 
 import pytest
 
@@ -174,6 +176,37 @@
     run(work, memory_bytes=1)
 
 
+@pytest.mark.parametrize("mode", ["answer", "error"])
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_nothing_large_of_an_ended_request_is_left(path, mode):
+    """Guards against memory that is free by the count and is still held.
+
+    Without the garbage collector, as what refers to itself waits for it.
+    """
+    large = 1024 * 1024
+
+    async def work(kit):
+        engine = kit.engines["a"]
+        engine.mode, engine.body = mode, bytes(large)
+        await kit.call(path, body=bytes(large))
+        before, _ = tracemalloc.get_traced_memory()
+        for _ in range(5):
+            await kit.call(path, body=bytes(large))
+            engine.received.clear()
+        memory = kit.daemon.context.memory
+        await kit.until(lambda: not memory.used_bytes)
+        after, _ = tracemalloc.get_traced_memory()
+        assert after - before < 2 * large
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        run(work)
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 def test_answers_wait_for_memory_and_all_arrive():
     """Guards against answers of calls that ran being lost to others."""
 
