Answers: a status is three digits, 200 to 599

What callers saw: an engine in trouble answers with status 000, and the client gets "HTTP/1.1 0" with the engine's signature and body, which is no answer in the protocol. 099, 600 and 999 were passed on, too, and 101, although no upgrade is asked for. Agents took such answers of their servers as confirmed.

The cause: llhttp takes any three digits, and nothing after it looked. All clients of servers, stores and agents read heads through AnswerFrame, which now fails the connection of a head with another status, as it does for a head without end: the outcome of the request is unknown then.

--- a/src/gooseberrypost/answerframe.py
+++ b/src/gooseberrypost/answerframe.py
@@ -24,9 +24,13 @@
 """Largest head of an answer, with the interim answers before it."""
 MAX_FRAMING_BYTES: Final = 64 * 1024
 """Most bytes in a row that add nothing to the body, such as trailers."""
+MAX_SHOWN_BYTES: Final = 64
+"""Most bytes of an invalid status line that its failure shows."""
 _PREFIX: Final = b"HTTP/1."
 _HEAD_END: Final = re.compile(rb"\r?\n\r?\n")
 _INTERIM: Final = re.compile(rb"HTTP/1\.\d 1(?!01)\d\d\b")
+_FINAL: Final = re.compile(rb"HTTP/1\.\d [2-5]\d\d(?!\d)")
+"""Status line of an answer; 101 is none, as no upgrade is asked for."""
 _BODY_LENGTH: Final = re.compile(
     rb"^content-length:[ \t]*(\d{1,18})[ \t]*\r?$",
     re.IGNORECASE | re.MULTILINE,
@@ -40,6 +44,10 @@
     """A server sends bytes without end that are no part of a body."""
 
 
+class InvalidStatus(aiohttp.ClientPayloadError):
+    """A server sends a head whose status is none of an answer."""
+
+
 class AnswerFrame:
     """Passes on the bytes of the first final answer on a connection."""
 
@@ -68,7 +76,8 @@
     def feed(self, data: bytes) -> bytes:
         """Return the received bytes that belong to the answer so far.
 
-        Raises ``FramingTooLarge`` if the head has no end.
+        Raises ``FramingTooLarge`` if the head has no end, and
+        ``InvalidStatus`` if it is of no answer.
         """
         if self._is_passed_on:
             return self._trim(data)
@@ -88,6 +97,9 @@
             self._head_bytes += head_end
             if is_answer and _INTERIM.match(head):
                 continue
+            if is_answer and not _FINAL.match(head):
+                line = head.partition(b"\n")[0].rstrip()[:MAX_SHOWN_BYTES]
+                raise InvalidStatus(f"status line {line!r}")
             self._is_passed_on = True
             length = _BODY_LENGTH.search(head)
             if length is not None and not _ENCODED.search(head):
--- a/src/gooseberrypost/answerprotocol.py
+++ b/src/gooseberrypost/answerprotocol.py
@@ -9,7 +9,11 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from gooseberrypost.answerframe import AnswerFrame, FramingTooLarge
+from gooseberrypost.answerframe import (
+    AnswerFrame,
+    FramingTooLarge,
+    InvalidStatus,
+)
 from gooseberrypost.timeouts import RunningTimeout
 
 if TYPE_CHECKING:
@@ -63,7 +67,7 @@
             super().data_received(answer)
             has_body = self._body_bytes != body_before
             self._frame.count_framing(len(answer), has_body=has_body)
-        except FramingTooLarge as exc:
+        except (FramingTooLarge, InvalidStatus) as exc:
             payload, transport = self._payload, self.transport
             if payload is not None and not payload.is_eof():
                 payload.set_exception(exc)
