--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -6,7 +6,10 @@
 import socket
 
 import pytest
+from result import Err
 
+from gooseberrypost.agent.plain import PlainClient
+from gooseberrypost.wire.messages import idl
 from tests.gateway_kit import serving
 from tests.standins.platform_engine import (
     FakePlatformEngine,
@@ -91,3 +94,45 @@
             assert not (got.status == 200 and got.complete)
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize("ends_first", [False, True])
+@pytest.mark.parametrize("size", [10, 200_000])
+def test_early_answer_to_an_agent_that_is_reset_is_a_failure(size, ends_first):
+    """Guards against the same in the calls that agents make.
+
+    The server goes on to answer other calls, such as that for its load.
+    """
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if head.startswith(b"GET"):
+            writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * size)
+        await writer.drain()
+        if ends_first:
+            writer.write_eof()
+        await asyncio.sleep(RESET_AFTER_S)
+        reset_connection(writer)
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        listener = server.sockets[0]
+        option = socket.SO_RCVBUF
+        listener.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        host, port = listener.getsockname()
+        client = PlainClient(f"{host}:{port}")
+        call = idl.Call(
+            method="POST",
+            path="/x",
+            headers=[],
+            body=bytes(UPLOAD_BYTES),
+            key="k",
+        )
+        assert isinstance(await client.call(call, 5_000), Err)
+        await client.close()
+        server.close()
+
+    asyncio.run(work())
