Soak: clients that leave before their answer

They leave during faults, with none, one, two or five requests behind the one in work, and once more without other faults, where nothing may be at work for them 1 s later.

--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -7,7 +7,8 @@
 servers. Faults overlap. Some requests crash each server that executes them,
 servers name rate limits, come back under their id with another version and
 write earlier refusals once more, another writer leaves odd entries beside
-those of the servers, and the store comes back from older copies.
+those of the servers, clients leave before their answers, and the store comes
+back from older copies.
 Responses that clients received and requests that servers executed are checked
 against the gateway's guarantees.
 """
@@ -98,6 +99,12 @@
 """Time that a snapshot takes for each gateway in the last check."""
 INTERPRETER_START_S = 0.2
 """Time in which the Python interpreter starts, before the gateway's code."""
+REQUESTS_BEHIND = (0, 1, 2, 5)
+"""Requests behind the first one of a client that leaves."""
+STAY_S = 0.1
+LEFT_S = 1.0
+"""Time after which nothing is at work for a client that left, well before the
+routes end a request."""
 RECOVERY_TIMEOUT_S = 12.0
 """Time in which every gateway and route must serve after the last fault."""
 
@@ -141,6 +148,9 @@
         self.method_rng = random.Random(f"method {seed}")
         self.odd_rng = random.Random(f"odd {seed}")
         self.link_rng = random.Random(f"link {seed}")
+        self.leave_rng = random.Random(f"leave {seed}")
+        self.leavers = 0
+        """Number of clients that left before their answer."""
         self.poison_routes: dict[str, str] = {}
         """Route of each crashing request."""
         self.crashes = dict.fromkeys(POISON_ROUTES, 0)
@@ -161,6 +171,7 @@
             clients.append(asyncio.create_task(self._leave_odd_entries()))
             clients.append(asyncio.create_task(self._repeat_refusals()))
             clients.append(asyncio.create_task(self._slow_store_link()))
+            clients.append(asyncio.create_task(self._leaving_client()))
             restarts = asyncio.create_task(self._restart_crashed())
             await self._faults()
             for client in clients:
@@ -169,6 +180,7 @@
             await self._recover()
             await self._check_quarantine()
             await self._check_limits()
+            await self._check_leavers()
             if restarts.done():
                 # Crashed servers were not started again.
                 await restarts
@@ -474,6 +486,58 @@
             finally:
                 engine.limit_per_s = None
 
+    async def _leaving_client(self):
+        """Leave before the answer, again and again."""
+        rng = self.leave_rng
+        while True:
+            await self._leave(
+                rng.choice(self.gateways),
+                rng.choice(list(ROUTES)),
+                rng.choice(REQUESTS_BEHIND),
+                rng.uniform(0, 0.3),
+            )
+            await asyncio.sleep(rng.uniform(0, 0.3))
+
+    async def _leave(
+        self, gateway: Process, route: str, behind: int, stay_s: float
+    ):
+        """Send a request, and others behind it, and close the connection."""
+        address = gateway.settings["listen"]["frontend"]
+        host, _, port = address.rpartition(":")
+        self.leavers += 1
+        requests = "".join(
+            f"GET /{route}/left HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Gooseberrypost-Attempt-Id: left-{self.leavers}-{number}\r\n"
+            f"X-Gooseberrypost-Token-Usage: {STREAM_USAGE}\r\n"
+            f"X-Gooseberrypost-Prompt-Prefix: {SOUND_PARTS}\r\n"
+            "X-Gooseberrypost-Deadline-Ms: 2000\r\n\r\n"
+            for number in range(1 + behind)
+        )
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return
+        try:
+            writer.write(requests.encode())
+            await asyncio.sleep(stay_s)
+        finally:
+            writer.close()
+
+    async def _check_leavers(self):
+        """Check that work ends with its client, without other faults."""
+        for engine in self.engines:
+            engine.mode = "hang"
+        for gateway in self.gateways:
+            for route in ("safe", "text", "again"):
+                for behind in REQUESTS_BEHIND:
+                    await self._leave(gateway, route, behind, STAY_S)
+        await asyncio.sleep(LEFT_S)
+        at_work = [name for one in self.engines for name in one.running]
+        if at_work:
+            self.violations.append(f"at work without a client: {at_work}")
+        for engine in self.engines:
+            engine.mode = "answer"
+
     async def _check_limits(self):
         """Check the rate limits of servers, without other faults."""
         limited = [self.engines[number] for number in LIMITED]
@@ -797,7 +861,7 @@
         click.echo(
             f"seed {number}: {len(run.sent)} sent, {served} served, "
             f"{run.moved} moved, {taken_up} taken up, "
-            f"{len(run.trace)} faults, "
+            f"{len(run.trace)} faults, {run.leavers} left, "
             f"{sum(run.crashes.values())} crashes, "
             f"{len(run.violations)} violations"
         )
