--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -98,7 +98,6 @@
         response.content_type = "application/json"
         await response.prepare(request)
         size = 1 if self.trickles else PACKET_BYTES
-        # It may change while the answer is sent.
         bytes_per_s = self.bytes_per_s
         with contextlib.suppress(ConnectionError):
             for start in range(0, len(body), size):
@@ -107,6 +106,8 @@
                     await asyncio.sleep(0.1)
                 else:
                     async with self._link:
+                        # 0 is no rate: the rest goes on at the one before.
+                        bytes_per_s = self.bytes_per_s or bytes_per_s
                         await asyncio.sleep(len(part) / bytes_per_s)
                 await response.write(part)
         return response
