Peers: the debt of load notices has an end

With more gateways than a quarter of the link carries a round of notices for, the bucket went deeper into debt with each, and notices would have come at their longest interval for long after the gateways had become fewer. Debt beyond the longest wait is forgiven; the example of NoticePace shows it.

--- a/src/gooseberrypost/policy/noticepace.py
+++ b/src/gooseberrypost/policy/noticepace.py
@@ -34,6 +34,12 @@
     ...     pace.record_sent(30, 1_000, now_s=0.0)
     >>> round(pace.wait_s(now_s=0.0), 1)
     0.2
+
+    However many peers there are, the wait has an end:
+
+    >>> pace.record_sent(10_000, 1_000, now_s=0.0)
+    >>> pace.wait_s(now_s=0.0), pace.wait_s(now_s=0.5)
+    (0.5, 0.0)
     """
 
     __slots__ = ("_bucket", "_next_s")
@@ -42,7 +48,9 @@
         """Create a pace; a rate of 0 is not known, and does not limit it."""
         self._bucket = (
             TokenBucket(
-                LINK_SHARE * link_bytes_per_s, BURST_S * link_bytes_per_s
+                LINK_SHARE * link_bytes_per_s,
+                BURST_S * link_bytes_per_s,
+                1_000 * MAX_WAIT_S,
             )
             if link_bytes_per_s
             else None
@@ -56,7 +64,7 @@
             return
         sent_bytes = count * (size + HEADER_BYTES)
         wait_ms = self._bucket.take(sent_bytes, round(1_000 * now_s))
-        self._next_s = now_s + min(wait_ms / 1_000, MAX_WAIT_S)
+        self._next_s = now_s + wait_ms / 1_000
 
     def wait_s(self, now_s: float) -> float:
         """Return the time until the next notice may be sent."""
--- a/src/gooseberrypost/policy/tokenbucket.py
+++ b/src/gooseberrypost/policy/tokenbucket.py
@@ -11,11 +11,18 @@
     (0, 100)
     """
 
-    __slots__ = ("_burst", "_full_at_ms", "_rate_per_s")
-
-    def __init__(self, rate_per_s: float, burst: float) -> None:
+    __slots__ = ("_burst_ms", "_full_at_ms", "_max_wait_ms", "_rate_per_s")
+
+    def __init__(
+        self,
+        rate_per_s: float,
+        burst: float,
+        max_wait_ms: float = float("inf"),
+    ) -> None:
         self._rate_per_s = rate_per_s
-        self._burst = burst
+        self._burst_ms = burst * 1_000 / rate_per_s
+        self._max_wait_ms = max_wait_ms
+        """Longest wait; debt beyond it is forgiven."""
         # Time at which the bucket is full again, possibly in the future.
         self._full_at_ms = 0.0
 
@@ -26,5 +33,6 @@
         """
         self._full_at_ms = max(self._full_at_ms, float(now_ms))
         self._full_at_ms += amount * 1_000 / self._rate_per_s
-        burst_ms = self._burst * 1_000 / self._rate_per_s
-        return max(0, round(self._full_at_ms - now_ms - burst_ms))
+        last_ms = now_ms + self._burst_ms + self._max_wait_ms
+        self._full_at_ms = min(self._full_at_ms, last_ms)
+        return max(0, round(self._full_at_ms - now_ms - self._burst_ms))
