Gateway: what goes on for a client that left is a module of its own

Departure holds the time at which a client left, the check before each attempt and the log lines, instead of four methods of Exchange. The behaviour is unchanged; sent_without_client and ended_without_client no longer repeat the number of attempts, which client_left has.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -9,11 +9,12 @@
 from functools import cached_property
 from typing import TYPE_CHECKING, Final
 
-from gooseberrypost.errors import CallerGone, Failure, NotRun, UnknownOutcome
+from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
 from gooseberrypost.gateway.authentication import (
     KeyRefused,
     failure_answer,
 )
+from gooseberrypost.gateway.departure import Departure
 from gooseberrypost.gateway.quarantine import Content
 from gooseberrypost.gateway.reply import DeadlineExceeded
 from gooseberrypost.gateway.shutdown import ShuttingDown
@@ -108,8 +109,7 @@
         """Identities of servers that failed or refused this request."""
         self.error_answer: BufferedAnswer | None = None
         """First server error, forwarded if no retry gets an answer."""
-        self.client_left_s: float | None = None
-        """Monotonic time at which the client was seen to have left."""
+        self.departure = Departure(self.log, ctx.metrics, ctx.now_s)
         self._task: asyncio.Task[None] | None = None
         self._stopped_by: Failure | None = None
 
@@ -211,11 +211,6 @@
             raise DeadlineExceeded("no time left for another attempt")
         raise NoServer("deadline reached before a server was available")
 
-    def check_client(self) -> None:
-        """Raise ``CallerGone`` if nobody waits for another attempt."""
-        if self.client_left_s is not None:
-            raise CallerGone("the client left during an earlier attempt")
-
     @property
     def has_begun(self) -> bool:
         """Whether part of an answer arrived in the current attempt."""
@@ -465,39 +460,6 @@
             and self.budget.try_spend(now_s)
         )
 
-    @property
-    def since_left_ms(self) -> int | None:
-        """Time since the client left; None while it is there."""
-        if self.client_left_s is None:
-            return None
-        return round(1_000 * (self.ctx.now_s() - self.client_left_s))
-
-    def log_send(self, server: Server, call: str) -> None:
-        """Log a call that begins after the client has left."""
-        since_left_ms = self.since_left_ms
-        if since_left_ms is None:
-            return
-        self.log(
-            "sent_without_client",
-            server=server.instance,
-            call=call,
-            attempts=self.attempts,
-            since_left_ms=since_left_ms,
-        )
-        self.ctx.metrics.count("sends_without_client_total", call=call)
-
-    def log_end_without_client(self) -> None:
-        """Log that nothing is under way any more for a client that left."""
-        since_left_ms = self.since_left_ms
-        if since_left_ms is None:
-            return
-        self.log(
-            "ended_without_client",
-            attempts=self.attempts,
-            since_left_ms=since_left_ms,
-        )
-        self.ctx.metrics.observe("client_left_work_ms", since_left_ms)
-
     def log(self, event: str, **fields: object) -> None:
         """Log an event of this request."""
         self.ctx.log(event, self.req, route=self.route.name, **fields)
--- a/src/gooseberrypost/gateway/frontend.py
+++ b/src/gooseberrypost/gateway/frontend.py
@@ -293,7 +293,7 @@
 
         def end(_: asyncio.Task[None]) -> None:
             self._exchanges.discard(exchange)
-            exchange.log_end_without_client()
+            exchange.departure.log_end()
             exchange.release()
             connection.hold_unsent()
 
@@ -314,19 +314,15 @@
         task: asyncio.Task[None],
     ) -> None:
         cancels = exchange.cancels_on_disconnect
-        exchange.client_left_s = self._ctx.now_s()
-        unread_s = (
-            connection.unread_s
-            if isinstance(connection, ClientConnection)
-            else 0.0
-        )
-        exchange.log(
-            "client_left",
+        exchange.departure.record(
             attempts=exchange.attempts,
-            action="stopped" if cancels else "finished",
-            unread_ms=round(1_000 * unread_s),
+            is_stopped=cancels,
+            unread_s=(
+                connection.unread_s
+                if isinstance(connection, ClientConnection)
+                else 0.0
+            ),
         )
-        self._ctx.metrics.count("clients_left_total")
         if cancels:
             task.cancel()
         else:
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -224,7 +224,7 @@
         reservation: Reservation | None,
     ) -> bool:
         remaining_s = self.remaining_s
-        self.log_send(server, "decode")
+        self.departure.log_send(server, "decode")
         options = SendOptions(
             timeout_s=remaining_s,
             connect_timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -63,7 +63,7 @@
         """Whether to cancel the call when the client disconnects.
 
         A non-idempotent call that was sent runs to completion. If it turns out
-        not to have run, ``check_client`` ends it.
+        not to have run, ``serve`` ends it.
         """
         return self.is_repeatable or not self.attempts
 
@@ -86,7 +86,7 @@
         """Return the answer of the first server that gives one."""
         queue = self.ctx.plain_queues.of(self.service)
         while True:
-            self.check_client()
+            self.departure.check()
             self.check_deadline()
             self.check_quarantine()
             if queue.must_wait(self.servers):
@@ -215,7 +215,7 @@
 
     async def _attempt(self, server: Server) -> BufferedAnswer:
         remaining_s = self.remaining_s
-        self.log_send(server, "request")
+        self.departure.log_send(server, "request")
         self.log(
             "routed",
             server=server.instance,
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -345,7 +345,7 @@
         """
         exchange = self._generation
         ctx, remaining_s = exchange.ctx, exchange.remaining_s
-        exchange.log_send(server, "prefill")
+        exchange.departure.log_send(server, "prefill")
         options = SendOptions(
             timeout_s=remaining_s,
             connect_timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
