--- a/review/common2/engines.py
+++ b/review/common2/engines.py
@@ -73,11 +73,15 @@
             version=self.version,
         )
 
-    def end(self, *, resets: bool = True):
-        """End the process at once; the store removes its entry later."""
+    def stop_heartbeats(self):
+        """Write no registration any more."""
         if self._beats is not None:
             self._beats.cancel()
-            self._beats = None
+
+    def end(self, *, resets: bool = True):
+        """End the process at once; the store removes its entry later."""
+        self.stop_heartbeats()
+        self._beats = None
         super().end(resets=resets)
         self.running.clear()
 
--- a/review/common2/store.py
+++ b/review/common2/store.py
@@ -25,6 +25,7 @@
         self._next_lease = 1_000
         self._changed = asyncio.Event()
         self._open: set[asyncio.StreamWriter] = set()
+        self._watches: set[asyncio.StreamWriter] = set()
 
     def put(self, key: str, value: object, lease: int = 0):
         """Write a key, as the operator and the servers do."""
@@ -55,6 +56,11 @@
         for writer in list(self._open):
             writer.transport.abort()
 
+    def cut_watches(self):
+        """End the watches that wait, without an answer."""
+        for writer in list(self._watches):
+            writer.transport.abort()
+
     def come_back(self):
         """Answer again."""
         self.is_silent = False
@@ -75,6 +81,8 @@
             await reader.read()
             return
         self._open.add(writer)
+        if request.path == "/-/kv-watch":
+            self._watches.add(writer)
         try:
             status, body = await self._answer(request)
             if self.is_silent:
@@ -82,6 +90,7 @@
             await send_json(writer, status, body)
         finally:
             self._open.discard(writer)
+            self._watches.discard(writer)
 
     async def _answer(self, request: Received) -> tuple[int, dict]:
         match request.method, request.path:
