--- a/review/8/case.py
+++ b/review/8/case.py
@@ -20,7 +20,7 @@
 from review.common2.clients import Answer, call, new_attempt
 from review.common2.engines import PlainServer
 
-SERVERS = 6
+SERVERS = 8
 WORK_S = 0.045
 CALLS_PER_S = 25.0
 DEADLINE_S = 1.5
--- a/review/common2/case.py
+++ b/review/common2/case.py
@@ -16,6 +16,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from review.common2.engines import KV_RETENTION_S, ModelEngine
 from review.common2.store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -265,7 +266,7 @@
         "slots": 32,
         "kv_capacity_tokens": 100_615,
         "stride": 59,
-        "kv_retention_s": 0.5,
+        "kv_retention_s": KV_RETENTION_S,
         "stage_switch_s": 6.0,
     }
     return {**plain_service(name), "engine": engine}
@@ -285,7 +286,10 @@
         try:
             await deployment.store.start()
             async with asyncio.timeout(110):
-                return await case(deployment)
+                is_broken = await case(deployment)
+            if ModelEngine.not_carried_out:
+                raise CaseNotRun(f"asked for {ModelEngine.not_carried_out}")
+            return is_broken
         finally:
             deployment.stop()
             keep = os.environ.get("KEEP_LOGS")
--- a/review/common2/engines.py
+++ b/review/common2/engines.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Callable
+from typing import ClassVar
 
 from review.common2.http import RawServer, Received, send, send_json
 from review.common2.store import Store
@@ -17,8 +18,12 @@
 """Heartbeats after which the store removes that of a silent server."""
 PROMPT_TOKENS_PER_S = 55_555.6
 """Prompt tokens that an engine reads in a second, as in the sheet."""
+DECODE_PREFILL_FACTOR = 2.0
+"""Factor of that time on a decode engine."""
 KV_TOKENS = 100_615
 """Tokens that fit into the memory of an engine, as in the sheet."""
+KV_RETENTION_S = 0.5
+"""Time for which a prefilled prompt is kept, as the configuration says."""
 
 _numbers = itertools.count(1)
 
@@ -207,7 +212,16 @@
 
 
 class ModelEngine(Server):
-    """Prefills prompts or decodes streams, depending on its stage."""
+    """Prefills prompts or decodes streams, depending on its stage.
+
+    It does not carry out moves of runs and orders, which a sound engine does.
+    A case in which one is asked for is not judged.
+    """
+
+    not_carried_out: ClassVar[list[str]] = []
+    """Calls that a sound engine would have carried out."""
+    handles: ClassVar[set[str]] = set()
+    """ADDRESS/HANDLE of each prefilled prompt that was not taken yet."""
 
     def __init__(self, store: Store, note: Note, service: str, **options):
         super().__init__(store, note, service, **options)
@@ -230,9 +244,8 @@
         """Called as a request to decode arrives."""
         self.on_hold: Callable[[ModelEngine], None] | None = None
         """Called as memory is reserved."""
-        self.holds: dict[str, float] = {}
-        """Time at which each reservation was made."""
-        self._handles: dict[str, tuple[str, asyncio.TimerHandle]] = {}
+        self.holds: set[str] = set()
+        """Reservations that are neither used nor lapsed."""
         self._prefills = asyncio.Lock()
 
     async def control(self, request: Received, writer):
@@ -248,21 +261,29 @@
                 "running": len(self.running),
                 "kv_used": 0,
                 "kv_total": KV_TOKENS,
-                "kv_handles": len(self._handles),
+                "kv_handles": 0,
                 "born": self._born,
                 "state": self.state,
             }
         elif request.path == "/-/hold-take":
             name = f"{next(_numbers):x}"
-            self.holds[name] = asyncio.get_running_loop().time()
+            ttl_s = request.json()["ttl_ms"] / 1_000
+            self.holds.add(name)
+            loop = asyncio.get_running_loop()
+            loop.call_later(ttl_s, self.holds.discard, name)
             body = {"hold": name}
             if self.on_hold is not None:
                 self.on_hold(self)
-        elif request.path in ("/-/kv-move", "/-/order"):
-            status = 404 if request.path == "/-/kv-move" else 400
+        elif request.path == "/-/kv-move":
+            status = 404
+            if request.json()["id"] in self.running:
+                self.not_carried_out.append(request.path)
+        elif request.path == "/-/order":
+            status = 400
+            self.not_carried_out.append(request.path)
         elif request.method == "DELETE":
-            self.holds.pop(request.last_path_part, None)
-            self._handles.pop(request.last_path_part, None)
+            self.holds.discard(request.last_path_part)
+            self.handles.discard(f"{self.address}/{request.last_path_part}")
         await send_json(writer, status, body)
 
     async def work(self, request: Received, reader, writer):
@@ -292,10 +313,11 @@
         finally:
             self.prefilling.discard(request_id)
         handle = f"{next(_numbers) * 40503 % 2**32:08x}"
-        timer = asyncio.get_running_loop().call_later(
-            2.0, self._handles.pop, handle, None
+        kept = f"{self.address}/{handle}"
+        self.handles.add(kept)
+        asyncio.get_running_loop().call_later(
+            KV_RETENTION_S, self.handles.discard, kept
         )
-        self._handles[handle] = request_id, timer
         body = {"kv_handle": handle, "tokens": tokens, "version": 1}
         await send_json(writer, 200, body, **self._echo(request))
 
@@ -312,9 +334,14 @@
     async def _decode(self, request: Received, reader, writer):
         request_id = request.header("Attempt-Id") or ""
         after = int(request.headers.get("last-event-id") or 0)
-        hold = request.header("Kv-Hold")
-        if hold is not None:
-            self.holds.pop(hold, None)
+        # One that has lapsed reserves nothing; there is room without it.
+        self.holds.discard(request.header("Kv-Hold") or "")
+        source = request.header("Kv-Source")
+        if source is not None and source not in self.handles:
+            self.note("refuses", request=request_id, server=self.instance)
+            await self._refuse(request, writer, "503 Service Unavailable")
+            return
+        self.handles.discard(source or "")
         self.running[request_id] = request.target
         if self.on_decode is not None:
             self.on_decode(self, request_id)
@@ -350,6 +377,11 @@
         lines = ["HTTP/1.1 200 OK"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join([*lines, "", ""]).encode()
+        if request.header("Kv-Source") is None:
+            usage = request.header("Token-Usage") or "1,1"
+            tokens = int(usage.split(",")[0])
+            prefill_s = DECODE_PREFILL_FACTOR * tokens / PROMPT_TOKENS_PER_S
+            await asyncio.sleep(self.slow * prefill_s)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.slow * self.event_s)
             if self._is_poisoned(request):
