Versions: no stream begins without the record of its version

Cause: VersionKeeper.begin sent the first event after 0.25 s also without the record, and find takes a missing record for the default version. Only the memory of the gateways told the two apart. Also, by reading, a write without an answer that the store executes late replaced the record of a stream that had begun elsewhere meanwhile.

Change: a stream at another version than the default sends nothing before the store has its record, and fails (502, version_unrecorded) when its client would leave. While records cannot be saved, new streams are bound to the default version before they reserve memory and after the prefill. A stream with a write of unknown outcome begins at that version or not at all. A default is relied on for the retention time after the last answer of the store. This works as every event that a client has is now preceded by what the store alone needs to tell its version.

--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -110,6 +110,11 @@
         """Whether another engine may resume the stream."""
         return self.route.resumable
 
+    @property
+    def needs_version(self) -> bool:
+        """Whether the version that begins the stream has to be recorded."""
+        return self.version is None and self.route.resumable
+
     @property
     def cancels_on_disconnect(self) -> bool:
         """Always true: only this client can receive the stream."""
@@ -389,7 +394,8 @@
             self.ctx.record_first_event_delay(
                 self.service, self._preparation.since_reserved_s
             )
-            await self.reply.start(answer.status, answer.headers)
+            if not (self.needs_version and self._waits_for_record):
+                await self._start_reply(answer)
         stride = self.ctx.engine_spec(self.service).tokens_per_event
         chunks = aiter(answer.chunks)
         # Only these streams hold events of more than one engine.
@@ -404,9 +410,11 @@
             if complete:
                 if self._events.count and self.version is None:
                     await self._begin_stream(server)
+                await self._start_reply(answer)
                 await self.reply.write(complete)
                 self._watch.relieve(server)
         await self._check_end(server, answer)
+        await self._start_reply(answer)
         await self.reply.finish()
         self.ctx.loads.of(server.identity).record_success(0.0)
         self.record_answer(answer)
@@ -435,14 +443,36 @@
             self.ctx.now_s(),
         )
 
+    async def _start_reply(self, answer: Answer) -> None:
+        """Send the head of an answer, unless it was sent before."""
+        if not self.reply.is_started:
+            await self.reply.start(answer.status, answer.headers)
+
+    @property
+    def _waits_for_record(self) -> bool:
+        """Whether the stream may fail before its first event."""
+        return not self.ctx.versions.is_recorded(self.service, self.req.id)
+
     async def _begin_stream(self, server: Server) -> None:
         """Bind the stream to the version that brings its first event."""
         self.version = server.version
         if self.route.resumable:
             await self.ctx.versions.begin(
-                self.service, self.req.id, server.version, self.remaining_s
+                self.service, self.req.id, server.version, self._record_wait_s
             )
 
+    @property
+    def _record_wait_s(self) -> float:
+        """Time for which the first event waits for the stream's record.
+
+        Afterwards the client still has time to ask for another first event
+        before it would have left.
+        """
+        leaves_s = self.req.arrived_s + self.client_wait_s
+        delay_s = self.ctx.first_event_delay_s(self.service)
+        left_s = min(leaves_s, self.deadline_s) - delay_s - self.ctx.now_s()
+        return max(0.0, left_s)
+
     async def _check_end(self, server: Server, answer: Answer) -> None:
         """Raise ``AnswerLost`` if a stream that ended was broken off."""
         if self._events.incomplete:
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -116,14 +116,7 @@
         exchange = self._generation
         ctx = exchange.ctx
         if self._reservation is None:
-            self._reservation = await self._reserve()
-        if exchange.version is None and exchange.route.resumable:
-            # The record is saved during the prefill.
-            ctx.versions.prepare(
-                exchange.service,
-                exchange.req.id,
-                self._reservation.server.version,
-            )
+            self._reservation = await self._reserve_at_version()
         if self._kv is None:
             server = self._prefill_server(self._reservation.server)
             if server is not None:
@@ -137,7 +130,7 @@
                     ctx.reservation_queue.check_shutdown(self._pending)
         exchange.check_quarantine()
         exchange.check_account()
-        return True
+        return self._keep_if_recorded(self._reservation)
 
     def take(self) -> Prepared:
         """Hand over what was prepared; ``complete`` has returned true."""
@@ -149,16 +142,21 @@
     def release(self) -> None:
         """Release an unused reservation and KV cache."""
         exchange = self._generation
-        transport = exchange.ctx.transport
         if self._kv is not None:
             exchange.count_waste("unused")
+            transport = exchange.ctx.transport
             exchange.ctx.spawn(transport.release_kv(self._kv))
             self._kv = None
         if self._reservation is not None:
-            exchange.remove_run(self._reservation.server, self._run)
-            exchange.ctx.spawn(transport.cancel_reservation(self._reservation))
+            self._cancel_reservation(self._reservation)
             self._reservation = None
 
+    def _cancel_reservation(self, reservation: Reservation) -> None:
+        exchange = self._generation
+        exchange.remove_run(reservation.server, self._run)
+        transport = exchange.ctx.transport
+        exchange.ctx.spawn(transport.cancel_reservation(reservation))
+
     def return_kv(self, kv: KvHandle | None) -> None:
         """Take back a KV cache whose decode engine could not be reached."""
         self._kv = kv
@@ -183,6 +181,45 @@
             exchange.count_waste("refused")
             ctx.spawn(ctx.transport.release_kv(kv))
 
+    async def _reserve_at_version(self) -> Reservation:
+        """Reserve at a version of which the store will have a record.
+
+        The record is saved during the prefill. While the stream waits for
+        memory, the store may stop answering.
+        """
+        exchange = self._generation
+        versions = exchange.ctx.versions
+        while True:
+            reservation = await self._reserve()
+            version = reservation.server.version
+            if self._required_version() in (None, version):
+                if exchange.needs_version:
+                    versions.prepare(
+                        exchange.service, exchange.req.id, version
+                    )
+                return reservation
+            self._cancel_reservation(reservation)
+
+    def _keep_if_recorded(self, reservation: Reservation) -> bool:
+        """Give up a reservation at a version that cannot be recorded.
+
+        Returns whether it was kept. The prompt may be used at another engine.
+        """
+        if self._required_version() in (None, reservation.server.version):
+            return True
+        self._cancel_reservation(reservation)
+        self._reservation = None
+        return False
+
+    def _required_version(self) -> str | None:
+        """Return the version at which to reserve; None for any."""
+        exchange = self._generation
+        if not exchange.needs_version:
+            return exchange.version
+        return exchange.ctx.versions.required_version(
+            exchange.service, exchange.req.id
+        )
+
     async def _reserve(self) -> Reservation:
         exchange, prompt = self._generation, self._generation.prompt
         ctx, req = exchange.ctx, exchange.req
@@ -207,7 +244,7 @@
             excluded=exchange.excluded,
             run=self._run,
             gap_ms=exchange.route.target_gap_ms,
-            version=exchange.version,
+            version=self._required_version(),
             has_begun=exchange.reply.is_started,
             source=self._source,
             is_prefilled=self._kv is not None,
--- a/src/gooseberrypost/gateway/reservation_queue.py
+++ b/src/gooseberrypost/gateway/reservation_queue.py
@@ -56,7 +56,7 @@
 
 
 class VersionGone(NotRun):
-    """No server of the version that began the stream is left."""
+    """No server of the version to which the stream is bound is left."""
 
     code = "version_gone"
 
--- a/src/gooseberrypost/gateway/versions.py
+++ b/src/gooseberrypost/gateway/versions.py
@@ -5,6 +5,10 @@
 store before its first event reaches the client. So the versions outlast all
 gateways, and while all servers have one version no stream costs a call.
 
+While records cannot be saved, new streams are bound to the default version,
+which needs none. A write without an answer may still be executed later, so a
+stream for which one was sent begins at that version or not at all.
+
 Gateways also tell each other the streams that they begin, for times at which
 the store does not answer.
 """
@@ -19,7 +23,7 @@
 from absl import logging
 from mode import Service
 
-from gooseberrypost.errors import Failure, NotRun
+from gooseberrypost.errors import Failure, NotRun, UnknownOutcome
 from gooseberrypost.gateway.tasks import keep_running
 from gooseberrypost.identity import content_digest
 from gooseberrypost.policy.streamversions import (
@@ -43,8 +47,6 @@
 """
 SAVE_BATCH: Final = 32
 """Records in one transaction."""
-SAVE_TIMEOUT_S: Final = 0.25
-"""Time for which the first event of a stream waits for its record."""
 SAVE_RETRY_S: Final = 0.2
 MAINTENANCE_INTERVAL_S: Final = 1.0
 MAX_NOTICE_STREAMS: Final = 64
@@ -65,12 +67,31 @@
     code = "version_not_saved"
 
 
+class VersionNotExecuted(VersionNotSaved):
+    """The store has not executed the call, and will not do so later."""
+
+    code = "version_not_executed"
+
+
+class VersionUnrecorded(UnknownOutcome):
+    """The version of a stream was not recorded before its client left.
+
+    A server has run the request, and no part of the answer was sent.
+    """
+
+    code = "version_unrecorded"
+
+
 class VersionStore(ABC):
     """Versions of streams in a store that outlasts the gateways."""
 
     @abstractmethod
     async def save(self, streams: Mapping[str, str]) -> None:
-        """Record the versions of streams; raises ``VersionNotSaved``."""
+        """Record the versions of streams.
+
+        Raises ``VersionNotExecuted``, or ``VersionNotSaved`` if the store may
+        have executed the call or may do so later.
+        """
 
     @abstractmethod
     async def find(self, stream: str) -> str | None:
@@ -118,7 +139,14 @@
         """Default versions as last seen, which a restored store may lack."""
         self.mixed: dict[str, set[str]] = {}
         """Versions of each service of which clients may take up several."""
+        self._asked = StreamVersions(MIN_RETENTION_S)
+        """Streams whose records were asked for."""
         self._unsaved: dict[str, str] = {}
+        """Records that the store does not have, with those being saved."""
+        self._saving: dict[str, str] = {}
+        """Records of the write that is under way."""
+        self._doubtful = StreamVersions(MIN_RETENTION_S)
+        """Records of writes that failed, and may be executed later."""
         self._waiting: dict[str, asyncio.Future[None]] = {}
         """Streams whose first event waits for the record."""
         self._has_unsaved = asyncio.Event()
@@ -133,48 +161,99 @@
         self.add_future(keep_running(self, self._maintain, metrics))
         self.add_future(keep_running(self, self._follow_directory, metrics))
 
+    def required_version(self, service: str, attempt: str) -> str | None:
+        """Return the version at which a stream has to begin; None for any.
+
+        It depends on what was asked for the attempt before, and on whether
+        records can be saved.
+        """
+        stream, now_s = stream_key(service, attempt), self._ctx.now_s()
+        doubtful = self._doubtful.version_of(stream, now_s)
+        if doubtful is not None or not self._is_store_failing:
+            return doubtful
+        return (
+            self._saving.get(stream)
+            or self._saved.version_of(stream, now_s)
+            or self._default_version(service, now_s)
+        )
+
     def prepare(self, service: str, attempt: str, version: str) -> None:
         """Begin to save that a stream will probably begin at a version."""
-        ctx = self._ctx
-        stream, now_s = stream_key(service, attempt), ctx.now_s()
-        recorded = self._unsaved.get(stream)
-        if recorded is None:
-            recorded = self._saved.version_of(stream, now_s)
-        default = ctx.directory.default_versions.get(service)
-        if recorded is None and default is not None:
-            recorded = default.version
-        if recorded != version:
-            self._unsaved[stream] = version
-            self._has_unsaved.set()
+        stream, now_s = stream_key(service, attempt), self._ctx.now_s()
+        if self._doubtful.version_of(stream, now_s) not in (None, version):
+            return
+        known = self._saved.version_of(stream, now_s)
+        if known is None:
+            known = self._default_version(service, now_s)
+        if known == version and stream not in self._saving:
+            if self._unsaved.get(stream) != version:
+                # A record that was not sent yet is not needed any more.
+                self._unsaved.pop(stream, None)
+            return
+        self._asked.record(stream, version, now_s)
+        self._unsaved[stream] = version
+        self._has_unsaved.set()
+
+    def _default_version(self, service: str, now_s: float) -> str | None:
+        """Return the default version of a service, if it is sure to hold.
+
+        Other gateways change it once its servers have been gone for the
+        retention time. A gateway that has not heard from the store for so
+        long can tell only where all gateways know the same single version.
+        """
+        directory = self._ctx.directory
+        default = directory.default_versions.get(service)
+        if default is None:
+            return None
+        is_heard = directory.freshness.age_s(now_s) <= self._own.retention_s
+        if is_heard or self._only_version(service) == default.version:
+            return default.version
+        return None
+
+    def is_recorded(self, service: str, attempt: str) -> bool:
+        """Whether the first event of a stream waits for no record."""
+        return stream_key(service, attempt) not in self._unsaved
 
     async def begin(
-        self, service: str, attempt: str, version: str, remaining_s: float
+        self, service: str, attempt: str, version: str, wait_s: float
     ) -> None:
         """Record that a stream begins, before its first event is sent.
 
-        The stream goes on without a record if the store does not answer in
-        time, unless the store has a wrong one.
+        Raises ``VersionUnrecorded`` if the store does not have the record
+        within ``wait_s``, or may get another one later.
         """
-        stream, now_s = stream_key(service, attempt), self._ctx.now_s()
-        self._own.record(stream, version, now_s)
-        self._ctx.notify_loads_changed()
+        stream = stream_key(service, attempt)
         self.prepare(service, attempt, version)
-        if stream not in self._unsaved:
-            return
-        is_wrong = self._saved.version_of(stream, now_s) is not None
-        if is_wrong or not self._is_store_failing:
-            fut = self._waiting.setdefault(
-                stream, asyncio.get_running_loop().create_future()
-            )
-            timeout_s = remaining_s if is_wrong else SAVE_TIMEOUT_S
-            await asyncio.wait({fut}, timeout=timeout_s)
-        if stream in self._unsaved:
+        is_saved = stream not in self._unsaved
+        if not is_saved:
+            is_saved = await self._wait_saved(stream, version, wait_s)
+        now_s = self._ctx.now_s()
+        doubtful = self._doubtful.version_of(stream, now_s)
+        if not is_saved or doubtful not in (None, version):
             self._ctx.metrics.count("streams_unrecorded_total")
             logging.warning(
-                "event=stream_unrecorded attempt=%s version=%s",
+                "event=stream_unrecorded attempt=%s version=%s written=%s",
                 attempt,
-                self._unsaved[stream],
+                version,
+                doubtful,
             )
+            raise VersionUnrecorded(f"no record of version {version} in time")
+        self._own.record(stream, version, now_s)
+        self._ctx.notify_loads_changed()
+
+    async def _wait_saved(
+        self, stream: str, version: str, wait_s: float
+    ) -> bool:
+        """Wait for the record of a stream; returns whether it is saved."""
+        fut = self._waiting.setdefault(
+            stream, asyncio.get_running_loop().create_future()
+        )
+        try:
+            await asyncio.wait({fut}, timeout=wait_s)
+        finally:
+            self._waiting.pop(stream, None)
+        saved = self._saved.version_of(stream, self._ctx.now_s())
+        return stream not in self._unsaved and saved == version
 
     async def find(self, service: str, attempt: str) -> str:
         """Return the version that began a stream.
@@ -202,12 +281,19 @@
         for version in known:
             if version is not None:
                 return version
+        only = self._only_version(service)
+        if only is not None:
+            return only
+        raise VersionUnknown(f"stream of {service}: {detail}")
+
+    def _only_version(self, service: str) -> str | None:
+        """Return the version of a service if all gateways know just one."""
         recent = self._recent(service) | self._told_serving.recent(
-            service, self._own.retention_s, now_s
+            service, self._own.retention_s, self._ctx.now_s()
         )
         if len(recent) == 1 and self._hears_all_gateways():
             return recent.pop()
-        raise VersionUnknown(f"stream of {service}: {detail}")
+        return None
 
     def _hears_all_gateways(self) -> bool:
         """Whether all other gateways have told lately what they know.
@@ -252,8 +338,10 @@
                         len(self._unsaved),
                         failure.detail,
                     )
-                self._is_store_failing = True
                 self._drop_expired()
+                # Without a record to save, only the next one can show
+                # whether the store is back.
+                self._is_store_failing = bool(self._unsaved)
                 await self.sleep(SAVE_RETRY_S)
                 self._has_unsaved.set()
 
@@ -264,10 +352,28 @@
         """
         while self._unsaved:
             batch = dict(islice(self._unsaved.items(), SAVE_BATCH))
-            await self._store.save(batch)
+            self._saving = batch
+            try:
+                await self._store.save(batch)
+            except VersionNotExecuted:
+                raise
+            except BaseException:
+                self._record_doubt(batch)
+                raise
+            finally:
+                self._saving = {}
             self._is_store_failing = False
             self._finish(batch)
 
+    def _record_doubt(self, batch: Mapping[str, str]) -> None:
+        """Give up other records of streams that a failed write names."""
+        now_s = self._ctx.now_s()
+        for stream, version in batch.items():
+            self._doubtful.record(stream, version, now_s)
+            if self._unsaved.get(stream, version) != version:
+                del self._unsaved[stream]
+                self._wake(stream)
+
     def _finish(self, batch: Mapping[str, str]) -> None:
         now_s = self._ctx.now_s()
         self._ctx.metrics.count("streams_recorded_total", len(batch))
@@ -276,17 +382,25 @@
             if self._unsaved.get(stream) != version:
                 continue
             del self._unsaved[stream]
-            fut = self._waiting.pop(stream, None)
-            if fut is not None and not fut.done():
-                fut.set_result(None)
+            self._wake(stream)
+
+    def _wake(self, stream: str) -> None:
+        """Let the first event of a stream go on, if it waits."""
+        fut = self._waiting.pop(stream, None)
+        if fut is not None and not fut.done():
+            fut.set_result(None)
 
     def _drop_expired(self) -> None:
         """Drop records of streams that no client can take up any more."""
         now_s = self._ctx.now_s()
         for stream in list(self._unsaved):
-            if self._own.version_of(stream, now_s) is None:
+            known = (
+                self._asked.version_of(stream, now_s),
+                self._saved.version_of(stream, now_s),
+            )
+            if known == (None, None):
                 del self._unsaved[stream]
-                self._waiting.pop(stream, None)
+                self._wake(stream)
 
     async def _maintain(self) -> None:
         # Gateways that start together would all set the same default.
@@ -318,7 +432,13 @@
         ]
         longest_s = max(timeouts_ms, default=0) / 1_000
         retention_s = max(MIN_RETENTION_S, RETENTION_FACTOR * longest_s)
-        for streams in (self._own, self._told, self._saved):
+        for streams in (
+            self._own,
+            self._told,
+            self._saved,
+            self._asked,
+            self._doubtful,
+        ):
             streams.retention_s = retention_s
 
     def _recent(self, service: str) -> set[str]:
--- a/src/gooseberrypost/platform/coordination.py
+++ b/src/gooseberrypost/platform/coordination.py
@@ -19,13 +19,18 @@
     Registry,
 )
 from gooseberrypost.gateway.stagelock import StageLock, StageLockLost
-from gooseberrypost.gateway.versions import VersionNotSaved, VersionStore
+from gooseberrypost.gateway.versions import (
+    VersionNotExecuted,
+    VersionNotSaved,
+    VersionStore,
+)
 from gooseberrypost.platform import names
 from gooseberrypost.platform.documents import (
     encode_crash,
     encode_stage_order,
 )
 from gooseberrypost.platform.store import (
+    CallNotExecuted,
     Commit,
     ConditionFailed,
     LeaseEnded,
@@ -240,5 +245,7 @@
     ) -> None:
         try:
             await self._store.write(puts, conditions, list(removed))
+        except CallNotExecuted as failure:
+            raise VersionNotExecuted(str(failure)) from failure
         except (ConditionFailed, FeedLost, LeaseEnded) as failure:
             raise VersionNotSaved(str(failure)) from failure
--- a/src/gooseberrypost/platform/store.py
+++ b/src/gooseberrypost/platform/store.py
@@ -40,6 +40,12 @@
     code = "lease_ended"
 
 
+class CallNotExecuted(StoreUnavailable):
+    """The store states that it has done nothing."""
+
+    code = "store_call_not_executed"
+
+
 class ConditionFailed(Failure):
     """A key has a different revision than required; nothing was written."""
 
@@ -308,6 +314,8 @@
     if status == 404:
         # The store answers 404 only to calls that name a lease.
         raise LeaseEnded(path)
+    if status == 503:
+        raise CallNotExecuted(f"{path}: status {status}")
     if status != 200:
         raise StoreUnavailable(f"{path}: status {status}")
     return _decode_object(path, content) if content else {}
--- a/tests/test_stream_versions_load.py
+++ b/tests/test_stream_versions_load.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from types import SimpleNamespace
 
@@ -23,10 +24,12 @@
 )
 from gooseberrypost.gateway.versions import (
     MIN_RETENTION_S,
+    SAVE_RETRY_S,
     VersionKeeper,
     VersionNotSaved,
     VersionStore,
     VersionUnknown,
+    VersionUnrecorded,
 )
 from gooseberrypost.metrics import Metrics
 
@@ -77,6 +80,7 @@
 
     def publish(self, streams=None, defaults=None, *, is_snapshot=False):
         for directory in self.directories:
+            directory.freshness.record_answer(directory.now_s())
             directory.apply_versions(
                 FeedUpdate(
                     (),
@@ -344,6 +348,8 @@
                 await keeper.find(SERVICE, "earlier")
         fleet.store.is_down = False
         await fleet.maintain(1.0)
+        first.prepare(SERVICE, "b", "v2")
+        await first.save_records()
         fleet.store.is_down = True
         await first.begin(SERVICE, "a", "v1", 14.0)
         await first.begin(SERVICE, "b", "v2", 14.0)
@@ -377,3 +383,146 @@
             assert await fleet.keeper("g100").find(SERVICE, begun) == begun
 
     asyncio.run(work())
+
+
+async def fail_to_save(keeper: VersionKeeper, attempt: str, version: str):
+    """Ask for the record of a stream while the store is away."""
+    keeper.prepare(SERVICE, attempt, version)
+    with pytest.raises(VersionNotSaved):
+        await keeper.save_records()
+
+
+def test_no_stream_begins_without_its_record():
+    """Guards against streams that a store that is back counts as default.
+
+    Those of the default version begin at once.
+    """
+
+    async def work():
+        fleet = Fleet(1, "v1")
+        await fleet.maintain()
+        fleet.serve_versions("v1", "v2")
+        (keeper,) = fleet.keepers
+        fleet.store.is_down = True
+        await fail_to_save(keeper, "a", "v2")
+        with pytest.raises(VersionUnrecorded):
+            await keeper.begin(SERVICE, "a", "v2", 0.0)
+        await keeper.begin(SERVICE, "b", "v1", 0.0)
+        assert await keeper.find(SERVICE, "b") == "v1"
+
+    asyncio.run(work())
+
+
+def test_first_event_goes_out_once_a_failed_write_is_repeated():
+    """Guards against streams that end although the store is back in time."""
+
+    async def work():
+        fleet = Fleet(1, "v1")
+        await fleet.maintain()
+        (keeper,) = fleet.keepers
+        fleet.store.is_down = True
+        await fail_to_save(keeper, "a", "v2")
+        begun = asyncio.create_task(keeper.begin(SERVICE, "a", "v2", 14.0))
+        await asyncio.sleep(0)
+        assert not begun.done()
+        fleet.store.is_down = False
+        await keeper.save_records()
+        await begun
+        assert await fleet.keeper("g100").find(SERVICE, "a") == "v2"
+
+    asyncio.run(work())
+
+
+def test_a_late_write_does_not_change_the_version_of_a_stream():
+    """Guards against a write without an answer that is executed later.
+
+    The stream began at another version meanwhile.
+    """
+
+    async def work():
+        fleet = Fleet(1, "v1")
+        await fleet.maintain()
+        (keeper,) = fleet.keepers
+        fleet.store.is_down = True
+        await fail_to_save(keeper, "a", "v2")
+        late = dict(keeper._unsaved)
+        fleet.store.is_down = False
+        begun = False
+        with contextlib.suppress(VersionUnrecorded):
+            async with asyncio.timeout(1.0):
+                saving = asyncio.create_task(keeper.save_records())
+                await keeper.begin(SERVICE, "a", "v1", 0.5)
+                begun = True
+        await saving
+        await fleet.store.save(late)
+        found = await fleet.keeper("g100").find(SERVICE, "a")
+        assert not begun or found == "v1"
+
+    asyncio.run(work())
+
+
+def test_stream_whose_write_fails_under_way_begins_nowhere_else():
+    """Guards against a record of another version beside a lost write."""
+
+    async def work():
+        fleet = Fleet(1, "v1")
+        await fleet.maintain()
+        (keeper,) = fleet.keepers
+        is_lost = asyncio.Event()
+
+        async def lose(streams):
+            await is_lost.wait()
+            raise VersionNotSaved("lost")
+
+        fleet.store.save = lose
+        keeper.prepare(SERVICE, "a", "v2")
+        saving = asyncio.create_task(keeper.save_records())
+        await asyncio.sleep(0)
+        begun = asyncio.create_task(keeper.begin(SERVICE, "a", "v1", 14.0))
+        await asyncio.sleep(0)
+        is_lost.set()
+        with pytest.raises(VersionNotSaved):
+            await saving
+        with pytest.raises(VersionUnrecorded):
+            await begun
+
+    asyncio.run(work())
+
+
+def test_records_are_saved_again_once_the_store_is_back():
+    """Guards against a gateway that uses the default version for good."""
+
+    async def work():
+        fleet = Fleet(1, "v1")
+        await fleet.maintain()
+        fleet.serve_versions("v1", "v2")
+        (keeper,) = fleet.keepers
+        async with keeper:
+            fleet.store.is_down = True
+            keeper.prepare(SERVICE, "a", "v2")
+            await asyncio.sleep(0.05)
+            assert keeper.required_version(SERVICE, "b") == "v1"
+            fleet.store.is_down = False
+            await asyncio.sleep(2 * SAVE_RETRY_S)
+            assert keeper.required_version(SERVICE, "b") is None
+
+    asyncio.run(work())
+
+
+def test_gateway_that_lost_the_store_long_ago_doubts_the_default():
+    """Guards against a default that others have changed meanwhile."""
+
+    async def work():
+        fleet = Fleet(2, "v1")
+        await fleet.maintain()
+        fleet.serve_versions("v1", "v2")
+        await fleet.maintain(1.0)
+        first = fleet.keepers[0]
+        fleet.store.is_down = True
+        fleet.at_s += MIN_RETENTION_S - 1.0
+        await first.begin(SERVICE, "a", "v1", 0.0)
+        fleet.at_s += 2.0
+        with pytest.raises(VersionUnrecorded):
+            await first.begin(SERVICE, "b", "v1", 0.0)
+
+    asyncio.run(work())
--- a/tests/version_kit.py
+++ b/tests/version_kit.py
@@ -62,6 +62,17 @@
         return body
 
 
+async def begin_in_two_tries(kit, request: str) -> tuple[str, bytes]:
+    """Begin a stream like a client that returns once if none begins.
+
+    Returns the name of the attempt that brought the first event, too.
+    """
+    try:
+        return request, await begin(kit, request)
+    except AssertionError:
+        return f"{request}-2", await begin(kit, f"{request}-2")
+
+
 async def read(kit, request: str) -> bytes:
     """Read a stream as far as it goes."""
     url = f"http://{kit.daemon.frontend.address}/again/x"
