Exchange: a status after a run does not tell clients to repeat a call

Cause: the status of a server was forwarded whatever it tells clients. Only X-Gooseberrypost-Not-Executed states that a request did not run; 408, 421, 429 and 503 say the same to clients.

Change: such an answer to a call, or to a stream that may not be resumed, ends as 502 without stamp and Retry-After (refusal_unproven). 502 promises nothing, so that no client repeats what has run. Repeatable requests get the server's answer as before.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -55,6 +55,8 @@
 """``Retry-After`` for failures that state no delay of their own."""
 RETRY_AFTER_STATUSES: Final = (429, NotRun.http_status)
 """Statuses of requests that were not run and may be sent again later."""
+NOT_EXECUTED_STATUSES: Final = frozenset((408, 421, 429, 503))
+"""Statuses that clients take for the statement that a request was not run."""
 UNKNOWN_OUTCOME_STATUS: Final = 502
 """Status of a request that may have been executed."""
 
@@ -71,6 +73,15 @@
     code = "server_replaced"
 
 
+class RefusalUnproven(UnknownOutcome):
+    """A server answered as if it had refused a request that it has run.
+
+    Or it has not run it, and does not state so.
+    """
+
+    code = "refusal_unproven"
+
+
 class ServerFailed(Failure):
     """A server answered with an error, which is kept to be forwarded."""
 
@@ -152,6 +163,11 @@
     async def serve(self) -> None:
         """Answer the client, or raise the failure to report to it."""
 
+    @property
+    @abstractmethod
+    def is_repeatable(self) -> bool:
+        """Whether the request may be executed more than once."""
+
     @property
     @abstractmethod
     def cancels_on_disconnect(self) -> bool:
@@ -306,6 +322,15 @@
                 left_s = until_s - ctx.now_s()
         return state
 
+    def check_refusal(self, status: int) -> None:
+        """Raise ``RefusalUnproven`` if an answer would have a call repeated.
+
+        The server took the request and does not state that it has not run it,
+        but clients conclude so from the status.
+        """
+        if status in NOT_EXECUTED_STATUSES and not self.is_repeatable:
+            raise RefusalUnproven(f"status {status} after a run")
+
     def record_answer(self, answer: Answer) -> None:
         """Record that a server has answered the request.
 
--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -517,6 +517,7 @@
         if buffered.is_server_error and self.is_repeatable:
             self.keep_error(server, buffered)
             raise EngineFailed(f"status {answer.status}")
+        self.check_refusal(answer.status)
         await self.reply.send(buffered.status, buffered.headers, buffered.body)
 
     def _log_answer(self, server: Server, answer: Answer) -> None:
--- a/src/gooseberrypost/gateway/plain.py
+++ b/src/gooseberrypost/gateway/plain.py
@@ -119,6 +119,7 @@
                 )
             else:
                 queue.record_answer(server, self.ctx.now_s() - sent_s)
+                self.check_refusal(answer.status)
                 if not (answer.is_server_error and self.is_repeatable):
                     return answer
                 self.keep_error(server, answer)
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -54,7 +54,7 @@
         self.mode = "answer"
         """How requests are answered: answer, refuse, reset, hang,
         unframed_reset, unframed_exit, unframed_restart, foreign, truncate,
-        unsigned, error."""
+        unsigned, error, own_status."""
         self.born = 1
         """Start of the process in ms, as reports and entries state it."""
         self.events = 3
@@ -65,6 +65,8 @@
         """Body of the answers to plain calls; None for a short one."""
         self.answer_s = 0.0
         """Time that a plain call takes."""
+        self.own_status = 503
+        """Status of the answers of mode ``own_status``, after a run."""
         self.prefill_s = 0.0
         """Time that a prefill takes."""
         self.late_refusal: asyncio.Future[str] | None = None
@@ -446,6 +448,12 @@
         writer.write(self._head(request, length) + b"part")
         await writer.drain()
 
+    async def _mode_own_status(self, request, writer):
+        """Answer with a status of the application, which ran the request."""
+        echoed = f"X-Gooseberrypost-Attempt-Id: {request.header('Attempt-Id')}"
+        headers = [SIGNATURE, echoed, "Retry-After: 0.05"]
+        await self._send(writer, f"{self.own_status} Own", headers, b"own")
+
     async def _mode_reset(self, request, writer):
         reset_connection(writer)
 
