Transport: a signed 421 is no proof that another instance answered

Cause: every 421 was taken for the answer of another instance at the server's address.

Change: a 421 proves that nothing was run if it has the header, or no stamp. With a stamp and without the header it is an answer after a run, so that no second server is asked, and a call that may run once ends as 502.

--- a/src/gooseberrypost/platform/engines.py
+++ b/src/gooseberrypost/platform/engines.py
@@ -340,10 +340,14 @@
         if echoed is not None and echoed != req.id:
             raise ForeignAnswer(f"{server.address} answered request {echoed}")
         is_refusal = names.NOT_EXECUTED in headers
-        if echoed is None and (is_refusal or response.status == MISDIRECTED):
+        # An application that ran the request may answer with any status.
+        is_misdirected = response.status == MISDIRECTED and (
+            is_refusal or names.SIGNATURE not in headers
+        )
+        if echoed is None and (is_refusal or is_misdirected):
             # It may be of an earlier request, and this one may run.
             raise ForeignAnswer(f"{server.address} refused without an id")
-        if response.status == MISDIRECTED:
+        if is_misdirected:
             raise WrongInstance(server.address, status=MISDIRECTED)
         self._report_state(server, response)
         if is_refusal:
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -107,6 +107,8 @@
         """Whether each answer says that the server is about to leave."""
         self.retry_after: str | None = None
         """Time to come back that each refusal names."""
+        self.states_refusals = True
+        """Whether refusals state that the request was not executed."""
         self.old_refusal: str | None = None
         """When a refusal without an id is written once more: ``early``, as a
         connection opens, or ``after`` each answer."""
@@ -312,7 +314,8 @@
     async def _refuse(self, request, writer, status: str, *headers: str):
         request_id = request.header("Attempt-Id")
         echoed = f"X-Gooseberrypost-Attempt-Id: {request_id}"
-        await self._send(writer, status, [NOT_EXECUTED, echoed, *headers])
+        stated = [NOT_EXECUTED] if self.states_refusals else []
+        await self._send(writer, status, [*stated, echoed, *headers])
 
     async def _json(self, writer, status, body):
         content = json.dumps(body).encode()
--- a/tests/test_unproven_refusals.py
+++ b/tests/test_unproven_refusals.py
@@ -90,3 +90,41 @@
             assert STAMP in got.headers
 
     run(work)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/text/x"])
+def test_signed_421_is_no_proof_that_another_instance_answered(path):
+    """Guards against a second run of a call whose server answered 421.
+
+    It has the server's stamp, and does not state that nothing was run.
+    """
+
+    async def work():
+        async with serving(*PLAIN, *MODEL) as kit:
+            await kit.add("d2", "llm", "decode")
+            fail_after_runs(kit, 421)
+            got = await kit.generate(path)
+            assert got.status == 502
+            assert STAMP not in got.headers
+            assert executions(kit) == 1
+
+    run(work)
+
+
+@pytest.mark.parametrize("states_so", [True, False])
+def test_421_of_another_instance_is_tried_elsewhere(states_so):
+    """Guards against 502 for a call that another instance has refused.
+
+    Without the stamp the status alone says that nothing was run.
+    """
+
+    async def work():
+        async with serving(*PLAIN) as kit:
+            kit.engines["a"].instance = "another"
+            kit.engines["a"].states_refusals = states_so
+            for _ in range(8):
+                got = await kit.call("/once/x")
+                assert got.status == 200
+            assert not kit.engines["a"].executed
+
+    run(work)
