Exchange: answers without framing clear their content

Cause: record_answer ignored answers without framing, as a crash may have cut them. confirm_end has asked the server's process before, and fails the answer if that has ended. So where a service answers without framing, nothing cleared a part, and crashes for other reasons added up.

Change: an answer whose end is confirmed clears its content. Nothing that a crash has cut does, as the process that answered has then ended or restarted.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -334,11 +334,11 @@
     def record_answer(self, answer: Answer) -> None:
         """Record that a server has answered the request.
 
-        A server error clears nothing, as the server may not have run the
-        request to its end. Nor does an answer whose framing does not show its
-        end, as a crash may have cut it.
+        The end of the answer is confirmed: a crash has not cut it. A server
+        error clears nothing, as the server may not have run the request to
+        its end.
         """
-        if answer.is_server_error or not answer.is_framed:
+        if answer.is_server_error:
             return
         quarantine = self.ctx.quarantine
         if quarantine.has_evidence or self.shared_parts:
