Quarantine: crashes with a known cause do not convict other parts

Cause: evaluate skips a crash that a verdict explains, but counted it against all parts that its requests had. Where all prompts share a part, the explained crashes counted against it again.

Change: a crash that a verdict on parts explains counts against no other part.

test_explained_crashes_do_not_convict_a_shared_part and test_sound_prompts_are_served_where_no_answer_proves_them failed before.

--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -44,7 +44,7 @@
 from gooseberrypost.strictjson import InvalidField, parse_json
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
 MAX_DIGESTS_PER_CRASH: Final = 64
 """Digests kept of one crash; an engine runs about twenty requests."""
@@ -377,6 +377,9 @@
         Where several causes are possible, none is convicted: the next crash
         separates them. A conviction stays even if later crashes make it
         ambiguous. Also called when a crash may have settled.
+
+        A crash that the conviction of parts explains does not count against
+        other parts. They came with its cause, or are shared by all prompts.
         """
         if not (
             self._is_changed or self._has_settled_since_evaluation(now_ms)
@@ -388,13 +391,24 @@
             for crash, suspects in sorted(self._crashes.items())
             if self._is_settled(crash, now_ms)
         }
-        tallies = tally(settled, self._cleared)
-        for crash, suspects in settled.items():
-            if any(
-                self.find_conviction({request, *suspect.parts})
-                for request, suspect in suspects.items()
-            ):
-                continue
+        while (key := self._find_cause(settled)) is not None:
+            self.convicted[key] = now_ms
+            self._released_ms.pop(key, None)
+
+    def _find_cause(
+        self, settled: Mapping[str, Mapping[str, Suspect]]
+    ) -> str | None:
+        """Return the key of what explains a crash; None if nothing does."""
+        unexplained = [
+            crash
+            for crash, suspects in settled.items()
+            if not self._is_explained(suspects)
+        ]
+        if not unexplained:
+            return None
+        tallies = tally(settled, self._ignored(settled))
+        for crash in unexplained:
+            suspects = settled[crash]
             cause = common_cause(
                 suspects,
                 tallies,
@@ -406,8 +420,29 @@
             key = KEY_SEPARATOR.join(sorted(cause))
             # Only a new crash leads to a conviction that has ended before.
             if self._reported_ms[crash] >= self._released_ms.get(key, 0):
-                self.convicted[key] = now_ms
-                self._released_ms.pop(key, None)
+                return key
+        return None
+
+    def _ignored(
+        self, settled: Mapping[str, Mapping[str, Suspect]]
+    ) -> Mapping[str, Collection[str]]:
+        """Return the digests that do not count for a crash, by crash.
+
+        A request that is convicted may well have a part that is the cause.
+        """
+        ignored: dict[str, Collection[str]] = dict(self._cleared)
+        for crash, suspects in settled.items():
+            lost_parts = [suspect.parts for suspect in suspects.values()]
+            if any(map(self.find_conviction, lost_parts)):
+                ignored[crash] = self.cleared(crash).union(*lost_parts)
+        return ignored
+
+    def _is_explained(self, suspects: Mapping[str, Suspect]) -> bool:
+        """Whether a conviction covers a request that a crash has lost."""
+        return any(
+            self.find_conviction({request, *suspect.parts})
+            for request, suspect in suspects.items()
+        )
 
     def _is_settled(self, crash: str, now_ms: int) -> bool:
         return now_ms - self._reported_ms[crash] >= self._settling_ms
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -245,6 +245,24 @@
     assert evidence.find_conviction({"other", "shared"}) is None
 
 
+def test_explained_crashes_do_not_convict_a_shared_part():
+    """Guards against a verdict on what all prompts share by one crash.
+
+    The crashes before it have a cause. A shared part that is the cause itself
+    is found after as many crashes as any other.
+    """
+    evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
+    for number in range(MIN_CRASHES_WITHOUT_ISOLATION):
+        lost = {f"bad{number}": Suspect({"shared", "bad"})}
+        evidence.report(f"c{number}", lost, 0)
+    assert evidence.find_conviction({"new", "shared", "bad"})
+    for number in range(MIN_CRASHES_WITHOUT_ISOLATION):
+        assert evidence.find_conviction({"new", "shared"}) is None
+        lost = {f"sound{number}": Suspect({"shared"})}
+        evidence.report(f"d{number}", lost, 0)
+    assert evidence.find_conviction({"new", "shared"}) == "shared"
+
+
 def test_popular_part_is_not_convicted_in_an_outage():
     """Guards against refusing all requests when every engine goes down."""
     evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
--- a/tests/test_quarantine_load.py
+++ b/tests/test_quarantine_load.py
@@ -57,6 +57,7 @@
         crashes_a_second=0.0,
         attempts=1,
         poison_steps=0,
+        proves=True,
     ):
         self.rng = random.Random(seed)
         self.gateways = [
@@ -71,6 +72,8 @@
         self.attempts = attempts
         self.poison_steps = poison_steps
         """Steps that a crashing request runs before its engine crashes."""
+        self.proves = proves
+        """Whether whole answers show that their content is sound."""
         self.poison_runs_ms = []
         """Times at which engines began to run a crashing request."""
         self.poison_crashes_ms = []
@@ -145,6 +148,8 @@
                 request.steps += 1
             for request in [r for r in running if r.steps >= RUN_STEPS]:
                 running.remove(request)
+                if not self.proves:
+                    continue
                 evidence = self.gateways[request.gateway]
                 evidence.record_answer(
                     request.digest, request.parts, self.now_ms
@@ -274,3 +279,24 @@
             simulation.step()
         assert simulation.late_runs() <= MAX_SENDS_AFTER, seed
         assert not simulation.late_refusals(), seed
+
+
+def test_sound_prompts_are_served_where_no_answer_proves_them():
+    """Guards against a verdict on what all prompts share by one crash more.
+
+    An engine crashes for another reason after the verdict on a bad part.
+    """
+    for seed in SEEDS:
+        simulation = Simulation(
+            seed, lambda r: "bad" in r.digests, engines=6, proves=False
+        )
+        for step in range(400):
+            simulation.send(f"r{step}", {"popular"})
+            if step >= 50 and step % 25 == 0:
+                simulation.send(f"p{step}", {"popular", "bad"})
+            simulation.step()
+            if step == 250:
+                running = max(simulation.engines, key=len)
+                simulation.crash(simulation.engines.index(running), running)
+        assert simulation.poison_crashes <= CRASHES_BEFORE_PART_LIMIT, seed
+        assert not simulation.refused, seed
