--- a/tests/scenarios/gateway_soak.py
+++ b/tests/scenarios/gateway_soak.py
@@ -5,10 +5,10 @@
 connections, faults of the store (503, no answers, watches without events, a
 compacted history, expired leases) and the failure modes of the fake backend
 servers. Faults overlap. Some requests crash each server that executes them,
-servers name rate limits, come back under their id with another version and
-write earlier refusals once more, another writer leaves odd entries beside
-those of the servers, clients leave before their answers, and the store comes
-back from older copies.
+servers name rate limits, come back under their id with another version, write
+earlier refusals once more and answer after a run as if they had refused it,
+another writer leaves odd entries beside those of the servers, clients leave
+before their answers, and the store comes back from older copies.
 Responses that clients received and requests that servers executed are checked
 against the gateway's guarantees.
 """
@@ -60,6 +60,7 @@
     "foreign",
     "unsigned",
     "error",
+    "own_status",
 )
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 STREAM_EVENTS = 12
@@ -638,6 +639,7 @@
     async def _fail_engine(self):
         engine = self.rng.choice(self.engines)
         engine.mode = self.rng.choice(FAILURE_MODES)
+        engine.own_status = self.rng.choice(NOT_EXECUTED_STATUSES)
         self._record_fault("server", engine.instance, engine.mode)
         await asyncio.sleep(self.rng.uniform(0.2, 2.0))
         engine.mode = "answer"
