--- a/src/gooseberrypost/gateway/generation.py
+++ b/src/gooseberrypost/gateway/generation.py
@@ -450,7 +450,7 @@
 
     @property
     def _waits_for_record(self) -> bool:
-        """Whether the stream may fail before its first event."""
+        """Whether the first event has to wait for the stream's record."""
         return not self.ctx.versions.is_recorded(self.service, self.req.id)
 
     async def _begin_stream(self, server: Server) -> None:
