Answers: each line of a head is a field of HTTP

Cause: the parser lets such lines pass and the transport forwards them. AnswerFrame checked the status line alone.

Change: a line below the status line has a name without spaces, a colon and a value without control characters but tabs, or the answer is lost. So nothing reaches a client that it may read in another way than the gateway did.

--- a/src/gooseberrypost/answerframe.py
+++ b/src/gooseberrypost/answerframe.py
@@ -25,12 +25,16 @@
 MAX_FRAMING_BYTES: Final = 64 * 1024
 """Most bytes in a row that add nothing to the body, such as trailers."""
 MAX_SHOWN_BYTES: Final = 64
-"""Most bytes of an invalid status line that its failure shows."""
+"""Most bytes of an invalid line of a head that its failure shows."""
 _PREFIX: Final = b"HTTP/1."
 _HEAD_END: Final = re.compile(rb"\r?\n\r?\n")
 _INTERIM: Final = re.compile(rb"HTTP/1\.\d 1(?!01)\d\d\b")
 _FINAL: Final = re.compile(rb"HTTP/1\.\d [2-5]\d\d(?!\d)")
 """Status line of an answer; 101 is none, as no upgrade is asked for."""
+_FIELD_LINE: Final = re.compile(
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*"
+)
+"""Line of a head: a name without spaces; no control characters but tabs."""
 _BODY_LENGTH: Final = re.compile(
     rb"^content-length:[ \t]*(\d{1,18})[ \t]*\r?$",
     re.IGNORECASE | re.MULTILINE,
@@ -44,8 +48,16 @@
     """A server sends bytes without end that are no part of a body."""
 
 
-class InvalidStatus(aiohttp.ClientPayloadError):
-    """A server sends a head whose status is none of an answer."""
+class InvalidHead(aiohttp.ClientPayloadError):
+    """A server sends a head that is none of an answer."""
+
+
+class InvalidStatus(InvalidHead):
+    """The status is none of an answer."""
+
+
+class InvalidField(InvalidHead):
+    """A line below the status line names no field."""
 
 
 class AnswerFrame:
@@ -77,7 +89,7 @@
         """Return the received bytes that belong to the answer so far.
 
         Raises ``FramingTooLarge`` if the head has no end, and
-        ``InvalidStatus`` if it is of no answer.
+        ``InvalidHead`` if it is of no answer.
         """
         if self._is_passed_on:
             return self._trim(data)
@@ -97,9 +109,8 @@
             self._head_bytes += head_end
             if is_answer and _INTERIM.match(head):
                 continue
-            if is_answer and not _FINAL.match(head):
-                line = head.partition(b"\n")[0].rstrip()[:MAX_SHOWN_BYTES]
-                raise InvalidStatus(f"status line {line!r}")
+            if is_answer:
+                _check_lines(head)
             self._is_passed_on = True
             length = _BODY_LENGTH.search(head)
             if length is not None and not _ENCODED.search(head):
@@ -133,3 +144,22 @@
         data = data[: self._left]
         self._left -= len(data)
         return data
+
+
+def _check_lines(head: bytes) -> None:
+    r"""Raise ``InvalidHead`` unless each line of a head is one of HTTP.
+
+    The parser lets some others pass, which a client reads in its own way or
+    not at all.
+
+    >>> _check_lines(b"HTTP/1.1 200 OK\r\nServer: a\r\n\r\n")
+    >>> _check_lines(b"HTTP/1.1 200 OK\r\nServer : a\r\n\r\n")
+    Traceback (most recent call last):
+    gooseberrypost.answerframe.InvalidField: line b'Server : a'
+    """
+    status_line, *lines = re.split(rb"\r?\n", head)
+    if not _FINAL.match(status_line):
+        raise InvalidStatus(f"status line {status_line[:MAX_SHOWN_BYTES]!r}")
+    for line in filter(None, lines):
+        if not _FIELD_LINE.fullmatch(line):
+            raise InvalidField(f"line {line[:MAX_SHOWN_BYTES]!r}")
--- a/src/gooseberrypost/answerprotocol.py
+++ b/src/gooseberrypost/answerprotocol.py
@@ -12,7 +12,7 @@
 from gooseberrypost.answerframe import (
     AnswerFrame,
     FramingTooLarge,
-    InvalidStatus,
+    InvalidHead,
 )
 from gooseberrypost.timeouts import RunningTimeout
 
@@ -67,7 +67,7 @@
             super().data_received(answer)
             has_body = self._body_bytes != body_before
             self._frame.count_framing(len(answer), has_body=has_body)
-        except (FramingTooLarge, InvalidStatus) as exc:
+        except (FramingTooLarge, InvalidHead) as exc:
             payload, transport = self._payload, self.transport
             if payload is not None and not payload.is_eof():
                 payload.set_exception(exc)
