Preparation: a reservation is given up if its engine leaves meanwhile

Cause: the engine was checked when it was chosen, and not after the prefill.

Change: after the prefill the reservation is given up unless its engine still takes requests; the prompt is kept and goes to the next engine with memory. So the choice is as old as the send.

--- a/src/gooseberrypost/gateway/exchange.py
+++ b/src/gooseberrypost/gateway/exchange.py
@@ -370,6 +370,11 @@
         )
         await asyncio.sleep(wait_s)
         self.check_quarantine()
+        return self.is_serving(server)
+
+    def is_serving(self, server: Server) -> bool:
+        """Whether a server that was chosen before still takes requests."""
+        ctx = self.ctx
         serving = ctx.directory.available_servers(self.service, ctx.now_s())
         return any(
             other.identity == server.identity and not other.draining
--- a/src/gooseberrypost/gateway/preparation.py
+++ b/src/gooseberrypost/gateway/preparation.py
@@ -130,7 +130,7 @@
                     ctx.reservation_queue.check_shutdown(self._pending)
         exchange.check_quarantine()
         exchange.check_account()
-        return self._keep_if_recorded(self._reservation)
+        return self._keep_if_usable(self._reservation)
 
     def take(self) -> Prepared:
         """Hand over what was prepared; ``complete`` has returned true."""
@@ -200,12 +200,15 @@
                 return reservation
             self._cancel_reservation(reservation)
 
-    def _keep_if_recorded(self, reservation: Reservation) -> bool:
-        """Give up a reservation at a version that cannot be recorded.
+    def _keep_if_usable(self, reservation: Reservation) -> bool:
+        """Give up a reservation that a long prefill has outlasted.
 
+        Its engine may be leaving, or its version cannot be recorded any more.
         Returns whether it was kept. The prompt may be used at another engine.
         """
-        if self._required_version() in (None, reservation.server.version):
+        server = reservation.server
+        can_record = self._required_version() in (None, server.version)
+        if can_record and self._generation.is_serving(server):
             return True
         self._cancel_reservation(reservation)
         self._reservation = None
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -458,3 +458,30 @@
                 client.close()
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize("change", ["draining", "removed"])
+@pytest.mark.parametrize("path", ["/text/x", "/again/x"])
+def test_prompt_is_not_decoded_by_an_engine_that_left_meanwhile(path, change):
+    """Guards against a stream that begins long after its engine drains.
+
+    The engine had reserved memory before a prefill that took long.
+    """
+
+    async def work():
+        pools = (("p", "llm", "prefill"), ("d1", "llm", "decode"))
+        async with serving(*pools) as kit:
+            kit.engines["p"].prefill_s = 0.6
+            task = asyncio.create_task(kit.generate(path))
+            await kit.until(lambda: kit.engines["p"].received)
+            await kit.add("d2", "llm", "decode")
+            if change == "draining":
+                kit.register("d1", "llm", state="draining")
+            else:
+                kit.store.remove("servers/d1")
+            got = await task
+            assert (got.status, got.complete) == (200, True)
+            assert not kit.engines["d1"].executed
+            assert len(kit.engines["p"].received) == 1
+
+    asyncio.run(work())
