Quarantine: one pass over the crashes, with the tallies renewed

A digest with the separator of keys in it, as in a malformed report of a peer, is a conviction that covers no request: the loop had no end, and the process stood still.

Change: each crash is looked at once, and a conviction renews the tallies for the crashes after it.

test_digest_with_the_separator_of_keys_is_evaluated_once does not end within 15 s before.

--- a/src/gooseberrypost/policy/quarantine.py
+++ b/src/gooseberrypost/policy/quarantine.py
@@ -391,24 +391,10 @@
             for crash, suspects in sorted(self._crashes.items())
             if self._is_settled(crash, now_ms)
         }
-        while (key := self._find_cause(settled)) is not None:
-            self.convicted[key] = now_ms
-            self._released_ms.pop(key, None)
-
-    def _find_cause(
-        self, settled: Mapping[str, Mapping[str, Suspect]]
-    ) -> str | None:
-        """Return the key of what explains a crash; None if nothing does."""
-        unexplained = [
-            crash
-            for crash, suspects in settled.items()
-            if not self._is_explained(suspects)
-        ]
-        if not unexplained:
-            return None
         tallies = tally(settled, self._ignored(settled))
-        for crash in unexplained:
-            suspects = settled[crash]
+        for crash, suspects in settled.items():
+            if self._is_explained(suspects):
+                continue
             cause = common_cause(
                 suspects,
                 tallies,
@@ -420,8 +406,9 @@
             key = KEY_SEPARATOR.join(sorted(cause))
             # Only a new crash leads to a conviction that has ended before.
             if self._reported_ms[crash] >= self._released_ms.get(key, 0):
-                return key
-        return None
+                self.convicted[key] = now_ms
+                self._released_ms.pop(key, None)
+                tallies = tally(settled, self._ignored(settled))
 
     def _ignored(
         self, settled: Mapping[str, Mapping[str, Suspect]]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -263,6 +263,19 @@
     assert evidence.find_conviction({"new", "shared"}) == "shared"
 
 
+def test_digest_with_the_separator_of_keys_is_evaluated_once():
+    """Guards against a process that stands still at a malformed report.
+
+    A conviction of such a digest covers no request, so that it explains none
+    of the crashes that led to it.
+    """
+    evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
+    for number in range(MIN_CRASHES_WITHOUT_ISOLATION):
+        evidence.report(f"c{number}", {"odd+digest"}, 0)
+    assert set(evidence.convicted) == {"odd+digest"}
+    assert evidence.find_conviction({"odd", "other"}) is None
+
+
 def test_popular_part_is_not_convicted_in_an_outage():
     """Guards against refusing all requests when every engine goes down."""
     evidence = Evidence(MIN_CRASHES_WITHOUT_ISOLATION)
